--- /dev/null
+++ b/cell/view.go
@@ -0,0 +1,23 @@
+package cell
+
+import (
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/platformlog"
+)
+
+// View is a read-only copy of a node's knowledge, for route tables, status
+// output and tests.
+type View struct {
+	Self        ident.Node
+	Term        uint64 // offset of the newest valid claim known; 0 if none
+	Leader      ident.Node
+	Deputy      ident.Node // zero if there is none
+	Members     []Member
+	Assignments []Grant // by Range.First; complete on leader and deputy
+	Provisional int     // assignments not yet in the log
+	Holdings    []Holding
+	NextOffset  platformlog.Offset // next offset to read
+	LastTail    clock.Time         // start of the last read that reached the end of the stream
+	Leaving     bool
+}
--- /dev/null
+++ b/outcome/outcome.go
@@ -0,0 +1,88 @@
+// Package outcome defines the three results that a request can have and the
+// reasons for not running it. They keep their meaning from the daemon beside
+// the target up to the caller.
+package outcome
+
+import "time"
+
+// Kind is the result class of a request.
+type Kind uint8
+
+const (
+	// Done means that the target ran the request and its whole answer is at hand.
+	Done Kind = 1
+	// NotRun means that no byte of the request was handed to a target.
+	NotRun Kind = 2
+	// Unknown means that the target may have run the request.
+	Unknown Kind = 3
+)
+
+// String returns the name that callers see in the Parsley-Outcome header.
+func (k Kind) String() string {
+	switch k {
+	case Done:
+		return "done"
+	case NotRun:
+		return "not-run"
+	case Unknown:
+		return "unknown"
+	}
+	return "invalid"
+}
+
+// Reason says why a request was not run or why its outcome is unknown.
+type Reason uint8
+
+const (
+	// ReasonNone goes with Done.
+	ReasonNone Reason = 0
+	// WrongOwner means that the receiving daemon does not own the key.
+	WrongOwner Reason = 1
+	// Moving means that the range is being handed over.
+	Moving Reason = 2
+	// NoOwner means that no owner of the key is known.
+	NoOwner Reason = 3
+	// Overloaded means that the queue in front of the target was full.
+	Overloaded Reason = 4
+	// DeadlineExceeded means that the deadline passed.
+	DeadlineExceeded Reason = 5
+	// Draining means that the target is leaving.
+	Draining Reason = 6
+	// StaleConfig means that the sender's configuration is older than the receiver's.
+	StaleConfig Reason = 7
+	// LeaseExpired means that the lease on the key's range ended.
+	LeaseExpired Reason = 8
+	// ConnectionLost means that a connection broke before the answer was whole.
+	ConnectionLost Reason = 9
+	// Canceled means that the caller left.
+	Canceled Reason = 10
+	// TargetShed means that the target itself refused the request without running it.
+	TargetShed Reason = 11
+	// RetryBudget means that the retry budget was exhausted.
+	RetryBudget Reason = 12
+	// UnknownService means that no such service is in force.
+	UnknownService Reason = 13
+	// BadRequest means that the request has no key, is malformed or too large.
+	BadRequest Reason = 14
+	// NotReady means that the daemon has no configuration yet.
+	NotReady Reason = 15
+	// Duplicate means that an earlier request with the same idempotency key is in flight or has an unknown outcome.
+	Duplicate Reason = 16
+)
+
+var reasonNames = [...]string{"none", "wrong-owner", "moving", "no-owner", "overloaded", "deadline-exceeded", "draining", "stale-config", "lease-expired", "connection-lost", "canceled", "target-shed", "retry-budget", "unknown-service", "bad-request", "not-ready", "duplicate"}
+
+// String returns the name that callers see in the Parsley-Reason header.
+func (r Reason) String() string {
+	if int(r) < len(reasonNames) {
+		return reasonNames[r]
+	}
+	return "invalid"
+}
+
+// Result is the outcome of a request without its answer.
+type Result struct {
+	Kind       Kind
+	Reason     Reason
+	RetryAfter time.Duration // earliest sensible time of a retry; 0 if none is sensible
+}
