--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# Targets: build, run, test, soak. See README.md.
+
+GO ?= go
+BIN := bin
+SEED ?= 1
+STEPS ?= 1000000
+
+.PHONY: build generate run test lint soak
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+generate:
+	$(GO) generate ./...
+
+lint:
+	@unformatted="$$(gofmt -l $$(git ls-files '*.go'))"; \
+	if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+test: lint
+	$(GO) test -race ./...
