Implement the ownership core: terms, leases, pledges and hand-over

The state machine of package cell did nothing. It now folds the stream's records, elects the first leader, grants leases on the deputy's pledge, gives lapsed ranges away once the change stands on two of leader, deputy and log, takes over, replaces the deputy, recovers and hands ranges over.

Message and Record are typed unions with a versioned msgp encoding.

Ruled out: a takeover by a deputy that has not heard its leader in the term may not open its gate on its own pledge alone, since the pair before may still act; the ledger keeps such pairs as pending.

Balancing by load is not in yet.

--- a/cell/config.go
+++ b/cell/config.go
@@ -49,6 +49,9 @@
 
 	// Seed seeds the core's jitter and nonces, so that runs can be repeated.
 	Seed int64
+
+	// Fault is for tests of checkers only; see Fault.
+	Fault Fault
 }
 
 // BalanceConfig holds the parameters of balancing within the cell.
--- /dev/null
+++ b/cell/errors.go
@@ -0,0 +1,66 @@
+package cell
+
+import (
+	"fmt"
+
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/platformlog"
+)
+
+// DecodeError reports bytes that are not a valid message or record.
+type DecodeError struct {
+	What   string // "message" or "record"
+	Reason string
+	Cause  error
+}
+
+func (e *DecodeError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("cell: invalid %s: %s: %v; check what wrote it", e.What, e.Reason, e.Cause)
+	}
+	return fmt.Sprintf("cell: invalid %s: %s; check what wrote it", e.What, e.Reason)
+}
+
+// Unwrap returns the cause.
+func (e *DecodeError) Unwrap() error { return e.Cause }
+
+// VersionError reports a message or record of a newer version.
+type VersionError struct {
+	What string // "message" or "record"
+	Got  int
+}
+
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("cell: %s of version %d, but this program understands up to %d; upgrade this daemon", e.What, e.Got, Version)
+}
+
+// StreamGapError reports that the cell's stream has lost records that this
+// node has not read and holds no snapshot that replaces them.
+type StreamGapError struct {
+	From     platformlog.Offset
+	Earliest platformlog.Offset
+}
+
+func (e *StreamGapError) Error() string {
+	return fmt.Sprintf("cell: the stream has lost the records from %d to before %d and holds no snapshot of them; have a daemon that still runs write one, or start the cell on a new stream", e.From, e.Earliest)
+}
+
+// SupersededError reports that a newer process of the same instance has been
+// announced.
+type SupersededError struct {
+	Self  ident.Node
+	Newer ident.Incarnation
+}
+
+func (e *SupersededError) Error() string {
+	return fmt.Sprintf("cell: %v has been replaced by incarnation %d of its instance; stop this process", e.Self, uint64(e.Newer))
+}
+
+// CellFullError reports that the cell holds MaxMembers members.
+type CellFullError struct {
+	Self ident.Node
+}
+
+func (e *CellFullError) Error() string {
+	return fmt.Sprintf("cell: %v cannot join, the cell has %d members; assign the instance to another cell", e.Self, MaxMembers)
+}
--- /dev/null
+++ b/cell/fault.go
@@ -0,0 +1,51 @@
+package cell
+
+// Fault names a rule of the protocol that a node breaks deliberately. It
+// exists for tests that show that a checker finds the violation; every other
+// program leaves Config.Fault at FaultNone.
+type Fault uint8
+
+const (
+	// FaultNone breaks no rule.
+	FaultNone Fault = iota
+	// FaultGrantWithoutPledge grants full leases whatever the authority is.
+	FaultGrantWithoutPledge
+	// FaultGrantBeforeStanding grants a range before its new assignment stands
+	// on two of leader, deputy and log.
+	FaultGrantBeforeStanding
+	// FaultGiveAwayBeforeLapse gives ranges away as soon as their owner misses
+	// a renewal.
+	FaultGiveAwayBeforeLapse
+	// FaultPledgeAfterClaim goes on pledging to the old leader after the
+	// deputy has read its own claim.
+	FaultPledgeAfterClaim
+	// FaultTakeoverWithoutWait gives ranges of silent members away before the
+	// last pledge to the old leader has run out.
+	FaultTakeoverWithoutWait
+	// FaultForgetProvisional starts a term without the assignments that are
+	// not in the log yet.
+	FaultForgetProvisional
+	// FaultTokenReuse grants ranges anew with their old token.
+	FaultTokenReuse
+	// FaultRecoverKeepsRanges grants at once after a recovery claim.
+	FaultRecoverKeepsRanges
+	// FaultFollowOldTerm takes orders of an older term than the one followed.
+	FaultFollowOldTerm
+	// FaultIgnoreUnsettledDeputy lets the pledges of the new deputy count alone
+	// before the record that names it is settled.
+	FaultIgnoreUnsettledDeputy
+	// FaultIgnoreBlindLimit grants leases past the blind limit.
+	FaultIgnoreBlindLimit
+	// FaultCountFromReceipt counts a lease from the receipt of its grant in
+	// place of the sending of the request.
+	FaultCountFromReceipt
+	// FaultIgnoreDrift counts the lapse of a lease without regard to drift and
+	// short by the lease's last tenth.
+	FaultIgnoreDrift
+	// FaultReleaseEarly reports a release before the work in flight has ended
+	// and without giving the range up.
+	FaultReleaseEarly
+	// FaultKeepRoleAfterRestart takes up the role that an older incarnation of
+	// the instance held.
+	FaultKeepRoleAfterRestart
+)
--- /dev/null
+++ b/cell/leader_deputy.go
@@ -0,0 +1,78 @@
+package cell
+
+import (
+	"time"
+
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/ident"
+)
+
+// chooseDeputy names another deputy if the present one is silent, has ended or
+// leaves, or if there is none.
+func (n *Node) chooseDeputy() {
+	if n.appends.last[KindDeputy].nonce != 0 && n.appends.last[KindDeputy].outcome == 0 {
+		return
+	}
+	deputy, due := n.nextDeputy()
+	if !due || !n.mayAppend(KindDeputy) {
+		return
+	}
+	l := n.leader
+	nonce := n.nonce()
+	n.append(nonce, Record{Deputy: &DeputyChange{
+		Nonce:  nonce,
+		Base:   n.ledger.state.Base,
+		Leader: n.self(),
+		Deputy: deputy,
+		Active: l.gate.open,
+		State:  State{Term: l.term, Seq: l.table.seq, Grants: l.grants()},
+	}})
+	n.syncLinks()
+}
+
+// nextDeputy returns the deputy to name, which may be none, and whether a
+// change is due.
+func (n *Node) nextDeputy() (ident.Node, bool) {
+	current := n.ledger.Deputy()
+	if len(n.appends.deputies) > 0 {
+		return n.unsettledChoice(), true
+	}
+	if current.IsZero() {
+		next := n.bestDeputy(clock.Never)
+		return next, !next.IsZero() && n.logFresh()
+	}
+	silence := n.deputySilence()
+	switch p := n.leader.peer(current); {
+	case n.ledger.ended(current):
+		return n.bestDeputy(clock.Never), true
+	case p != nil && p.leaving:
+		return n.bestDeputy(clock.Never), true
+	case silence >= n.timing.soloTimeout:
+		return n.bestDeputy(clock.Never), true
+	case silence >= n.timing.claimTimeout:
+		next := n.bestDeputy(n.now.Add(-silence))
+		return next, !next.IsZero()
+	}
+	n.wake(n.now.Add(n.timing.claimTimeout - silence))
+	return ident.Node{}, false
+}
+
+// unsettledChoice repeats the choice of the newest unsettled record if that
+// deputy is still live.
+func (n *Node) unsettledChoice() ident.Node {
+	newest := n.appends.deputies[len(n.appends.deputies)-1].deputy
+	if p := n.leader.peer(newest); p != nil && n.live(p) && !p.leaving {
+		return newest
+	}
+	return n.bestDeputy(clock.Never)
+}
+
+// deputySilence returns the time since the sending of the last heartbeat that
+// the deputy answered.
+func (n *Node) deputySilence() time.Duration {
+	k := n.leader.link(n.ledger.Deputy())
+	if k == nil {
+		return 0
+	}
+	return n.now.Sub(max(k.answered, k.since, n.leader.judgeFrom))
+}
--- /dev/null
+++ b/cell/loss_test.go
@@ -0,0 +1,45 @@
+package cell
+
+import (
+	"testing"
+	"time"
+)
+
+// limit is the time within which a lost range is served again.
+const lossLimit = 4 * time.Second
+
+func settled(t *testing.T, n int) *sim {
+	t.Helper()
+	s := newSim(t, n)
+	s.runUntil(10*time.Second, func() bool { return s.covered() && s.leaderProc() != nil && !s.leaderProc().node.ledger.Deputy().IsZero() })
+	s.run(5 * time.Second)
+	if !s.covered() {
+		t.Fatalf("not covered after settling\n%s", s.tail())
+	}
+	return s
+}
+
+func TestCellStartsAndDividesRangesEvenly(t *testing.T) {
+	s := settled(t, 4)
+	for _, p := range s.procs {
+		if len(p.held) != 2 {
+			t.Errorf("%v holds %d ranges, want 2", p.id, len(p.held))
+		}
+	}
+	s.exclusive()
+}
+
+func TestLostMemberIsReplacedWithinLimit(t *testing.T) {
+	for _, role := range []string{"plain", "leader", "deputy"} {
+		s := settled(t, 4)
+		lost := map[string]*simProc{"plain": s.plainProc(), "leader": s.leaderProc(), "deputy": s.deputyProc()}[role]
+		s.kill(lost)
+		took := s.runUntil(lossLimit, s.covered)
+		t.Logf("%s lost: served again after %v", role, took)
+		s.run(10 * time.Second)
+		s.exclusive()
+		if !s.covered() {
+			t.Errorf("%s lost: not covered at the end\n%s", role, s.tail())
+		}
+	}
+}
--- /dev/null
+++ b/cell/move.go
@@ -0,0 +1,213 @@
+package cell
+
+import (
+	"slices"
+
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/ident"
+)
+
+// maxMoves is the number of hand-overs that a leader runs at the same time.
+const maxMoves = 4
+
+// movePhase is the state of a hand-over.
+type movePhase uint8
+
+const (
+	// movePreparing waits for the target of the new owner.
+	movePreparing movePhase = 1
+	// moveReleasing waits for the old owner to give the range up.
+	moveReleasing movePhase = 2
+	// moveReleased waits for the change of owner.
+	moveReleased movePhase = 3
+)
+
+// move is the hand-over of a range between two processes that work.
+type move struct {
+	grant Grant // the grant of the old owner
+	to    ident.Node
+	phase movePhase
+	since clock.Time // start of the phase
+	asked clock.Time // newest Prepare or Release
+}
+
+// runMoves starts the hand-overs that are due and carries the others on.
+func (n *Node) runMoves() {
+	l := n.leader
+	n.planMoves()
+	for _, m := range slices.Clone(l.moves) {
+		n.runMove(m)
+	}
+}
+
+func (n *Node) runMove(m *move) {
+	l := n.leader
+	e := l.table.entry(m.grant.Range)
+	if e == nil || e.grant != m.grant {
+		l.endMove(m)
+		return
+	}
+	to := l.peer(m.to)
+	if m.phase != moveReleased && (to == nil || !n.takesRanges(to)) {
+		n.redirect(m)
+		return
+	}
+	switch m.phase {
+	case movePreparing:
+		n.runPrepare(m)
+	case moveReleasing:
+		n.runRelease(m)
+	case moveReleased:
+		n.finishMove(m, to)
+	}
+}
+
+// redirect sends a hand-over whose new owner is lost to another one, or ends it.
+func (n *Node) redirect(m *move) {
+	if m.phase == movePreparing {
+		n.leader.endMove(m)
+		return
+	}
+	if next := n.otherThan(m.grant.Owner); !next.IsZero() {
+		m.to = next
+	}
+}
+
+// runPrepare asks the new owner's target to get ready, for DrainLimit at most.
+func (n *Node) runPrepare(m *move) {
+	if n.now.Sub(m.since) >= n.cfg.DrainLimit {
+		m.enter(moveReleasing, n.now)
+		n.runRelease(m)
+		return
+	}
+	if m.asked != clock.Never && n.now < m.asked.Add(n.timing.renew) {
+		return
+	}
+	m.asked = n.now
+	g := m.grant
+	g.Owner = m.to
+	if m.to == n.self() {
+		n.out.Prepare = append(n.out.Prepare, g)
+		return
+	}
+	n.send(m.to, Message{Prepare: &Prepare{Term: n.leader.term, Grant: g}})
+}
+
+// runRelease asks the old owner to give the range up until it has.
+func (n *Node) runRelease(m *move) {
+	if m.asked != clock.Never && n.now < m.asked.Add(n.timing.retry) {
+		n.wake(m.asked.Add(n.timing.retry))
+		return
+	}
+	if m.grant.Owner == n.self() {
+		m.asked = n.now
+		if slices.Contains(n.follower.grants, m.grant) {
+			n.startRelease(m.grant)
+			return
+		}
+		n.drop(m.grant)
+		m.enter(moveReleased, n.now)
+		return
+	}
+	from := n.leader.peer(m.grant.Owner)
+	if from == nil || from.held < from.version {
+		return
+	}
+	m.asked = n.now
+	n.send(m.grant.Owner, Message{Release: &Release{Term: n.leader.term, Grant: m.grant}})
+}
+
+// finishMove makes the new owner the owner. The old one holds nothing of the
+// range any more.
+func (n *Node) finishMove(m *move, to *peer) {
+	l := n.leader
+	if to == nil || !n.takesRanges(to) {
+		next := n.otherThan(ident.Node{})
+		if next.IsZero() {
+			return
+		}
+		m.to = next
+	}
+	g := m.grant
+	g.Owner = m.to
+	l.endMove(m)
+	l.table.change([]entry{{grant: g}}, n.broken(FaultTokenReuse))
+	l.changed()
+	l.moveTimes = append(l.moveTimes, n.now)
+	n.updateStanding()
+}
+
+// otherThan returns the candidate with the fewest ranges besides the process.
+func (n *Node) otherThan(node ident.Node) ident.Node {
+	candidates := slices.DeleteFunc(n.candidates(), func(c candidate) bool { return c.node == node })
+	if len(candidates) == 0 {
+		return ident.Node{}
+	}
+	return fewest(candidates).node
+}
+
+func (m *move) enter(phase movePhase, now clock.Time) {
+	m.phase = phase
+	m.since = now
+	m.asked = clock.Never
+}
+
+func (l *leader) endMove(m *move) {
+	l.moves = slices.DeleteFunc(l.moves, func(x *move) bool { return x == m })
+}
+
+// moving reports whether the grant is being handed over.
+func (l *leader) moving(g Grant) bool {
+	return slices.ContainsFunc(l.moves, func(m *move) bool { return m.grant == g })
+}
+
+// startMove begins a hand-over.
+func (n *Node) startMove(g Grant, to ident.Node) {
+	n.leader.moves = append(n.leader.moves, &move{grant: g, to: to, phase: movePreparing, since: n.now})
+}
+
+// prepared notes that the new owner's target is ready.
+func (l *leader) prepared(g Grant) {
+	for _, m := range l.moves {
+		if m.phase == movePreparing && m.to == g.Owner && m.grant.Range == g.Range && m.grant.Token == g.Token {
+			m.enter(moveReleasing, m.since)
+		}
+	}
+}
+
+// released notes that the old owner has given the range up.
+func (l *leader) released(g Grant) {
+	for _, m := range l.moves {
+		if m.phase == moveReleasing && m.grant == g {
+			m.phase = moveReleased
+		}
+	}
+}
+
+// resumedRelease ends a hand-over whose work in flight did not end in time.
+func (l *leader) resumedRelease(g Grant) {
+	for _, m := range slices.Clone(l.moves) {
+		if m.phase == moveReleasing && m.grant == g {
+			l.endMove(m)
+		}
+	}
+}
+
+// onPrepareDone passes the new owner's answer on.
+func (n *Node) onPrepareDone(from ident.Node, m *PrepareDone) {
+	if n.leader != nil && m.Term == n.leader.term && m.Grant.Owner == from {
+		n.leader.prepared(m.Grant)
+	}
+}
+
+// onReleaseDone passes the old owner's answer on.
+func (n *Node) onReleaseDone(from ident.Node, m *ReleaseDone) {
+	if n.leader == nil || m.Term != n.leader.term || m.Grant.Owner != from {
+		return
+	}
+	if m.Resumed {
+		n.leader.resumedRelease(m.Grant)
+		return
+	}
+	n.leader.released(m.Grant)
+}
--- /dev/null
+++ b/cell/move_plan.go
@@ -0,0 +1,97 @@
+package cell
+
+import (
+	"slices"
+
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/ident"
+)
+
+// planMoves starts hand-overs away from members that leave or whose targets
+// are not ready, and then towards members that own less than their share.
+func (n *Node) planMoves() {
+	l := n.leader
+	if n.settling() || len(n.appends.deputies) > 0 {
+		return
+	}
+	for _, e := range l.table.entries {
+		if len(l.moves) >= maxMoves {
+			return
+		}
+		if !n.mustMove(e) || l.moving(e.grant) || e.seq > l.table.standing {
+			continue
+		}
+		if to := n.leastBurdened(e.grant.Owner); !to.IsZero() {
+			n.startMove(e.grant, to)
+		}
+	}
+	if len(l.moves) == 0 {
+		n.planShare()
+	}
+}
+
+// mustMove reports whether the owner is to give the range up although it works.
+func (n *Node) mustMove(e entry) bool {
+	if e.grant.Owner == n.self() {
+		return !n.ready || n.leaving
+	}
+	p := n.leader.peer(e.grant.Owner)
+	return p != nil && n.live(p) && (p.notReady || p.leaving)
+}
+
+// leastBurdened returns the candidate with the fewest ranges, those on their
+// way to it included, other than the process itself.
+func (n *Node) leastBurdened(node ident.Node) ident.Node {
+	candidates := slices.DeleteFunc(n.candidates(), func(c candidate) bool { return c.node == node })
+	if len(candidates) == 0 {
+		return ident.Node{}
+	}
+	for i := range candidates {
+		for _, m := range n.leader.moves {
+			if m.to == candidates[i].node {
+				candidates[i].count++
+			}
+		}
+	}
+	return fewest(candidates).node
+}
+
+// planShare moves one range from the member that owns the most to the one that
+// owns the fewest, if the counts differ by two or more.
+func (n *Node) planShare() {
+	l := n.leader
+	candidates := n.candidates()
+	if len(candidates) < 2 || n.now.Sub(l.since) < n.timing.lease || n.balancesLoad() {
+		return
+	}
+	low := fewest(candidates)
+	high := &candidates[0]
+	for i := range candidates {
+		if candidates[i].count > high.count {
+			high = &candidates[i]
+		}
+	}
+	if high.count-low.count < 2 || !n.mayMove() {
+		return
+	}
+	for _, e := range l.table.entries {
+		if e.grant.Owner == high.node && e.seq <= l.table.standing && !n.awaited(e) {
+			n.startMove(e.grant, low.node)
+			return
+		}
+	}
+}
+
+// awaited reports whether the owner has not been granted the range yet in this
+// term, because an older leader's lease may still be in force.
+func (n *Node) awaited(e entry) bool {
+	return e.grant.Token.Term != n.leader.term && n.now < n.leader.gate.silentUntil
+}
+
+// mayMove reports whether another move fits the limit of moves a minute.
+func (n *Node) mayMove() bool {
+	l := n.leader
+	l.moveTimes = slices.DeleteFunc(l.moveTimes, func(t clock.Time) bool { return n.now.Sub(t) >= moveWindow })
+	limit := n.cfg.Balance.MaxMovesPerMinute
+	return limit <= 0 || len(l.moveTimes)+len(l.moves) < limit
+}
--- /dev/null
+++ b/cell/sim_test.go
@@ -0,0 +1,364 @@
+package cell
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/keyspace"
+	"github.com/parsleystack/parsleystack/platformlog"
+)
+
+const (
+	simNetDelay  = time.Millisecond
+	simLogDelay  = 3 * time.Millisecond
+	simWorkDelay = 20 * time.Millisecond
+	simLongPoll  = 500 * time.Millisecond
+)
+
+// sim runs nodes on one virtual clock with a fake log and network, and checks
+// after every step that no point has two unexpired holders.
+type sim struct {
+	t      *testing.T
+	now    clock.Time
+	seq    int
+	events simQueue
+	procs  []*simProc
+
+	records []platformlog.Record
+	kept    int // index of the oldest record kept
+	logDown bool
+	// losesAnswers makes appends take effect without an answer.
+	losesAnswers bool
+	// dropsAppends makes appends vanish without an answer.
+	dropsAppends bool
+	cut          func(from, to ident.Instance) bool
+	logCut       func(node ident.Instance) bool
+	drop         func(from, to ident.Instance, m Message) bool
+
+	trace    *strings.Builder
+	acked    []Grant
+	conflict string
+}
+
+type simProc struct {
+	node     *Node
+	id       ident.Node
+	alive    bool
+	frozen   bool
+	held     []Holding
+	waiting  []Event // events during a freeze
+	nextTick clock.Time
+	left     bool
+	err      error
+	prev     string
+}
+
+type simEvent struct {
+	at  clock.Time
+	seq int
+	run func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	old := *q
+	x := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return x
+}
+
+func testConfig(instance string, incarnation uint64) Config {
+	zone := ident.Zone("z" + instance[len(instance)-1:])
+	return Config{
+		Service:           "reports",
+		Self:              Member{Node: ident.Node{Instance: ident.Instance(instance), Incarnation: ident.Incarnation(incarnation)}, Zone: zone, Addr: "10.0.0.1:" + instance, Capacity: 20, Version: Version},
+		Span:              keyspace.Full(),
+		InitialRanges:     8,
+		LeaseDuration:     2 * time.Second,
+		HeartbeatInterval: 700 * time.Millisecond,
+		RetryInterval:     100 * time.Millisecond,
+		DriftPPM:          200,
+		BlindLimit:        60 * time.Second,
+		DrainLimit:        2 * time.Second,
+		Seed:              1,
+	}
+}
+
+func newSim(t *testing.T, n int) *sim {
+	s := &sim{t: t, now: clock.Time(time.Hour), trace: &strings.Builder{}}
+	for i := 1; i <= n; i++ {
+		s.start(testConfig(fmt.Sprintf("t%d", i), 1))
+	}
+	return s
+}
+
+func (s *sim) start(cfg Config) *simProc {
+	node, err := NewNode(cfg)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	p := &simProc{node: node, id: cfg.Self.Node, alive: true}
+	s.procs = append(s.procs, p)
+	s.after(0, func() { s.step(p, Tick{}); s.poll(p) })
+	return p
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.events, simEvent{at: s.now.Add(d), seq: s.seq, run: run})
+}
+
+// run lets d pass.
+func (s *sim) run(d time.Duration) {
+	end := s.now.Add(d)
+	for s.events.Len() > 0 && s.events[0].at <= end {
+		e := heap.Pop(&s.events).(simEvent)
+		s.now = max(s.now, e.at)
+		e.run()
+	}
+	s.now = end
+}
+
+// runUntil lets time pass until done, for at most limit, and returns the time passed.
+func (s *sim) runUntil(limit time.Duration, done func() bool) time.Duration {
+	start := s.now
+	for s.now.Sub(start) < limit && !done() {
+		s.run(5 * time.Millisecond)
+	}
+	if !done() {
+		s.t.Helper()
+		s.t.Fatalf("not done within %v\n%s", limit, s.tail())
+	}
+	return s.now.Sub(start)
+}
+
+func (s *sim) tail() string {
+	lines := strings.Split(s.trace.String(), "\n")
+	if len(lines) > 60 {
+		lines = lines[len(lines)-60:]
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (s *sim) proc(instance string) *simProc {
+	for i := len(s.procs) - 1; i >= 0; i-- {
+		if s.procs[i].id.Instance == ident.Instance(instance) {
+			return s.procs[i]
+		}
+	}
+	return nil
+}
+
+// leaderProc returns the living process that leads, or nil.
+func (s *sim) leaderProc() *simProc {
+	for _, p := range s.procs {
+		if p.alive && p.node.leader != nil {
+			return p
+		}
+	}
+	return nil
+}
+
+func (s *sim) deputyProc() *simProc { return s.proc(string(s.leaderProc().node.ledger.Deputy().Instance)) }
+
+// plainProc returns a living process without a role.
+func (s *sim) plainProc() *simProc {
+	for _, p := range s.procs {
+		if p.alive && p.node.leader == nil && p != s.deputyProc() {
+			return p
+		}
+	}
+	return nil
+}
+
+// covered reports whether living processes hold the whole span.
+func (s *sim) covered() bool {
+	var grants []Grant
+	for _, p := range s.procs {
+		if !p.alive || p.frozen {
+			continue
+		}
+		for _, h := range p.held {
+			if h.Expires > s.now {
+				grants = append(grants, h.Grant)
+			}
+		}
+	}
+	slices.SortFunc(grants, compareGrants)
+	return covers(grants, keyspace.Full())
+}
+
+func (s *sim) step(p *simProc, ev Event) {
+	if !p.alive || p.left {
+		return
+	}
+	if p.frozen {
+		p.waiting = append(p.waiting, ev)
+		return
+	}
+	fx := p.node.Step(ev, s.now)
+	if fx.HoldingsChanged {
+		p.held = fx.Holdings
+		s.check()
+	}
+	s.record(p, fx)
+	s.carryOut(p, fx)
+	if p.nextTick <= s.now || fx.Wake < p.nextTick {
+		p.nextTick = fx.Wake
+		s.after(max(fx.Wake.Sub(s.now), 0), func() {
+			if p.nextTick <= s.now {
+				s.step(p, Tick{})
+			}
+		})
+	}
+}
+
+func (s *sim) carryOut(p *simProc, fx Effects) {
+	s.acked = append(s.acked, fx.Acknowledged...)
+	p.left = fx.Left
+	p.err = fx.Err
+	for _, h := range fx.Release {
+		s.after(simWorkDelay, func() { s.step(p, Released{Range: h.Grant.Range, Token: h.Grant.Token}) })
+	}
+	for _, g := range fx.Prepare {
+		s.after(simWorkDelay, func() { s.step(p, Prepared{Range: g.Range, Token: g.Token}) })
+	}
+	for _, e := range fx.Messages {
+		s.deliver(p, e)
+	}
+	for _, a := range fx.Appends {
+		s.append(p, a)
+	}
+	if fx.ReadLog {
+		s.after(simLogDelay, func() { s.read(p) })
+	}
+}
+
+func (s *sim) deliver(p *simProc, e Envelope) {
+	if s.cut != nil && s.cut(p.id.Instance, e.To.Instance) || s.drop != nil && s.drop(p.id.Instance, e.To.Instance, e.Message) {
+		return
+	}
+	m, err := DecodeMessage(e.Message.AppendTo(nil))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.after(simNetDelay, func() {
+		if to := s.proc(string(e.To.Instance)); to != nil {
+			s.step(to, Received{From: p.id, Message: m})
+		}
+	})
+}
+
+func (s *sim) append(p *simProc, a Append) {
+	if s.unreachable(p) {
+		s.after(simLogDelay, func() { s.step(p, Appended{Nonce: a.Nonce, Outcome: AppendFailed}) })
+		return
+	}
+	s.after(simLogDelay, func() {
+		if s.dropsAppends {
+			s.step(p, Appended{Nonce: a.Nonce, Outcome: AppendUnknown})
+			return
+		}
+		offset := s.land(a.Record)
+		answer := Appended{Nonce: a.Nonce, Offset: offset, Outcome: AppendDone}
+		if s.losesAnswers {
+			answer = Appended{Nonce: a.Nonce, Outcome: AppendUnknown}
+		}
+		s.after(simLogDelay, func() { s.step(p, answer) })
+	})
+}
+
+func (s *sim) unreachable(p *simProc) bool {
+	return s.logDown || s.logCut != nil && s.logCut(p.id.Instance)
+}
+
+// land adds a record to the stream.
+func (s *sim) land(r Record) platformlog.Offset {
+	offset := platformlog.Offset(len(s.records) + 1)
+	s.records = append(s.records, platformlog.Record{Offset: offset, Time: int64(s.now), Payload: r.AppendTo(nil)})
+	fmt.Fprintf(s.trace, "%s log %d: %s\n", s.stamp(), offset, describeRecord(r))
+	for _, p := range s.procs {
+		if p.node.leader != nil || p.node.deputy.named {
+			s.after(simLogDelay, func() { s.read(p) })
+		}
+	}
+	return offset
+}
+
+// poll reads the log for ever, as drivers do.
+func (s *sim) poll(p *simProc) {
+	if !p.alive || p.left {
+		return
+	}
+	s.read(p)
+	s.after(simLongPoll, func() { s.poll(p) })
+}
+
+func (s *sim) read(p *simProc) {
+	if s.unreachable(p) || !p.alive || p.frozen {
+		return
+	}
+	from := p.node.reader.next
+	earliest := platformlog.Offset(s.kept + 1)
+	if from < earliest {
+		s.step(p, LogGap{From: from, Earliest: earliest})
+		return
+	}
+	batch := platformlog.Batch{Earliest: earliest, Next: platformlog.Offset(len(s.records) + 1), Records: s.records[from-1:]}
+	s.step(p, LogRead{Started: s.now, From: from, Batch: batch})
+}
+
+// check fails the test if two processes hold a point.
+func (s *sim) check() {
+	for i, p := range s.procs {
+		for _, q := range s.procs[i+1:] {
+			for _, h := range p.held {
+				for _, k := range q.held {
+					if h.Expires > s.now && k.Expires > s.now && h.Grant.Range.Overlaps(k.Grant.Range) && s.conflict == "" {
+						s.conflict = fmt.Sprintf("%v: %v holds %v and %v holds %v", s.stamp(), p.id, h.Grant, q.id, k.Grant)
+					}
+				}
+			}
+		}
+	}
+}
+
+func (s *sim) kill(p *simProc) {
+	p.alive = false
+	fmt.Fprintf(s.trace, "%s %s is lost\n", s.stamp(), p.id)
+}
+
+// thaw lets a frozen process go on with what has arrived in the meantime.
+func (s *sim) thaw(p *simProc) {
+	p.frozen = false
+	waiting := p.waiting
+	p.waiting = nil
+	for _, ev := range waiting {
+		s.step(p, ev)
+	}
+	s.step(p, Tick{})
+}
+
+func (s *sim) exclusive() {
+	s.t.Helper()
+	if s.conflict != "" {
+		s.t.Fatalf("two holders: %s\n%s", s.conflict, s.tail())
+	}
+}
+
+func (s *sim) stamp() string {
+	return fmt.Sprintf("%9.3f", time.Duration(s.now-clock.Time(time.Hour)).Seconds())
+}
