--- /dev/null
+++ b/cell/handover_test.go
@@ -0,0 +1,93 @@
+package cell
+
+import (
+	"testing"
+	"time"
+)
+
+func TestLeavingProcessHandsOverWithoutLapse(t *testing.T) {
+	for _, role := range []string{"plain", "leader", "deputy"} {
+		s := settled(t, 4)
+		p := map[string]*simProc{"plain": s.plainProc(), "leader": s.leaderProc(), "deputy": s.deputyProc()}[role]
+		s.step(p, Leave{})
+		took := s.runUntil(10*time.Second, func() bool { return p.left })
+		t.Logf("%s left after %v", role, took)
+		if p.lapses > 0 {
+			t.Errorf("%s: grants ran out instead of being released", role)
+		}
+		p.alive = false
+		s.runUntil(100*time.Millisecond, s.covered)
+		s.run(10 * time.Second)
+		if n := s.lapses(); n > 0 {
+			t.Errorf("%s: %d leases lapsed", role, n)
+		}
+		s.exclusive()
+	}
+}
+
+func TestAllMembersLeaveOneAfterTheOther(t *testing.T) {
+	s := settled(t, 3)
+	for _, p := range s.procs {
+		s.step(p, Leave{})
+		s.runUntil(20*time.Second, func() bool { return p.left })
+		p.alive = false
+		s.run(2 * time.Second)
+		s.exclusive()
+	}
+}
+
+func TestAllMembersLeaveAtOnce(t *testing.T) {
+	s := settled(t, 3)
+	for _, p := range s.procs {
+		s.step(p, Leave{})
+	}
+	s.runUntil(30*time.Second, func() bool {
+		for _, p := range s.procs {
+			if !p.left {
+				return false
+			}
+		}
+		return true
+	})
+	s.exclusive()
+}
+
+func TestNewMemberGetsAShare(t *testing.T) {
+	s := settled(t, 3)
+	s.start(testConfig("t9", 1))
+	s.runUntil(20*time.Second, func() bool { return len(s.proc("t9").held) == 2 })
+	if n := s.lapses(); n > 0 {
+		t.Errorf("%d leases lapsed", n)
+	}
+	s.exclusive()
+}
+
+func TestUnreadyTargetIsGivenNoRange(t *testing.T) {
+	s := settled(t, 4)
+	p := s.plainProc()
+	s.step(p, TargetState{Ready: false})
+	s.runUntil(10*time.Second, func() bool { return len(p.held) == 0 })
+	s.step(p, TargetState{Ready: true})
+	s.runUntil(10*time.Second, func() bool { return len(p.held) > 0 })
+	s.exclusive()
+}
+
+// The new owner is lost in the middle of a hand-over.
+func TestHandoverWhoseNewOwnerIsLost(t *testing.T) {
+	for _, wait := range []time.Duration{5, 15, 25, 30, 40, 50} {
+		s := settled(t, 4)
+		p := s.plainProc()
+		s.step(p, Leave{})
+		s.run(wait * time.Millisecond)
+		for _, m := range s.leaderProc().node.leader.moves {
+			if to := s.proc(string(m.to.Instance)); to != s.leaderProc() && to != p {
+				s.kill(to)
+				break
+			}
+		}
+		s.runUntil(20*time.Second, func() bool { return p.left })
+		p.alive = false
+		s.runUntil(10*time.Second, s.covered)
+		s.exclusive()
+	}
+}
--- a/cell/leader_deputy.go
+++ b/cell/leader_deputy.go
@@ -47,7 +47,7 @@
 		return n.bestDeputy(clock.Never), true
 	case p != nil && p.leaving:
 		return n.bestDeputy(clock.Never), true
-	case silence >= n.timing.soloTimeout:
+	case silence >= n.soloTimeout():
 		return n.bestDeputy(clock.Never), true
 	case silence >= n.timing.claimTimeout:
 		next := n.bestDeputy(n.now.Add(-silence))
@@ -76,3 +76,16 @@
 	}
 	return n.now.Sub(max(k.answered, k.since, n.leader.judgeFrom))
 }
+
+// soloTimeout returns the silence of the deputy after which the leader goes on
+// without one. It is short in a cell of two, where nobody else could be named;
+// a larger cell is given the time to depose a leader that is cut off.
+func (n *Node) soloTimeout() time.Duration {
+	for _, m := range n.ledger.state.Members {
+		node := m.Member.Node
+		if !m.Gone && node != n.self() && node != n.ledger.Deputy() {
+			return n.timing.soloTimeout
+		}
+	}
+	return n.timing.claimTimeout + n.timing.retry
+}
--- a/cell/leader_peer.go
+++ b/cell/leader_peer.go
@@ -19,9 +19,11 @@
 	listed   []Grant
 	notReady bool
 	leaving  bool
-	renewed  clock.Time // newest Renew
-	lapse    clock.Time // end of the newest lease, on the leader's clock
-	leadAt   clock.Time // when Lead was last sent
+	// dismissed is set once the process has been told that it may stop.
+	dismissed bool
+	renewed   clock.Time // newest Renew
+	lapse     clock.Time // end of the newest lease, on the leader's clock
+	leadAt    clock.Time // when Lead was last sent
 
 	version uint32  // of sent; 0 before the first
 	sent    []Grant // grants last sent
@@ -134,6 +136,7 @@
 	m := &Lease{Term: l.term, Request: request, Micros: micros, Version: p.version}
 	if n.mayLeave(p) {
 		m.Flags |= leaseMayLeave
+		p.dismissed = true
 	}
 	n.addGrants(p, m)
 	n.send(p.node, Message{Lease: m})
--- a/cell/leave.go
+++ b/cell/leave.go
@@ -1,25 +1,9 @@
 package cell
 
 // mayLeave reports whether a member that leaves has nothing left: no role, no
-// range and no grant that it has not confirmed to be without.
+// range and no grant.
 func (n *Node) mayLeave(p *peer) bool {
-	if !p.leaving || p.node == n.ledger.Deputy() {
-		return false
-	}
-	if n.leader.table.owns(p.node) == 0 {
-		return len(p.sent) == 0
-	}
-	return len(n.candidates()) == 0 && n.ledger.Deputy().IsZero() && n.alone(p)
-}
-
-// alone reports whether no other process could ever take the member's ranges.
-func (n *Node) alone(p *peer) bool {
-	for _, other := range n.leader.peers {
-		if other != p && n.ledger.announced(other.node) != nil && !n.ledger.member(other.node.Instance).Gone {
-			return false
-		}
-	}
-	return true
+	return p.leaving && p.node != n.ledger.Deputy() && n.leader.table.owns(p.node) == 0 && len(p.sent) == 0
 }
 
 // runLeaderLeave hands the leadership to the deputy once that is in step, and
@@ -46,16 +30,15 @@
 	n.send(deputy, Message{Handover: &Handover{Term: l.term}})
 }
 
-// leaveAlone stops a leader without a deputy when no live member is left that
-// could become one.
+// leaveAlone stops a leader without a deputy after all other members.
 func (n *Node) leaveAlone() {
-	if !n.bestDeputy(0).IsZero() {
-		return
-	}
-	for _, g := range n.heldGrants() {
-		n.startRelease(g)
+	l := n.leader
+	for _, p := range l.peers {
+		if p.node != n.self() && !p.dismissed && n.now.Sub(max(p.renewed, l.since)) < n.timing.lease {
+			return
+		}
 	}
-	if len(n.heldGrants()) > 0 || len(n.appends.deputies) > 0 {
+	if len(n.heldGrants()) > 0 || len(l.moves) > 0 || len(n.appends.deputies) > 0 {
 		return
 	}
 	n.stepDown()
--- a/cell/loss_test.go
+++ b/cell/loss_test.go
@@ -11,7 +11,9 @@
 func settled(t *testing.T, n int) *sim {
 	t.Helper()
 	s := newSim(t, n)
-	s.runUntil(10*time.Second, func() bool { return s.covered() && s.leaderProc() != nil && !s.leaderProc().node.ledger.Deputy().IsZero() })
+	s.runUntil(10*time.Second, func() bool {
+		return s.covered() && s.leaderProc() != nil && !s.leaderProc().node.ledger.Deputy().IsZero()
+	})
 	s.run(5 * time.Second)
 	if !s.covered() {
 		t.Fatalf("not covered after settling\n%s", s.tail())
--- a/cell/move.go
+++ b/cell/move.go
@@ -47,35 +47,36 @@
 		l.endMove(m)
 		return
 	}
-	to := l.peer(m.to)
-	if m.phase != moveReleased && (to == nil || !n.takesRanges(to)) {
-		n.redirect(m)
-		return
-	}
+	n.redirect(m)
 	switch m.phase {
 	case movePreparing:
 		n.runPrepare(m)
 	case moveReleasing:
 		n.runRelease(m)
 	case moveReleased:
-		n.finishMove(m, to)
+		n.finishMove(m)
 	}
 }
 
-// redirect sends a hand-over whose new owner is lost to another one, or ends it.
+// redirect gives a hand-over whose new owner cannot take the range another one,
+// or none. It may go back to the old owner if that has released the range.
 func (n *Node) redirect(m *move) {
-	if m.phase == movePreparing {
-		n.leader.endMove(m)
+	if to := n.leader.peer(m.to); to != nil && n.takesRanges(to) {
 		return
 	}
-	if next := n.otherThan(m.grant.Owner); !next.IsZero() {
-		m.to = next
+	m.to = n.leastBurdened(m.grant.Owner)
+	if m.to.IsZero() && m.phase == moveReleased {
+		m.to = n.leastBurdened(ident.Node{})
 	}
 }
 
 // runPrepare asks the new owner's target to get ready, for DrainLimit at most.
 func (n *Node) runPrepare(m *move) {
-	if n.now.Sub(m.since) >= n.cfg.DrainLimit {
+	if m.to.IsZero() && !n.leaves(m.grant.Owner) {
+		n.leader.endMove(m)
+		return
+	}
+	if m.to.IsZero() || n.now.Sub(m.since) >= n.cfg.DrainLimit {
 		m.enter(moveReleasing, n.now)
 		n.runRelease(m)
 		return
@@ -117,17 +118,10 @@
 	n.send(m.grant.Owner, Message{Release: &Release{Term: n.leader.term, Grant: m.grant}})
 }
 
-// finishMove makes the new owner the owner. The old one holds nothing of the
-// range any more.
-func (n *Node) finishMove(m *move, to *peer) {
+// finishMove makes the new owner the owner, or leaves the range without one.
+// The old owner holds nothing of the range any more.
+func (n *Node) finishMove(m *move) {
 	l := n.leader
-	if to == nil || !n.takesRanges(to) {
-		next := n.otherThan(ident.Node{})
-		if next.IsZero() {
-			return
-		}
-		m.to = next
-	}
 	g := m.grant
 	g.Owner = m.to
 	l.endMove(m)
@@ -137,15 +131,6 @@
 	n.updateStanding()
 }
 
-// otherThan returns the candidate with the fewest ranges besides the process.
-func (n *Node) otherThan(node ident.Node) ident.Node {
-	candidates := slices.DeleteFunc(n.candidates(), func(c candidate) bool { return c.node == node })
-	if len(candidates) == 0 {
-		return ident.Node{}
-	}
-	return fewest(candidates).node
-}
-
 func (m *move) enter(phase movePhase, now clock.Time) {
 	m.phase = phase
 	m.since = now
--- a/cell/move_plan.go
+++ b/cell/move_plan.go
@@ -21,9 +21,11 @@
 		if !n.mustMove(e) || l.moving(e.grant) || e.seq > l.table.standing {
 			continue
 		}
-		if to := n.leastBurdened(e.grant.Owner); !to.IsZero() {
-			n.startMove(e.grant, to)
+		to := n.leastBurdened(e.grant.Owner)
+		if to.IsZero() && !n.leaves(e.grant.Owner) {
+			continue
 		}
+		n.startMove(e.grant, to)
 	}
 	if len(l.moves) == 0 {
 		n.planShare()
@@ -39,6 +41,16 @@
 	return p != nil && n.live(p) && (p.notReady || p.leaving)
 }
 
+// leaves reports whether the process has been asked to stop. Its ranges are
+// given up even if nobody can take them over.
+func (n *Node) leaves(node ident.Node) bool {
+	if node == n.self() {
+		return n.leaving
+	}
+	p := n.leader.peer(node)
+	return p != nil && p.leaving
+}
+
 // leastBurdened returns the candidate with the fewest ranges, those on their
 // way to it included, other than the process itself.
 func (n *Node) leastBurdened(node ident.Node) ident.Node {
@@ -64,6 +76,9 @@
 	if len(candidates) < 2 || n.now.Sub(l.since) < n.timing.lease || n.balancesLoad() {
 		return
 	}
+	if slices.ContainsFunc(l.table.entries, n.lapsing) {
+		return
+	}
 	low := fewest(candidates)
 	high := &candidates[0]
 	for i := range candidates {
@@ -82,6 +97,15 @@
 	}
 }
 
+// lapsing reports whether the range's owner is about to lose it or waits for it.
+func (n *Node) lapsing(e entry) bool {
+	if e.grant.Owner == n.self() {
+		return false
+	}
+	p := n.leader.peer(e.grant.Owner)
+	return p == nil || !n.live(p) || e.seq > n.leader.table.standing
+}
+
 // awaited reports whether the owner has not been granted the range yet in this
 // term, because an older leader's lease may still be in force.
 func (n *Node) awaited(e entry) bool {
--- a/cell/node.go
+++ b/cell/node.go
@@ -139,9 +139,13 @@
 	case Load:
 		n.follower.load = ev.Ranges
 	case TargetState:
-		n.ready = ev.Ready
+		if n.ready != ev.Ready {
+			n.ready = ev.Ready
+			n.follower.nextRenew = n.now
+		}
 	case Leave:
 		n.leaving = true
+		n.follower.nextRenew = n.now
 	case ConfirmLoss:
 		n.recovery.losses = append(n.recovery.losses, ev)
 	}
--- a/cell/sim_test.go
+++ b/cell/sim_test.go
@@ -39,6 +39,7 @@
 	dropsAppends bool
 	cut          func(from, to ident.Instance) bool
 	logCut       func(node ident.Instance) bool
+	landLate     func() time.Duration
 	drop         func(from, to ident.Instance, m Message) bool
 
 	trace    *strings.Builder
@@ -57,6 +58,14 @@
 	left     bool
 	err      error
 	prev     string
+	lapses   int // times that held grants ran out
+	drift    int64
+}
+
+// local returns the process's clock reading at the true time t.
+func (p *simProc) local(t clock.Time) clock.Time {
+	elapsed := t - clock.Time(time.Hour)
+	return t + elapsed*clock.Time(p.drift)/1_000_000 + clock.Time(p.drift)*clock.Time(time.Second)
 }
 
 type simEvent struct {
@@ -172,7 +181,9 @@
 	return nil
 }
 
-func (s *sim) deputyProc() *simProc { return s.proc(string(s.leaderProc().node.ledger.Deputy().Instance)) }
+func (s *sim) deputyProc() *simProc {
+	return s.proc(string(s.leaderProc().node.ledger.Deputy().Instance))
+}
 
 // plainProc returns a living process without a role.
 func (s *sim) plainProc() *simProc {
@@ -192,7 +203,7 @@
 			continue
 		}
 		for _, h := range p.held {
-			if h.Expires > s.now {
+			if h.Expires > p.local(s.now) {
 				grants = append(grants, h.Grant)
 			}
 		}
@@ -209,16 +220,21 @@
 		p.waiting = append(p.waiting, ev)
 		return
 	}
-	fx := p.node.Step(ev, s.now)
+	if len(p.held) > 0 && p.held[0].Expires <= p.local(s.now) {
+		p.lapses++
+		p.held = nil
+	}
+	now := p.local(s.now)
+	fx := p.node.Step(ev, now)
 	if fx.HoldingsChanged {
 		p.held = fx.Holdings
 		s.check()
 	}
 	s.record(p, fx)
 	s.carryOut(p, fx)
-	if p.nextTick <= s.now || fx.Wake < p.nextTick {
-		p.nextTick = fx.Wake
-		s.after(max(fx.Wake.Sub(s.now), 0), func() {
+	if wake := s.now.Add(fx.Wake.Sub(now)); p.nextTick <= s.now || wake < p.nextTick {
+		p.nextTick = wake
+		s.after(max(wake.Sub(s.now), 0), func() {
 			if p.nextTick <= s.now {
 				s.step(p, Tick{})
 			}
@@ -272,6 +288,11 @@
 			s.step(p, Appended{Nonce: a.Nonce, Outcome: AppendUnknown})
 			return
 		}
+		if late := s.late(); late > 0 {
+			s.after(late, func() { s.land(a.Record) })
+			s.step(p, Appended{Nonce: a.Nonce, Outcome: AppendUnknown})
+			return
+		}
 		offset := s.land(a.Record)
 		answer := Appended{Nonce: a.Nonce, Offset: offset, Outcome: AppendDone}
 		if s.losesAnswers {
@@ -281,6 +302,13 @@
 	})
 }
 
+func (s *sim) late() time.Duration {
+	if s.landLate == nil {
+		return 0
+	}
+	return s.landLate()
+}
+
 func (s *sim) unreachable(p *simProc) bool {
 	return s.logDown || s.logCut != nil && s.logCut(p.id.Instance)
 }
@@ -318,7 +346,7 @@
 		return
 	}
 	batch := platformlog.Batch{Earliest: earliest, Next: platformlog.Offset(len(s.records) + 1), Records: s.records[from-1:]}
-	s.step(p, LogRead{Started: s.now, From: from, Batch: batch})
+	s.step(p, LogRead{Started: p.local(s.now), From: from, Batch: batch})
 }
 
 // check fails the test if two processes hold a point.
@@ -327,7 +355,7 @@
 		for _, q := range s.procs[i+1:] {
 			for _, h := range p.held {
 				for _, k := range q.held {
-					if h.Expires > s.now && k.Expires > s.now && h.Grant.Range.Overlaps(k.Grant.Range) && s.conflict == "" {
+					if h.Expires > p.local(s.now) && k.Expires > q.local(s.now) && h.Grant.Range.Overlaps(k.Grant.Range) && s.conflict == "" {
 						s.conflict = fmt.Sprintf("%v: %v holds %v and %v holds %v", s.stamp(), p.id, h.Grant, q.id, k.Grant)
 					}
 				}
@@ -352,6 +380,17 @@
 	s.step(p, Tick{})
 }
 
+// lapses returns how often grants of living processes ran out.
+func (s *sim) lapses() int {
+	count := 0
+	for _, p := range s.procs {
+		if p.alive {
+			count += p.lapses
+		}
+	}
+	return count
+}
+
 func (s *sim) exclusive() {
 	s.t.Helper()
 	if s.conflict != "" {
