--- a/cell/leader_peer.go
+++ b/cell/leader_peer.go
@@ -100,7 +100,7 @@
 		l.peers = append(l.peers, p)
 	}
 	if !p.confirmed && (m.Lead == 0 || m.Lead > l.leadSeq) {
-		n.sendLead(p)
+		n.answerStranger(p)
 		return
 	}
 	p.note(m, n.now)
@@ -109,6 +109,13 @@
 	n.sendLease(p, m.Request)
 }
 
+// answerStranger tells a process that does not follow the term to do so.
+func (n *Node) answerStranger(p *peer) {
+	if p.leadAt == clock.Never || n.now >= p.leadAt.Add(n.timing.retry) {
+		n.sendLead(p)
+	}
+}
+
 // note takes in what a Renew says.
 func (p *peer) note(m *Renew, now clock.Time) {
 	if !p.confirmed {
--- a/cell/random_test.go
+++ b/cell/random_test.go
@@ -88,7 +88,7 @@
 		if p.frozen {
 			s.thaw(p)
 		}
-		if !p.alive || p.left {
+		if !p.alive || p.node.leaving {
 			p.alive = false
 			start(name)
 		}
