--- a/cell/deputy.go
+++ b/cell/deputy.go
@@ -54,7 +54,7 @@
 // ledger's term, from the log and from heartbeats.
 func (n *Node) deputyState() State {
 	st := &n.ledger.state
-	if n.deputy.term == st.Term && n.deputy.seq > st.Seq {
+	if n.deputy.term == st.Term && n.deputy.seq > st.Seq && !n.broken(FaultForgetProvisional) {
 		return State{Term: st.Term, Seq: n.deputy.seq, Grants: n.deputy.state}
 	}
 	return State{Term: st.Term, Seq: st.Seq, Grants: st.Grants}
--- a/cell/fault.go
+++ b/cell/fault.go
@@ -45,7 +45,7 @@
 	// FaultReleaseEarly reports a release before the work in flight has ended
 	// and without giving the range up.
 	FaultReleaseEarly
-	// FaultKeepRoleAfterRestart takes up the role that an older incarnation of
-	// the instance held.
+	// FaultKeepRoleAfterRestart takes up the ranges that an older incarnation
+	// of the instance held as a leader.
 	FaultKeepRoleAfterRestart
 )
--- a/cell/follower.go
+++ b/cell/follower.go
@@ -114,7 +114,6 @@
 	}
 	f := &n.follower
 	f.heard = n.now
-	f.unanswered = 0
 	if m.Flags&leaseGrants != 0 && !n.adopt(m) {
 		return
 	}
@@ -164,6 +163,7 @@
 	if n.broken(FaultCountFromReceipt) {
 		sent = n.now
 	}
+	f.unanswered = 0
 	duration := time.Duration(m.Micros) * time.Microsecond
 	f.expires = max(f.expires, sent.Add(n.timing.shorter(duration)))
 	left := f.expires.Sub(n.now)
--- /dev/null
+++ b/cell/golden_test.go
@@ -0,0 +1,107 @@
+package cell
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/parsleystack/parsleystack/ident"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// goldenSessions are whole sessions whose traces are kept in testdata.
+func goldenSessions() map[string]func(t *testing.T) *sim {
+	return map[string]func(t *testing.T) *sim{
+		"loss":       goldenLoss,
+		"log_outage": goldenLogOutage,
+		"handover":   goldenHandover,
+		"claim_race": goldenClaimRace,
+	}
+}
+
+func TestGoldenSessions(t *testing.T) {
+	for name, run := range goldenSessions() {
+		t.Run(name, func(t *testing.T) {
+			s := run(t)
+			s.exclusive()
+			checkGolden(t, filepath.Join("testdata", name+".golden"), s.trace.String())
+		})
+	}
+}
+
+func checkGolden(t *testing.T, path, got string) {
+	t.Helper()
+	if *update {
+		if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	wantLines, gotLines := strings.Split(string(want), "\n"), strings.Split(got, "\n")
+	for i := range max(len(wantLines), len(gotLines)) {
+		a, b := "", ""
+		if i < len(wantLines) {
+			a = wantLines[i]
+		}
+		if i < len(gotLines) {
+			b = gotLines[i]
+		}
+		if a != b {
+			t.Fatalf("%s line %d:\nwant %s\ngot  %s\nrun the test with -update if the change is meant", path, i+1, a, b)
+		}
+	}
+}
+
+// The leader of a cell of four is lost.
+func goldenLoss(t *testing.T) *sim {
+	s := settled(t, 4)
+	s.kill(s.leaderProc())
+	s.run(4 * time.Second)
+	return s
+}
+
+// A member is lost while the log is down; then the log returns.
+func goldenLogOutage(t *testing.T) *sim {
+	s := settled(t, 4)
+	s.logDown = true
+	s.run(time.Second)
+	s.kill(s.plainProc())
+	s.run(4 * time.Second)
+	s.logDown = false
+	s.run(2 * time.Second)
+	return s
+}
+
+// The leader of a cell of three is asked to stop.
+func goldenHandover(t *testing.T) *sim {
+	s := settled(t, 3)
+	p := s.leaderProc()
+	s.step(p, Leave{})
+	s.runUntil(10*time.Second, func() bool { return p.left })
+	s.run(time.Second)
+	return s
+}
+
+// Leader and deputy lose each other and both turn to the log, whose answers
+// are lost.
+func goldenClaimRace(t *testing.T) *sim {
+	s := settled(t, 4)
+	leader, deputy := s.leaderProc().id.Instance, s.deputyProc().id.Instance
+	s.losesAnswers = true
+	s.cut = func(from, to ident.Instance) bool {
+		return from == leader && to == deputy || from == deputy && to == leader
+	}
+	s.run(4 * time.Second)
+	return s
+}
--- a/cell/leader_giveaway.go
+++ b/cell/leader_giveaway.go
@@ -49,10 +49,10 @@
 // settling reports whether a first leader still waits for members to answer.
 func (n *Node) settling() bool {
 	l := n.leader
-	if l.kind != ClaimFirst || n.now.Sub(l.since) >= n.timing.renew {
+	if l.kind != ClaimFirst || n.now.Sub(l.since) >= n.timing.claimTimeout {
 		return false
 	}
-	return slices.ContainsFunc(l.peers, func(p *peer) bool { return !p.confirmed })
+	return slices.ContainsFunc(l.peers, func(p *peer) bool { return p.node != n.self() && !n.live(p) })
 }
 
 // free reports whether nobody holds the ranges of the owner any more. The
--- a/cell/node_view.go
+++ b/cell/node_view.go
@@ -51,13 +51,13 @@
 // emitHoldings reports the local grants if they have changed.
 func (n *Node) emitHoldings() {
 	holdings := n.holdings(n.now)
+	if len(holdings) > 0 {
+		n.wake(n.follower.expires)
+	}
 	if slices.Equal(holdings, n.emitted) {
 		return
 	}
 	n.emitted = holdings
 	n.out.Holdings = slices.Clone(holdings)
 	n.out.HoldingsChanged = true
-	if len(holdings) > 0 {
-		n.wake(n.follower.expires)
-	}
 }
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/parsleystack/parsleystack/clock"
-	"github.com/parsleystack/parsleystack/ident"
 )
 
 // recovery is a member's part in the start of a term that no deputy claims:
@@ -118,18 +117,27 @@
 	n.stepDown()
 	n.deputy = deputy{lastPledge: n.deputy.lastPledge}
 	switch {
-	case n.takesRole(c.Candidate):
+	case c.Candidate == n.self():
 		n.becomeLeader(c, known, wasDeputy)
 	case c.Deputy == n.self():
 		n.becomeDeputy()
 	}
+	n.keepOldRole(c)
 }
 
-func (n *Node) takesRole(candidate ident.Node) bool {
-	if n.broken(FaultKeepRoleAfterRestart) && candidate.Instance == n.self().Instance {
-		return true
+// keepOldRole breaks the rule that a process holds nothing that an older
+// incarnation of its instance held.
+func (n *Node) keepOldRole(c *Claim) {
+	if !n.broken(FaultKeepRoleAfterRestart) || c.Candidate == n.self() || c.Candidate.Instance != n.self().Instance {
+		return
+	}
+	for _, g := range n.ledger.state.Grants {
+		if g.Owner == c.Candidate {
+			g.Owner = n.self()
+			n.follower.grants = append(n.follower.grants, g)
+		}
 	}
-	return candidate == n.self()
+	n.follower.expires = n.now.Add(n.timing.lease)
 }
 
 // knownBefore returns the assignments that this process knew as deputy before
--- /dev/null
+++ b/cell/rules_test.go
@@ -0,0 +1,210 @@
+package cell
+
+import (
+	"testing"
+	"time"
+
+	"github.com/parsleystack/parsleystack/ident"
+)
+
+// ruleTest is a scenario in which breaking one rule does harm.
+type ruleTest struct {
+	name  string
+	fault Fault
+	size  int
+	run   func(s *sim) (harm string)
+}
+
+func ruleTests() []ruleTest {
+	return []ruleTest{
+		{"a new assignment stands on two before it is granted", FaultGrantBeforeStanding, 5, renewedByTheDeputy},
+		{"a deputy that has read its claim pledges no more", FaultPledgeAfterClaim, 5, pledgeAfterClaim},
+		{"acknowledged assignments survive the loss of the leader", FaultForgetProvisional, 4, forgetProvisional},
+		{"tokens grow with each grant", FaultTokenReuse, 4, tokenReuse},
+		{"a recovery grants nothing before the old pair has stopped", FaultRecoverKeepsRanges, 4, pairWorksUnseen},
+		{"a leader stops at the blind limit", FaultIgnoreBlindLimit, 4, pairWorksUnseen},
+		{"an owner takes no order of an older term", FaultFollowOldTerm, 4, lateOrderOfOldTerm},
+		{"both deputies pledge until the record is settled", FaultIgnoreUnsettledDeputy, 3, unsettledDeputyRecord},
+		{"a lease counts from the sending of its request", FaultCountFromReceipt, 4, lateLease},
+		{"a new process holds nothing of the old one", FaultKeepRoleAfterRestart, 5, restartOfALeader},
+	}
+}
+
+func TestEachRuleIsNeeded(t *testing.T) {
+	for _, tt := range ruleTests() {
+		for _, fault := range []Fault{FaultNone, tt.fault} {
+			s := newFaultySim(t, tt.size, fault)
+			s.runUntil(10*time.Second, func() bool {
+				return s.covered() && s.leaderProc() != nil && !s.leaderProc().node.ledger.Deputy().IsZero()
+			})
+			s.run(5 * time.Second)
+			harm := tt.run(s)
+			if harm == "" {
+				harm = s.conflict
+			}
+			if fault == FaultNone && harm != "" {
+				t.Errorf("%s: %s\n%s", tt.name, harm, s.tail())
+			}
+			if fault != FaultNone {
+				t.Logf("%s: without: %s", tt.name, harm)
+			}
+			if fault != FaultNone && harm == "" {
+				t.Errorf("%s: breaking the rule did no harm\n%s", tt.name, s.tail())
+			}
+		}
+	}
+}
+
+// The leader loses an owner, then its deputy. The deputy takes over and renews
+// the owner in time, while the leader still has authority.
+func renewedByTheDeputy(s *sim) string {
+	leader, deputy := s.leaderProc().id.Instance, s.deputyProc().id.Instance
+	owner := s.plainProc().id.Instance
+	alone := false
+	s.cut = func(from, to ident.Instance) bool {
+		if from != leader && to != leader {
+			return false
+		}
+		return from == owner || to == owner || alone
+	}
+	s.run(800 * time.Millisecond)
+	alone = true
+	s.logCut = func(node ident.Instance) bool { return node == leader }
+	s.run(5 * time.Second)
+	if s.proc(string(deputy)).node.leader == nil {
+		return "the deputy has not taken over"
+	}
+	return ""
+}
+
+// The deputy claims while heartbeats are lost; later the old leader, which
+// cannot read the log, reaches it again.
+func pledgeAfterClaim(s *sim) string {
+	leader, deputy := s.leaderProc().id.Instance, s.deputyProc().id.Instance
+	owner := s.plainProc().id.Instance
+	apart := func(a, b ident.Instance) bool {
+		return a == leader && b != owner && b != deputy || a == deputy && b == owner
+	}
+	broken := true
+	s.logCut = func(node ident.Instance) bool { return node == leader }
+	s.cut = func(from, to ident.Instance) bool {
+		return apart(from, to) || apart(to, from) || broken && from == leader && to == deputy
+	}
+	s.drop = func(_, to ident.Instance, m Message) bool { return to == leader && m.Lead != nil }
+	s.run(1200 * time.Millisecond)
+	broken = false
+	s.run(10 * time.Second)
+	return ""
+}
+
+// A range is given away while the log is down; then the leader is lost before
+// it has written that.
+func forgetProvisional(s *sim) string {
+	s.logDown = true
+	s.kill(s.plainProc())
+	s.run(lossLimit)
+	leader := s.leaderProc()
+	granted := leader.node.assignments()
+	s.kill(leader)
+	s.logDown = false
+	s.run(lossLimit)
+	now := s.leaderProc().node.assignments()
+	for _, g := range granted {
+		if g.Owner != leader.id && len(changedGrants(now, []Grant{g})) > 0 {
+			return "the acknowledged grant " + describeGrant(g) + " was lost"
+		}
+	}
+	return ""
+}
+
+func tokenReuse(s *sim) string {
+	s.kill(s.plainProc())
+	s.run(lossLimit)
+	for i, g := range s.acked {
+		for _, earlier := range s.acked[:i] {
+			if earlier.Range.Overlaps(g.Range) && !earlier.Token.Less(g.Token) {
+				return describeGrant(g) + " after " + describeGrant(earlier)
+			}
+		}
+	}
+	return ""
+}
+
+// Leader and deputy are cut off from the log and from the others.
+func pairWorksUnseen(s *sim) string {
+	leader, deputy := s.leaderProc().id.Instance, s.deputyProc().id.Instance
+	inPair := func(i ident.Instance) bool { return i == leader || i == deputy }
+	s.cut = func(from, to ident.Instance) bool { return inPair(from) != inPair(to) }
+	s.logCut = inPair
+	s.run(100 * time.Second)
+	return ""
+}
+
+// A lease of the old leader arrives after its range has moved on in a new term.
+func lateOrderOfOldTerm(s *sim) string {
+	old := s.leaderProc()
+	owner := s.plainProc()
+	late := Message{Lease: &Lease{Term: old.node.ledger.Term(), Version: 100, Flags: leaseGrants, To: owner.id.Incarnation}}
+	for _, h := range owner.held {
+		late.Lease.Grants = append(late.Lease.Grants, h.Grant)
+	}
+	s.kill(old)
+	s.run(lossLimit)
+	s.step(owner, TargetState{Ready: false})
+	s.runUntil(10*time.Second, func() bool { return len(owner.held) == 0 })
+	s.run(time.Second)
+	s.step(owner, Received{From: old.id, Message: late})
+	return ""
+}
+
+// The leader's record that names a former deputy again is late; meanwhile the
+// present deputy takes over, unseen by the leader and the former deputy.
+func unsettledDeputyRecord(s *sim) string {
+	leader, first := s.leaderProc().id.Instance, s.deputyProc().id.Instance
+	second := s.plainProc().id.Instance
+	between := func(a, b, from, to ident.Instance) bool { return a == from && b == to || a == to && b == from }
+	s.cut = func(from, to ident.Instance) bool { return between(leader, first, from, to) }
+	s.logCut = func(node ident.Instance) bool { return node == first }
+	s.run(3 * time.Second)
+	s.cut, s.logCut = nil, nil
+	s.run(3 * time.Second)
+	s.cut = func(from, to ident.Instance) bool { return from == second || to == second }
+	s.landLate = func() time.Duration { return time.Minute }
+	s.runUntil(3*time.Second, func() bool { return len(s.leaderProc().node.appends.deputies) > 0 })
+	s.landLate = nil
+	s.logCut = func(node ident.Instance) bool { return node != second }
+	s.run(15 * time.Second)
+	return ""
+}
+
+// A lease arrives late, and the owner's next renewals are lost.
+func lateLease(s *sim) string {
+	owner := s.plainProc().id.Instance
+	late := false
+	s.delay = func(to ident.Instance, m Message) time.Duration {
+		if to != owner || m.Lease == nil || m.Lease.Request == 0 || late {
+			return 0
+		}
+		late = true
+		s.cut = func(from, _ ident.Instance) bool { return from == owner }
+		return 1500 * time.Millisecond
+	}
+	s.run(6 * time.Second)
+	return ""
+}
+
+// A process that once led and held ranges restarts after those were granted to
+// others.
+func restartOfALeader(s *sim) string {
+	s.kill(s.leaderProc())
+	s.run(lossLimit)
+	s.run(5 * time.Second)
+	second := s.leaderProc()
+	s.kill(second)
+	s.run(lossLimit)
+	cfg := testConfig(string(second.id.Instance), 2)
+	cfg.Fault = second.node.cfg.Fault
+	s.start(cfg)
+	s.run(3 * time.Second)
+	return ""
+}
--- /dev/null
+++ b/cell/snapshot_test.go
@@ -0,0 +1,128 @@
+package cell
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/parsleystack/parsleystack/ident"
+)
+
+// withSnapshots returns a cell that writes snapshots, and whose stream forgets
+// its older records.
+func withSnapshots(t *testing.T) *sim {
+	s := newSim(t, 0)
+	for _, name := range []string{"t1", "t2", "t3"} {
+		cfg := testConfig(name, 1)
+		cfg.SnapshotInterval = 20 * time.Second
+		s.start(cfg)
+	}
+	s.run(5 * time.Second)
+	return s
+}
+
+func snapshots(s *sim) (count, last int) {
+	for i, rec := range s.records {
+		if r, err := DecodeRecord(rec.Payload); err == nil && r.Snapshot != nil {
+			count++
+			last = i
+		}
+	}
+	return count, last
+}
+
+func TestSnapshotsComeWithinTheInterval(t *testing.T) {
+	s := withSnapshots(t)
+	s.run(60 * time.Second)
+	count, _ := snapshots(s)
+	if count < 3 || count > 9 {
+		t.Errorf("%d snapshots in a minute at an interval of 20 s", count)
+	}
+}
+
+func TestStartFromSnapshotAndTail(t *testing.T) {
+	s := withSnapshots(t)
+	s.run(30 * time.Second)
+	_, last := snapshots(s)
+	s.kept = last
+	s.start(testConfig("t4", 1))
+	s.runUntil(20*time.Second, func() bool { return len(s.proc("t4").held) > 0 })
+	if err := s.proc("t4").err; err != nil {
+		t.Errorf("error %v", err)
+	}
+	s.exclusive()
+}
+
+func TestGapWithoutSnapshotIsAnErrorAndNeverAnEmptyStream(t *testing.T) {
+	s := settled(t, 3)
+	s.kept = len(s.records)
+	before := len(s.records)
+	s.start(testConfig("t4", 1))
+	s.run(time.Second)
+	var gap *StreamGapError
+	if err := s.proc("t4").err; !errors.As(err, &gap) {
+		t.Errorf("got error %v", err)
+	}
+	s.run(10 * time.Second)
+	for _, rec := range s.records[before:] {
+		r, err := DecodeRecord(rec.Payload)
+		if err != nil || r.Claim != nil || r.Announce != nil {
+			t.Errorf("the reader of a gap caused the record %s", describeRecord(r))
+		}
+	}
+	s.exclusive()
+}
+
+// The log is down for longer than its retention.
+func TestOutageLongerThanRetention(t *testing.T) {
+	s := withSnapshots(t)
+	s.run(30 * time.Second)
+	s.logDown = true
+	s.run(30 * time.Second)
+	s.kept = len(s.records)
+	s.logDown = false
+	s.run(30 * time.Second)
+	if !s.covered() || s.lapses() > 0 {
+		t.Errorf("covered %v, %d lapses", s.covered(), s.lapses())
+	}
+	s.start(testConfig("t4", 1))
+	s.runUntil(20*time.Second, func() bool { return len(s.proc("t4").held) > 0 })
+	s.exclusive()
+}
+
+// A running member that has been cut off from the log for longer than its
+// retention goes on from a snapshot.
+func TestMemberCutOffForLongerThanRetention(t *testing.T) {
+	for _, role := range []string{"leader", "deputy", "plain"} {
+		s := withSnapshots(t)
+		p := map[string]*simProc{"plain": s.plainProc(), "leader": s.leaderProc(), "deputy": s.deputyProc()}[role]
+		id := p.id.Instance
+		s.logCut = func(node ident.Instance) bool { return node == id }
+		s.run(40 * time.Second)
+		_, last := snapshots(s)
+		s.kept = last
+		s.logCut = nil
+		s.run(20 * time.Second)
+		if !s.covered() || p.err != nil {
+			t.Errorf("%s: covered %v, error %v", role, s.covered(), p.err)
+		}
+		s.exclusive()
+	}
+}
+
+func TestNewerRecordStopsTheReaderWithAnError(t *testing.T) {
+	s := settled(t, 3)
+	newer := Record{Intent: &Intent{}}
+	s.land(newer)
+	s.records[len(s.records)-1].Payload[1] = Version + 1
+	s.run(2 * time.Second)
+	var version *VersionError
+	if err := s.plainProc().err; !errors.As(err, &version) {
+		t.Errorf("got error %v", err)
+	}
+	s.run(2 * time.Minute)
+	s.exclusive()
+	if s.covered() {
+		t.Error("leases are granted past the blind limit by a leader that cannot read the stream")
+	}
+}
