Do not take up a role of a term older than the one followed

A process that had followed a newer leader by message, and then read its own older claim from the log, led for a moment and forgot whom it followed; it got no lease until the next term. The random run now delays, reorders and duplicates messages; seed 1329 showed it.

--- a/cell/leader.go
+++ b/cell/leader.go
@@ -68,6 +68,9 @@
 		return
 	}
 	n.leader = nil
+	if n.follower.leader != n.self() {
+		return
+	}
 	n.follower.leader = ident.Node{}
 	n.follower.heard = n.now
 	n.follower.releasing = nil
--- a/cell/random_test.go
+++ b/cell/random_test.go
@@ -34,6 +34,21 @@
 	s.cut = func(from, to ident.Instance) bool { return cuts[[2]ident.Instance{from, to}] }
 	s.logCut = func(node ident.Instance) bool { return logCuts[node] }
 	s.drop = func(_, _ ident.Instance, _ Message) bool { return rng.IntN(100) < 3 }
+	s.copies = func() int {
+		if rng.IntN(25) > 0 {
+			return 1
+		}
+		return 2
+	}
+	s.delay = func(_ ident.Instance, _ Message) time.Duration {
+		switch rng.IntN(25) {
+		case 0:
+			return time.Duration(rng.IntN(3000)) * time.Millisecond
+		case 1, 2, 3:
+			return time.Duration(rng.IntN(100)) * time.Millisecond
+		}
+		return 0
+	}
 	s.landLate = func() time.Duration {
 		if rng.IntN(20) > 0 {
 			return 0
@@ -82,7 +97,7 @@
 	}
 	clear(cuts)
 	clear(logCuts)
-	s.logDown, s.losesAnswers, s.landLate, s.drop = false, false, nil, nil
+	s.logDown, s.losesAnswers, s.landLate, s.drop, s.delay, s.copies = false, false, nil, nil, nil, nil
 	for _, name := range names {
 		p := s.proc(name)
 		if p.frozen {
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -117,6 +117,8 @@
 	n.stepDown()
 	n.deputy = deputy{lastPledge: n.deputy.lastPledge}
 	switch {
+	case c.Candidate == n.self() && n.follower.term > n.ledger.Term():
+		// A newer leader has been followed already.
 	case c.Candidate == n.self():
 		n.becomeLeader(c, known, wasDeputy)
 	case c.Deputy == n.self():
--- a/cell/sim_test.go
+++ b/cell/sim_test.go
@@ -40,6 +40,7 @@
 	cut          func(from, to ident.Instance) bool
 	logCut       func(node ident.Instance) bool
 	landLate     func() time.Duration
+	copies       func() int
 	delay        func(to ident.Instance, m Message) time.Duration
 	drop         func(from, to ident.Instance, m Message) bool
 
@@ -279,15 +280,21 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	delay := simNetDelay
-	if s.delay != nil {
-		delay += s.delay(e.To.Instance, m)
+	copies := 1
+	if s.copies != nil {
+		copies = s.copies()
 	}
-	s.after(delay, func() {
-		if to := s.proc(string(e.To.Instance)); to != nil {
-			s.step(to, Received{From: p.id, Message: m})
+	for range copies {
+		delay := simNetDelay
+		if s.delay != nil {
+			delay += s.delay(e.To.Instance, m)
 		}
-	})
+		s.after(delay, func() {
+			if to := s.proc(string(e.To.Instance)); to != nil {
+				s.step(to, Received{From: p.id, Message: m})
+			}
+		})
+	}
 }
 
 func (s *sim) append(p *simProc, a Append) {
