Send no grants before the gate of a recovery leader opens

A member that follows a recovery still has a lease of the old term. Grants that came with a lease of no length were held under that one, among them ranges that the member had released to the old leader, which held them.

Failed appends now back off exponentially up to 2 s, so that a long outage of the log does not meet a wall of retries.

--- a/cell/appends.go
+++ b/cell/appends.go
@@ -12,6 +12,7 @@
 type appends struct {
 	last      [KindSnapshot + 1]sentAppend // newest append of each kind
 	notBefore [KindSnapshot + 1]clock.Time // end of the backoff of each kind
+	failures  [KindSnapshot + 1]int        // failed appends of each kind in a row
 	// deputies lists the deputies named by records that are not settled yet.
 	deputies []unsettledDeputy
 }
@@ -78,8 +79,11 @@
 		a.last[kind].outcome = ev.Outcome
 		if ev.Outcome == AppendFailed {
 			a.last[kind] = sentAppend{}
-			a.notBefore[kind] = n.now.Add(n.backoff(RecordKind(kind)))
+			a.notBefore[kind] = n.now.Add(n.backoff(a.failures[kind]))
+			a.failures[kind]++
+			continue
 		}
+		a.failures[kind] = 0
 	}
 	if ev.Outcome == AppendFailed {
 		a.settle(ev.Nonce)
@@ -88,14 +92,13 @@
 	n.out.ReadLog = true
 }
 
-// backoff returns the pause after a failed append of the kind.
-func (n *Node) backoff(kind RecordKind) time.Duration {
-	switch kind {
-	case KindClaim, KindDeputy, KindAssign:
-		return n.timing.retry
-	default:
-		return n.timing.renew
-	}
+// backoff returns the pause after a failed append that follows the given
+// number of others. It doubles from RetryInterval up to maxAppendBackoff, less
+// a jitter of up to a quarter.
+func (n *Node) backoff(failures int) time.Duration {
+	pause := n.timing.retry << min(failures, maxBackoffDoublings)
+	pause = min(pause, maxAppendBackoff)
+	return pause - time.Duration(n.jitter()*float64(pause)/4)
 }
 
 // settle forgets an append whose record has been read or never will be.
--- a/cell/leader_peer.go
+++ b/cell/leader_peer.go
@@ -139,7 +139,9 @@
 	if micros > 0 {
 		p.lapse = max(p.lapse, n.now.Add(n.lapseAfter(time.Duration(micros)*time.Microsecond)))
 	}
-	n.updateSent(p)
+	if l.gate.open {
+		n.updateSent(p)
+	}
 	m := &Lease{Term: l.term, Request: request, Micros: micros, Version: p.version}
 	if n.mayLeave(p) {
 		m.Flags |= leaseMayLeave
@@ -181,8 +183,12 @@
 	return true
 }
 
-// pushGrants sends changed grants at once.
+// pushGrants sends changed grants at once. Nothing is sent while the gate is
+// closed: a member would hold it under its lease of an older term.
 func (n *Node) pushGrants() {
+	if !n.leader.gate.open {
+		return
+	}
 	for _, p := range n.leader.peers {
 		if p.node == n.self() || !p.confirmed || p.lapse <= n.now {
 			continue
--- a/cell/rules_test.go
+++ b/cell/rules_test.go
@@ -208,3 +208,21 @@
 	s.run(3 * time.Second)
 	return ""
 }
+
+// The deputy of a pair that works unseen by the log releases its ranges to the
+// leader, and follows a recovery leader at once afterwards. Its lease of the
+// old term must not bring the ranges back.
+func TestRecoveryLeaderSendsNoGrantsBeforeItsGateOpens(t *testing.T) {
+	s := settled(t, 4)
+	leader, deputy := s.leaderProc().id.Instance, s.deputyProc()
+	s.logCut = func(node ident.Instance) bool { return node == leader || node == deputy.id.Instance }
+	s.cut = func(from, to ident.Instance) bool {
+		return from == leader && to != deputy.id.Instance || to == leader && from != deputy.id.Instance
+	}
+	landed := len(s.records)
+	s.runUntil(20*time.Second, func() bool { return len(s.records) > landed })
+	s.run(3900 * time.Millisecond)
+	s.step(deputy, TargetState{Ready: false})
+	s.run(10 * time.Second)
+	s.exclusive()
+}
--- a/cell/timing.go
+++ b/cell/timing.go
@@ -13,6 +13,11 @@
 	// replaced by a new one that excludes it.
 	appendRetry = time.Second
 
+	// maxAppendBackoff is the longest pause after a failed append.
+	maxAppendBackoff = 2 * time.Second
+	// maxBackoffDoublings bounds the growth of that pause.
+	maxBackoffDoublings = 8
+
 	partsPerMillion = 1_000_000
 )
 
