Extend leases only of members that hear the leader, and report unlogged state to a recovery

A Renew now names the newest Lease that arrived; a leader probes members before it replaces the deputy; grants get new tokens when a gate opens; a process of the old pair sends what it knows when it follows a new term.

--- a/cell/follower.go
+++ b/cell/follower.go
@@ -20,6 +20,8 @@
 	term   uint64     // newest term followed
 	leader ident.Node // its leader; zero if that has stepped down
 	lead   uint32     // newest Lead of the term
+	seen   uint32     // request of the newest Lease of the term
+	report *State     // newest state known from a role in an older term
 
 	version uint32 // version of grants within the term; 0 before the first
 	grants  []Grant
@@ -61,12 +63,14 @@
 	if term <= f.term {
 		return
 	}
+	n.noteReport()
 	if leader != n.self() {
 		n.stepDown()
 	}
 	f.term = term
 	f.leader = leader
 	f.lead = 0
+	f.seen = 0
 	f.version = 0
 	f.dropped = nil
 	if !n.leaving {
@@ -118,6 +122,12 @@
 		return
 	}
 	f.mayLeave = m.Flags&leaseMayLeave != 0
+	if m.Request != 0 {
+		f.seen = m.Request
+	}
+	if m.Flags&leaseUnseen != 0 {
+		f.nextRenew = n.now
+	}
 	if m.Request == 0 || m.Version != f.version {
 		f.nextRenew = n.now
 		return
@@ -221,11 +231,12 @@
 		f.nextRequest = 1
 	}
 	f.renewals[f.nextRequest%renewHistory] = renewal{request: f.nextRequest, sent: n.now}
-	m := &Renew{Term: f.term, Request: f.nextRequest, Version: f.version, Flags: n.renewFlags(), Load: f.load}
+	m := &Renew{Term: f.term, Request: f.nextRequest, Version: f.version, Flags: n.renewFlags(), Seen: f.seen, Load: f.load}
 	f.load = nil
 	if f.version == 0 {
 		m.Lead = f.lead
 		m.Holds = n.heldGrants()
+		m.Report = f.report
 	}
 	n.send(f.leader, Message{Renew: m})
 }
@@ -258,3 +269,25 @@
 	}
 	return held
 }
+
+// noteReport keeps the newest assignment state that this process knows as a
+// leader or deputy, for the leader of the next term.
+func (n *Node) noteReport() {
+	state := State{}
+	switch {
+	case n.leader != nil:
+		state = State{Term: n.leader.term, Seq: n.leader.table.seq, Grants: n.leader.grants()}
+	case n.deputy.seq > 0:
+		state = State{Term: n.deputy.term, Seq: n.deputy.seq, Grants: n.deputy.state}
+	default:
+		return
+	}
+	if n.follower.report == nil || n.follower.report.older(state) {
+		n.follower.report = &state
+	}
+}
+
+// older reports whether s is an older state than t.
+func (s *State) older(t State) bool {
+	return s.Term < t.Term || s.Term == t.Term && s.Seq < t.Seq
+}
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -30,6 +30,7 @@
 	moves []*move
 
 	handoverAt clock.Time // when the deputy was last asked to claim
+	probed     clock.Time // when members were asked to renew because the deputy is silent
 	judgeFrom  clock.Time // silence before this time is not held against others
 	balanced   clock.Time // last balancing decision
 	moveTimes  []clock.Time
--- a/cell/leader_deputy.go
+++ b/cell/leader_deputy.go
@@ -49,12 +49,36 @@
 		return n.bestDeputy(clock.Never), true
 	case silence >= n.soloTimeout():
 		return n.bestDeputy(clock.Never), true
-	case silence >= n.timing.claimTimeout:
-		next := n.bestDeputy(n.now.Add(-silence))
-		return next, !next.IsZero()
 	}
-	n.wake(n.now.Add(n.timing.claimTimeout - silence))
-	return ident.Node{}, false
+	n.probe(silence)
+	if silence < n.timing.claimTimeout {
+		n.wake(n.now.Add(n.timing.claimTimeout - silence))
+		return ident.Node{}, false
+	}
+	next := n.bestDeputy(n.leader.probed)
+	return next, !next.IsZero()
+}
+
+// probe asks all members to renew when the deputy begins to be silent. Only
+// one that answers is named in its place: a leader that is itself cut off must
+// not make its deputy's claim void.
+func (n *Node) probe(silence time.Duration) {
+	l := n.leader
+	start := n.timing.claimTimeout - 2*n.timing.retry
+	if silence < start {
+		l.probed = clock.Never
+		n.wake(n.now.Add(start - silence))
+		return
+	}
+	if l.probed != clock.Never {
+		return
+	}
+	l.probed = n.now
+	for _, p := range l.peers {
+		if p.node != n.self() && p.confirmed {
+			n.sendLead(p)
+		}
+	}
 }
 
 // unsettledChoice repeats the choice of the newest unsettled record if that
--- a/cell/leader_gate.go
+++ b/cell/leader_gate.go
@@ -14,6 +14,9 @@
 	// pending lists the pairs that must be known to have stopped.
 	pending  []Pair
 	resolved clock.Time // when the last of them was known to have stopped
+	// report is the newest state that a process of those pairs has sent, if
+	// that is newer than what the term started with.
+	report *State
 	// silentUntil is the time up to which a member that has not confirmed its
 	// grants may hold them under the old leader.
 	silentUntil clock.Time
@@ -54,12 +57,36 @@
 	if l.gate.resolved != clock.Never {
 		opens = min(blind, l.gate.resolved.Add(lease))
 	}
-	if n.now >= opens {
-		l.gate.open = true
-		l.changed()
+	if n.now < opens {
+		n.wake(opens)
 		return
 	}
-	n.wake(opens)
+	l.gate.open = true
+	n.renewTokens()
+	l.changed()
+}
+
+// renewTokens gives all grants new tokens when the gate opens: the old pair may
+// have granted ranges with tokens that this leader does not know.
+func (n *Node) renewTokens() {
+	l := n.leader
+	if l.gate.report != nil && covers(l.gate.report.Grants, n.cfg.Span) {
+		l.table.carryOver(l.gate.report.Grants)
+	}
+	l.table.change(slices.Clone(l.table.entries), n.broken(FaultTokenReuse))
+}
+
+// noteReport keeps a state that a process of a pending pair has sent.
+func (g *gate) noteReport(from ident.Node, report *State) {
+	if report == nil || g.open || g.report != nil && !g.report.older(*report) {
+		return
+	}
+	for _, p := range g.pending {
+		if (p.Leader == from || p.Deputy == from) && p.Term == report.Term && p.Seq < report.Seq {
+			g.report = report
+			return
+		}
+	}
 }
 
 func (n *Node) pairsStopped() bool {
--- a/cell/leader_giveaway.go
+++ b/cell/leader_giveaway.go
@@ -71,7 +71,7 @@
 		if n.broken(FaultGiveAwayBeforeLapse) && p.confirmed {
 			until = min(until, p.renewed.Add(n.timing.renew))
 		}
-		if n.now.Sub(p.renewed) < n.timing.renew && p.confirmed && n.ledger.announced(owner) != nil {
+		if n.reachable(p) {
 			return false
 		}
 	}
@@ -80,6 +80,13 @@
 	return n.now >= until && n.now.Sub(max(l.since, l.judgeFrom)) >= n.timing.claimTimeout
 }
 
+// reachable reports whether messages pass in both directions between the
+// leader and a member. Its lease then only waits for the leader's authority.
+func (n *Node) reachable(p *peer) bool {
+	return p.confirmed && n.ledger.announced(p.node) != nil &&
+		n.now.Sub(p.renewed) < n.timing.renew && n.now.Sub(p.seenAt) <= n.timing.claimTimeout
+}
+
 // candidates returns the processes that may be granted ranges, in the order of
 // the peers.
 func (n *Node) candidates() []candidate {
--- a/cell/leader_peer.go
+++ b/cell/leader_peer.go
@@ -22,6 +22,8 @@
 	// dismissed is set once the process has been told that it may stop.
 	dismissed bool
 	renewed   clock.Time // newest Renew
+	seen      uint32     // newest answer that the process has seen
+	seenAt    clock.Time // when a Renew showed that
 	lapse     clock.Time // end of the newest lease, on the leader's clock
 	leadAt    clock.Time // when Lead was last sent
 
@@ -104,6 +106,7 @@
 		return
 	}
 	p.note(m, n.now)
+	l.gate.noteReport(from, m.Report)
 	n.updateAuthority()
 	n.updateStanding()
 	n.sendLease(p, m.Request)
@@ -121,6 +124,11 @@
 	if !p.confirmed {
 		p.confirmed = true
 		p.listed = m.Holds
+		p.seenAt = now
+	}
+	if m.Seen != p.seen {
+		p.seen = m.Seen
+		p.seenAt = now
 	}
 	p.notReady = m.Flags&renewNotReady != 0
 	p.leaving = m.Flags&renewLeaving != 0
@@ -135,6 +143,10 @@
 func (n *Node) sendLease(p *peer, request uint32) {
 	l := n.leader
 	duration := min(n.timing.lease, n.grantLimit().Sub(n.now))
+	unseen := n.now.Sub(p.seenAt) > n.timing.claimTimeout
+	if unseen {
+		duration = 0
+	}
 	micros := uint32(max(duration, 0) / time.Microsecond)
 	if micros > 0 {
 		p.lapse = max(p.lapse, n.now.Add(n.lapseAfter(time.Duration(micros)*time.Microsecond)))
@@ -143,6 +155,9 @@
 		n.updateSent(p)
 	}
 	m := &Lease{Term: l.term, Request: request, Micros: micros, Version: p.version}
+	if unseen {
+		m.Flags |= leaseUnseen
+	}
 	if n.mayLeave(p) {
 		m.Flags |= leaseMayLeave
 		p.dismissed = true
@@ -204,7 +219,8 @@
 
 // grantsFor returns the grants that the process may hold: those that stand,
 // and of those from older terms only the ones that it listed, until no old
-// leader can have granted them to anyone.
+// leader can have granted them to anyone. The listed ones stood in the older
+// term; the deputy learns of them before it extends the authority.
 func (n *Node) grantsFor(p *peer) []Grant {
 	l := n.leader
 	var grants []Grant
@@ -212,6 +228,10 @@
 		if e.grant.Owner != p.node {
 			continue
 		}
+		if slices.Contains(p.listed, e.grant) {
+			grants = append(grants, e.grant)
+			continue
+		}
 		if e.seq > l.table.standing {
 			for _, g := range e.before {
 				if !slices.Contains(grants, g) {
@@ -220,7 +240,7 @@
 			}
 			continue
 		}
-		if e.grant.Token.Term != l.term && !slices.Contains(p.listed, e.grant) && n.now < l.gate.silentUntil {
+		if e.grant.Token.Term != l.term && n.now < l.gate.silentUntil {
 			continue
 		}
 		grants = append(grants, e.grant)
--- a/cell/ledger_roles.go
+++ b/cell/ledger_roles.go
@@ -71,10 +71,8 @@
 	if c.Active && c.Kind != ClaimRecovery {
 		l.state.Pending = nil
 	}
-	pair := Pair{Leader: l.state.Leader, Deputy: l.state.Deputy}
-	if !slices.Contains(l.state.Pending, pair) {
-		l.state.Pending = append(slices.Clone(l.state.Pending), pair)
-	}
+	pair := Pair{Leader: l.state.Leader, Deputy: l.state.Deputy, Term: l.state.Term, Seq: l.carried}
+	l.state.Pending = append(slices.Clone(l.state.Pending), pair)
 }
 
 func (l *Ledger) roleAudit(c *Claim) []AuditEntry {
--- a/cell/ledger_test.go
+++ b/cell/ledger_test.go
@@ -173,7 +173,7 @@
 	s.void(s.claim(ClaimRecovery, term, "c", "d"), "no intent")
 	s.valid(intent)
 	s.valid(s.claim(ClaimRecovery, term, "c", "d"))
-	want := []Pair{{Leader: testNode("a"), Deputy: testNode("b")}}
+	want := []Pair{{Leader: testNode("a"), Deputy: testNode("b"), Term: 2}}
 	if !reflect.DeepEqual(s.ledger.state.Pending, want) {
 		t.Errorf("pending %v, want %v", s.ledger.state.Pending, want)
 	}
--- a/cell/message_lease.go
+++ b/cell/message_lease.go
@@ -11,13 +11,19 @@
 	Request uint32 `msg:"q"` // echoed by the Lease that answers
 	Version uint32 `msg:"v"` // version of the member's grants in this term; 0 before the first
 	Flags   uint8  `msg:"f"`
+	// Seen is the request of the newest Lease received in this term. It shows
+	// the leader that its messages arrive.
+	Seen uint32 `msg:"e"`
 	// Lead is the sequence number of the newest Lead received in this term. It
 	// is sent, and Holds filled, until the first grants of the term arrive.
 	Lead uint32 `msg:"s"`
 	// Holds lists the grants of an older term that are unexpired on the
 	// member's clock.
-	Holds []Grant     `msg:"h"`
-	Load  []RangeLoad `msg:"l"`
+	Holds []Grant `msg:"h"`
+	// Report is the newest assignment state that a process knows which led an
+	// older term or was its deputy. It is sent along with Holds.
+	Report *State      `msg:"r"`
+	Load   []RangeLoad `msg:"l"`
 }
 
 // Bits of Renew.Flags.
@@ -44,6 +50,7 @@
 const (
 	leaseGrants   uint8 = 1 << 0 // Grants is set
 	leaseMayLeave uint8 = 1 << 1 // a leaving member has nothing left to hand over
+	leaseUnseen   uint8 = 1 << 2 // no lease before a Renew shows that this message arrived
 )
 
 // Lead tells a member that the sender leads the cell in Term. It is sent after
--- a/cell/message_lease_gen.go
+++ b/cell/message_lease_gen.go
@@ -160,12 +160,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Renew) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendUint64(o, z.Term)
 	o = msgp.AppendUint32(o, z.Request)
 	o = msgp.AppendUint32(o, z.Version)
 	o = msgp.AppendUint8(o, z.Flags)
+	o = msgp.AppendUint32(o, z.Seen)
 	o = msgp.AppendUint32(o, z.Lead)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Holds)))
 	for za0001 := range z.Holds {
@@ -175,6 +176,15 @@
 			return
 		}
 	}
+	if z.Report == nil {
+		o = msgp.AppendNil(o)
+	} else {
+		o, err = z.Report.MarshalMsg(o)
+		if err != nil {
+			err = msgp.WrapError(err, "Report")
+			return
+		}
+	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Load)))
 	for za0002 := range z.Load {
 		o, err = z.Load[za0002].MarshalMsg(o)
@@ -194,8 +204,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Term, bts, err = msgp.ReadUint64Bytes(bts)
@@ -218,6 +228,11 @@
 		err = msgp.WrapError(err, "Flags")
 		return
 	}
+	z.Seen, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Seen")
+		return
+	}
 	z.Lead, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Lead")
@@ -245,6 +260,22 @@
 			return
 		}
 	}
+	if msgp.IsNil(bts) {
+		bts, err = msgp.ReadNilBytes(bts)
+		if err != nil {
+			return
+		}
+		z.Report = nil
+	} else {
+		if z.Report == nil {
+			z.Report = new(State)
+		}
+		bts, err = z.Report.UnmarshalMsg(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Report")
+			return
+		}
+	}
 	var zb0003 uint32
 	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -273,10 +304,15 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Renew) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.Uint32Size + msgp.ArrayHeaderSize
+	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint32Size + msgp.ArrayHeaderSize
 	for za0001 := range z.Holds {
 		s += z.Holds[za0001].Msgsize()
 	}
+	if z.Report == nil {
+		s += msgp.NilSize
+	} else {
+		s += z.Report.Msgsize()
+	}
 	s += msgp.ArrayHeaderSize
 	for za0002 := range z.Load {
 		s += z.Load[za0002].Msgsize()
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -114,6 +114,7 @@
 	n.follower.heard = n.now
 	known := n.knownBefore(before)
 	wasDeputy := n.deputy
+	n.noteReport()
 	n.stepDown()
 	n.deputy = deputy{lastPledge: n.deputy.lastPledge}
 	switch {
--- a/cell/snapshot.go
+++ b/cell/snapshot.go
@@ -38,4 +38,6 @@
 type Pair struct {
 	Leader ident.Node `msg:"l"`
 	Deputy ident.Node `msg:"d"`
+	Term   uint64     `msg:"t"` // that the pair works in
+	Seq    uint64     `msg:"s"` // newest assignment change of Term that later terms contain
 }
--- a/cell/snapshot_gen.go
+++ b/cell/snapshot_gen.go
@@ -53,16 +53,9 @@
 	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Pending)))
 	for za0003 := range z.Pending {
-		// array header, size 2
-		o = append(o, 0x92)
-		o, err = z.Pending[za0003].Leader.MarshalMsg(o)
+		o, err = z.Pending[za0003].MarshalMsg(o)
 		if err != nil {
-			err = msgp.WrapError(err, "Pending", za0003, "Leader")
-			return
-		}
-		o, err = z.Pending[za0003].Deputy.MarshalMsg(o)
-		if err != nil {
-			err = msgp.WrapError(err, "Pending", za0003, "Deputy")
+			err = msgp.WrapError(err, "Pending", za0003)
 			return
 		}
 	}
@@ -202,41 +195,26 @@
 		z.Pending = make([]Pair, zb0005)
 	}
 	for za0003 := range z.Pending {
-		var zb0006 uint32
-		zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		bts, err = z.Pending[za0003].UnmarshalMsg(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Pending", za0003)
 			return
 		}
-		if zb0006 != 2 {
-			err = msgp.ArrayError{Wanted: 2, Got: zb0006}
-			return
-		}
-		bts, err = z.Pending[za0003].Leader.UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Pending", za0003, "Leader")
-			return
-		}
-		bts, err = z.Pending[za0003].Deputy.UnmarshalMsg(bts)
-		if err != nil {
-			err = msgp.WrapError(err, "Pending", za0003, "Deputy")
-			return
-		}
 	}
-	var zb0007 uint32
-	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0006 uint32
+	zb0006, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Intents")
 		return
 	}
-	if zb0007 > zf18e7e2flimitArrays {
+	if zb0006 > zf18e7e2flimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Intents) >= int(zb0007) {
-		z.Intents = (z.Intents)[:zb0007]
+	if cap(z.Intents) >= int(zb0006) {
+		z.Intents = (z.Intents)[:zb0006]
 	} else {
-		z.Intents = make([]ident.Node, zb0007)
+		z.Intents = make([]ident.Node, zb0006)
 	}
 	for za0004 := range z.Intents {
 		bts, err = z.Intents[za0004].UnmarshalMsg(bts)
@@ -245,20 +223,20 @@
 			return
 		}
 	}
-	var zb0008 uint32
-	zb0008, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	var zb0007 uint32
+	zb0007, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Lost")
 		return
 	}
-	if zb0008 > zf18e7e2flimitArrays {
+	if zb0007 > zf18e7e2flimitArrays {
 		err = msgp.ErrLimitExceeded
 		return
 	}
-	if cap(z.Lost) >= int(zb0008) {
-		z.Lost = (z.Lost)[:zb0008]
+	if cap(z.Lost) >= int(zb0007) {
+		z.Lost = (z.Lost)[:zb0007]
 	} else {
-		z.Lost = make([]ident.Node, zb0008)
+		z.Lost = make([]ident.Node, zb0007)
 	}
 	for za0005 := range z.Lost {
 		bts, err = z.Lost[za0005].UnmarshalMsg(bts)
@@ -283,7 +261,7 @@
 	}
 	s += msgp.ArrayHeaderSize
 	for za0003 := range z.Pending {
-		s += 1 + z.Pending[za0003].Leader.Msgsize() + z.Pending[za0003].Deputy.Msgsize()
+		s += z.Pending[za0003].Msgsize()
 	}
 	s += msgp.ArrayHeaderSize
 	for za0004 := range z.Intents {
@@ -351,8 +329,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Pair) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 4
+	o = append(o, 0x94)
 	o, err = z.Leader.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Leader")
@@ -363,6 +341,8 @@
 		err = msgp.WrapError(err, "Deputy")
 		return
 	}
+	o = msgp.AppendUint64(o, z.Term)
+	o = msgp.AppendUint64(o, z.Seq)
 	return
 }
 
@@ -374,8 +354,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 4 {
+		err = msgp.ArrayError{Wanted: 4, Got: zb0001}
 		return
 	}
 	bts, err = z.Leader.UnmarshalMsg(bts)
@@ -388,13 +368,23 @@
 		err = msgp.WrapError(err, "Deputy")
 		return
 	}
+	z.Term, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Term")
+		return
+	}
+	z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Seq")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Pair) Msgsize() (s int) {
-	s = 1 + z.Leader.Msgsize() + z.Deputy.Msgsize()
+	s = 1 + z.Leader.Msgsize() + z.Deputy.Msgsize() + msgp.Uint64Size + msgp.Uint64Size
 	return
 }
 
