Let the side that reaches the members win the race for the log

Traces of the soak harness: a leader that hears nobody, or that nobody hears, stayed in office because its heartbeats or the members' renewals still passed one way; a deputy that is cut off alone claimed a few milliseconds before the leader replaced it. Healthy members lapsed.

Heartbeats now name the newest pledge that arrived, and the leader asks members by a numbered Lead before it names one of them deputy.

--- a/cell/deputy.go
+++ b/cell/deputy.go
@@ -23,8 +23,9 @@
 	active   bool       // the leader has said that no older leader grants any more
 
 	lastPledge clock.Time // newest moment that counts as a pledge
-	lastHeard  clock.Time // newest heartbeat, or the record that named this process
+	lastHeard  clock.Time // newest heartbeat that showed that pledges arrive, or the record that named this process
 	heard      bool       // a heartbeat has come in this term
+	seen       uint32     // newest pledge that the leader has seen
 	handover   bool       // the leader has asked for a claim
 }
 
@@ -78,8 +79,11 @@
 		d.next = m.Next
 	}
 	d.active = d.active || m.Flags&heartbeatActive != 0
-	d.heard = true
-	d.lastHeard = n.now
+	if !d.heard || m.Seen != d.seen {
+		d.heard = true
+		d.seen = m.Seen
+		d.lastHeard = n.now
+	}
 	d.lastPledge = n.now
 	n.pledge(from, m)
 }
--- a/cell/follower.go
+++ b/cell/follower.go
@@ -20,6 +20,7 @@
 	term   uint64     // newest term followed
 	leader ident.Node // its leader; zero if that has stepped down
 	lead   uint32     // newest Lead of the term
+	echo   bool       // lead has not been echoed yet
 	seen   uint32     // request of the newest Lease of the term
 	report *State     // newest state known from a role in an older term
 
@@ -107,6 +108,7 @@
 	f := &n.follower
 	n.follow(m.Term, from)
 	f.lead = max(f.lead, m.Seq)
+	f.echo = true
 	f.heard = n.now
 	f.nextRenew = n.now
 }
@@ -233,6 +235,10 @@
 	f.renewals[f.nextRequest%renewHistory] = renewal{request: f.nextRequest, sent: n.now}
 	m := &Renew{Term: f.term, Request: f.nextRequest, Version: f.version, Flags: n.renewFlags(), Seen: f.seen, Load: f.load}
 	f.load = nil
+	if f.echo {
+		m.Lead = f.lead
+		f.echo = false
+	}
 	if f.version == 0 {
 		m.Lead = f.lead
 		m.Holds = n.heldGrants()
--- a/cell/golden_test.go
+++ b/cell/golden_test.go
@@ -93,10 +93,15 @@
 	return s
 }
 
-// Leader and deputy lose each other and both turn to the log, whose answers
-// are lost.
+// The first claims land late and unanswered, so that all members claim; the
+// first in the order of the log wins. Then leader and deputy lose each other.
 func goldenClaimRace(t *testing.T) *sim {
-	s := settled(t, 4)
+	s := newSim(t, 4)
+	s.run(100 * time.Millisecond)
+	s.landLate = func() time.Duration { return 400 * time.Millisecond }
+	s.run(1500 * time.Millisecond)
+	s.landLate = nil
+	s.run(2 * time.Second)
 	leader, deputy := s.leaderProc().id.Instance, s.deputyProc().id.Instance
 	s.losesAnswers = true
 	s.cut = func(from, to ident.Instance) bool {
--- a/cell/leader_deputy.go
+++ b/cell/leader_deputy.go
@@ -38,24 +38,24 @@
 		return n.unsettledChoice(), true
 	}
 	if current.IsZero() {
-		next := n.bestDeputy(clock.Never)
+		next := n.bestDeputy(0)
 		return next, !next.IsZero() && n.logFresh()
 	}
 	silence := n.deputySilence()
 	switch p := n.leader.peer(current); {
 	case n.ledger.ended(current):
-		return n.bestDeputy(clock.Never), true
+		return n.bestDeputy(0), true
 	case p != nil && p.leaving:
-		return n.bestDeputy(clock.Never), true
+		return n.bestDeputy(0), true
 	case silence >= n.soloTimeout():
-		return n.bestDeputy(clock.Never), true
+		return n.bestDeputy(0), true
 	}
 	n.probe(silence)
-	if silence < n.timing.claimTimeout {
-		n.wake(n.now.Add(n.timing.claimTimeout - silence))
+	if silence < n.timing.replaceTimeout {
+		n.wake(n.now.Add(n.timing.replaceTimeout - silence))
 		return ident.Node{}, false
 	}
-	next := n.bestDeputy(n.leader.probed)
+	next := n.bestDeputy(n.leader.leadSeq)
 	return next, !next.IsZero()
 }
 
@@ -64,7 +64,7 @@
 // not make its deputy's claim void.
 func (n *Node) probe(silence time.Duration) {
 	l := n.leader
-	start := n.timing.claimTimeout - 2*n.timing.retry
+	start := n.timing.replaceTimeout - 2*n.timing.retry
 	if silence < start {
 		l.probed = clock.Never
 		n.wake(n.now.Add(start - silence))
@@ -74,6 +74,7 @@
 		return
 	}
 	l.probed = n.now
+	l.leadSeq++
 	for _, p := range l.peers {
 		if p.node != n.self() && p.confirmed {
 			n.sendLead(p)
@@ -88,7 +89,7 @@
 	if p := n.leader.peer(newest); p != nil && n.live(p) && !p.leaving {
 		return newest
 	}
-	return n.bestDeputy(clock.Never)
+	return n.bestDeputy(0)
 }
 
 // deputySilence returns the time since the sending of the last heartbeat that
--- a/cell/leader_giveaway.go
+++ b/cell/leader_giveaway.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/ident"
 )
 
@@ -163,10 +162,10 @@
 // proposeNext keeps the deputy that is proposed for a takeover up to date.
 func (n *Node) proposeNext() {
 	l := n.leader
-	if p := l.peer(l.next); p != nil && n.mayDeputize(p, clock.Never) {
+	if p := l.peer(l.next); p != nil && n.mayDeputize(p, 0) {
 		return
 	}
-	next := n.bestDeputy(clock.Never)
+	next := n.bestDeputy(0)
 	if next == l.next {
 		return
 	}
@@ -174,18 +173,18 @@
 	l.changed()
 }
 
-// mayDeputize reports whether the process can be the deputy: it renewed after
-// the time given, stays, and is not the deputy already.
-func (n *Node) mayDeputize(p *peer, since clock.Time) bool {
-	return p.node != n.self() && p.node != n.ledger.Deputy() && n.live(p) && !p.leaving && p.renewed > since
+// mayDeputize reports whether the process can be the deputy: it has answered
+// the Lead of that number, stays, and is not the deputy already.
+func (n *Node) mayDeputize(p *peer, lead uint32) bool {
+	return p.node != n.self() && p.node != n.ledger.Deputy() && n.live(p) && !p.leaving && p.lead >= lead
 }
 
 // bestDeputy returns a member that can be the deputy, of another zone if there
 // is one, or zero.
-func (n *Node) bestDeputy(since clock.Time) ident.Node {
+func (n *Node) bestDeputy(lead uint32) ident.Node {
 	var best *peer
 	for _, p := range n.leader.peers {
-		if !n.mayDeputize(p, since) {
+		if !n.mayDeputize(p, lead) {
 			continue
 		}
 		if best == nil || n.preferDeputy(p, best) {
--- a/cell/leader_link.go
+++ b/cell/leader_link.go
@@ -19,6 +19,7 @@
 	sent     clock.Time // newest heartbeat
 	revision uint32     // that it carried
 	answered clock.Time // sending of the newest heartbeat that was answered
+	seen     uint32     // its request
 	heldRev  uint32     // newest revision that the deputy holds
 	heldSeq  uint64     // newest change that the deputy holds
 }
@@ -137,7 +138,7 @@
 	if l.nextRequest == 0 {
 		l.nextRequest = 1
 	}
-	m := &Heartbeat{Term: l.term, Request: l.nextRequest, Revision: l.revision, Seq: l.table.seq}
+	m := &Heartbeat{Term: l.term, Request: l.nextRequest, Revision: l.revision, Seq: l.table.seq, Seen: k.seen}
 	if l.gate.open {
 		m.Flags |= heartbeatActive
 	}
@@ -165,7 +166,10 @@
 	}
 	for _, r := range k.requests {
 		if r.request == m.Request && r.sent != clock.Never {
-			k.answered = max(k.answered, r.sent)
+			if r.sent > k.answered {
+				k.answered = r.sent
+				k.seen = r.request
+			}
 			k.heldRev = max(k.heldRev, m.Revision)
 			k.heldSeq = max(k.heldSeq, m.Seq)
 			return
--- a/cell/leader_peer.go
+++ b/cell/leader_peer.go
@@ -25,6 +25,7 @@
 	seen      uint32     // newest answer that the process has seen
 	seenAt    clock.Time // when a Renew showed that
 	lapse     clock.Time // end of the newest lease, on the leader's clock
+	lead      uint32     // newest Lead that the process has answered
 	leadAt    clock.Time // when Lead was last sent
 
 	version uint32  // of sent; 0 before the first
@@ -126,6 +127,7 @@
 		p.listed = m.Holds
 		p.seenAt = now
 	}
+	p.lead = max(p.lead, m.Lead)
 	if m.Seen != p.seen {
 		p.seen = m.Seen
 		p.seenAt = now
--- a/cell/message_deputy.go
+++ b/cell/message_deputy.go
@@ -12,6 +12,7 @@
 	Request  uint32     `msg:"q"` // echoed by the Pledge that answers
 	Revision uint32     `msg:"r"` // counts changes of the fields below
 	Flags    uint8      `msg:"f"`
+	Seen     uint32     `msg:"e"` // request of the newest Pledge received
 	Seq      uint64     `msg:"s"` // number of the newest assignment change
 	State    []Grant    `msg:"g"` // all assignments, if heartbeatState is set
 	Next     ident.Node `msg:"n"` // proposed deputy of a takeover, if heartbeatState is set
--- a/cell/message_deputy_gen.go
+++ b/cell/message_deputy_gen.go
@@ -51,12 +51,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Heartbeat) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 7
-	o = append(o, 0x97)
+	// array header, size 8
+	o = append(o, 0x98)
 	o = msgp.AppendUint64(o, z.Term)
 	o = msgp.AppendUint32(o, z.Request)
 	o = msgp.AppendUint32(o, z.Revision)
 	o = msgp.AppendUint8(o, z.Flags)
+	o = msgp.AppendUint32(o, z.Seen)
 	o = msgp.AppendUint64(o, z.Seq)
 	o = msgp.AppendArrayHeader(o, uint32(len(z.State)))
 	for za0001 := range z.State {
@@ -82,8 +83,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 7 {
-		err = msgp.ArrayError{Wanted: 7, Got: zb0001}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
 		return
 	}
 	z.Term, bts, err = msgp.ReadUint64Bytes(bts)
@@ -106,6 +107,11 @@
 		err = msgp.WrapError(err, "Flags")
 		return
 	}
+	z.Seen, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Seen")
+		return
+	}
 	z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Seq")
@@ -144,7 +150,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Heartbeat) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.Uint64Size + msgp.ArrayHeaderSize
+	s = 1 + msgp.Uint64Size + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size + msgp.Uint32Size + msgp.Uint64Size + msgp.ArrayHeaderSize
 	for za0001 := range z.State {
 		s += z.State[za0001].Msgsize()
 	}
--- a/cell/message_lease.go
+++ b/cell/message_lease.go
@@ -15,7 +15,8 @@
 	// the leader that its messages arrive.
 	Seen uint32 `msg:"e"`
 	// Lead is the sequence number of the newest Lead received in this term. It
-	// is sent, and Holds filled, until the first grants of the term arrive.
+	// is sent once, and until the first grants of the term arrive; Holds is
+	// filled until then.
 	Lead uint32 `msg:"s"`
 	// Holds lists the grants of an older term that are unexpired on the
 	// member's clock.
--- a/cell/timing.go
+++ b/cell/timing.go
@@ -27,7 +27,8 @@
 	renew           time.Duration // between renewals of a member
 	heartbeat       time.Duration // between heartbeats to the deputy
 	retry           time.Duration // after an unanswered message
-	claimTimeout    time.Duration // silence after which a role's holder is replaced
+	claimTimeout    time.Duration // silence of the leader after which the deputy claims
+	replaceTimeout  time.Duration // silence of the deputy after which the leader replaces it; shorter, so that a deputy that is cut off alone loses the race
 	soloTimeout     time.Duration // silence after which a leader without candidates goes on without a deputy
 	recoveryTimeout time.Duration // silence after which a member intends a recovery
 	objection       time.Duration // between an intent and its claim
@@ -44,6 +45,7 @@
 		heartbeat:       cfg.HeartbeatInterval / 2,
 		retry:           cfg.RetryInterval,
 		claimTimeout:    claim,
+		replaceTimeout:  claim - cfg.RetryInterval,
 		soloTimeout:     4 * claim,
 		recoveryTimeout: 3 * cfg.LeaseDuration,
 		objection:       2 * cfg.LeaseDuration,
