Balance load by splits, merges and weighed moves; wait for lapsed work on a planned stop

Traces of the soak harness, mended: a process that leaves waits for the work of ranges that ran out before; a new leader accepts listed grants whose bounds a split or merge has changed since.

--- a/cell/config.go
+++ b/cell/config.go
@@ -57,9 +57,9 @@
 // BalanceConfig holds the parameters of balancing within the cell.
 type BalanceConfig struct {
 	Interval          time.Duration // time between decisions; 0 turns balancing off
-	WeightImbalance   float64
+	WeightImbalance   float64       // the weights are in [0, 1]
 	WeightChurn       float64
 	WeightUnavailable float64
-	MaxMovesPerMinute int
-	MaxRanges         int
+	MaxMovesPerMinute int // 0 sets no limit
+	MaxRanges         int // splits stop there
 }
--- a/cell/follower.go
+++ b/cell/follower.go
@@ -31,6 +31,8 @@
 	releasing []releasing
 	// dropped lists grants given up that the leader may still count.
 	dropped []Grant
+	// lost lists grants that ended without a release.
+	lost []lostGrant
 
 	renewals    [renewHistory]renewal
 	nextRequest uint32
@@ -199,7 +201,7 @@
 		n.leaveUnannounced()
 		return
 	}
-	if n.leaving && f.mayLeave && len(n.holdings(n.now)) == 0 {
+	if n.leaving && f.mayLeave && len(n.holdings(n.now)) == 0 && n.drained() {
 		n.left = true
 		n.out.Left = true
 		return
@@ -212,7 +214,7 @@
 
 // leaveUnannounced ends the planned stop of a process that never joined.
 func (n *Node) leaveUnannounced() {
-	if n.leaving && n.leader == nil && n.appends.last[KindAnnounce].nonce == 0 {
+	if n.leaving && n.leader == nil && n.appends.last[KindAnnounce].nonce == 0 && n.drained() {
 		n.left = true
 		n.out.Left = true
 	}
--- a/cell/follower_handover.go
+++ b/cell/follower_handover.go
@@ -56,6 +56,7 @@
 // releasedLocally gives up a grant whose work in flight has ended.
 func (n *Node) releasedLocally(ev Released) {
 	g := Grant{Range: ev.Range, Owner: n.self(), Token: ev.Token}
+	n.follower.lostWorkEnded(g)
 	if !n.follower.releases(g) {
 		return
 	}
--- a/cell/grants.go
+++ b/cell/grants.go
@@ -56,6 +56,24 @@
 	return false
 }
 
+// tiled reports whether the grants, in order, cover all of the range.
+func tiled(grants []Grant, r keyspace.Range) bool {
+	next := r.First
+	for _, g := range grants {
+		if g.Range.Last < next {
+			continue
+		}
+		if g.Range.First > next {
+			return false
+		}
+		if g.Range.Last >= r.Last {
+			return true
+		}
+		next = g.Range.Last + 1
+	}
+	return false
+}
+
 func compareGrants(a, b Grant) int {
 	switch {
 	case a.Range.First < b.Range.First:
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -32,7 +32,7 @@
 	handoverAt clock.Time // when the deputy was last asked to claim
 	probed     clock.Time // when members were asked to renew because the deputy is silent
 	judgeFrom  clock.Time // silence before this time is not held against others
-	balanced   clock.Time // last balancing decision
+	balance    balance
 	moveTimes  []clock.Time
 }
 
@@ -50,7 +50,7 @@
 		nextRequest: n.rng.Uint32(),
 		judgeFrom:   n.now,
 		leadSeq:     1,
-		balanced:    n.now,
+		balance:     balance{decided: n.now},
 	}
 	if known != nil {
 		l.table.carryOver(known)
--- a/cell/leader_peer.go
+++ b/cell/leader_peer.go
@@ -32,7 +32,6 @@
 	sent    []Grant // grants last sent
 	held    uint32  // newest version that the process has confirmed
 	pushed  clock.Time
-	load    []RangeLoad
 }
 
 // syncPeers keeps a peer for each member and for each process that still owns
@@ -108,6 +107,9 @@
 	}
 	p.note(m, n.now)
 	l.gate.noteReport(from, m.Report)
+	if n.cfg.Balance.Interval > 0 {
+		l.balance.noteLoads(m.Load)
+	}
 	n.updateAuthority()
 	n.updateStanding()
 	n.sendLease(p, m.Request)
@@ -136,9 +138,6 @@
 	p.leaving = m.Flags&renewLeaving != 0
 	p.renewed = now
 	p.held = max(p.held, m.Version)
-	if len(m.Load) > 0 {
-		p.load = m.Load
-	}
 }
 
 // sendLease answers a Renew.
@@ -220,9 +219,10 @@
 }
 
 // grantsFor returns the grants that the process may hold: those that stand,
-// and of those from older terms only the ones that it listed, until no old
-// leader can have granted them to anyone. The listed ones stood in the older
-// term; the deputy learns of them before it extends the authority.
+// and of those from older terms only the ones whose range it listed, until no
+// old leader can have granted them to anyone. The listed ones stood in the
+// older term; the deputy learns of them before it extends the authority. The
+// bounds may differ from the listed ones by a split or merge.
 func (n *Node) grantsFor(p *peer) []Grant {
 	l := n.leader
 	var grants []Grant
@@ -230,7 +230,7 @@
 		if e.grant.Owner != p.node {
 			continue
 		}
-		if slices.Contains(p.listed, e.grant) {
+		if e.grant.Token.Term != l.term && tiled(p.listed, e.grant.Range) {
 			grants = append(grants, e.grant)
 			continue
 		}
--- a/cell/leave.go
+++ b/cell/leave.go
@@ -41,6 +41,9 @@
 	if len(n.heldGrants()) > 0 || len(l.moves) > 0 || len(n.appends.deputies) > 0 {
 		return
 	}
+	if !n.drained() {
+		return
+	}
 	n.stepDown()
 	n.left = true
 	n.out.Left = true
--- a/cell/node_view.go
+++ b/cell/node_view.go
@@ -58,6 +58,7 @@
 	if slices.Equal(holdings, n.emitted) {
 		return
 	}
+	n.noteLost(n.emitted, holdings)
 	n.emitted = holdings
 	n.out.Holdings = slices.Clone(holdings)
 	n.out.HoldingsChanged = true
