Let the deputy notice early that its pledges do not arrive

A leader that hears nothing still sends heartbeats. It now counts from the sending of that pledge once three heartbeats have shown none newer, so that one lost message does not cause a claim.

--- a/cell/deputy.go
+++ b/cell/deputy.go
@@ -2,11 +2,16 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/ident"
 )
 
+// maxStalled is the number of heartbeats that show no newer pledge after which
+// a deputy takes its pledges for lost.
+const maxStalled = 3
+
 // deputy is what this process knows as the deputy of a term.
 type deputy struct {
 	// term is the term whose leader this process pledges to; 0 if none. It is
@@ -26,7 +31,10 @@
 	lastHeard  clock.Time // newest heartbeat that showed that pledges arrive, or the record that named this process
 	heard      bool       // a heartbeat has come in this term
 	seen       uint32     // newest pledge that the leader has seen
-	handover   bool       // the leader has asked for a claim
+	seenSent   clock.Time // when that was sent
+	stalled    int        // heartbeats since that showed no newer one
+	pledges    [renewHistory]renewal
+	handover   bool // the leader has asked for a claim
 }
 
 // foldedDeputy reacts to a valid DeputyChange.
@@ -79,15 +87,48 @@
 		d.next = m.Next
 	}
 	d.active = d.active || m.Flags&heartbeatActive != 0
-	if !d.heard || m.Seen != d.seen {
-		d.heard = true
-		d.seen = m.Seen
-		d.lastHeard = n.now
-	}
+	d.noteHeartbeat(m, n.now)
 	d.lastPledge = n.now
 	n.pledge(from, m)
 }
 
+// noteHeartbeat notes whether the leader receives the pledges.
+func (d *deputy) noteHeartbeat(m *Heartbeat, now clock.Time) {
+	switch {
+	case !d.heard:
+		d.seenSent = now
+	case m.Seen != d.seen:
+		d.seenSent = d.pledgeSent(m.Seen, now)
+	default:
+		d.stalled++
+		d.pledges[m.Request%renewHistory] = renewal{request: m.Request, sent: now}
+		return
+	}
+	d.heard = true
+	d.seen = m.Seen
+	d.stalled = 0
+	d.lastHeard = now
+	d.pledges[m.Request%renewHistory] = renewal{request: m.Request, sent: now}
+}
+
+// pledgeSent returns when the pledge for the request was sent, or now if that
+// is not known.
+func (d *deputy) pledgeSent(request uint32, now clock.Time) clock.Time {
+	if p := d.pledges[request%renewHistory]; p.request == request && p.sent != clock.Never {
+		return p.sent
+	}
+	return now
+}
+
+// silent reports whether the leader has been silent, or has received no pledge,
+// for the timeout.
+func (d *deputy) silent(timeout time.Duration, now clock.Time) bool {
+	if now.Sub(d.lastHeard) >= timeout {
+		return true
+	}
+	return d.heard && d.stalled >= maxStalled && now.Sub(d.seenSent) >= timeout
+}
+
 func (n *Node) pledge(to ident.Node, m *Heartbeat) {
 	n.send(to, Message{Pledge: &Pledge{
 		Term:     m.Term,
@@ -144,7 +185,7 @@
 	}
 	n.wake(d.lastHeard.Add(timeout))
 	switch {
-	case n.ledger.ended(n.ledger.Leader()), n.now.Sub(d.lastHeard) >= timeout:
+	case n.ledger.ended(n.ledger.Leader()), d.silent(timeout, n.now):
 		return ClaimTakeover
 	case d.handover:
 		return ClaimHandover
--- a/cell/node.go
+++ b/cell/node.go
@@ -107,6 +107,7 @@
 // been this process's own pause.
 func (n *Node) resumed() {
 	n.deputy.lastHeard = n.now
+	n.deputy.stalled = 0
 	n.follower.heard = n.now
 	if n.leader != nil {
 		n.leader.resumed(n.now)
