--- /dev/null
+++ b/cell/rest_test.go
@@ -0,0 +1,97 @@
+package cell
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/keyspace"
+)
+
+// udpHeader is the size of the IP and UDP headers of a datagram, in bytes.
+const udpHeader = 28
+
+// trafficAtRest returns the bytes a second that a role sends and receives.
+func trafficAtRest(s *sim, node ident.Node, header int) float64 {
+	const period = 60
+	s.sent = nil
+	s.run(period * time.Second)
+	bytes := 0
+	for _, m := range s.sent {
+		if m.from == node || m.to == node {
+			bytes += m.size + header
+		}
+	}
+	return float64(bytes) / period
+}
+
+// The leader of the largest cell stays within 3 KB a second at rest.
+func TestTrafficOfALeaderAtRest(t *testing.T) {
+	const limit = 3 << 10
+	for _, size := range []int{3, 4, 8, MaxMembers} {
+		s := settled(t, size)
+		s.run(20 * time.Second)
+		payload := trafficAtRest(s, s.leaderProc().id, 0)
+		datagrams := trafficAtRest(s, s.leaderProc().id, udpHeader)
+		t.Logf("cell of %d: leader %.0f B/s payload, %.0f B/s with IP and UDP headers", size, payload, datagrams)
+		if datagrams > limit {
+			t.Errorf("cell of %d: %.0f B/s, want at most %d", size, datagrams, limit)
+		}
+	}
+}
+
+func TestLoadSplitsRangesAndMovesThemWithoutLapse(t *testing.T) {
+	s := newSim(t, 0)
+	for i := 1; i <= 4; i++ {
+		cfg := testConfig(fmt.Sprintf("t%d", i), 1)
+		cfg.Balance = BalanceConfig{Interval: time.Second, WeightImbalance: 1, MaxMovesPerMinute: 20, MaxRanges: 64}
+		s.start(cfg)
+	}
+	s.run(5 * time.Second)
+	hot := keyspace.Point(1 << 62)
+	for range 40 {
+		for _, p := range s.procs {
+			s.step(p, Load{Ranges: hotLoads(p.held, hot)})
+		}
+		s.run(time.Second)
+	}
+	if n := s.lapses(); n > 0 || !s.covered() {
+		t.Errorf("%d lapses, covered %v\n%s", n, s.covered(), s.tail())
+	}
+	single := keyspace.Range{First: hot, Last: hot}
+	if s.leaderProc().node.leader.table.entry(single) == nil {
+		t.Errorf("the hot point has no range of its own\n%s", s.tail())
+	}
+	s.exclusive()
+}
+
+// hotLoads gives each range 10 requests a second, and the hot point 100 more.
+func hotLoads(held []Holding, hot keyspace.Point) []RangeLoad {
+	var loads []RangeLoad
+	for _, h := range held {
+		l := RangeLoad{Range: h.Grant.Range, Rate: 10}
+		if h.Grant.Range.Contains(hot) {
+			l.Rate, l.HotPoint, l.HotRate = 110, hot, 100
+		}
+		loads = append(loads, l)
+	}
+	return loads
+}
+
+// BenchmarkLeaderAtRest steps the leader of the largest cell through a renewal.
+func BenchmarkLeaderAtRest(b *testing.B) {
+	s := newSim(&testing.T{}, MaxMembers)
+	s.run(30 * time.Second)
+	leader := s.leaderProc()
+	member := s.plainProc()
+	f := &member.node.follower
+	now := s.now
+	renew := &Renew{Term: f.term, Version: f.version}
+	for b.Loop() {
+		renew.Request++
+		renew.Seen = renew.Request
+		now = now.Add(time.Millisecond)
+		leader.node.Step(Received{From: member.id, Message: Message{Renew: renew}}, now)
+	}
+}
--- a/cell/sim_test.go
+++ b/cell/sim_test.go
@@ -46,51 +46,10 @@
 
 	trace    *strings.Builder
 	acked    []Grant
+	sent     []simSent
 	conflict string
 }
 
-type simProc struct {
-	node     *Node
-	id       ident.Node
-	alive    bool
-	frozen   bool
-	held     []Holding
-	waiting  []Event // events during a freeze
-	nextTick clock.Time
-	left     bool
-	err      error
-	prev     string
-	lapses   int // times that held grants ran out
-	drift    int64
-}
-
-// local returns the process's clock reading at the true time t.
-func (p *simProc) local(t clock.Time) clock.Time {
-	elapsed := t - clock.Time(time.Hour)
-	return t + elapsed*clock.Time(p.drift)/1_000_000 + clock.Time(p.drift)*clock.Time(time.Second)
-}
-
-type simEvent struct {
-	at  clock.Time
-	seq int
-	run func()
-}
-
-type simQueue []simEvent
-
-func (q simQueue) Len() int { return len(q) }
-func (q simQueue) Less(i, j int) bool {
-	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
-}
-func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
-func (q *simQueue) Pop() any {
-	old := *q
-	x := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return x
-}
-
 func testConfig(instance string, incarnation uint64) Config {
 	zone := ident.Zone("z" + instance[len(instance)-1:])
 	return Config{
@@ -280,6 +239,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
+	s.sent = append(s.sent, simSent{from: p.id, to: e.To, size: len(e.Message.AppendTo(nil))})
 	copies := 1
 	if s.copies != nil {
 		copies = s.copies()
@@ -297,77 +257,6 @@
 	}
 }
 
-func (s *sim) append(p *simProc, a Append) {
-	if s.unreachable(p) {
-		s.after(simLogDelay, func() { s.step(p, Appended{Nonce: a.Nonce, Outcome: AppendFailed}) })
-		return
-	}
-	s.after(simLogDelay, func() {
-		if s.dropsAppends {
-			s.step(p, Appended{Nonce: a.Nonce, Outcome: AppendUnknown})
-			return
-		}
-		if late := s.late(); late > 0 {
-			s.after(late, func() { s.land(a.Record) })
-			s.step(p, Appended{Nonce: a.Nonce, Outcome: AppendUnknown})
-			return
-		}
-		offset := s.land(a.Record)
-		answer := Appended{Nonce: a.Nonce, Offset: offset, Outcome: AppendDone}
-		if s.losesAnswers {
-			answer = Appended{Nonce: a.Nonce, Outcome: AppendUnknown}
-		}
-		s.after(simLogDelay, func() { s.step(p, answer) })
-	})
-}
-
-func (s *sim) late() time.Duration {
-	if s.landLate == nil {
-		return 0
-	}
-	return s.landLate()
-}
-
-func (s *sim) unreachable(p *simProc) bool {
-	return s.logDown || s.logCut != nil && s.logCut(p.id.Instance)
-}
-
-// land adds a record to the stream.
-func (s *sim) land(r Record) platformlog.Offset {
-	offset := platformlog.Offset(len(s.records) + 1)
-	s.records = append(s.records, platformlog.Record{Offset: offset, Time: int64(s.now), Payload: r.AppendTo(nil)})
-	fmt.Fprintf(s.trace, "%s log %d: %s\n", s.stamp(), offset, describeRecord(r))
-	for _, p := range s.procs {
-		if p.node.leader != nil || p.node.deputy.named {
-			s.after(simLogDelay, func() { s.read(p) })
-		}
-	}
-	return offset
-}
-
-// poll reads the log for ever, as drivers do.
-func (s *sim) poll(p *simProc) {
-	if !p.alive || p.left {
-		return
-	}
-	s.read(p)
-	s.after(simLongPoll, func() { s.poll(p) })
-}
-
-func (s *sim) read(p *simProc) {
-	if s.unreachable(p) || !p.alive || p.frozen {
-		return
-	}
-	from := p.node.reader.next
-	earliest := platformlog.Offset(s.kept + 1)
-	if from < earliest {
-		s.step(p, LogGap{From: from, Earliest: earliest})
-		return
-	}
-	batch := platformlog.Batch{Earliest: earliest, Next: platformlog.Offset(len(s.records) + 1), Records: s.records[from-1:]}
-	s.step(p, LogRead{Started: p.local(s.now), From: from, Batch: batch})
-}
-
 // check fails the test if two processes hold a point.
 func (s *sim) check() {
 	for i, p := range s.procs {
