--- a/cell/follower_handover.go
+++ b/cell/follower_handover.go
@@ -36,6 +36,9 @@
 		return
 	}
 	if !slices.Contains(f.grants, m.Grant) {
+		if overlapsAny(f.grants, m.Grant.Range) {
+			return
+		}
 		n.drop(m.Grant)
 		n.send(from, Message{ReleaseDone: &ReleaseDone{Term: f.term, Grant: m.Grant}})
 		return
--- a/cell/leader_peer.go
+++ b/cell/leader_peer.go
@@ -140,7 +140,8 @@
 	p.held = max(p.held, m.Version)
 }
 
-// sendLease answers a Renew.
+// sendLease answers a Renew. No grants are sent while the gate is closed: the
+// member would hold them under its lease of an older term.
 func (n *Node) sendLease(p *peer, request uint32) {
 	l := n.leader
 	duration := min(n.timing.lease, n.grantLimit().Sub(n.now))
@@ -199,12 +200,8 @@
 	return true
 }
 
-// pushGrants sends changed grants at once. Nothing is sent while the gate is
-// closed: a member would hold it under its lease of an older term.
+// pushGrants sends changed grants at once.
 func (n *Node) pushGrants() {
-	if !n.leader.gate.open {
-		return
-	}
 	for _, p := range n.leader.peers {
 		if p.node == n.self() || !p.confirmed || p.lapse <= n.now {
 			continue
