Give up everything on a confirmed loss, and wait for the target margin after a recovery

A process that an operator had declared lost went on if it still ran. The margin for targets that do not check tokens was not added when a gate opened. Delayed messages could set back the newest lease or pledge seen. A member given up could be taken back over and over in a full cell.

--- a/cell/deputy.go
+++ b/cell/deputy.go
@@ -97,7 +97,7 @@
 	switch {
 	case !d.heard:
 		d.seenSent = now
-	case m.Seen != d.seen:
+	case newer(m.Seen, d.seen):
 		d.seenSent = d.pledgeSent(m.Seen, now)
 	default:
 		d.stalled++
--- a/cell/errors.go
+++ b/cell/errors.go
@@ -46,14 +46,13 @@
 }
 
 // SupersededError reports that a newer process of the same instance has been
-// announced.
+// announced, or that an operator has confirmed the loss of this one.
 type SupersededError struct {
-	Self  ident.Node
-	Newer ident.Incarnation
+	Self ident.Node
 }
 
 func (e *SupersededError) Error() string {
-	return fmt.Sprintf("cell: %v has been replaced by incarnation %d of its instance; stop this process", e.Self, uint64(e.Newer))
+	return fmt.Sprintf("cell: %v has been replaced by a newer process of its instance, or declared lost; stop this process, and start a new one if the instance is to serve", e.Self)
 }
 
 // CellFullError reports that the cell holds MaxMembers members.
--- a/cell/leader_gate.go
+++ b/cell/leader_gate.go
@@ -51,7 +51,7 @@
 	if l.gate.resolved == clock.Never && n.pairsStopped() {
 		l.gate.resolved = n.now
 	}
-	lease := n.timing.longer(n.timing.lease)
+	lease := n.timing.longer(n.timing.lease) + n.cfg.TargetMargin
 	blind := l.since.Add(n.timing.longer(n.timing.blind)).Add(lease)
 	opens := blind
 	if l.gate.resolved != clock.Never {
--- a/cell/leader_giveaway.go
+++ b/cell/leader_giveaway.go
@@ -82,7 +82,7 @@
 // reachable reports whether messages pass in both directions between the
 // leader and a member. Its lease then only waits for the leader's authority.
 func (n *Node) reachable(p *peer) bool {
-	return p.confirmed && n.ledger.announced(p.node) != nil &&
+	return p.confirmed && n.ledger.announced(p.node) != nil && !n.ledger.ended(p.node) &&
 		n.now.Sub(p.renewed) < n.timing.renew && n.now.Sub(p.seenAt) <= n.timing.claimTimeout
 }
 
@@ -109,7 +109,7 @@
 // live reports whether the process follows the term and holds a lease.
 func (n *Node) live(p *peer) bool {
 	m := n.ledger.announced(p.node)
-	return p.confirmed && p.lapse > n.now && m != nil
+	return p.confirmed && p.lapse > n.now && m != nil && !n.ledger.ended(p.node)
 }
 
 // fewest returns the candidate with the fewest ranges, the first of equals.
@@ -140,6 +140,7 @@
 // memberChanges returns the members to give up and those to take back.
 func (n *Node) memberChanges() (gone, back []ident.Node) {
 	l := n.leader
+	room := MaxMembers - len(n.ledger.Members())
 	for _, p := range l.peers {
 		m := n.ledger.member(p.node.Instance)
 		if m == nil || m.Member.Node != p.node || p.node == n.self() || p.node == n.ledger.Deputy() {
@@ -150,7 +151,7 @@
 		switch {
 		case !m.Gone && idle && (silent || p.leaving && p.lapse <= n.now):
 			gone = append(gone, p.node)
-		case m.Gone && !silent && !p.leaving && n.live(p):
+		case m.Gone && !silent && !p.leaving && n.live(p) && len(back) < room:
 			back = append(back, p.node)
 		}
 	}
--- a/cell/leader_peer.go
+++ b/cell/leader_peer.go
@@ -92,6 +92,9 @@
 		n.out.ReadLog = n.out.ReadLog || m.Term > n.ledger.Term()
 		return
 	}
+	if n.ledger.ended(from) {
+		return
+	}
 	if n.ledger.announced(from) == nil {
 		n.out.ReadLog = true
 		return
@@ -130,7 +133,7 @@
 		p.seenAt = now
 	}
 	p.lead = max(p.lead, m.Lead)
-	if m.Seen != p.seen {
+	if newer(m.Seen, p.seen) {
 		p.seen = m.Seen
 		p.seenAt = now
 	}
@@ -140,6 +143,12 @@
 	p.held = max(p.held, m.Version)
 }
 
+// newer reports whether a request number is larger than another, which may be
+// 0 for none. Numbers wrap around.
+func newer(request, than uint32) bool {
+	return request != than && (than == 0 || int32(request-than) > 0)
+}
+
 // sendLease answers a Renew. No grants are sent while the gate is closed: the
 // member would hold them under its lease of an older term.
 func (n *Node) sendLease(p *peer, request uint32) {
--- a/cell/node.go
+++ b/cell/node.go
@@ -81,7 +81,9 @@
 		return n.out
 	}
 	n.handle(ev)
-	n.checkSuperseded()
+	if n.superseded() {
+		return n.finish()
+	}
 	n.runAnnounce()
 	n.runLosses()
 	n.runFollower()
@@ -178,18 +180,20 @@
 	}
 }
 
-// checkSuperseded gives everything up once a newer process of the instance
-// has been announced.
-func (n *Node) checkSuperseded() {
-	m := n.ledger.member(n.self().Instance)
-	if m == nil || m.Member.Node.Incarnation <= n.self().Incarnation {
-		return
+// superseded gives everything up once a newer process of the instance has been
+// announced, or an operator has declared this one lost.
+func (n *Node) superseded() bool {
+	if !n.ledger.ended(n.self()) {
+		return false
 	}
 	n.leader = nil
 	n.deputy = deputy{}
 	n.follower.grants = nil
 	n.follower.leader = ident.Node{}
-	n.out.Err = &SupersededError{Self: n.self(), Newer: m.Member.Node.Incarnation}
+	n.out.Err = &SupersededError{Self: n.self()}
+	n.left = n.leaving && n.drained()
+	n.out.Left = n.left
+	return true
 }
 
 func (n *Node) self() ident.Node { return n.cfg.Self.Node }
--- a/cell/recovery_test.go
+++ b/cell/recovery_test.go
@@ -91,3 +91,34 @@
 	s.run(50 * time.Second)
 	s.exclusive()
 }
+
+// An operator confirms the loss of a process that still runs.
+func TestProcessDeclaredLostGivesUp(t *testing.T) {
+	s := settled(t, 4)
+	p := s.leaderProc()
+	s.step(s.plainProc(), ConfirmLoss{Node: p.id, Operator: "anna"})
+	s.run(5 * time.Second)
+	if len(p.held) > 0 || p.node.leader != nil || p.err == nil {
+		t.Errorf("holds %d grants, error %v", len(p.held), p.err)
+	}
+	if !s.covered() {
+		t.Errorf("not covered\n%s", s.tail())
+	}
+	s.exclusive()
+}
+
+// Where targets do not check tokens, a range waits for the margin as well.
+func TestTargetMarginIsWaitedFor(t *testing.T) {
+	const margin = 3 * time.Second
+	s := settled(t, 4)
+	for _, p := range s.procs {
+		p.node.cfg.TargetMargin = margin
+	}
+	lost := s.plainProc()
+	s.kill(lost)
+	end := lost.held[0].Expires
+	s.runUntil(10*time.Second, s.covered)
+	if s.now < end.Add(margin) {
+		t.Errorf("granted again %v after the lease ended, want %v", s.now.Sub(end), margin)
+	}
+}
