Add the settings of a daemon with strict checks

Cause: cmd/parsleyd needs its addresses, target and lease parameters from a file. Every fault names file, line, field and remedy.

The YAML library alone was ruled out: it gives no position for a malformed duration, takes a bare number as nanoseconds, and lets an empty field clear its default; package yamlfile closes these three.

--- /dev/null
+++ b/settings/defaults.go
@@ -0,0 +1,37 @@
+package settings
+
+import "time"
+
+// Defaults returns the settings that hold where a file says nothing.
+func Defaults() *Daemon {
+	return &Daemon{
+		Log:      Log{Retention: 24 * time.Hour},
+		Lease:    defaultLease(),
+		Balance:  Balance{Interval: 5 * time.Second, MaxRanges: 256},
+		Limits:   defaultLimits(),
+		LogLevel: LogInfo,
+	}
+}
+
+func defaultLease() Lease {
+	return Lease{
+		Duration:          2 * time.Second,
+		HeartbeatInterval: 700 * time.Millisecond,
+		RetryInterval:     250 * time.Millisecond,
+		DriftPPM:          500,
+		TargetMargin:      500 * time.Millisecond,
+		BlindLimit:        24 * time.Hour,
+		SnapshotInterval:  6 * time.Hour,
+		DrainLimit:        30 * time.Second,
+	}
+}
+
+func defaultLimits() Limits {
+	return Limits{
+		RequestBytes: 1 << 20,
+		AnswerBytes:  8 << 20,
+		KeyBytes:     256,
+		CallerConns:  10_000,
+		InFlight:     10_000,
+	}
+}
--- /dev/null
+++ b/settings/listen.go
@@ -0,0 +1,23 @@
+package settings
+
+import "github.com/parsleystack/parsleystack/yamlfile"
+
+// Listen holds the addresses that the daemon listens on, each IP:port.
+type Listen struct {
+	Callers string `yaml:"callers"` // HTTP for callers
+	Daemons string `yaml:"daemons"` // TCP for other daemons; announced to them
+	Admin   string `yaml:"admin"`   // HTTP for operators and metrics
+}
+
+func (l *Listen) check(c *yamlfile.Checker) {
+	c.Addr("listen.callers", l.Callers)
+	c.Addr("listen.daemons", l.Daemons)
+	c.Addr("listen.admin", l.Admin)
+	const remedy = "give each listener its own port"
+	if l.Daemons != "" && l.Daemons == l.Callers {
+		c.Fail("listen.daemons", "the address is also that of listen.callers", remedy)
+	}
+	if l.Admin != "" && (l.Admin == l.Callers || l.Admin == l.Daemons) {
+		c.Fail("listen.admin", "the address is also that of another listener", remedy)
+	}
+}
--- /dev/null
+++ b/settings/tls.go
@@ -0,0 +1,45 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/parsleystack/parsleystack/yamlfile"
+)
+
+// TLS holds the files for mutual TLS between daemons and towards operators.
+// The files are PEM-encoded and read again when they change.
+type TLS struct {
+	CertFile string `yaml:"cert_file"` // certificate of this daemon
+	KeyFile  string `yaml:"key_file"`  // private key of the certificate
+	CAFile   string `yaml:"ca_file"`   // authorities that others' certificates are checked against
+	// Insecure turns TLS off. Anyone who reaches the daemon's addresses may
+	// then give orders.
+	Insecure bool `yaml:"insecure"`
+}
+
+func (t *TLS) check(c *yamlfile.Checker) {
+	if t.Insecure {
+		t.checkUnused(c)
+		return
+	}
+	const remedy = "name the file, or set tls.insecure: true to run without TLS"
+	checkFile(c, "tls.cert_file", t.CertFile, remedy)
+	checkFile(c, "tls.key_file", t.KeyFile, remedy)
+	checkFile(c, "tls.ca_file", t.CAFile, remedy)
+}
+
+func (t *TLS) checkUnused(c *yamlfile.Checker) {
+	if t.CertFile != "" || t.KeyFile != "" || t.CAFile != "" {
+		c.Fail("tls.insecure", "TLS is off but files are named", "remove tls.insecure, or remove the files")
+	}
+}
+
+func checkFile(c *yamlfile.Checker, field, path, remedy string) {
+	if !c.Required(field, path, remedy) {
+		return
+	}
+	if _, err := os.Stat(path); err != nil {
+		c.Fail(field, fmt.Sprintf("the file can't be read: %v", err), "create the file or correct its path")
+	}
+}
