--- /dev/null
+++ b/admin/backend.go
@@ -0,0 +1,17 @@
+package admin
+
+import (
+	"context"
+
+	"github.com/parsleystack/parsleystack/ident"
+)
+
+// Backend is the part of a daemon that answers operators. Its methods are
+// called by several goroutines at once. A refusal is returned as *Error; any
+// other error becomes an Error with status 500.
+type Backend interface {
+	Status(ctx context.Context) (*Status, error)
+	Explain(ctx context.Context, svc ident.Service, key string) (*Explanation, error)
+	Drain(ctx context.Context, req *DrainRequest) (*DrainAnswer, error)
+	ConfirmLoss(ctx context.Context, req *ConfirmLossRequest) (*ConfirmLossAnswer, error)
+}
--- /dev/null
+++ b/admin/handler.go
@@ -0,0 +1,156 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/parsleystack/parsleystack/ident"
+)
+
+// Paths of the interface.
+const (
+	PathStatus      = "/v1/status"
+	PathExplain     = "/v1/explain"
+	PathDrain       = "/v1/drain"
+	PathConfirmLoss = "/v1/confirm-loss"
+)
+
+// Handler serves a Backend over HTTP.
+type Handler struct {
+	backend Backend
+}
+
+// NewHandler returns a Handler of backend.
+func NewHandler(backend Backend) *Handler { return &Handler{backend: backend} }
+
+// Serve answers the request if its path belongs to the interface, and reports
+// whether it does, so that a daemon can add paths of its own.
+func (h *Handler) Serve(ctx *fasthttp.RequestCtx) bool {
+	switch string(ctx.Path()) {
+	case PathStatus:
+		h.answer(ctx, fasthttp.MethodGet, h.status)
+	case PathExplain:
+		h.answer(ctx, fasthttp.MethodGet, h.explain)
+	case PathDrain:
+		h.answer(ctx, fasthttp.MethodPost, h.drain)
+	case PathConfirmLoss:
+		h.answer(ctx, fasthttp.MethodPost, h.confirmLoss)
+	default:
+		return false
+	}
+	return true
+}
+
+type operation func(ctx context.Context, req *fasthttp.RequestCtx) (any, error)
+
+func (h *Handler) answer(ctx *fasthttp.RequestCtx, method string, op operation) {
+	if string(ctx.Method()) != method {
+		writeError(ctx, &Error{
+			Status:  fasthttp.StatusMethodNotAllowed,
+			Problem: fmt.Sprintf("%s does not take %s", ctx.Path(), ctx.Method()),
+			Remedy:  "use " + method,
+		})
+		return
+	}
+	body, err := op(ctx, ctx)
+	if err != nil {
+		writeError(ctx, asError(err))
+		return
+	}
+	writeJSON(ctx, fasthttp.StatusOK, body)
+}
+
+func (h *Handler) status(ctx context.Context, _ *fasthttp.RequestCtx) (any, error) {
+	return h.backend.Status(ctx)
+}
+
+func (h *Handler) explain(ctx context.Context, req *fasthttp.RequestCtx) (any, error) {
+	svc := ident.Service(req.QueryArgs().Peek("service"))
+	key := string(req.QueryArgs().Peek("key"))
+	if svc == "" {
+		return nil, badRequest("the parameter service is missing", "name the service that the key belongs to")
+	}
+	return h.backend.Explain(ctx, svc, key)
+}
+
+func (h *Handler) drain(ctx context.Context, req *fasthttp.RequestCtx) (any, error) {
+	var order DrainRequest
+	if err := readJSON(req, &order); err != nil {
+		return nil, err
+	}
+	order.Operator = operatorOf(req, order.Operator)
+	if order.Operator == "" {
+		return nil, errNoOperator()
+	}
+	return h.backend.Drain(ctx, &order)
+}
+
+func (h *Handler) confirmLoss(ctx context.Context, req *fasthttp.RequestCtx) (any, error) {
+	var order ConfirmLossRequest
+	if err := readJSON(req, &order); err != nil {
+		return nil, err
+	}
+	order.Operator = operatorOf(req, order.Operator)
+	switch {
+	case order.Operator == "":
+		return nil, errNoOperator()
+	case order.Instance == "" || order.Incarnation == 0:
+		return nil, badRequest("the instance or its incarnation is missing", "name both as parsley status shows them, such as reports-1#1700000000000000000")
+	}
+	return h.backend.ConfirmLoss(ctx, &order)
+}
+
+// operatorOf returns the common name of the client's certificate, or named
+// where there is none.
+func operatorOf(req *fasthttp.RequestCtx, named string) string {
+	state := req.TLSConnectionState()
+	if state == nil || len(state.VerifiedChains) == 0 {
+		return named
+	}
+	return state.VerifiedChains[0][0].Subject.CommonName
+}
+
+func errNoOperator() *Error {
+	return badRequest("the order names no operator", "name yourself, with --operator on the command line")
+}
+
+func badRequest(problem, remedy string) *Error {
+	return &Error{Status: fasthttp.StatusBadRequest, Problem: problem, Remedy: remedy}
+}
+
+func readJSON(req *fasthttp.RequestCtx, out any) error {
+	if err := json.Unmarshal(req.PostBody(), out); err != nil {
+		return badRequest("the body is not the JSON that this path takes: "+err.Error(), "use the parsley command of the same version")
+	}
+	return nil
+}
+
+func asError(err error) *Error {
+	var refusal *Error
+	if !errors.As(err, &refusal) {
+		return &Error{Status: fasthttp.StatusInternalServerError, Problem: err.Error(), Remedy: "see the daemon's log"}
+	}
+	if refusal.Status < fasthttp.StatusBadRequest {
+		copied := *refusal
+		copied.Status = fasthttp.StatusConflict
+		return &copied
+	}
+	return refusal
+}
+
+func writeError(ctx *fasthttp.RequestCtx, e *Error) { writeJSON(ctx, e.Status, e) }
+
+func writeJSON(ctx *fasthttp.RequestCtx, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetStatusCode(status)
+	ctx.SetContentType("application/json")
+	ctx.SetBody(data)
+}
