--- /dev/null
+++ b/deploy/doc.go
@@ -0,0 +1,2 @@
+// Package deploy holds the sample deployments; its test loads every file.
+package deploy
