Add the catalogue of numbered log events

Cause: logs are numbered events with a catalogue in the docs. Variables are named by meaning, not by number, so that a call site can be read; the number is in the event.

--- /dev/null
+++ b/logevent/cell.go
@@ -0,0 +1,20 @@
+package logevent
+
+// Events of a cell: roles, leases and ownership.
+var (
+	LeaderChanged          = define(2001, "leader changed", info, "Another daemon leads the cell.", "")
+	DeputyChanged          = define(2002, "deputy changed", info, "The cell has another deputy, or none.", "")
+	RangeGranted           = define(2003, "range granted", info, "A range has a new owner.", "")
+	RangeRevoked           = define(2004, "range revoked", info, "A range was taken from its owner.", "")
+	MemberJoined           = define(2005, "member joined", info, "A daemon has announced itself to the cell.", "")
+	MemberLost             = define(2006, "member lost", warning, "A member's leases have lapsed; its ranges are granted to others.", "See whether the instance was replaced; otherwise look at its host and network.")
+	RecordVoid             = define(2007, "record without effect", info, "A record of the cell's stream was overtaken by an earlier one.", "")
+	RangeSplit             = define(2008, "range split", info, "A range was divided, usually around a hot key.", "")
+	RangesMerged           = define(2009, "ranges merged", info, "Neighbouring ranges of one owner were joined.", "")
+	CellRecovered          = define(2010, "cell recovered", warning, "A member has become leader after leader and deputy were both lost.", "Look for the common cause of the two losses.")
+	LeaseLapsed            = define(2011, "lease lapsed", warning, "A lease of this daemon ended without renewal; its requests are refused as not run.", "Look for a paused process, a network partition or a cell without leader.")
+	CellGap                = define(2012, "cell stream has a gap", failure, "Records of the cell's stream expired before this daemon read them, and no snapshot covers them.", "Check the log's retention against lease.snapshot_interval; another member's next snapshot ends the gap.")
+	LossConfirmed          = define(2013, "loss confirmed", info, "An operator has confirmed that a process is gone.", "")
+	AssignmentsProvisional = define(2014, "assignments provisional", warning, "Assignments stand on leader and deputy only, since the log does not answer.", "Restore the log service; avoid replacing leader or deputy until then.")
+	CellWithoutLeader      = define(2015, "cell without leader", failure, "No leader renews leases; ranges wait.", "See parsley status; if leader and deputy are gone for good, use parsley confirm-loss.")
+)
