Add the request path from caller to target and back

Frames (wire), connections between daemons (transport), routes, leases, the client of the target, and the drivers of the entry and owner roles over the pure decisions of dispatch and admission.

The first whole path: a caller's HTTP request reaches the target of the one owner of its key over real sockets, with the token, range and time left in the target's headers, and is answered with its outcome.

--- /dev/null
+++ b/entry/config.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/route"
+	"github.com/parsleystack/parsleystack/transport"
+)
+
+// Config holds what a Gateway needs. Zero fields in the second group take the
+// defaults named there.
+type Config struct {
+	Self   ident.Node
+	Zone   ident.Zone
+	Router *route.Router
+	Pool   *transport.Pool
+	// Source finds owners on demand; nil leaves that to refusals.
+	Source route.Source
+
+	// Now reads the clock that deadlines are measured on; clock.Now if nil.
+	Now func() clock.Time
+	// MaxBody is the largest request body in bytes; DefaultMaxBody if 0.
+	MaxBody int
+	// MaxHeader is the largest header block in bytes; DefaultMaxHeader if 0.
+	MaxHeader int
+	// ReadTimeout bounds the arrival of a whole request; DefaultReadTimeout if 0.
+	ReadTimeout time.Duration
+	// IdleTimeout bounds the pause between requests of a connection;
+	// DefaultIdleTimeout if 0.
+	IdleTimeout time.Duration
+	// MaxConns is the number of connections served at once; DefaultMaxConns if 0.
+	MaxConns int
+	// HoldLimit is the number of requests of each service that wait for a new
+	// owner; DefaultHoldLimit if 0.
+	HoldLimit int
+	// DefaultTimeout is the deadline of requests without a rule of their own;
+	// DefaultRequestTimeout if 0.
+	DefaultTimeout time.Duration
+	// NoRetryBudget turns the bound on retries off, as a baseline of
+	// measurements.
+	NoRetryBudget bool
+	// Log may be nil.
+	Log *zap.Logger
+}
+
+const (
+	// DefaultMaxBody is the default of Config.MaxBody in bytes.
+	DefaultMaxBody = 8 << 20
+	// DefaultMaxHeader is the default of Config.MaxHeader in bytes.
+	DefaultMaxHeader = 16 << 10
+	// DefaultReadTimeout is the default of Config.ReadTimeout.
+	DefaultReadTimeout = 10 * time.Second
+	// DefaultIdleTimeout is the default of Config.IdleTimeout.
+	DefaultIdleTimeout = time.Minute
+	// DefaultMaxConns is the default of Config.MaxConns.
+	DefaultMaxConns = 16 << 10
+	// DefaultHoldLimit is the default of Config.HoldLimit.
+	DefaultHoldLimit = 1024
+	// DefaultRequestTimeout is the default of Config.DefaultTimeout.
+	DefaultRequestTimeout = 5 * time.Second
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.MaxBody, DefaultMaxBody)
+	setDefault(&c.MaxHeader, DefaultMaxHeader)
+	setDefault(&c.ReadTimeout, DefaultReadTimeout)
+	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&c.MaxConns, DefaultMaxConns)
+	setDefault(&c.HoldLimit, DefaultHoldLimit)
+	setDefault(&c.DefaultTimeout, DefaultRequestTimeout)
+	if c.Now == nil {
+		c.Now = clock.Now
+	}
+	if c.Log == nil {
+		c.Log = zap.NewNop()
+	}
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/entry/handler.go
@@ -0,0 +1,193 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/parsleystack/parsleystack/dispatch"
+	"github.com/parsleystack/parsleystack/outcome"
+	"github.com/parsleystack/parsleystack/route"
+	"github.com/parsleystack/parsleystack/wire"
+)
+
+var (
+	errDeadline   = errors.New("entry: the request's deadline passed")
+	errCallerLeft = errors.New("entry: the caller left")
+)
+
+// answerMargin is the part of the time left that is kept for the owner's last
+// answer, one in answerMarginShare but at most maxAnswerMargin.
+const (
+	answerMarginShare = 20
+	maxAnswerMargin   = 5 * time.Millisecond
+)
+
+// handle serves one request.
+func (g *Gateway) handle(ctx *fasthttp.RequestCtx) {
+	f := newFlight(g, ctx)
+	defer f.free()
+	if g.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+	if p := f.read(g.cfg.Router.Table()); p != nil {
+		g.stats.refused(p.reason)
+		if p.status == fasthttp.StatusBadRequest {
+			ctx.SetConnectionClose()
+		}
+		writeProblem(ctx, p)
+		return
+	}
+	f.begin()
+	result := f.dispatch()
+	f.end()
+	g.stats.count(result)
+	f.write(result)
+}
+
+// begin sets the deadline and starts to watch for the caller's leaving.
+func (f *flight) begin() {
+	g := f.gateway
+	left := f.deadline.Sub(g.cfg.Now())
+	withDeadline, release := context.WithDeadlineCause(g.ctx, time.Now().Add(left), errDeadline)
+	ctx, cancel := context.WithCancelCause(withDeadline)
+	f.ctx = ctx
+	f.cancel = func(cause error) {
+		cancel(cause)
+		release()
+	}
+	f.state.Rule = dispatch.Rule{
+		Keyed:      f.req.Keyed,
+		Idempotent: f.req.Idempotent,
+		Deadline:   f.deadline,
+		Service:    g.budget(f.service.Spec.Name),
+	}
+	if f.state.Rule.Service != nil {
+		f.state.Rule.Service.Earn(f.service.Spec.RetryRatio)
+	}
+	g.watcher.add(f)
+}
+
+func (f *flight) end() {
+	f.gateway.watcher.remove(f)
+	f.cancel(nil)
+}
+
+// dispatch drives the request's state machine to its outcome.
+func (f *flight) dispatch() outcome.Result {
+	ev := dispatch.Event{Kind: dispatch.Arrived}
+	for {
+		action := f.state.Step(ev, f.gateway.cfg.Now())
+		switch action.Kind {
+		case dispatch.Finish:
+			return action.Result
+		case dispatch.Hold:
+			ev = f.gateway.holder(f.req.Service).hold(f)
+		default:
+			ev = f.attempt(action.Kind == dispatch.SendElsewhere)
+		}
+	}
+}
+
+// attempt sends the request once.
+func (f *flight) attempt(elsewhere bool) dispatch.Event {
+	table := f.gateway.cfg.Router.Table()
+	svc, ok := table.Service([]byte(f.req.Service))
+	if !ok {
+		return answered(outcome.UnknownService)
+	}
+	f.service = svc
+	to, ok := f.choose(elsewhere)
+	f.last = to
+	if !ok {
+		return dispatch.Event{Kind: dispatch.NoRoute}
+	}
+	f.req.Token = to.Entry.Token
+	f.req.ConfigOffset = table.Offset
+	f.req.Timeout = f.timeLeft()
+	return f.send(to)
+}
+
+func answered(reason outcome.Reason) dispatch.Event {
+	return dispatch.Event{Kind: dispatch.Answered, Result: outcome.Result{Kind: outcome.NotRun, Reason: reason}}
+}
+
+func (f *flight) choose(elsewhere bool) (route.Target, bool) {
+	if f.req.Keyed {
+		return f.service.Owner(f.req.Point)
+	}
+	var avoid *route.Peer
+	if elsewhere {
+		avoid = f.last.Peer
+	}
+	return f.service.Choose(f.gateway.cfg.Zone, f.gateway.nextRandom(), avoid)
+}
+
+// timeLeft returns the time for the owner, so that its answer still comes
+// before the deadline.
+func (f *flight) timeLeft() time.Duration {
+	left := f.deadline.Sub(f.gateway.cfg.Now())
+	return left - min(left/answerMarginShare, maxAnswerMargin)
+}
+
+func (f *flight) send(to route.Target) dispatch.Event {
+	if !f.gateway.cfg.NoRetryBudget {
+		f.state.Rule.Peer = &to.Peer.Retries
+		to.Peer.Retries.Earn(f.service.Spec.RetryRatio)
+	}
+	f.resp.Release()
+	f.resp.Reset()
+	to.Peer.Begin()
+	sent, err := f.gateway.cfg.Pool.Do(f.ctx, to.Entry.Addr, &f.req, &f.resp)
+	to.Peer.End()
+	if err != nil {
+		return f.failed(sent, err)
+	}
+	to.Peer.Report(f.resp.InFlight, f.resp.Capacity)
+	return dispatch.Event{Kind: dispatch.Answered, Result: f.resp.Result(), Moved: f.learn()}
+}
+
+func (f *flight) failed(sent bool, err error) dispatch.Event {
+	var oversize *wire.OversizeError
+	switch {
+	case f.ctx.Err() != nil:
+		return f.interrupted(sent)
+	case errors.As(err, &oversize) && !sent:
+		return answered(outcome.BadRequest)
+	}
+	return dispatch.Event{Kind: dispatch.PeerFailed, Sent: sent}
+}
+
+// interrupted returns the event that ended the request's context.
+func (f *flight) interrupted(sent bool) dispatch.Event {
+	if errors.Is(context.Cause(f.ctx), errCallerLeft) {
+		return dispatch.Event{Kind: dispatch.CallerLeft, Sent: sent}
+	}
+	return dispatch.Event{Kind: dispatch.DeadlinePassed, Sent: sent}
+}
+
+// learn takes in the owner that a refusal names. It reports whether the table
+// has another owner now than the one that was asked.
+func (f *flight) learn() bool {
+	h := &f.resp.Hint
+	if h.IsZero() {
+		return f.moved()
+	}
+	f.gateway.cfg.Router.Learn(f.req.Service, route.Entry{Range: h.Range, Owner: h.Owner, Addr: h.Addr, Zone: h.Zone, Token: h.Token})
+	return f.moved()
+}
+
+// moved reports whether the table names another owner than the last asked.
+func (f *flight) moved() bool {
+	if !f.req.Keyed {
+		return false
+	}
+	svc, ok := f.gateway.cfg.Router.Table().Service([]byte(f.req.Service))
+	if !ok {
+		return false
+	}
+	to, ok := svc.Owner(f.req.Point)
+	return ok && (to.Entry.Token != f.last.Entry.Token || to.Entry.Addr != f.last.Entry.Addr)
+}
--- /dev/null
+++ b/entry/holder.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/dispatch"
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/keyspace"
+)
+
+const (
+	minRefreshPause = 10 * time.Millisecond
+	maxRefreshPause = 160 * time.Millisecond
+	// recheckAfter is the time after which a held request is sent again to an
+	// owner that has not changed.
+	recheckAfter = 100 * time.Millisecond
+	// maxRefreshPoints is the number of points asked for in one round.
+	maxRefreshPoints = 8
+)
+
+// holder holds the requests of one service that wait for a new owner, and asks
+// for routes while there are any.
+type holder struct {
+	gateway *Gateway
+	service ident.Service
+
+	mu      sync.Mutex
+	queue   *dispatch.HoldQueue
+	nextID  uint64
+	held    map[uint64]*heldFlight
+	running bool
+}
+
+// heldFlight is one request in the queue.
+type heldFlight struct {
+	flight *flight
+	since  clock.Time
+	wake   chan dispatch.EventKind // buffered
+}
+
+func newHolder(g *Gateway, svc ident.Service) *holder {
+	return &holder{gateway: g, service: svc, queue: dispatch.NewHoldQueue(g.cfg.HoldLimit), held: make(map[uint64]*heldFlight)}
+}
+
+// hold blocks until the request is to be tried again or given up.
+func (h *holder) hold(f *flight) dispatch.Event {
+	w := &heldFlight{flight: f, since: h.gateway.cfg.Now(), wake: make(chan dispatch.EventKind, 1)}
+	id := h.add(w)
+	h.gateway.stats.held.Add(1)
+	select {
+	case kind := <-w.wake:
+		return dispatch.Event{Kind: kind}
+	case <-f.ctx.Done():
+		h.remove(id)
+		return f.interrupted(false)
+	}
+}
+
+func (h *holder) add(w *heldFlight) uint64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.nextID++
+	id := h.nextID
+	h.held[id] = w
+	refused, full := h.queue.Add(dispatch.Held{ID: id, Deadline: w.flight.deadline})
+	if full {
+		h.wakeLocked(refused.ID, dispatch.HoldRefused)
+	}
+	if !h.running {
+		h.running = true
+		go h.run()
+	}
+	return id
+}
+
+func (h *holder) remove(id uint64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.queue.Remove(id)
+	delete(h.held, id)
+}
+
+func (h *holder) wakeLocked(id uint64, kind dispatch.EventKind) {
+	w := h.held[id]
+	if w == nil {
+		return
+	}
+	delete(h.held, id)
+	w.wake <- kind
+}
+
+// run asks for routes until no request is held.
+func (h *holder) run() {
+	pause := minRefreshPause
+	for {
+		points, ok := h.points()
+		if !ok {
+			return
+		}
+		h.refresh(points)
+		if h.release() {
+			pause = minRefreshPause
+		}
+		select {
+		case <-h.gateway.ctx.Done():
+			h.stop()
+			return
+		case <-time.After(pause/2 + rand.N(pause/2)):
+		}
+		pause = min(pause*2, maxRefreshPause)
+	}
+}
+
+// points returns the points of the requests with the earliest deadlines. It
+// reports false, and ends the run, if none is held.
+func (h *holder) points() ([]keyspace.Point, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.held) == 0 {
+		h.running = false
+		return nil, false
+	}
+	var points []keyspace.Point
+	for _, w := range h.held {
+		if len(points) == maxRefreshPoints {
+			break
+		}
+		points = append(points, w.flight.req.Point)
+	}
+	return points, true
+}
+
+func (h *holder) refresh(points []keyspace.Point) {
+	source := h.gateway.cfg.Source
+	if source == nil {
+		return
+	}
+	for _, p := range points {
+		entries, err := source.Refresh(h.gateway.ctx, h.service, p)
+		if err != nil {
+			h.gateway.stats.failedRefreshes.Add(1)
+			continue
+		}
+		h.gateway.stats.refreshes.Add(1)
+		h.gateway.cfg.Router.Learn(h.service, entries...)
+	}
+}
+
+// release wakes the requests whose owner has changed and those that have
+// waited for long, by deadline. It reports whether any was woken.
+func (h *holder) release() bool {
+	now := h.gateway.cfg.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	woken := false
+	for _, x := range h.queue.Take() {
+		w := h.held[x.ID]
+		if w == nil {
+			continue
+		}
+		if w.flight.moved() || now.Sub(w.since) >= recheckAfter {
+			h.wakeLocked(x.ID, dispatch.Refreshed)
+			woken = true
+			continue
+		}
+		h.queue.Add(x)
+	}
+	return woken
+}
+
+// stop wakes all requests; their contexts have ended.
+func (h *holder) stop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, x := range h.queue.Take() {
+		h.wakeLocked(x.ID, dispatch.Refreshed)
+	}
+	h.running = false
+}
--- /dev/null
+++ b/entry/write.go
@@ -0,0 +1,102 @@
+package entry
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/parsleystack/parsleystack/outcome"
+)
+
+// Header names that callers see.
+const (
+	HeaderOutcome = "Parsley-Outcome"
+	HeaderReason  = "Parsley-Reason"
+	// HeaderRetryAfterMS states the time of Retry-After in milliseconds.
+	HeaderRetryAfterMS = "Parsley-Retry-After-Ms"
+)
+
+// write answers the caller.
+func (f *flight) write(result outcome.Result) {
+	if result.Kind != outcome.Done {
+		writeResult(f.http, statusOf(result), result, messageOf(result))
+		return
+	}
+	out := &f.http.Response
+	out.SetStatusCode(int(f.resp.Status))
+	for i := range f.resp.Headers {
+		out.Header.AddBytesKV(f.resp.Headers[i].Name, f.resp.Headers[i].Value)
+	}
+	out.Header.Set(HeaderOutcome, outcome.Done.String())
+	out.SetBody(f.resp.Body)
+}
+
+func writeProblem(ctx *fasthttp.RequestCtx, p *problem) {
+	result := outcome.Result{Kind: outcome.NotRun, Reason: p.reason}
+	if p.status == fasthttp.StatusServiceUnavailable {
+		result.RetryAfter = time.Second
+	}
+	writeResult(ctx, p.status, result, p.message)
+}
+
+func writeResult(ctx *fasthttp.RequestCtx, status int, r outcome.Result, message string) {
+	h := &ctx.Response.Header
+	ctx.SetStatusCode(status)
+	h.Set(HeaderOutcome, r.Kind.String())
+	h.Set(HeaderReason, r.Reason.String())
+	if r.RetryAfter > 0 {
+		seconds := (r.RetryAfter + time.Second - 1) / time.Second
+		h.Set(fasthttp.HeaderRetryAfter, strconv.FormatInt(int64(seconds), 10))
+		h.Set(HeaderRetryAfterMS, strconv.FormatInt(r.RetryAfter.Milliseconds(), 10))
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(appendRefusal(nil, r, message))
+}
+
+// appendRefusal encodes the body of a refusal.
+func appendRefusal(dst []byte, r outcome.Result, message string) []byte {
+	dst = append(dst, `{"outcome":`...)
+	dst = strconv.AppendQuote(dst, r.Kind.String())
+	dst = append(dst, `,"reason":`...)
+	dst = strconv.AppendQuote(dst, r.Reason.String())
+	dst = append(dst, `,"retry_after_ms":`...)
+	dst = strconv.AppendInt(dst, r.RetryAfter.Milliseconds(), 10)
+	dst = append(dst, `,"message":`...)
+	dst = strconv.AppendQuoteToASCII(dst, message)
+	return append(dst, "}\n"...)
+}
+
+// statusOf maps an outcome that is not Done to an HTTP status.
+func statusOf(r outcome.Result) int {
+	if r.Kind == outcome.Unknown {
+		if r.Reason == outcome.DeadlineExceeded {
+			return fasthttp.StatusGatewayTimeout
+		}
+		return fasthttp.StatusBadGateway
+	}
+	switch r.Reason {
+	case outcome.Overloaded, outcome.TargetShed:
+		return fasthttp.StatusTooManyRequests
+	case outcome.UnknownService:
+		return fasthttp.StatusNotFound
+	case outcome.BadRequest:
+		return fasthttp.StatusBadRequest
+	case outcome.Duplicate:
+		return fasthttp.StatusConflict
+	}
+	return fasthttp.StatusServiceUnavailable
+}
+
+func messageOf(r outcome.Result) string {
+	if r.Kind == outcome.Unknown {
+		return "the request may have run; check its effect, or repeat it with the same Idempotency-Key"
+	}
+	if r.Reason == outcome.Duplicate {
+		return "an earlier request with this Idempotency-Key is in flight or of unknown outcome; check its effect before using a new key"
+	}
+	if r.RetryAfter > 0 {
+		return "the request was not run; repeat it after the time given"
+	}
+	return "the request was not run"
+}
--- /dev/null
+++ b/httpfield/httpfield.go
@@ -0,0 +1,36 @@
+// Package httpfield classifies HTTP header fields for forwarding.
+package httpfield
+
+import "bytes"
+
+// Prefix starts the names of all header fields of parsleystack.
+const Prefix = "Parsley-"
+
+var hopByHop = [...]string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// HopByHop reports whether a field concerns one connection only and is not
+// forwarded.
+func HopByHop(name []byte) bool {
+	for _, h := range hopByHop {
+		if equal(name, h) {
+			return true
+		}
+	}
+	return false
+}
+
+// Internal reports whether a field belongs to parsleystack. Such fields are
+// never taken from callers or handed to them from targets.
+func Internal(name []byte) bool {
+	return len(name) >= len(Prefix) && equal(name[:len(Prefix)], Prefix)
+}
+
+// Length reports whether a field states the length of the body.
+func Length(name []byte) bool { return equal(name, "Content-Length") }
+
+func equal(name []byte, s string) bool {
+	return len(name) == len(s) && bytes.EqualFold(name, []byte(s))
+}
--- /dev/null
+++ b/owner/owner.go
@@ -0,0 +1,85 @@
+package owner
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/parsleystack/parsleystack/admission"
+	"github.com/parsleystack/parsleystack/platformlog"
+	"github.com/parsleystack/parsleystack/service"
+	"github.com/parsleystack/parsleystack/transport"
+)
+
+const drainPoll = 5 * time.Millisecond
+
+// Owner serves forwarded requests. All methods may be called by any goroutine.
+type Owner struct {
+	cfg      Config
+	gate     *gate
+	memory   *memory
+	spec     atomic.Pointer[specVersion]
+	draining atomic.Bool
+	inFlight atomic.Int64
+	stats    Stats
+}
+
+// specVersion is a service's configuration and the log offset it stands at.
+type specVersion struct {
+	spec   service.Spec
+	offset platformlog.Offset
+}
+
+// New returns an Owner that refuses requests until SetSpec is called.
+func New(cfg Config) *Owner {
+	cfg = cfg.withDefaults()
+	return &Owner{cfg: cfg, gate: newGate(cfg.Admission, cfg.Now), memory: newMemory(cfg.Memory)}
+}
+
+// SetSpec puts a configuration of the service in force. One older than the
+// current is ignored.
+func (o *Owner) SetSpec(offset platformlog.Offset, spec service.Spec) {
+	if v := o.spec.Load(); v != nil && offset < v.offset {
+		return
+	}
+	o.spec.Store(&specVersion{spec: spec, offset: offset})
+	cfg := o.cfg.Admission
+	cfg.Slots, cfg.QueueLimit = spec.Slots, spec.QueueLimit
+	o.gate.step(admission.Event{Kind: admission.Configure, Config: &cfg})
+}
+
+// ServeRequest implements the request part of transport.Handler.
+func (o *Owner) ServeRequest(e *transport.Exchange) {
+	o.inFlight.Add(1)
+	defer o.inFlight.Add(-1)
+	r := newRun(o, e)
+	r.serve()
+	r.free()
+}
+
+// Drain refuses all requests that wait and all that arrive from now on.
+// Requests at the target go on.
+func (o *Owner) Drain() {
+	o.draining.Store(true)
+	o.gate.step(admission.Event{Kind: admission.Close})
+}
+
+// Wait blocks until no request is in flight or ctx ends.
+func (o *Owner) Wait(ctx context.Context) error {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for o.inFlight.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// InFlight returns the number of requests that are being served.
+func (o *Owner) InFlight() int64 { return o.inFlight.Load() }
+
+// Stats returns the owner's counters.
+func (o *Owner) Stats() *Stats { return &o.stats }
--- /dev/null
+++ b/owner/run.go
@@ -0,0 +1,320 @@
+package owner
+
+import (
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/parsleystack/parsleystack/admission"
+	"github.com/parsleystack/parsleystack/cell"
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/lease"
+	"github.com/parsleystack/parsleystack/outcome"
+	"github.com/parsleystack/parsleystack/target"
+	"github.com/parsleystack/parsleystack/transport"
+	"github.com/parsleystack/parsleystack/wire"
+)
+
+// retryAfterMoving is the time after which a moving range is expected to have
+// its new owner.
+const retryAfterMoving = 100 * time.Millisecond
+
+// run is one request on its way through the owner.
+type run struct {
+	owner    *Owner
+	exchange *transport.Exchange
+	req      *wire.Request
+	spec     *specVersion
+	arrived  clock.Time
+	deadline clock.Time
+	use      lease.Use
+	grant    cell.Grant // that the request goes to the target with
+	ticket   *ticket
+	call     target.Call
+	sending  atomic.Bool // bytes may have gone to the target
+	confirm  func() error
+	resp     wire.Response
+	httpReq  fasthttp.Request
+	httpResp fasthttp.Response
+}
+
+var runs = sync.Pool{New: func() any {
+	r := &run{ticket: newTicket()}
+	r.confirm = r.confirmLease
+	return r
+}}
+
+func newRun(o *Owner, e *transport.Exchange) *run {
+	r := runs.Get().(*run)
+	r.owner, r.exchange, r.req = o, e, &e.Request
+	r.arrived = o.cfg.Now()
+	r.deadline = r.arrived.Add(r.req.Timeout)
+	return r
+}
+
+func (r *run) free() {
+	r.owner, r.exchange, r.req, r.spec = nil, nil, nil, nil
+	r.use, r.grant = lease.Use{}, cell.Grant{}
+	r.sending.Store(false)
+	r.call.Reset()
+	r.resp.Reset()
+	r.httpReq.Reset()
+	r.httpResp.Reset()
+	runs.Put(r)
+}
+
+// serve answers the exchange.
+func (r *run) serve() {
+	r.process()
+	if r.use.Valid() {
+		r.use.Release()
+	}
+	r.respond()
+}
+
+func (r *run) process() {
+	if !r.checkSpec() || !r.acquire() {
+		return
+	}
+	if r.remembers() {
+		r.processOnce()
+		return
+	}
+	r.execute()
+}
+
+// checkSpec refuses requests that the configuration in force does not cover.
+func (r *run) checkSpec() bool {
+	r.spec = r.owner.spec.Load()
+	switch {
+	case r.spec == nil:
+		return r.refuse(outcome.NotReady, retryAfterMoving)
+	case r.req.Service != r.owner.cfg.Service:
+		return r.refuse(outcome.UnknownService, 0)
+	case r.req.ConfigOffset < r.spec.offset:
+		return r.refuse(outcome.StaleConfig, retryAfterMoving)
+	case r.owner.draining.Load():
+		r.hint()
+		return r.refuse(outcome.Draining, retryAfterMoving)
+	}
+	return true
+}
+
+// acquire counts the request in flight under the grant of its range.
+func (r *run) acquire() bool {
+	var verdict lease.Verdict
+	if r.req.Keyed {
+		r.use, verdict = r.owner.cfg.Leases.Acquire(r.req.Point, r.arrived)
+	} else {
+		r.use, verdict = r.owner.cfg.Leases.AcquireAny(r.arrived)
+	}
+	return r.accept(verdict)
+}
+
+// accept refuses the request unless its range is held.
+func (r *run) accept(v lease.Verdict) bool {
+	if v == lease.Held {
+		return true
+	}
+	r.hint()
+	switch v {
+	case lease.Expired:
+		return r.refuse(outcome.LeaseExpired, retryAfterMoving)
+	case lease.Releasing:
+		return r.refuse(outcome.Moving, retryAfterMoving)
+	}
+	return r.refuse(outcome.WrongOwner, retryAfterMoving)
+}
+
+func (r *run) hint() {
+	if h, ok := r.owner.cfg.Hints(r.req.Point); ok {
+		r.resp.Hint = h
+	}
+}
+
+// execute admits the request, runs it and stores its outcome.
+func (r *run) execute() {
+	r.exchange.OnCancel(r)
+	if !r.admit() {
+		return
+	}
+	started := r.owner.cfg.Now()
+	ending := r.runTarget()
+	inFlight, capacity := r.owner.gate.finish(r.ticket, ending, r.owner.cfg.Now().Sub(started))
+	r.resp.InFlight, r.resp.Capacity = uint32(inFlight), uint32(capacity)
+}
+
+func (r *run) admit() bool {
+	item := admission.Item{Flow: r.flow(), Priority: r.req.Priority, Deadline: r.deadline}
+	if r.owner.gate.enter(r.ticket, item) {
+		return true
+	}
+	inFlight, capacity := r.owner.gate.load()
+	r.resp.InFlight, r.resp.Capacity = uint32(inFlight), uint32(capacity)
+	return r.refuse(r.ticket.refusal.Reason, r.ticket.refusal.RetryAfter)
+}
+
+// flow returns the key's flow, or the sender's for a request without a key.
+func (r *run) flow() admission.Flow {
+	if r.req.Keyed {
+		return admission.Flow(r.req.Point)
+	}
+	return admission.Flow(senderHash(r.exchange.From))
+}
+
+func senderHash(n ident.Node) uint64 {
+	const offset, prime = 14695981039346656037, 1099511628211 // FNV-1a
+	h := uint64(offset)
+	for i := range len(n.Instance) {
+		h = (h ^ uint64(n.Instance[i])) * prime
+	}
+	return h
+}
+
+// runTarget calls the target and stores the outcome.
+func (r *run) runTarget() admission.Ending {
+	if !r.prepareCall() {
+		return admission.NotSent
+	}
+	sent, err := r.owner.cfg.Target.Do(&r.call)
+	switch {
+	case !sent:
+		r.notSent(err)
+		return admission.NotSent
+	case err != nil:
+		r.failed(err)
+		return admission.Failed
+	}
+	if refusal, ok := target.Refusal(&r.httpResp); ok {
+		r.refuse(refusal.Reason, refusal.RetryAfter)
+		if refusal.Reason == outcome.TargetShed {
+			return admission.Shed
+		}
+		return admission.NotSent
+	}
+	r.answered()
+	return admission.Answered
+}
+
+// prepareCall checks the lease and builds the target's request. The deadline
+// ends before the lease where the target does not check tokens.
+func (r *run) prepareCall() bool {
+	now := r.owner.cfg.Now()
+	grant, expires, verdict := r.use.Check(now)
+	if !r.accept(verdict) {
+		return false
+	}
+	r.grant = grant
+	if !r.spec.spec.Fenced {
+		r.deadline = min(r.deadline, expires.Add(-r.owner.cfg.LeaseMargin))
+	}
+	left := r.deadline.Sub(now)
+	if left <= 0 {
+		return r.refuse(outcome.DeadlineExceeded, 0)
+	}
+	buildRequest(&r.httpReq, r.req)
+	target.SetGrant(&r.httpReq.Header, grant, left)
+	r.call.Request, r.call.Response = &r.httpReq, &r.httpResp
+	r.call.Deadline = time.Now().Add(left)
+	r.call.Confirm = r.confirm
+	return true
+}
+
+// errNotConfirmed stops a call whose lease changed at the last step.
+var errNotConfirmed = errors.New("owner: lease is not held any more")
+
+// confirmLease is the last check before bytes go to the target.
+func (r *run) confirmLease() error {
+	now := r.owner.cfg.Now()
+	grant, _, verdict := r.use.Check(now)
+	if verdict != lease.Held || grant.Token != r.grant.Token || !now.Before(r.deadline) {
+		return errNotConfirmed
+	}
+	r.sending.Store(true)
+	return nil
+}
+
+// notSent stores the outcome of a call that wrote nothing.
+func (r *run) notSent(err error) {
+	switch {
+	case errors.Is(err, target.ErrCanceled):
+		r.refuse(outcome.Canceled, 0)
+	case errors.Is(err, target.ErrNoConn):
+		r.refuse(outcome.Overloaded, retryAfterMoving)
+	case errors.Is(err, errNotConfirmed):
+		r.notConfirmed()
+	case !r.owner.cfg.Now().Before(r.deadline):
+		r.refuse(outcome.DeadlineExceeded, 0)
+	default:
+		r.refuse(outcome.ConnectionLost, retryAfterMoving)
+	}
+}
+
+func (r *run) notConfirmed() {
+	now := r.owner.cfg.Now()
+	_, _, verdict := r.use.Check(now)
+	if !now.Before(r.deadline) {
+		r.refuse(outcome.DeadlineExceeded, 0)
+		return
+	}
+	if r.accept(verdict) {
+		r.refuse(outcome.Moving, retryAfterMoving)
+	}
+}
+
+// failed stores the outcome of a call whose whole answer did not come.
+func (r *run) failed(err error) {
+	switch {
+	case errors.Is(err, target.ErrCanceled):
+		r.unknown(outcome.Canceled)
+	case !r.owner.cfg.Now().Before(r.deadline):
+		r.unknown(outcome.DeadlineExceeded)
+	default:
+		r.unknown(outcome.ConnectionLost)
+	}
+}
+
+// answered stores the target's answer if the range was held throughout.
+func (r *run) answered() {
+	if _, _, verdict := r.use.Check(r.owner.cfg.Now()); verdict != lease.Held && verdict != lease.Releasing {
+		r.hint()
+		r.unknown(outcome.LeaseExpired)
+		return
+	}
+	r.resp.Kind, r.resp.Reason = outcome.Done, outcome.ReasonNone
+	fillAnswer(&r.resp, &r.httpResp)
+}
+
+// refuse stores the outcome "not run" and returns false.
+func (r *run) refuse(reason outcome.Reason, retryAfter time.Duration) bool {
+	r.resp.Kind, r.resp.Reason, r.resp.RetryAfter = outcome.NotRun, reason, retryAfter
+	return false
+}
+
+func (r *run) unknown(reason outcome.Reason) {
+	r.resp.Kind, r.resp.Reason, r.resp.RetryAfter = outcome.Unknown, reason, 0
+}
+
+func (r *run) respond() {
+	r.owner.stats.count(&r.resp)
+	r.exchange.OnCancel(nil)
+	if err := r.exchange.Respond(&r.resp); err != nil {
+		r.resp.Reset()
+		r.unknown(outcome.BadRequest)
+		_ = r.exchange.Respond(&r.resp)
+	}
+}
+
+// Cancel implements transport.Canceler. A request with an idempotency key
+// that is at the target goes on, so that the caller's repeat finds its answer.
+func (r *run) Cancel() {
+	r.owner.gate.leave(r.ticket)
+	if r.sending.Load() && r.remembers() {
+		return
+	}
+	r.call.Cancel()
+}
--- /dev/null
+++ b/route/entry.go
@@ -0,0 +1,88 @@
+package route
+
+import (
+	"slices"
+
+	"github.com/parsleystack/parsleystack/cell"
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/keyspace"
+)
+
+// Entry is the owner of a range as far as the local daemon knows.
+type Entry struct {
+	Range keyspace.Range
+	Owner ident.Node
+	Addr  string // address of the owner's daemon, IP:port
+	Zone  ident.Zone
+	Token cell.Token
+}
+
+// overlay puts e over entries: at each point the newer token wins. entries are
+// ordered by range and do not overlap; neither does the result.
+func overlay(entries []Entry, e Entry) []Entry {
+	parts := []Entry{e}
+	next := make([]Entry, 0, len(entries)+2)
+	for _, x := range entries {
+		if !x.Range.Overlaps(e.Range) {
+			next = append(next, x)
+			continue
+		}
+		if e.Token.Less(x.Token) {
+			parts = subtract(parts, x.Range)
+			next = append(next, x)
+			continue
+		}
+		next = append(next, subtract([]Entry{x}, e.Range)...)
+	}
+	next = append(next, parts...)
+	sortEntries(next)
+	return next
+}
+
+// subtract removes r from each entry.
+func subtract(entries []Entry, r keyspace.Range) []Entry {
+	var out []Entry
+	for _, e := range entries {
+		if !e.Range.Overlaps(r) {
+			out = append(out, e)
+			continue
+		}
+		if e.Range.First < r.First {
+			left := e
+			left.Range.Last = r.First - 1
+			out = append(out, left)
+		}
+		if e.Range.Last > r.Last {
+			right := e
+			right.Range.First = r.Last + 1
+			out = append(out, right)
+		}
+	}
+	return out
+}
+
+func sortEntries(entries []Entry) {
+	slices.SortFunc(entries, func(a, b Entry) int {
+		if a.Range.First < b.Range.First {
+			return -1
+		}
+		return 1
+	})
+}
+
+// find returns the index of the entry that covers p, or -1.
+func find(entries []Entry, p keyspace.Point) int {
+	low, high := 0, len(entries)
+	for low < high {
+		mid := int(uint(low+high) >> 1)
+		if entries[mid].Range.Last < p {
+			low = mid + 1
+		} else {
+			high = mid
+		}
+	}
+	if low == len(entries) || entries[low].Range.First > p {
+		return -1
+	}
+	return low
+}
--- /dev/null
+++ b/target/call.go
@@ -0,0 +1,67 @@
+package target
+
+import (
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Call is one request to the target. It may be reused after Do has returned.
+type Call struct {
+	Request  *fasthttp.Request
+	Response *fasthttp.Response
+	Deadline time.Time
+	// Confirm is called at the last step before bytes go to the socket; an
+	// error stops the call.
+	Confirm func() error
+
+	mu       sync.Mutex
+	canceled bool
+	conn     *conn
+}
+
+// Cancel ends the call: nothing is written if nothing was yet, and the
+// connection is closed otherwise, so that the target learns of it.
+func (c *Call) Cancel() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.canceled = true
+	if c.conn != nil {
+		_ = c.conn.SetDeadline(time.Unix(1, 0))
+	}
+}
+
+// Reset clears the call for reuse.
+func (c *Call) Reset() {
+	c.mu.Lock()
+	c.canceled, c.conn = false, nil
+	c.mu.Unlock()
+	c.Request, c.Response, c.Confirm = nil, nil, nil
+	c.Deadline = time.Time{}
+}
+
+// attach sets the connection and its deadline. It reports false if the call
+// was canceled.
+func (c *Call) attach(conn *conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.canceled {
+		return false
+	}
+	c.conn = conn
+	_ = conn.SetDeadline(c.Deadline)
+	return true
+}
+
+func (c *Call) detach() {
+	c.mu.Lock()
+	c.conn = nil
+	c.mu.Unlock()
+}
+
+func (c *Call) isCanceled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.canceled
+}
--- /dev/null
+++ b/target/config.go
@@ -0,0 +1,49 @@
+package target
+
+import "time"
+
+// Config holds the parameters of a Client. Zero fields take the defaults named
+// below.
+type Config struct {
+	Addr string // address of the target, IP:port
+	// MaxConns is the number of connections for requests; orders use up to
+	// OrderConns more.
+	MaxConns int
+	// WarmConns is the number of idle connections that Run keeps open.
+	WarmConns int
+	// MaxBody is the largest body of an answer in bytes; DefaultMaxBody if 0.
+	MaxBody int
+	// DialTimeout bounds the opening of a connection; DefaultDialTimeout if 0.
+	DialTimeout time.Duration
+	// OrderTimeout bounds an order; DefaultOrderTimeout if 0.
+	OrderTimeout time.Duration
+}
+
+const (
+	// OrderConns is the number of connections used by orders.
+	OrderConns = 2
+	// DefaultMaxConns is the default of Config.MaxConns.
+	DefaultMaxConns = 128
+	// DefaultMaxBody is the default of Config.MaxBody in bytes.
+	DefaultMaxBody = 8 << 20
+	// DefaultDialTimeout is the default of Config.DialTimeout.
+	DefaultDialTimeout = 500 * time.Millisecond
+	// DefaultOrderTimeout is the default of Config.OrderTimeout.
+	DefaultOrderTimeout = time.Second
+)
+
+func (c Config) withDefaults() Config {
+	if c.MaxConns == 0 {
+		c.MaxConns = DefaultMaxConns
+	}
+	if c.MaxBody == 0 {
+		c.MaxBody = DefaultMaxBody
+	}
+	if c.DialTimeout == 0 {
+		c.DialTimeout = DefaultDialTimeout
+	}
+	if c.OrderTimeout == 0 {
+		c.OrderTimeout = DefaultOrderTimeout
+	}
+	return c
+}
--- /dev/null
+++ b/transport/config.go
@@ -0,0 +1,63 @@
+package transport
+
+import (
+	"crypto/tls"
+	"time"
+
+	"github.com/parsleystack/parsleystack/wire"
+)
+
+// Config holds what both ends of connections need. Zero fields but Hello take
+// the defaults named below.
+type Config struct {
+	// Hello names the local daemon to its peers.
+	Hello wire.Hello
+	// TLS is used on all connections if it is not nil. For mutual TLS it holds
+	// a certificate, RootCAs, ClientCAs and ClientAuth.
+	TLS *tls.Config
+	// MaxFrame is the largest frame in bytes; wire.DefaultMaxFrame if 0.
+	MaxFrame int
+	// MaxBacklog is the number of bytes that may wait to be written to one
+	// peer; DefaultMaxBacklog if 0.
+	MaxBacklog int
+	// HandshakeTimeout bounds dialing and the exchange of Hello frames;
+	// DefaultHandshakeTimeout if 0.
+	HandshakeTimeout time.Duration
+	// WriteTimeout bounds one write; a peer that reads nothing for so long is
+	// disconnected. DefaultWriteTimeout if 0.
+	WriteTimeout time.Duration
+	// MinBackoff and MaxBackoff bound the jittered pause between failed dials;
+	// DefaultMinBackoff and DefaultMaxBackoff if 0.
+	MinBackoff time.Duration
+	MaxBackoff time.Duration
+}
+
+const (
+	// DefaultMaxBacklog is the default of Config.MaxBacklog in bytes.
+	DefaultMaxBacklog = 32 << 20
+	// DefaultHandshakeTimeout is the default of Config.HandshakeTimeout.
+	DefaultHandshakeTimeout = time.Second
+	// DefaultWriteTimeout is the default of Config.WriteTimeout.
+	DefaultWriteTimeout = 5 * time.Second
+	// DefaultMinBackoff is the default of Config.MinBackoff.
+	DefaultMinBackoff = 20 * time.Millisecond
+	// DefaultMaxBackoff is the default of Config.MaxBackoff.
+	DefaultMaxBackoff = time.Second
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.MaxFrame, wire.DefaultMaxFrame)
+	setDefault(&c.MaxBacklog, DefaultMaxBacklog)
+	setDefault(&c.HandshakeTimeout, DefaultHandshakeTimeout)
+	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&c.MinBackoff, DefaultMinBackoff)
+	setDefault(&c.MaxBackoff, DefaultMaxBackoff)
+	return c
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/transport/handshake.go
@@ -0,0 +1,94 @@
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/parsleystack/parsleystack/wire"
+)
+
+// readHello reads and checks the peer's Hello.
+func readHello(r *wire.Reader, local *wire.Hello) (wire.Hello, error) {
+	f, err := r.Next()
+	if err != nil {
+		return wire.Hello{}, err
+	}
+	defer f.Release()
+	if f.Kind != wire.KindHello {
+		return wire.Hello{}, &wire.GarbageError{What: "first frame is no hello"}
+	}
+	var peer wire.Hello
+	if err := f.Decode(&peer); err != nil {
+		return wire.Hello{}, err
+	}
+	if _, err := wire.Negotiate(local, &peer); err != nil {
+		return peer, err
+	}
+	return peer, nil
+}
+
+func writeHello(conn net.Conn, hello *wire.Hello) error {
+	b, err := wire.Append(nil, wire.KindHello, 0, hello, wire.MaxHello)
+	if err != nil {
+		return err
+	}
+	_, err = conn.Write(b)
+	return err
+}
+
+// clientHandshake opens the protocol on a dialed connection.
+func clientHandshake(conn net.Conn, class Class, cfg *Config) (*wire.Reader, error) {
+	if err := conn.SetDeadline(time.Now().Add(cfg.HandshakeTimeout)); err != nil {
+		return nil, err
+	}
+	hello := cfg.Hello
+	hello.Class = uint8(class)
+	if err := writeHello(conn, &hello); err != nil {
+		return nil, err
+	}
+	reader := wire.NewReader(conn, wire.MaxHello)
+	if _, err := readHello(reader, &hello); err != nil {
+		return nil, err
+	}
+	reader.SetLimit(cfg.MaxFrame)
+	return reader, conn.SetDeadline(time.Time{})
+}
+
+// serverHandshake answers the protocol's opening on an accepted connection.
+// The local Hello is sent even to a peer of another version, so that it can
+// tell what is wrong.
+func serverHandshake(conn net.Conn, cfg *Config) (*wire.Reader, wire.Hello, error) {
+	if err := conn.SetDeadline(time.Now().Add(cfg.HandshakeTimeout)); err != nil {
+		return nil, wire.Hello{}, err
+	}
+	reader := wire.NewReader(conn, wire.MaxHello)
+	peer, helloErr := readHello(reader, &cfg.Hello)
+	if peer.Magic != wire.Magic {
+		return nil, peer, helloErr
+	}
+	if err := writeHello(conn, &cfg.Hello); err != nil {
+		return nil, peer, err
+	}
+	if helloErr != nil {
+		return nil, peer, helloErr
+	}
+	if !Class(peer.Class).valid() {
+		return nil, peer, &wire.GarbageError{What: "unknown traffic class"}
+	}
+	reader.SetLimit(cfg.MaxFrame)
+	return reader, peer, conn.SetDeadline(time.Time{})
+}
+
+// dial connects to addr, with TLS if it is configured.
+func dial(ctx context.Context, addr string, cfg *Config) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, cfg.HandshakeTimeout)
+	defer cancel()
+	if cfg.TLS == nil {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", addr)
+	}
+	d := tls.Dialer{Config: cfg.TLS}
+	return d.DialContext(ctx, "tcp", addr)
+}
--- /dev/null
+++ b/transport/server.go
@@ -0,0 +1,179 @@
+package transport
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+
+	"go.uber.org/zap"
+
+	"github.com/parsleystack/parsleystack/wire"
+)
+
+// Server accepts connections of other daemons.
+type Server struct {
+	cfg     Config
+	handler Handler
+	log     *zap.Logger
+	count   Counters
+	ctx     context.Context
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
+
+	mu       sync.Mutex
+	listener net.Listener
+	conns    map[*serverConn]struct{}
+	raw      map[net.Conn]struct{} // connections before their handshake
+	closed   bool
+	draining bool
+}
+
+// NewServer returns a server that is not listening yet. log may be nil.
+func NewServer(cfg Config, handler Handler, log *zap.Logger) *Server {
+	if log == nil {
+		log = zap.NewNop()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{
+		cfg: cfg.withDefaults(), handler: handler, log: log, ctx: ctx, cancel: cancel,
+		conns: make(map[*serverConn]struct{}), raw: make(map[net.Conn]struct{}),
+	}
+}
+
+// Counters returns the server's traffic counters.
+func (s *Server) Counters() *Counters { return &s.count }
+
+// Serve accepts connections until the listener fails or Close is called, and
+// returns ErrClosed in the latter case.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return ErrClosed
+	}
+	s.listener = l
+	s.mu.Unlock()
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			if s.isClosed() {
+				return ErrClosed
+			}
+			return err
+		}
+		s.accept(conn)
+	}
+}
+
+func (s *Server) accept(conn net.Conn) {
+	if s.cfg.TLS != nil {
+		conn = tls.Server(conn, s.cfg.TLS)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return
+	}
+	s.raw[conn] = struct{}{}
+	s.done.Go(func() { s.serveConn(conn) })
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	reader, peer, err := serverHandshake(conn, &s.cfg)
+	if err != nil {
+		s.drop(conn, err)
+		return
+	}
+	c := &serverConn{server: s, conn: conn, peer: peer, class: Class(peer.Class), reader: reader, exchanges: make(map[uint64]*Exchange)}
+	c.writer = newWriter(conn, &s.cfg)
+	c.ctx, c.cancel = context.WithCancel(s.ctx)
+	if !s.track(c) {
+		c.close()
+		return
+	}
+	err = c.run()
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	if err != nil && !s.isClosed() {
+		s.report(conn, err)
+	}
+}
+
+func (s *Server) track(c *serverConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.raw, c.conn)
+	if s.closed {
+		return false
+	}
+	s.conns[c] = struct{}{}
+	if s.draining {
+		c.goaway()
+	}
+	return true
+}
+
+// drop closes a connection whose handshake failed.
+func (s *Server) drop(conn net.Conn, err error) {
+	s.mu.Lock()
+	delete(s.raw, conn)
+	closed := s.closed
+	s.mu.Unlock()
+	_ = conn.Close()
+	if !closed {
+		s.report(conn, err)
+	}
+}
+
+func (s *Server) report(conn net.Conn, err error) {
+	s.count.BadConns.Add(1)
+	s.log.Warn("peer connection closed", zap.Stringer("peer", conn.RemoteAddr()), zap.Error(err))
+}
+
+// serve runs the request handler in a goroutine.
+func (s *Server) serve(e *Exchange) {
+	s.done.Go(func() { s.handler.ServeRequest(e) })
+}
+
+// Drain tells all peers to send no new request on their connections. Requests
+// that arrive all the same are served; the handler refuses them.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	for c := range s.conns {
+		if c.class == ClassRequest {
+			c.goaway()
+		}
+	}
+}
+
+// Close closes the listener and all connections and waits for the handlers.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	if s.listener != nil {
+		_ = s.listener.Close()
+	}
+	for conn := range s.raw {
+		_ = conn.Close()
+	}
+	for c := range s.conns {
+		_ = c.conn.Close()
+	}
+	s.mu.Unlock()
+	s.cancel()
+	s.done.Wait()
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+// Hello returns the Hello that the server answers with.
+func (s *Server) Hello() wire.Hello { return s.cfg.Hello }
--- /dev/null
+++ b/wire/request.go
@@ -0,0 +1,40 @@
+package wire
+
+//msgp:tuple Request
+//msgp:replace platformlog.Offset with:uint64
+
+import (
+	"time"
+
+	"github.com/parsleystack/parsleystack/cell"
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/keyspace"
+	"github.com/parsleystack/parsleystack/platformlog"
+)
+
+// Request is a caller's request on its way from an entry daemon to the owner's
+// daemon. After decoding, byte slices refer to the frame's buffer and are valid
+// until the frame is released.
+type Request struct {
+	Service        ident.Service      `msg:"s"`
+	Keyed          bool               `msg:"k"` // the receiver must own Point; otherwise any holder may run it
+	Point          keyspace.Point     `msg:"p"`
+	Token          cell.Token         `msg:"t"` // token that the sender routed by; zero if unknown
+	ConfigOffset   platformlog.Offset `msg:"o"` // configuration that the sender acts on
+	Timeout        time.Duration      `msg:"d"` // time left to the deadline when the frame was written
+	Priority       uint8              `msg:"q"`
+	Idempotent     bool               `msg:"i"`
+	Repeat         bool               `msg:"e"` // the caller says that it sent the request before
+	Method         []byte             `msg:"m,zerocopy"`
+	URI            []byte             `msg:"u,zerocopy"` // path and query below the service's prefix
+	RequestID      []byte             `msg:"r,zerocopy"`
+	IdempotencyKey []byte             `msg:"y,zerocopy"`
+	Headers        []Header           `msg:"h,limit=128"`
+	Body           []byte             `msg:"b,zerocopy"`
+}
+
+// Reset clears r for reuse and keeps its header slice.
+func (r *Request) Reset() {
+	headers := r.Headers[:0]
+	*r = Request{Headers: headers}
+}
--- /dev/null
+++ b/wire/response.go
@@ -0,0 +1,65 @@
+package wire
+
+//msgp:tuple Hint Response
+//msgp:replace outcome.Kind with:uint8
+//msgp:replace outcome.Reason with:uint8
+
+import (
+	"time"
+
+	"github.com/parsleystack/parsleystack/cell"
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/keyspace"
+	"github.com/parsleystack/parsleystack/outcome"
+)
+
+// Hint names the owner of a range as the refusing daemon knows it. The zero
+// Hint names nobody.
+type Hint struct {
+	Range keyspace.Range `msg:"r"`
+	Owner ident.Node     `msg:"o"`
+	Addr  string         `msg:"a"`
+	Zone  ident.Zone     `msg:"z"`
+	Token cell.Token     `msg:"t"`
+}
+
+// IsZero reports whether h names nobody.
+func (h *Hint) IsZero() bool { return h.Addr == "" }
+
+// Response is the outcome of a Request. Status, Headers and Body are set if
+// and only if Kind is outcome.Done. After decoding, byte slices refer to the
+// frame's buffer and are valid until Release.
+type Response struct {
+	Kind       outcome.Kind   `msg:"k"`
+	Reason     outcome.Reason `msg:"e"`
+	RetryAfter time.Duration  `msg:"a"`
+	InFlight   uint32         `msg:"f"` // requests that wait or run at the answering daemon
+	Capacity   uint32         `msg:"c"` // requests that it runs at once
+	Hint       Hint           `msg:"t"`
+	Status     uint16         `msg:"s"`
+	Headers    []Header       `msg:"h,limit=128"`
+	Body       []byte         `msg:"b,zerocopy"`
+
+	frame Frame
+}
+
+// Result returns the outcome without the answer.
+func (r *Response) Result() outcome.Result {
+	return outcome.Result{Kind: r.Kind, Reason: r.Reason, RetryAfter: r.RetryAfter}
+}
+
+// Attach makes Release hand back the buffer of the frame that r was decoded from.
+func (r *Response) Attach(f Frame) { r.frame = f }
+
+// Release hands back the buffer that r refers to; r must not be used after it.
+func (r *Response) Release() {
+	r.frame.Release()
+	r.Body = nil
+	r.Headers = r.Headers[:0]
+}
+
+// Reset clears r for reuse and keeps its header slice.
+func (r *Response) Reset() {
+	headers := r.Headers[:0]
+	*r = Response{Headers: headers}
+}
