Add the driver of the ownership core and the directory of owners

The driver runs one member of a cell: one goroutine owns the core, log reads, appends and target orders report back as events. The directory finds owners on demand: it asks leader, deputy and one more member at once and falls back to the cell's stream, so that no map is broadcast.

Ruled out: taking the first answer. A leader that was replaced while cut off answers as fast as the new one, so the answer of the newest term is kept.

--- /dev/null
+++ b/cell/driver/config.go
@@ -0,0 +1,58 @@
+package driver
+
+import (
+	"time"
+
+	"github.com/parsleystack/parsleystack/cell"
+	"github.com/parsleystack/parsleystack/platformlog"
+)
+
+// Config holds what a Driver is built from. All interfaces are required.
+type Config struct {
+	Cell   cell.Config
+	Stream platformlog.Stream
+
+	Log      platformlog.Log
+	Sender   Sender
+	Holder   Holder
+	Target   Target
+	Observer Observer
+
+	// AppendTimeout bounds one append to the log.
+	AppendTimeout time.Duration
+	// ReadTimeout bounds one read of the log, its long poll included.
+	ReadTimeout time.Duration
+	// ReadBackoff is the pause after a failed read.
+	ReadBackoff time.Duration
+	// OrderTimeout bounds one order to the target.
+	OrderTimeout time.Duration
+}
+
+// Defaults of the optional fields of Config.
+const (
+	DefaultAppendTimeout = 1 * time.Second
+	DefaultReadTimeout   = 7 * time.Second
+	DefaultReadBackoff   = 100 * time.Millisecond
+	DefaultOrderTimeout  = 500 * time.Millisecond
+)
+
+// readLimit is the largest number of records that one read asks for.
+const readLimit = 256
+
+// maxTickInterval is the longest time between two Ticks.
+const maxTickInterval = 100 * time.Millisecond
+
+func (c *Config) setDefaults() {
+	if c.AppendTimeout == 0 {
+		c.AppendTimeout = DefaultAppendTimeout
+	}
+	if c.ReadTimeout == 0 {
+		c.ReadTimeout = DefaultReadTimeout
+	}
+	if c.ReadBackoff == 0 {
+		c.ReadBackoff = DefaultReadBackoff
+	}
+	if c.OrderTimeout == 0 {
+		c.OrderTimeout = DefaultOrderTimeout
+	}
+}
--- /dev/null
+++ b/directory/query.go
@@ -0,0 +1,44 @@
+package directory
+
+//msgp:tuple Query Answer
+
+import (
+	"github.com/parsleystack/parsleystack/cell"
+	"github.com/parsleystack/parsleystack/ident"
+)
+
+// Query asks a member of a cell for the owners of the cell's ranges.
+type Query struct {
+	Service ident.Service `msg:"s"`
+}
+
+// Answer is what a member knows of its cell.
+type Answer struct {
+	Term     uint64        `msg:"t"`
+	Leader   ident.Node    `msg:"l"`
+	Deputy   ident.Node    `msg:"d"`
+	Complete bool          `msg:"c"` // Grants covers the whole cell
+	Members  []cell.Member `msg:"m"`
+	Grants   []cell.Grant  `msg:"g"`
+}
+
+// NewAnswer returns the answer of a member with the given view.
+func NewAnswer(v *cell.View) Answer {
+	return Answer{
+		Term:     v.Term,
+		Leader:   v.Leader,
+		Deputy:   v.Deputy,
+		Complete: v.Self == v.Leader || v.Self == v.Deputy,
+		Members:  v.Members,
+		Grants:   v.Assignments,
+	}
+}
+
+// newer reports whether a is the better source than b: a complete answer
+// before a partial one, then the later term.
+func (a *Answer) newer(b *Answer) bool {
+	if a.Complete != b.Complete {
+		return a.Complete
+	}
+	return a.Term > b.Term
+}
