Keep the leading slash of a service file's path prefixes

Cause: the request path matches rules against the part below /<name>, which starts with a slash; the file's prefix was stored without it, so a rule with a path would never match. The contract says so now.

--- a/config/diff.go
+++ b/config/diff.go
@@ -95,5 +95,5 @@
 	if m.Idempotent {
 		repeat = "idempotent"
 	}
-	return fmt.Sprintf("%s /%s %s priority %d timeout %v", m.HTTPMethod, m.PathPrefix, repeat, m.Priority, m.Timeout)
+	return fmt.Sprintf("%s %s* %s priority %d timeout %v", m.HTTPMethod, m.PathPrefix, repeat, m.Priority, m.Timeout)
 }
--- a/service/spec.go
+++ b/service/spec.go
@@ -35,7 +35,7 @@
 // and path prefix match a request applies.
 type Method struct {
 	HTTPMethod string        `msg:"m"` // "*" matches every method
-	PathPrefix string        `msg:"p"` // below the service's own prefix; "" matches every path
+	PathPrefix string        `msg:"p"` // of the path below /<name>, which starts with a slash; "" matches every path
 	Idempotent bool          `msg:"i"` // the request may be repeated after an unknown outcome
 	Priority   uint8         `msg:"q"` // lower values are shed first
 	Timeout    time.Duration `msg:"t"`
@@ -68,7 +68,7 @@
 func (s *Spec) Divided() bool { return s.Key.Source != KeyNone }
 
 // MethodFor returns the rule for a request, or nil if none matches. The path
-// is the part below the service's prefix.
+// is the part below /<name> and starts with a slash.
 func (s *Spec) MethodFor(httpMethod, path string) *Method {
 	for i := range s.Methods {
 		m := &s.Methods[i]
--- a/servicefile/parse_test.go
+++ b/servicefile/parse_test.go
@@ -19,7 +19,7 @@
 		Key:    service.KeyRule{Source: service.KeyPathSegment},
 		Ranges: 64,
 		Methods: []service.Method{
-			{HTTPMethod: "GET", PathPrefix: "surveys", Idempotent: true, Priority: 5, Timeout: 2 * time.Second},
+			{HTTPMethod: "GET", PathPrefix: "/surveys", Idempotent: true, Priority: 5, Timeout: 2 * time.Second},
 			{HTTPMethod: "*", Timeout: 10 * time.Second},
 		},
 		Fenced:     true,
--- a/servicefile/spec.go
+++ b/servicefile/spec.go
@@ -1,10 +1,6 @@
 package servicefile
 
-import (
-	"strings"
-
-	"github.com/parsleystack/parsleystack/service"
-)
+import "github.com/parsleystack/parsleystack/service"
 
 // spec returns the checked file in the form that daemons act on.
 func (f *File) spec() *service.Spec {
@@ -45,7 +41,7 @@
 func (r *Request) method() service.Method {
 	return service.Method{
 		HTTPMethod: r.Method,
-		PathPrefix: strings.TrimPrefix(r.Path, "/"),
+		PathPrefix: r.Path,
 		Idempotent: r.Idempotent,
 		Priority:   uint8(r.Priority),
 		Timeout:    r.Timeout,
