--- /dev/null
+++ b/audit/cell.go
@@ -0,0 +1,106 @@
+package audit
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/parsleystack/parsleystack/cell"
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/keyspace"
+	"github.com/parsleystack/parsleystack/platformlog"
+)
+
+// readLimit is the number of records of one read.
+const readLimit = 512
+
+// ReadCell returns the entries of one cell's stream in log order. Records
+// before the first usable snapshot of a stream that has lost its start are
+// left out, since what they did can no longer be told.
+func ReadCell(ctx context.Context, log platformlog.Log, svc ident.Service, stream platformlog.Stream) ([]Entry, error) {
+	records, err := readAll(ctx, log, stream)
+	if err != nil {
+		return nil, err
+	}
+	ledger := ledgerFor(svc, records)
+	if ledger == nil {
+		return nil, nil
+	}
+	var entries []Entry
+	for _, rec := range records {
+		if rec.Offset <= ledger.CoveredOffset() {
+			continue
+		}
+		v := ledger.Apply(rec.Offset, rec.Time, rec.Payload)
+		if v.Err != nil {
+			return entries, v.Err
+		}
+		for _, a := range v.Audit {
+			entries = append(entries, cellEntry(svc, stream, rec, a))
+		}
+	}
+	return entries, nil
+}
+
+// readAll returns the records that the stream holds.
+func readAll(ctx context.Context, log platformlog.Log, stream platformlog.Stream) ([]platformlog.Record, error) {
+	var records []platformlog.Record
+	from := platformlog.Offset(1)
+	for {
+		batch, err := log.Read(ctx, stream, from, readLimit)
+		var gap *platformlog.GapError
+		if errors.As(err, &gap) {
+			from = gap.Earliest
+			records = nil
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, batch.Records...)
+		if batch.AtTail(from) {
+			return records, nil
+		}
+		from = records[len(records)-1].Offset + 1
+	}
+}
+
+// ledgerFor returns the ledger to which the records can be applied, or nil if
+// the start is lost and no snapshot covers it.
+func ledgerFor(svc ident.Service, records []platformlog.Record) *cell.Ledger {
+	empty := cell.NewLedger(svc, keyspace.Full())
+	if len(records) == 0 || records[0].Offset == 1 {
+		return empty
+	}
+	for _, rec := range records {
+		r, err := cell.DecodeRecord(rec.Payload)
+		if err != nil || r.Snapshot == nil {
+			continue
+		}
+		if platformlog.Offset(r.Snapshot.Covered)+1 >= records[0].Offset {
+			return cell.NewLedgerFromSnapshot(empty, r.Snapshot, rec.Time)
+		}
+	}
+	return nil
+}
+
+func cellEntry(svc ident.Service, stream platformlog.Stream, rec platformlog.Record, a cell.AuditEntry) Entry {
+	e := Entry{
+		Time:    time.Unix(0, rec.Time),
+		Stream:  stream,
+		Offset:  rec.Offset,
+		Kind:    cellKind(a.Kind),
+		Service: svc,
+		Reason:  a.Reason,
+	}
+	if !a.Node.IsZero() {
+		e.Node = a.Node.String()
+	}
+	if a.Range != (keyspace.Range{}) {
+		e.Range = &Range{Text: a.Range.String(), At: a.Range}
+	}
+	if a.Token != (cell.Token{}) {
+		e.Token = a.Token.String()
+	}
+	return e
+}
--- /dev/null
+++ b/audit/config.go
@@ -0,0 +1,67 @@
+package audit
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/parsleystack/parsleystack/config"
+	"github.com/parsleystack/parsleystack/platformlog"
+)
+
+// ReadConfig returns the entries of the configuration's stream in log order
+// and the state at its end. The state is nil if it can't be known; the error
+// is then a *config.GapError.
+func ReadConfig(ctx context.Context, log platformlog.Log) ([]Entry, *config.State, error) {
+	var entries []Entry
+	tail := config.NewTail(log, func(v config.Verdict) {
+		entries = append(entries, configEntry(&v))
+	})
+	err := tail.Advance(ctx)
+	return entries, tail.State(), err
+}
+
+func configEntry(v *config.Verdict) Entry {
+	e := Entry{
+		Time:   time.Unix(0, v.Time),
+		Stream: config.Stream,
+		Offset: v.Offset,
+		Kind:   configKind(v),
+	}
+	if v.Change != nil {
+		e.Service = v.Change.Service
+		e.Author = v.Change.Author
+	}
+	e.Reason = configReason(v)
+	return e
+}
+
+func configKind(v *config.Verdict) Kind {
+	switch v.Outcome {
+	case config.Accepted:
+		return ConfigAccepted
+	case config.Void:
+		return ConfigVoid
+	case config.Repeated:
+		return ConfigSnapshot
+	case config.Seen:
+		return ConfigRecorded
+	}
+	return ConfigUndecodable
+}
+
+func configReason(v *config.Verdict) string {
+	switch {
+	case v.Outcome == config.Void && v.Winner != nil:
+		return fmt.Sprintf("%v based on version %d, but %s had published version %d", v.Change.Kind, v.Change.Base, v.Winner.Author, v.Winner.Version)
+	case v.Outcome == config.Void:
+		return fmt.Sprintf("%v based on version %d, which the service does not have", v.Change.Kind, v.Change.Base)
+	case v.Err != nil:
+		return v.Err.Error()
+	case v.Change != nil && v.Outcome == config.Repeated:
+		return fmt.Sprintf("covers offset %d", v.Change.Base)
+	case v.Change != nil:
+		return fmt.Sprintf("%v based on version %d", v.Change.Kind, v.Change.Base)
+	}
+	return ""
+}
--- a/config/in_force.go
+++ b/config/in_force.go
@@ -29,12 +29,13 @@
 	Time    time.Time          // append time of the change
 	Author  string
 	// Blocked says why the content of Version is not in force; Spec is then
-	// the last content that was understood, or nil if there is none.
+	// the last content that was understood.
 	Blocked error
 }
 
 // Service returns the configuration of a service. It returns nil if the
-// service was never published or is retired.
+// service was never published, is retired, or was never published in a form
+// that this version understands.
 func (f *InForce) Service(name ident.Service) *Service { return f.services[name] }
 
 // Services returns the names of the services in force, sorted.
@@ -90,7 +91,7 @@
 		}
 	}
 	spec, err := e.spec(schema)
-	if spec == nil && err == nil {
+	if spec == nil {
 		return nil
 	}
 	return &Service{
--- a/config/publisher.go
+++ b/config/publisher.go
@@ -57,9 +57,8 @@
 
 func (p *Publisher) advance(ctx context.Context) error {
 	if p.tail == nil {
-		p.tail = NewTail(p.Log)
 		p.verdict = map[uint64]Verdict{}
-		p.tail.onApply = p.note
+		p.tail = NewTail(p.Log, p.note)
 	}
 	return p.tail.Advance(ctx)
 }
@@ -79,15 +78,18 @@
 	if err != nil {
 		return failed(s, err)
 	}
-	if err := p.append(ctx, payload); err != nil {
-		var unknown *platformlog.UnknownOutcomeError
-		if !errors.As(err, &unknown) && ctx.Err() == nil {
-			return failed(s, err)
-		}
+	if err := p.append(ctx, payload); isRefused(err) {
+		return failed(s, err)
 	}
 	return p.settle(ctx, s, change.Nonce)
 }
 
+// isRefused reports whether an append is known to have had no effect.
+func isRefused(err error) bool {
+	var unavailable *platformlog.UnavailableError
+	return errors.As(err, &unavailable)
+}
+
 func (s *PlanStep) change(author string, nonce uint64) (*Change, error) {
 	if s.Action == ActionRetire {
 		return NewRetire(s.Service, s.Base, author, nonce), nil
@@ -132,7 +134,7 @@
 }
 
 func (p *Publisher) note(v Verdict) {
-	if v.Change != nil {
+	if v.Change != nil && v.Outcome != Seen {
 		p.verdict[v.Change.Nonce] = v
 	}
 }
--- a/config/replay.go
+++ b/config/replay.go
@@ -6,6 +6,7 @@
 type replay struct {
 	schema  int
 	records []platformlog.Record // from the oldest one kept on, in order
+	onApply func(Verdict)        // may be nil
 }
 
 // add takes the next record. It returns the state up to that record once a
@@ -41,11 +42,22 @@
 // apply folds the records that st does not contain yet.
 func (r *replay) apply(st *State) *State {
 	for _, rec := range r.records {
-		st.Apply(rec.Offset, rec.Time, rec.Payload)
+		v := st.Apply(rec.Offset, rec.Time, rec.Payload)
+		if r.onApply != nil {
+			r.onApply(withChange(v, rec))
+		}
 	}
 	return st
 }
 
+// withChange adds the change to the verdict on a record that a snapshot covers.
+func withChange(v Verdict, rec platformlog.Record) Verdict {
+	if v.Outcome == Seen {
+		v.Change, _ = DecodeChange(rec.Payload)
+	}
+	return v
+}
+
 // changedAfter reports whether a change or a reset stands after the offset
 // covered and before end.
 func (r *replay) changedAfter(covered, end platformlog.Offset) bool {
--- a/config/state.go
+++ b/config/state.go
@@ -61,7 +61,7 @@
 		LastChange: s.lastChange,
 		Entries:    make([]Entry, 0, len(s.entries)),
 	}
-	for _, svc := range slices.Sorted(maps.Keys(s.entries)) {
+	for _, svc := range s.Services() {
 		snap.Entries = append(snap.Entries, *s.entries[svc])
 	}
 	return snap
@@ -147,6 +147,7 @@
 		e.Version = v.Offset
 		e.Time = v.Time
 		e.Author = v.Change.Author
+		e.Nonce = v.Change.Nonce
 	}
 	s.setEntries(snap.Entries)
 }
@@ -176,3 +177,7 @@
 	}
 	return e.Body
 }
+
+// Services returns the services that were ever published, retired ones
+// included, sorted.
+func (s *State) Services() []ident.Service { return slices.Sorted(maps.Keys(s.entries)) }
--- a/config/tail.go
+++ b/config/tail.go
@@ -7,7 +7,7 @@
 	"github.com/parsleystack/parsleystack/platformlog"
 )
 
-// readLimit is the number of records of one read of ReadState.
+// readLimit is the number of records of one read of a Tail.
 const readLimit = 512
 
 // Tail reads the stream to its end and keeps the state up to date. It is not
@@ -20,14 +20,23 @@
 	onApply func(Verdict)
 }
 
-// NewTail returns a Tail that has read nothing.
-func NewTail(log platformlog.Log) *Tail {
-	return &Tail{log: log, replay: &replay{schema: Schema}, from: 1}
+// NewTail returns a Tail that has read nothing. It passes the verdict of each
+// record that it reads to onApply, which may be nil. Records that a snapshot
+// covers get the outcome Seen, since what they did can no longer be told.
+func NewTail(log platformlog.Log, onApply func(Verdict)) *Tail {
+	t := &Tail{log: log, from: 1, onApply: onApply}
+	t.restart()
+	return t
+}
+
+func (t *Tail) restart() {
+	t.state = nil
+	t.replay = &replay{schema: Schema, onApply: t.onApply}
 }
 
 // ReadState reads the stream to its end and returns the state.
 func ReadState(ctx context.Context, log platformlog.Log) (*State, error) {
-	t := NewTail(log)
+	t := NewTail(log, nil)
 	if err := t.Advance(ctx); err != nil {
 		return nil, err
 	}
@@ -37,6 +46,9 @@
 // State returns the state of the last successful Advance.
 func (t *Tail) State() *State { return t.state }
 
+// End returns the offset of the last record read.
+func (t *Tail) End() platformlog.Offset { return t.from - 1 }
+
 // Advance reads on to the end of the stream. It returns a *GapError if the
 // state can't be known.
 func (t *Tail) Advance(ctx context.Context) error {
@@ -56,8 +68,7 @@
 	var gap *platformlog.GapError
 	if errors.As(err, &gap) {
 		t.from = gap.Earliest
-		t.state = nil
-		t.replay = &replay{schema: Schema}
+		t.restart()
 		return false, nil
 	}
 	if err != nil {
