Test the request path under loss, moves, overload and repeats

Torn, surplus and unframed answers, lost owners, leases that end on the way, ranges that move or split, target refusals, planned stops, idempotency keys and callers that leave. The transport server drains by asking peers to close their connections when the last answer has come, and large bodies have a connection of their own.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -122,7 +122,8 @@
 	if elsewhere {
 		avoid = f.last.Peer
 	}
-	return f.service.Choose(f.gateway.cfg.Zone, f.gateway.nextRandom(), avoid)
+	g := f.gateway
+	return f.service.Choose(g.cfg.Zone, g.nextRandom(), avoid, g.cfg.Now())
 }
 
 // timeLeft returns the time for the owner, so that its answer still comes
@@ -135,6 +136,8 @@
 func (f *flight) send(to route.Target) dispatch.Event {
 	if !f.gateway.cfg.NoRetryBudget {
 		f.state.Rule.Peer = &to.Peer.Retries
+	}
+	if f.state.Rule.Peer != nil && f.state.Attempts() == 0 {
 		to.Peer.Retries.Earn(f.service.Spec.RetryRatio)
 	}
 	f.resp.Release()
@@ -145,7 +148,7 @@
 	if err != nil {
 		return f.failed(sent, err)
 	}
-	to.Peer.Report(f.resp.InFlight, f.resp.Capacity)
+	to.Peer.Report(f.resp.InFlight, f.resp.Capacity, f.gateway.cfg.Now())
 	return dispatch.Event{Kind: dispatch.Answered, Result: f.resp.Result(), Moved: f.learn()}
 }
 
--- /dev/null
+++ b/entry/once_test.go
@@ -0,0 +1,173 @@
+package entry_test
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/parsleystack/parsleystack/keyspace"
+)
+
+// rig is one door, one daemon that holds everything, and its target.
+type rig struct {
+	door   *door
+	daemon *daemon
+	target *fakeTarget
+}
+
+func newRig(t testing.TB) *rig {
+	r := &rig{target: newFakeTarget(t), door: newDoor(t, nil, reports())}
+	r.daemon = newDaemon(t, "a", reports(), r.target.addr, nil)
+	r.daemon.hold(keyspace.Full(), 1, false)
+	r.door.router.Learn("reports", r.daemon.route(keyspace.Full(), 1))
+	return r
+}
+
+// tear ends the connection in the middle of an answer.
+func tear(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) {
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"))
+	})
+}
+
+func TestTornAnswerIsUnknownAndNotRepeated(t *testing.T) {
+	r := newRig(t)
+	r.target.setRun(tear)
+	r.door.do(t, "POST", "/reports/k", nil).want(t, 502, "unknown", "connection-lost")
+	if n := r.target.ran("POST /k"); n != 1 {
+		t.Errorf("ran %d times, want once", n)
+	}
+}
+
+func TestTornAnswerOfIdempotentRequestIsRepeated(t *testing.T) {
+	r := newRig(t)
+	var calls atomic.Int32
+	r.target.setRun(func(ctx *fasthttp.RequestCtx) {
+		if calls.Add(1) == 1 {
+			tear(ctx)
+			return
+		}
+		ctx.SetBodyString("whole")
+	})
+	got := r.door.do(t, "GET", "/reports/k", nil)
+	got.want(t, 200, "done", "")
+	if got.body != "whole" || calls.Load() != 2 {
+		t.Errorf("body %q after %d calls", got.body, calls.Load())
+	}
+}
+
+func TestUnframedAnswerIsUnknown(t *testing.T) {
+	r := newRig(t)
+	r.target.setRun(func(ctx *fasthttp.RequestCtx) {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) { _, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n\r\nwhole or not")) })
+	})
+	r.door.do(t, "POST", "/reports/k", nil).want(t, 502, "unknown", "connection-lost")
+}
+
+func TestSurplusAnswerIsNeverGivenToTheNextRequest(t *testing.T) {
+	r := newRig(t)
+	r.target.setRun(func(ctx *fasthttp.RequestCtx) {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) {
+			answer := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+			_, _ = c.Write([]byte(answer))
+			time.Sleep(20 * time.Millisecond)
+			_, _ = c.Write([]byte(answer))
+			time.Sleep(time.Second)
+		})
+	})
+	r.door.do(t, "POST", "/reports/k", nil).want(t, 200, "done", "")
+	time.Sleep(50 * time.Millisecond)
+	r.target.setRun(func(ctx *fasthttp.RequestCtx) { ctx.SetBodyString("second") })
+	if got := r.door.do(t, "POST", "/reports/k", nil); got.body != "second" {
+		t.Errorf("got the answer %q of another request", got.body)
+	}
+}
+
+func TestTargetRefusals(t *testing.T) {
+	r := newRig(t)
+	refuse := func(status int, refused string) {
+		r.target.setRun(func(ctx *fasthttp.RequestCtx) {
+			ctx.Response.Header.Set("Parsley-Refused", refused)
+			ctx.Response.Header.Set("Retry-After", "3")
+			ctx.SetStatusCode(status)
+		})
+	}
+	refuse(503, "shed")
+	got := r.door.do(t, "POST", "/reports/shed", nil)
+	got.want(t, 429, "not-run", "target-shed")
+	if got.retryAfter != "3" {
+		t.Errorf("Retry-After %q, want 3", got.retryAfter)
+	}
+	refuse(500, "shed")
+	r.door.do(t, "POST", "/reports/ran", nil).want(t, 500, "done", "")
+	refuse(412, "stale-token")
+	headers := map[string]string{"Parsley-Timeout-Ms": "150"}
+	r.door.do(t, "POST", "/reports/stale", headers).want(t, 503, "not-run", "wrong-owner")
+}
+
+func TestDeadlineIsHandedToTheTarget(t *testing.T) {
+	r := newRig(t)
+	release := make(chan struct{})
+	defer close(release)
+	r.target.setRun(func(ctx *fasthttp.RequestCtx) { <-release })
+	headers := map[string]string{"Parsley-Timeout-Ms": "80"}
+	r.door.do(t, "POST", "/reports/k", headers).want(t, 504, "unknown", "deadline-exceeded")
+	if n := r.target.ran("POST /k"); n != 1 {
+		t.Errorf("ran %d times, want once", n)
+	}
+}
+
+func TestOwnerLostWhileRequestRuns(t *testing.T) {
+	r := newRig(t)
+	running, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	r.target.setRun(func(ctx *fasthttp.RequestCtx) {
+		close(running)
+		<-release
+	})
+	go func() {
+		<-running
+		r.daemon.server.Close()
+	}()
+	r.door.do(t, "POST", "/reports/k", nil).want(t, 502, "unknown", "connection-lost")
+	if n := r.target.ran("POST /k"); n != 1 {
+		t.Errorf("ran %d times, want once", n)
+	}
+}
+
+func TestLeaseThatEndsWhileTheRequestRunsMakesItUnknown(t *testing.T) {
+	r := newRig(t)
+	r.target.setRun(func(ctx *fasthttp.RequestCtx) { r.daemon.leases.Store(nil) })
+	r.door.do(t, "POST", "/reports/k", nil).want(t, 502, "unknown", "lease-expired")
+}
+
+func TestRangeThatIsSplitWhileTheRequestRunsStaysOwned(t *testing.T) {
+	r := newRig(t)
+	r.target.setRun(func(ctx *fasthttp.RequestCtx) {
+		halves := keyspace.Divide(2)
+		first, second := r.daemon.holding(halves[0], 2, false), r.daemon.holding(halves[1], 3, false)
+		r.daemon.leases.Store(append(r.daemon.leases.Holdings()[:0], first, second))
+	})
+	r.door.do(t, "POST", "/reports/k", nil).want(t, 200, "done", "")
+}
+
+func TestTargetRestartLosesNoRequest(t *testing.T) {
+	r := newRig(t)
+	r.door.do(t, "POST", "/reports/a", nil).want(t, 200, "done", "")
+	r.target.setRun(func(ctx *fasthttp.RequestCtx) {
+		ctx.HijackSetNoResponse(true)
+		ctx.Hijack(func(c net.Conn) {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		})
+	})
+	r.door.do(t, "POST", "/reports/b", nil).want(t, 200, "done", "")
+	time.Sleep(20 * time.Millisecond) // the target closes the idle connection
+	r.target.setRun(func(ctx *fasthttp.RequestCtx) {})
+	r.door.do(t, "POST", "/reports/c", nil).want(t, 200, "done", "")
+}
--- a/transport/class.go
+++ b/transport/class.go
@@ -6,13 +6,25 @@
 const (
 	// ClassControl carries cell messages and calls.
 	ClassControl Class = 1
-	// ClassRequest carries callers' requests.
+	// ClassRequest carries callers' requests with small bodies.
 	ClassRequest Class = 2
+	// ClassBulk carries callers' requests with large bodies.
+	ClassBulk Class = 3
 )
 
-const classCount = 3
+const classCount = 4
 
-func (c Class) valid() bool { return c == ClassControl || c == ClassRequest }
+// bulkBody is the size in bytes from which a request's body is large.
+const bulkBody = 64 << 10
+
+func (c Class) valid() bool { return c >= ClassControl && c <= ClassBulk }
+
+func classOf(body []byte) Class {
+	if len(body) >= bulkBody {
+		return ClassBulk
+	}
+	return ClassRequest
+}
 
 // String returns the name of the class.
 func (c Class) String() string {
@@ -21,6 +33,8 @@
 		return "control"
 	case ClassRequest:
 		return "request"
+	case ClassBulk:
+		return "bulk"
 	}
 	return "invalid"
 }
--- a/transport/clientconn.go
+++ b/transport/clientconn.go
@@ -88,6 +88,7 @@
 	delete(c.waiting, id)
 	c.mu.Unlock()
 	if waits {
+		defer c.closeIfDone()
 		w.free()
 		if kind == wire.KindRequest {
 			_, _ = c.writer.raw(wire.KindCancel, id, nil)
@@ -128,15 +129,32 @@
 	case wire.KindResponse, wire.KindReply:
 		return c.deliver(f)
 	case wire.KindGoaway:
-		c.mu.Lock()
-		c.goaway = true
-		c.mu.Unlock()
+		f.Release()
+		c.leave()
 		return nil
 	}
 	f.Release()
 	return &wire.GarbageError{What: "unexpected " + f.Kind.String() + " frame from a server"}
 }
 
+// leave takes no new question. The connection is closed when the last answer
+// has come, which tells the server that nothing is on its way any more.
+func (c *clientConn) leave() {
+	c.mu.Lock()
+	c.goaway = true
+	c.mu.Unlock()
+	c.closeIfDone()
+}
+
+func (c *clientConn) closeIfDone() {
+	c.mu.Lock()
+	done := c.goaway && len(c.waiting) == 0 && c.err == nil
+	c.mu.Unlock()
+	if done {
+		c.fail(ErrGoaway)
+	}
+}
+
 // deliver hands an answer to its waiter. An answer of the wrong kind is a
 // protocol error; one that nobody waits for is dropped.
 func (c *clientConn) deliver(f wire.Frame) error {
@@ -149,6 +167,7 @@
 	delete(c.waiting, f.ID)
 	unknown := f.ID > c.nextID
 	c.mu.Unlock()
+	defer c.closeIfDone()
 	if unknown {
 		f.Release()
 		return &wire.GarbageError{What: "answer to a question that was never asked"}
--- a/transport/metrics.go
+++ b/transport/metrics.go
@@ -5,7 +5,7 @@
 // Register publishes the counters under names with the given prefix, such as
 // parsley_pool.
 func (c *Counters) Register(set *metrics.Set, prefix string) {
-	for _, class := range []Class{ClassControl, ClassRequest} {
+	for _, class := range []Class{ClassControl, ClassRequest, ClassBulk} {
 		label := `{class="` + class.String() + `"}`
 		gauge(set, prefix+"_received_bytes_total"+label, c.BytesIn[class].Load)
 		gauge(set, prefix+"_sent_bytes_total"+label, c.BytesOut[class].Load)
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -71,7 +71,7 @@
 // written. If ctx ends first the peer is told to cancel, and the error is the
 // cause of ctx.
 func (p *Pool) Do(ctx context.Context, addr string, req *wire.Request, resp *wire.Response) (sent bool, err error) {
-	conn, err := p.peer(addr, ClassRequest).get(ctx)
+	conn, err := p.peer(addr, classOf(req.Body)).get(ctx)
 	if err != nil {
 		return false, err
 	}
--- a/transport/server.go
+++ b/transport/server.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -27,8 +28,11 @@
 	raw      map[net.Conn]struct{} // connections before their handshake
 	closed   bool
 	draining bool
+	closing  bool // the listener was closed by Shutdown
 }
 
+const shutdownPoll = 2 * time.Millisecond
+
 // NewServer returns a server that is not listening yet. log may be nil.
 func NewServer(cfg Config, handler Handler, log *zap.Logger) *Server {
 	if log == nil {
@@ -145,12 +149,49 @@
 	defer s.mu.Unlock()
 	s.draining = true
 	for c := range s.conns {
-		if c.class == ClassRequest {
+		if c.class != ClassControl {
 			c.goaway()
 		}
 	}
 }
 
+// Shutdown drains the server and closes it when every peer has received its
+// answers and closed its connections for requests, or when ctx ends. It
+// returns the cause of ctx in that case.
+func (s *Server) Shutdown(ctx context.Context) error {
+	defer s.Close()
+	s.Drain()
+	s.mu.Lock()
+	if s.listener != nil {
+		s.closing = true
+		_ = s.listener.Close()
+	}
+	s.mu.Unlock()
+	ticker := time.NewTicker(shutdownPoll)
+	defer ticker.Stop()
+	for s.requestConns() > 0 {
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// requestConns counts the connections that requests may still arrive on.
+func (s *Server) requestConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := len(s.raw)
+	for c := range s.conns {
+		if c.class != ClassControl {
+			n++
+		}
+	}
+	return n
+}
+
 // Close closes the listener and all connections and waits for the handlers.
 func (s *Server) Close() {
 	s.mu.Lock()
@@ -172,7 +213,7 @@
 func (s *Server) isClosed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.closed
+	return s.closed || s.closing
 }
 
 // Hello returns the Hello that the server answers with.
