--- /dev/null
+++ b/transport/transport_test.go
@@ -0,0 +1,331 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/outcome"
+	"github.com/parsleystack/parsleystack/wire"
+)
+
+// echo answers requests with their body after waiting for gate, if it is set.
+type echo struct {
+	gate     chan struct{}
+	canceled chan struct{}
+	messages chan string
+}
+
+// Cancel implements Canceler.
+func (h *echo) Cancel() { close(h.canceled) }
+
+func (h *echo) ServeRequest(e *Exchange) {
+	if h.canceled != nil {
+		e.OnCancel(h)
+	}
+	if h.gate != nil && string(e.Request.URI) == "/wait" {
+		<-h.gate
+	}
+	e.OnCancel(nil)
+	_ = e.Respond(&wire.Response{Kind: outcome.Done, Status: 200, Body: e.Request.Body})
+}
+
+func (h *echo) ServeCellMessage(from ident.Node, body []byte) {
+	h.messages <- from.String() + " " + string(body)
+}
+
+func (h *echo) ServeCall(_ context.Context, _ ident.Node, kind wire.CallKind, body []byte) ([]byte, error) {
+	if kind == 9 {
+		return nil, errors.New("no")
+	}
+	return append([]byte{byte(kind)}, body...), nil
+}
+
+func hello(name string) wire.Hello {
+	return wire.NewHello("s", ident.Node{Instance: ident.Instance(name), Incarnation: 1}, "z")
+}
+
+func start(t testing.TB, h *echo) (*Server, string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(Config{Hello: hello("server")}, h, nil)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Close)
+	return s, l.Addr().String()
+}
+
+func newTestPool(t testing.TB, change func(*Config)) *Pool {
+	cfg := Config{Hello: hello("client")}
+	if change != nil {
+		change(&cfg)
+	}
+	p := NewPool(cfg)
+	t.Cleanup(p.Close)
+	return p
+}
+
+func ctxFor(t testing.TB, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestManyRequestsShareOneConnection(t *testing.T) {
+	_, addr := start(t, &echo{})
+	p := newTestPool(t, nil)
+	var wg sync.WaitGroup
+	for i := range 32 {
+		wg.Go(func() {
+			for j := range 100 {
+				body := bytes.Repeat([]byte{byte(i), byte(j)}, 50)
+				var resp wire.Response
+				if _, err := p.Do(ctxFor(t, 5*time.Second), addr, &wire.Request{Body: body}, &resp); err != nil {
+					t.Error(err)
+					return
+				}
+				if !bytes.Equal(resp.Body, body) {
+					t.Error("answer of another request")
+				}
+				resp.Release()
+			}
+		})
+	}
+	wg.Wait()
+	if n := p.Counters().Dials.Load(); n != 1 {
+		t.Errorf("%d dials, want 1", n)
+	}
+}
+
+func TestLateAnswerIsDropped(t *testing.T) {
+	h := &echo{gate: make(chan struct{}), canceled: make(chan struct{})}
+	_, addr := start(t, h)
+	p := newTestPool(t, nil)
+	var resp wire.Response
+	sent, err := p.Do(ctxFor(t, 50*time.Millisecond), addr, &wire.Request{URI: []byte("/wait"), Body: []byte("late")}, &resp)
+	if !sent || !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("sent %v, %v", sent, err)
+	}
+	<-h.canceled
+	h.canceled = nil
+	close(h.gate)
+	for range 100 {
+		if _, err := p.Do(ctxFor(t, time.Second), addr, &wire.Request{Body: []byte("own")}, &resp); err != nil || string(resp.Body) != "own" {
+			t.Fatalf("answer %q, %v", resp.Body, err)
+		}
+		if p.Counters().LateAnswers.Load() == 1 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Error("the late answer was not counted")
+}
+
+func TestControlDoesNotWaitForRequests(t *testing.T) {
+	h := &echo{gate: make(chan struct{}), messages: make(chan string, 1)}
+	defer close(h.gate)
+	_, addr := start(t, h)
+	p := newTestPool(t, nil)
+	for range 50 {
+		go func() {
+			var resp wire.Response
+			_, _ = p.Do(ctxFor(t, 2*time.Second), addr, &wire.Request{URI: []byte("/wait"), Body: make([]byte, 1<<20)}, &resp)
+		}()
+	}
+	p.Send(addr, []byte("beat"))
+	if got := <-h.messages; got != "client#1 beat" {
+		t.Errorf("message %q", got)
+	}
+	if got, err := p.Call(ctxFor(t, time.Second), addr, 3, []byte("x")); err != nil || string(got) != "\x03x" {
+		t.Errorf("call: %q, %v", got, err)
+	}
+	var callErr *CallError
+	if _, err := p.Call(ctxFor(t, time.Second), addr, 9, nil); !errors.As(err, &callErr) {
+		t.Errorf("call: %v, want a CallError", err)
+	}
+}
+
+func TestUnreachablePeerMeansNotSent(t *testing.T) {
+	s, addr := start(t, &echo{})
+	s.Close()
+	p := newTestPool(t, nil)
+	var resp wire.Response
+	var peerErr *PeerError
+	for range 3 {
+		sent, err := p.Do(ctxFor(t, time.Second), addr, &wire.Request{}, &resp)
+		if sent || !errors.As(err, &peerErr) {
+			t.Errorf("sent %v, %v", sent, err)
+		}
+	}
+	if n := p.Counters().Dials.Load(); n != 1 {
+		t.Errorf("%d dials within the backoff, want 1", n)
+	}
+}
+
+func TestLostConnectionMeansSent(t *testing.T) {
+	h := &echo{gate: make(chan struct{})}
+	s, addr := start(t, h)
+	p := newTestPool(t, nil)
+	result := make(chan bool)
+	go func() {
+		var resp wire.Response
+		sent, _ := p.Do(ctxFor(t, 5*time.Second), addr, &wire.Request{URI: []byte("/wait")}, &resp)
+		result <- sent
+	}()
+	for s.Counters().FramesIn[ClassRequest].Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.mu.Lock()
+	for c := range s.conns {
+		_ = c.conn.Close()
+	}
+	s.mu.Unlock()
+	if !<-result {
+		t.Error("a request that reached the peer counts as not sent")
+	}
+	close(h.gate)
+}
+
+// TestUnwrittenFramesAreNotSent: frames behind a stalled write never reached
+// the socket when the connection ends.
+func TestUnwrittenFramesAreNotSent(t *testing.T) {
+	near, far := net.Pipe()
+	defer func() { _ = far.Close() }()
+	cfg := Config{}.withDefaults()
+	c := newClientConn("x", ClassRequest, near, wire.NewReader(near, 1<<10), &cfg, new(Counters))
+	go c.run()
+	results := make(chan bool, 2)
+	ask := func() {
+		_, sent, _ := c.ask(ctxFor(t, 5*time.Second), wire.KindRequest, wire.KindResponse, &wire.Request{})
+		results <- sent
+	}
+	go ask()
+	one := make([]byte, 1)
+	_, _ = far.Read(one) // the first frame is being written now
+	go ask()
+	for {
+		c.mu.Lock()
+		n := len(c.waiting)
+		c.mu.Unlock()
+		if n == 2 {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	_ = far.Close()
+	first, second := <-results, <-results
+	if first == second {
+		t.Errorf("sent %v and %v, want only the first", first, second)
+	}
+}
+
+// TestBadPeersOnlyLoseTheirOwnConnection sends every kind of broken opening
+// and frame while a good peer goes on.
+func TestBadPeersOnlyLoseTheirOwnConnection(t *testing.T) {
+	s, addr := start(t, &echo{})
+	p := newTestPool(t, nil)
+	good := func() {
+		var resp wire.Response
+		if _, err := p.Do(ctxFor(t, time.Second), addr, &wire.Request{Body: []byte("ok")}, &resp); err != nil || string(resp.Body) != "ok" {
+			t.Fatalf("good peer: %q, %v", resp.Body, err)
+		}
+	}
+	good()
+	opening := frame(t, wire.KindHello, 0, helloOf(1, 1, ClassRequest))
+	request := frame(t, wire.KindRequest, 1, &wire.Request{})
+	for name, b := range map[string][]byte{
+		"no hello":       request,
+		"garbage":        []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+		"future version": frame(t, wire.KindHello, 0, helloOf(7, 9, ClassRequest)),
+		"unknown class":  frame(t, wire.KindHello, 0, helloOf(1, 1, 77)),
+		"oversize":       append(bytes.Clone(opening), 0x7f, 0xff, 0xff, 0xff, 2, 0, 0, 0, 0, 0, 0, 0, 1),
+		"unknown kind":   append(bytes.Clone(opening), 0, 0, 0, 9, 77, 0, 0, 0, 0, 0, 0, 0, 1),
+		"id used twice":  append(append(bytes.Clone(opening), request...), request...),
+		"answer":         append(bytes.Clone(opening), frame(t, wire.KindResponse, 1, &wire.Response{})...),
+		"broken body":    append(bytes.Clone(opening), 0, 0, 0, 10, 2, 0, 0, 0, 0, 0, 0, 0, 1, 0xc1),
+	} {
+		before := s.Counters().BadConns.Load()
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = conn.Write(b)
+		_ = conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+		buf := make([]byte, 4096)
+		for err == nil {
+			_, err = conn.Read(buf)
+		}
+		var timeout net.Error
+		if errors.As(err, &timeout) && timeout.Timeout() {
+			t.Errorf("%s: the connection stays open", name)
+		}
+		_ = conn.Close()
+		good()
+		if s.Counters().BadConns.Load() == before {
+			t.Errorf("%s: not counted", name)
+		}
+	}
+	if n := p.Counters().Dials.Load(); n != 1 {
+		t.Errorf("good peer dialed %d times, want 1", n)
+	}
+}
+
+func helloOf(low, high uint16, class Class) *wire.Hello {
+	h := hello("bad")
+	h.MinVersion, h.MaxVersion, h.Class = low, high, uint8(class)
+	return &h
+}
+
+func frame(t testing.TB, kind wire.Kind, id uint64, m interface {
+	MarshalMsg([]byte) ([]byte, error)
+}) []byte {
+	b, err := wire.Append(nil, kind, id, m, 1<<20)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func TestClientNamesAVersionMismatch(t *testing.T) {
+	_, addr := start(t, &echo{})
+	p := newTestPool(t, func(c *Config) { c.Hello.MinVersion, c.Hello.MaxVersion = 5, 6 })
+	var version *wire.VersionError
+	if _, err := p.Call(ctxFor(t, time.Second), addr, 1, nil); !errors.As(err, &version) || version.PeerMax != wire.MaxVersion {
+		t.Errorf("got %v, want a VersionError", err)
+	}
+}
+
+func TestShutdownCutsNothing(t *testing.T) {
+	h := &echo{gate: make(chan struct{})}
+	s, addr := start(t, h)
+	p := newTestPool(t, nil)
+	answered := make(chan error)
+	go func() {
+		var resp wire.Response
+		_, err := p.Do(ctxFor(t, 5*time.Second), addr, &wire.Request{URI: []byte("/wait")}, &resp)
+		answered <- err
+	}()
+	for s.Counters().FramesIn[ClassRequest].Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	stopped := make(chan error)
+	go func() { stopped <- s.Shutdown(ctxFor(t, 5*time.Second)) }()
+	time.Sleep(20 * time.Millisecond)
+	close(h.gate)
+	if err := <-answered; err != nil {
+		t.Errorf("request in flight: %v", err)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("shutdown: %v", err)
+	}
+	var resp wire.Response
+	if sent, err := p.Do(ctxFor(t, time.Second), addr, &wire.Request{}, &resp); sent || err == nil {
+		t.Errorf("after the shutdown: sent %v, %v", sent, err)
+	}
+}
