Refuse ambiguous framing and cover bad callers

fasthttp drops Content-Length where Transfer-Encoding is given and unfolds continued lines; the test saw such requests reach the target. The raw header block is checked now. A request of HTTP/1.0 without Host was held until its deadline because it could not be written; the owner fills in the service's name.

--- a/entry/framing.go
+++ b/entry/framing.go
@@ -1,15 +1,24 @@
 package entry
 
-import "github.com/valyala/fasthttp"
+import (
+	"bytes"
+
+	"github.com/valyala/fasthttp"
+)
 
 // checkFraming refuses requests whose body another server could delimit in
-// another way, and methods that are not forwarded.
+// another way, and methods that are not forwarded. fasthttp refuses most such
+// shapes by itself; it reads the others in one of the possible ways.
 func checkFraming(req *fasthttp.Request) *problem {
 	h := &req.Header
 	if h.IsConnect() || h.IsTrace() {
 		return problemMethod
 	}
-	if len(h.PeekAll(fasthttp.HeaderTransferEncoding)) > 0 && len(h.PeekAll(fasthttp.HeaderContentLength)) > 0 {
+	raw := h.RawHeaders()
+	if hasFoldedField(raw) {
+		return problemMalformed
+	}
+	if hasField(raw, fasthttp.HeaderTransferEncoding) && hasField(raw, fasthttp.HeaderContentLength) {
 		return problemFraming
 	}
 	if len(req.Body()) > 0 && (h.IsGet() || h.IsHead()) {
@@ -17,3 +26,18 @@
 	}
 	return nil
 }
+
+// hasFoldedField reports whether a line of raw continues the field before it.
+func hasFoldedField(raw []byte) bool {
+	return bytes.Contains(raw, []byte("\n ")) || bytes.Contains(raw, []byte("\n\t"))
+}
+
+func hasField(raw []byte, name string) bool {
+	for line := range bytes.SplitSeq(raw, []byte{'\n'}) {
+		field, _, ok := bytes.Cut(line, []byte{':'})
+		if ok && bytes.EqualFold(bytes.TrimSpace(field), []byte(name)) {
+			return true
+		}
+	}
+	return false
+}
--- a/owner/convert.go
+++ b/owner/convert.go
@@ -21,6 +21,9 @@
 			h.AddBytesKV(f.Name, f.Value)
 		}
 	}
+	if len(h.Host()) == 0 {
+		h.SetHost(string(req.Service))
+	}
 	h.SetBytesV(target.HeaderRequestID, req.RequestID)
 	out.SetBodyRaw(req.Body)
 }
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -30,7 +30,9 @@
 			return Append(b, KindResponse, 1, &Response{Kind: outcome.Done, Status: 200, Body: []byte("x")}, DefaultMaxFrame)
 		},
 		func(b []byte) ([]byte, error) { return AppendRaw(b, KindCancel, 2, nil, DefaultMaxFrame) },
-		func(b []byte) ([]byte, error) { return AppendRaw(b, KindCellMessage, 0, []byte("opaque"), DefaultMaxFrame) },
+		func(b []byte) ([]byte, error) {
+			return AppendRaw(b, KindCellMessage, 0, []byte("opaque"), DefaultMaxFrame)
+		},
 	} {
 		if b, err = add(b); err != nil {
 			t.Fatal(err)
