Match method rules with their leading slash; read a new stream without a long poll

The contract in package service says that prefixes start with a slash; the entry side follows it again.

Cause 2: a daemon must know the end of its cell's stream before it announces itself, and the first read of an empty stream waited for the whole long poll. Ruled out: the stand-in's wake-up of waiting reads, and the core's jitter of 350 to 700 ms.

--- a/cell/driver/config.go
+++ b/cell/driver/config.go
@@ -22,6 +22,8 @@
 	AppendTimeout time.Duration
 	// ReadTimeout bounds one read of the log, its long poll included.
 	ReadTimeout time.Duration
+	// FirstReadTimeout bounds a read before the end of the stream was reached.
+	FirstReadTimeout time.Duration
 	// ReadBackoff is the pause after a failed read.
 	ReadBackoff time.Duration
 	// OrderTimeout bounds one order to the target.
@@ -30,10 +32,11 @@
 
 // Defaults of the optional fields of Config.
 const (
-	DefaultAppendTimeout = 1 * time.Second
-	DefaultReadTimeout   = 7 * time.Second
-	DefaultReadBackoff   = 100 * time.Millisecond
-	DefaultOrderTimeout  = 500 * time.Millisecond
+	DefaultAppendTimeout    = 1 * time.Second
+	DefaultReadTimeout      = 7 * time.Second
+	DefaultFirstReadTimeout = 250 * time.Millisecond
+	DefaultReadBackoff      = 100 * time.Millisecond
+	DefaultOrderTimeout     = 500 * time.Millisecond
 )
 
 // readLimit is the largest number of records that one read asks for.
@@ -49,6 +52,9 @@
 	if c.ReadTimeout == 0 {
 		c.ReadTimeout = DefaultReadTimeout
 	}
+	if c.FirstReadTimeout == 0 {
+		c.FirstReadTimeout = DefaultFirstReadTimeout
+	}
 	if c.ReadBackoff == 0 {
 		c.ReadBackoff = DefaultReadBackoff
 	}
--- a/cell/driver/reader.go
+++ b/cell/driver/reader.go
@@ -17,6 +17,8 @@
 	post func(context.Context, cell.Event)
 	next atomic.Uint64
 	kick chan struct{}
+
+	caughtUp bool // the end of the stream was reached once
 }
 
 func newReader(cfg Config, post func(context.Context, cell.Event)) *reader {
@@ -60,7 +62,7 @@
 
 // readOnce performs one read and returns the offset to go on from.
 func (r *reader) readOnce(ctx context.Context, from platformlog.Offset) (platformlog.Offset, error) {
-	rctx, cancel := context.WithTimeout(ctx, r.cfg.ReadTimeout)
+	rctx, cancel := context.WithTimeout(ctx, r.timeout())
 	defer cancel()
 	started := clock.Now()
 	batch, err := r.cfg.Log.Read(rctx, r.cfg.Stream, from, readLimit)
@@ -72,12 +74,23 @@
 		return from, err
 	}
 	r.post(ctx, cell.LogRead{Started: started, From: from, Batch: batch})
+	r.caughtUp = r.caughtUp || batch.AtTail(from)
 	if n := len(batch.Records); n > 0 {
 		return batch.Records[n-1].Offset + 1, nil
 	}
 	return from, nil
 }
 
+// timeout bounds a read with its long poll. Until the end of the stream was
+// reached once it is short: a process must know that there is nothing more to
+// read before it announces itself, even in an empty stream.
+func (r *reader) timeout() time.Duration {
+	if r.caughtUp {
+		return r.cfg.ReadTimeout
+	}
+	return r.cfg.FirstReadTimeout
+}
+
 func (r *reader) pause(ctx context.Context) {
 	timer := time.NewTimer(r.cfg.ReadBackoff)
 	defer timer.Stop()
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -104,7 +104,10 @@
 // a rule may not be repeated.
 func (f *flight) fillRule(path []byte) {
 	timeout := f.gateway.cfg.DefaultTimeout
-	if rule := f.rule(bytes.TrimPrefix(path, []byte{'/'})); rule != nil {
+	if len(path) == 0 {
+		path = f.req.URI[:1]
+	}
+	if rule := f.rule(path); rule != nil {
 		f.req.Idempotent, f.req.Priority = rule.Idempotent, rule.Priority
 		if rule.Timeout > 0 {
 			timeout = rule.Timeout
