Add the daemon: entry, owner, cell, configuration and operators' endpoint in one process

A message of the ownership core carries the sender's configuration offset in front, so that each heartbeat tells of newer configurations. Ruled out: a message of its own, which costs a frame a heartbeat.

--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,148 @@
+// Package daemon puts the parts of parsleystack together: one Daemon runs
+// beside one target. It takes callers' requests for every service and is the
+// only way to its own target.
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/parsleystack/parsleystack/admin"
+	"github.com/parsleystack/parsleystack/cell/driver"
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/config"
+	"github.com/parsleystack/parsleystack/directory"
+	"github.com/parsleystack/parsleystack/entry"
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/lease"
+	"github.com/parsleystack/parsleystack/owner"
+	"github.com/parsleystack/parsleystack/platformlog"
+	"github.com/parsleystack/parsleystack/route"
+	"github.com/parsleystack/parsleystack/settings"
+	"github.com/parsleystack/parsleystack/target"
+	"github.com/parsleystack/parsleystack/transport"
+	"github.com/parsleystack/parsleystack/wire"
+)
+
+// Daemon is one process beside a target.
+type Daemon struct {
+	settings *settings.Daemon
+	log      *zap.Logger
+	node     ident.Node
+	metrics  *daemonMetrics
+
+	platform  *platformlog.Client
+	pool      *transport.Pool
+	server    *transport.Server
+	leases    *lease.Table
+	target    *target.Client
+	owner     *owner.Owner
+	router    *route.Router
+	directory *directory.Directory
+	gateway   *entry.Gateway
+	follower  *config.Follower
+	admin     *admin.Handler
+
+	peerOffsets offsetTable
+
+	member   atomic.Pointer[driver.Driver] // nil until the own service is configured
+	specs    chan *config.InForce          // newest configuration for the control goroutine
+	leave    chan struct{}                 // closed when a planned stop begins
+	leaving  atomic.Bool
+	targetUp atomic.Bool
+	faults   faultList
+
+	ctx context.Context // ends when Run ends
+
+	// Owned by the goroutine of the ownership core.
+	readsConfig bool
+	peerNodes   []ident.Node
+}
+
+// New returns a daemon that is not running yet. tlsConfig is nil if the
+// settings turn TLS off.
+func New(s *settings.Daemon, tlsConfig *tls.Config, log *zap.Logger) *Daemon {
+	d := &Daemon{
+		settings:    s,
+		log:         log,
+		node:        ident.Node{Instance: s.Instance, Incarnation: ident.Incarnation(time.Now().UnixNano())},
+		platform:    platformlog.NewClient(platformlog.ClientConfig{Addr: s.Log.Addr}),
+		leases:      lease.NewTable(clock.Now),
+		router:      route.NewRouter(),
+		specs:       make(chan *config.InForce, 1),
+		leave:       make(chan struct{}),
+		readsConfig: true,
+	}
+	d.buildNetwork(tlsConfig)
+	d.buildOwner()
+	d.buildEntry()
+	d.buildConfig()
+	d.admin = admin.NewHandler(&backend{d: d})
+	d.metrics = newMetrics(d)
+	return d
+}
+
+func (d *Daemon) buildNetwork(tlsConfig *tls.Config) {
+	cfg := transport.Config{
+		Hello: wire.NewHello(d.settings.Service, d.node, d.settings.Zone),
+		TLS:   tlsConfig,
+	}
+	d.pool = transport.NewPool(cfg)
+	d.server = transport.NewServer(cfg, d, d.log)
+}
+
+func (d *Daemon) buildOwner() {
+	d.target = target.New(target.Config{
+		Addr:     d.settings.Target.Addr,
+		MaxConns: d.settings.Target.Conns - target.OrderConns,
+		MaxBody:  d.settings.Limits.AnswerBytes,
+	})
+	d.owner = owner.New(owner.Config{
+		Service:     d.settings.Service,
+		Leases:      d.leases,
+		Target:      d.target,
+		Hints:       d.hint,
+		LeaseMargin: d.settings.Lease.TargetMargin,
+		Log:         d.log,
+	})
+}
+
+func (d *Daemon) buildEntry() {
+	d.directory = directory.New(directory.Config{
+		Region: d.settings.Region,
+		Log:    d.platform,
+		Client: &ownersClient{pool: d.pool},
+	})
+	d.gateway = entry.New(entry.Config{
+		Self:     d.node,
+		Zone:     d.settings.Zone,
+		Router:   d.router,
+		Pool:     d.pool,
+		Source:   d.directory,
+		MaxBody:  d.settings.Limits.RequestBytes,
+		MaxConns: d.settings.Limits.CallerConns,
+		Log:      d.log,
+	})
+}
+
+func (d *Daemon) buildConfig() {
+	params := config.DefaultParameters(d.settings.Lease.SnapshotInterval)
+	params.Author = string(d.settings.Instance)
+	d.follower = config.NewFollower(config.FollowerConfig{
+		Parameters: params,
+		Log:        d.platform,
+		Peers:      d,
+		Logger:     d.log,
+		OnChange:   d.configChanged,
+	})
+}
+
+// Node returns the identity of this process.
+func (d *Daemon) Node() ident.Node { return d.node }
+
+// ServeRequest implements transport.Handler.
+func (d *Daemon) ServeRequest(e *transport.Exchange) { d.owner.ServeRequest(e) }
--- /dev/null
+++ b/daemon/hint.go
@@ -0,0 +1,35 @@
+package daemon
+
+import (
+	"github.com/parsleystack/parsleystack/cell"
+	"github.com/parsleystack/parsleystack/keyspace"
+	"github.com/parsleystack/parsleystack/wire"
+)
+
+// hint names the owner of p as the cell's newest view has it.
+func (d *Daemon) hint(p keyspace.Point) (wire.Hint, bool) {
+	member := d.member.Load()
+	if member == nil {
+		return wire.Hint{}, false
+	}
+	v := member.View()
+	g, ok := grantAt(v.Assignments, p)
+	if !ok || g.Owner == d.node {
+		return wire.Hint{}, false
+	}
+	for _, m := range v.Members {
+		if m.Node == g.Owner {
+			return wire.Hint{Range: g.Range, Owner: g.Owner, Addr: m.Addr, Zone: m.Zone, Token: g.Token}, true
+		}
+	}
+	return wire.Hint{}, false
+}
+
+func grantAt(grants []cell.Grant, p keyspace.Point) (cell.Grant, bool) {
+	for _, g := range grants {
+		if g.Range.Contains(p) {
+			return g, true
+		}
+	}
+	return cell.Grant{}, false
+}
--- /dev/null
+++ b/daemon/run.go
@@ -0,0 +1,158 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/parsleystack/parsleystack/cell"
+	"github.com/parsleystack/parsleystack/cell/driver"
+	"github.com/parsleystack/parsleystack/logevent"
+	"github.com/parsleystack/parsleystack/transport"
+)
+
+// stopGrace is the time for open connections to end after a planned stop.
+const stopGrace = 2 * time.Second
+
+// listeners are the addresses that a daemon serves.
+type listeners struct {
+	callers net.Listener
+	daemons net.Listener
+	admin   net.Listener
+}
+
+func listen(addr string) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("daemon: can't listen on %s: %w; check that no other process uses the port and that the address belongs to the instance", addr, err)
+	}
+	return l, nil
+}
+
+func (d *Daemon) listen() (*listeners, error) {
+	var ls listeners
+	var err error
+	if ls.callers, err = listen(d.settings.Listen.Callers); err != nil {
+		return nil, err
+	}
+	if ls.daemons, err = listen(d.settings.Listen.Daemons); err != nil {
+		return nil, err
+	}
+	if ls.admin, err = listen(d.settings.Listen.Admin); err != nil {
+		return nil, err
+	}
+	return &ls, nil
+}
+
+// Run serves until ctx ends, then makes a planned stop. A second planned stop
+// is not needed after one that an operator has ordered.
+func (d *Daemon) Run(ctx context.Context) error {
+	ls, err := d.listen()
+	if err != nil {
+		return err
+	}
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	d.ctx = work
+	logevent.Log(d.log, logevent.DaemonStarted, zap.Stringer("node", d.node), zap.String("service", string(d.settings.Service)))
+
+	g, gctx := errgroup.WithContext(work)
+	d.serve(g, ls)
+	g.Go(func() error { return ignoreCanceled(d.follower.Run(gctx)) })
+	g.Go(func() error {
+		return d.applyConfig(gctx, func(m *driver.Driver) { g.Go(func() error { return m.Run(gctx) }) })
+	})
+	g.Go(func() error { return d.watchTarget(gctx) })
+	g.Go(func() error { return ignoreCanceled(d.target.Run(gctx)) })
+	g.Go(func() error {
+		defer cancel()
+		return d.awaitStop(ctx, gctx)
+	})
+	err = g.Wait()
+	logevent.Log(d.log, logevent.DaemonStopped, zap.Stringer("node", d.node), zap.Error(err))
+	return err
+}
+
+func (d *Daemon) serve(g *errgroup.Group, ls *listeners) {
+	g.Go(func() error { return d.gateway.Serve(ls.callers) })
+	g.Go(func() error {
+		if err := d.server.Serve(ls.daemons); !errors.Is(err, transport.ErrClosed) {
+			return err
+		}
+		return nil
+	})
+	admin := &fasthttp.Server{Handler: d.serveAdmin, Name: "parsleyd", CloseOnShutdown: true}
+	g.Go(func() error { return admin.Serve(ls.admin) })
+	g.Go(func() error {
+		<-d.ctx.Done()
+		sctx, cancel := context.WithTimeout(context.Background(), stopGrace)
+		defer cancel()
+		return errors.Join(d.gateway.Shutdown(sctx), d.closeNetwork(), admin.ShutdownWithContext(sctx))
+	})
+}
+
+func (d *Daemon) closeNetwork() error {
+	d.server.Close()
+	d.pool.Close()
+	return nil
+}
+
+func ignoreCanceled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// awaitStop waits for a signal or an operator's order and hands over all
+// ranges and roles. fatal ends when another part of the daemon has failed.
+func (d *Daemon) awaitStop(signal, fatal context.Context) error {
+	select {
+	case <-fatal.Done():
+		return nil
+	case <-signal.Done():
+		d.beginLeave()
+	case <-d.leave:
+	}
+	logevent.Log(d.log, logevent.DrainStarted, zap.Stringer("node", d.node))
+	if err := d.handOver(fatal); err != nil {
+		logevent.Log(d.log, logevent.DrainLimitExceeded, zap.Error(err))
+		return nil
+	}
+	logevent.Log(d.log, logevent.DrainFinished, zap.Stringer("node", d.node))
+	return nil
+}
+
+// beginLeave starts the planned stop. It reports false if it had begun before.
+func (d *Daemon) beginLeave() bool {
+	if d.leaving.Swap(true) {
+		return false
+	}
+	close(d.leave)
+	return true
+}
+
+// handOver leaves the cell, then lets the work in flight end. The daemon goes
+// on serving until its ranges are moved, and refuses requests as not run after
+// that.
+func (d *Daemon) handOver(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Lease.DrainLimit)
+	defer cancel()
+	if m := d.member.Load(); m != nil {
+		if err := m.Post(ctx, cell.Leave{}); err != nil {
+			return err
+		}
+		select {
+		case <-m.Left():
+		case <-ctx.Done():
+		}
+	}
+	d.owner.Drain()
+	return d.owner.Wait(ctx)
+}
