--- /dev/null
+++ b/cell/driver/driver_test.go
@@ -0,0 +1,262 @@
+package driver
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/parsleystack/parsleystack/cell"
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/keyspace"
+	"github.com/parsleystack/parsleystack/platformlog/logtest"
+)
+
+const (
+	testRanges = 12
+	waitLimit  = 30 * time.Second // bounds a test that fails
+)
+
+// network delivers messages between drivers of one test.
+type network struct {
+	mu      sync.Mutex
+	drivers map[string]*Driver
+}
+
+func (n *network) set(addr string, d *Driver) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.drivers[addr] = d
+}
+
+func (n *network) get(addr string) *Driver {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.drivers[addr]
+}
+
+// port sends the messages of one driver.
+type port struct {
+	net  *network
+	from ident.Node
+}
+
+func (p port) Send(_ ident.Node, addr string, body []byte) {
+	if d := p.net.get(addr); d != nil {
+		d.Deliver(p.from, body)
+	}
+}
+
+// holder keeps the holdings of one driver.
+type holder struct {
+	mu       sync.Mutex
+	holdings []cell.Holding
+	busy     chan struct{} // open while requests are in flight; nil if none are
+}
+
+func (h *holder) Store(holdings []cell.Holding) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.holdings = holdings
+}
+
+func (h *holder) Quiesce(_ keyspace.Range, done func()) {
+	if h.busy == nil {
+		done()
+		return
+	}
+	go func() {
+		<-h.busy
+		done()
+	}()
+}
+
+// held returns the ranges held unexpired and not releasing.
+func (h *holder) held() []keyspace.Range {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var ranges []keyspace.Range
+	for _, held := range h.holdings {
+		if clock.Now().Before(held.Expires) && !held.Releasing {
+			ranges = append(ranges, held.Grant.Range)
+		}
+	}
+	return ranges
+}
+
+type nopTarget struct{}
+
+func (nopTarget) Grant(context.Context, cell.Holding) error { return nil }
+func (nopTarget) Prepare(context.Context, cell.Grant) error { return nil }
+func (nopTarget) Revoke(context.Context, cell.Grant) error  { return nil }
+
+type nopObserver struct{}
+
+func (nopObserver) Changed(cell.View)         {}
+func (nopObserver) Audited([]cell.AuditEntry) {}
+func (nopObserver) Failed(error)              {}
+
+// group is a cell of drivers over one log.
+type group struct {
+	t       *testing.T
+	log     *logtest.Log
+	net     *network
+	drivers []*Driver
+	holders []*holder
+	cancels []context.CancelFunc
+}
+
+func startGroup(t *testing.T, size int) *group {
+	g := &group{
+		t:   t,
+		log: logtest.New(logtest.Options{Seed: 1}),
+		net: &network{drivers: map[string]*Driver{}},
+	}
+	for i := range size {
+		g.start(i)
+	}
+	return g
+}
+
+func (g *group) start(i int) {
+	node := ident.Node{Instance: ident.Instance(fmt.Sprint("i", i)), Incarnation: 1}
+	addr := fmt.Sprint("addr-", i)
+	h := &holder{}
+	d, err := New(Config{
+		Cell: cell.Config{
+			Service:           "reports",
+			Self:              cell.Member{Node: node, Zone: ident.Zone(fmt.Sprint("z", i%3)), Addr: addr, Capacity: 10, Version: 1},
+			Span:              keyspace.Full(),
+			InitialRanges:     testRanges,
+			LeaseDuration:     2 * time.Second,
+			HeartbeatInterval: 700 * time.Millisecond,
+			RetryInterval:     250 * time.Millisecond,
+			DriftPPM:          500,
+			BlindLimit:        time.Hour,
+			SnapshotInterval:  time.Hour,
+			DrainLimit:        10 * time.Second,
+			Seed:              int64(i),
+		},
+		Stream:   cell.StreamName("reports", "r", 0),
+		Log:      g.log,
+		Sender:   port{net: g.net, from: node},
+		Holder:   h,
+		Target:   nopTarget{},
+		Observer: nopObserver{},
+	})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.net.set(addr, d)
+	g.drivers = append(g.drivers, d)
+	g.holders = append(g.holders, h)
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancels = append(g.cancels, cancel)
+	g.t.Cleanup(cancel)
+	go func() { _ = d.Run(ctx) }()
+	_ = d.Post(ctx, cell.TargetState{Ready: true})
+}
+
+// kill ends a driver without a planned stop.
+func (g *group) kill(i int) {
+	g.net.set(fmt.Sprint("addr-", i), nil)
+	g.cancels[i]()
+}
+
+// waitServed waits until the drivers that are left hold the whole hash space
+// without overlap.
+func (g *group) waitServed(without int) {
+	g.t.Helper()
+	g.wait("every range is held", func() bool {
+		var total uint64
+		for i, h := range g.holders {
+			if i == without {
+				continue
+			}
+			for _, r := range h.held() {
+				total += uint64(r.Last-r.First) + 1
+			}
+		}
+		return total == 0 && g.anyHeld(without) // 2^64 wraps to 0
+	})
+}
+
+func (g *group) anyHeld(without int) bool {
+	for i, h := range g.holders {
+		if i != without && len(h.held()) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *group) wait(what string, done func() bool) {
+	g.t.Helper()
+	deadline := time.Now().Add(waitLimit)
+	for !done() {
+		if time.Now().After(deadline) {
+			g.t.Fatalf("gave up waiting until %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// leader returns the index of the driver that leads the cell.
+func (g *group) leader() int {
+	g.t.Helper()
+	found := -1
+	g.wait("a leader is known", func() bool {
+		for i, d := range g.drivers {
+			if v := d.View(); v.Leader == v.Self {
+				found = i
+			}
+		}
+		return found >= 0
+	})
+	return found
+}
+
+func TestLossOfTheLeaderIsServedAgain(t *testing.T) {
+	g := startGroup(t, 3)
+	g.waitServed(-1)
+	lost := g.leader()
+	g.kill(lost)
+	g.waitServed(lost)
+}
+
+func TestLossWhileTheLogIsDownIsServedAgain(t *testing.T) {
+	g := startGroup(t, 4)
+	g.waitServed(-1)
+	lost := -1
+	for i, d := range g.drivers {
+		if v := d.View(); v.Self != v.Leader && v.Self != v.Deputy {
+			lost = i
+		}
+	}
+	g.log.SetFaults(logtest.Faults{Outage: true})
+	g.kill(lost)
+	g.waitServed(lost)
+	g.log.SetFaults(logtest.Faults{})
+	leader := g.leader()
+	g.wait("provisional assignments are in the log", func() bool { return g.drivers[leader].View().Provisional == 0 })
+}
+
+func TestPlannedStopWaitsForWorkInFlight(t *testing.T) {
+	g := startGroup(t, 3)
+	g.waitServed(-1)
+	leaving := g.leader()
+	busy := make(chan struct{})
+	g.holders[leaving].busy = busy
+	_ = g.drivers[leaving].Post(context.Background(), cell.Leave{})
+	g.wait("the ranges are releasing", func() bool { return len(g.holders[leaving].held()) < testRanges/3 })
+	select {
+	case <-g.drivers[leaving].Left():
+		t.Fatal("the stop is complete although a request is in flight")
+	default:
+	}
+	close(busy)
+	<-g.drivers[leaving].Left()
+	g.waitServed(leaving)
+}
