--- a/admin/orders.go
+++ b/admin/orders.go
@@ -23,7 +23,7 @@
 	Reason      string            `json:"reason"`
 	Service     ident.Service     `json:"service"`
 	Instance    ident.Instance    `json:"instance"`
-	Incarnation ident.Incarnation `json:"incarnation"`
+	Incarnation ident.Incarnation `json:"incarnation,string"`
 }
 
 // ConfirmLossAnswer reports that the confirmation was handed to the cell.
--- a/admin/status.go
+++ b/admin/status.go
@@ -10,7 +10,7 @@
 // Status is what one daemon knows of itself and of its cells.
 type Status struct {
 	Instance    ident.Instance    `json:"instance"`
-	Incarnation ident.Incarnation `json:"incarnation"`
+	Incarnation ident.Incarnation `json:"incarnation,string"`
 	Region      ident.Region      `json:"region"`
 	Zone        ident.Zone        `json:"availability_zone"`
 	Service     ident.Service     `json:"service"`
@@ -72,7 +72,7 @@
 // MemberStatus is one member of a cell.
 type MemberStatus struct {
 	Instance     ident.Instance     `json:"instance"`
-	Incarnation  ident.Incarnation  `json:"incarnation"`
+	Incarnation  ident.Incarnation  `json:"incarnation,string"`
 	Zone         ident.Zone         `json:"availability_zone"`
 	Addr         string             `json:"address"`
 	Slots        int                `json:"slots"`
--- /dev/null
+++ b/cli/findings.go
@@ -0,0 +1,86 @@
+package cli
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/parsleystack/parsleystack/admin"
+	"github.com/parsleystack/parsleystack/platformlog"
+)
+
+// maxTailAge is the age of the last complete read of the log above which status
+// reports it.
+const maxTailAge = 30 * time.Second
+
+// findings names what an operator should look at.
+func findings(out *statusOutput) []string {
+	list := []string{}
+	for _, u := range out.Unreachable {
+		list = append(list, u.Error)
+	}
+	newest := newestOffset(out.Daemons)
+	for _, d := range out.Daemons {
+		list = append(list, daemonFindings(d, newest)...)
+	}
+	for _, cell := range mergeCells(out.Daemons) {
+		list = append(list, cellFindings(&cell)...)
+	}
+	return list
+}
+
+func newestOffset(daemons []*admin.Status) platformlog.Offset {
+	var newest platformlog.Offset
+	for _, d := range daemons {
+		newest = max(newest, d.Config.Offset)
+	}
+	return newest
+}
+
+func daemonFindings(d *admin.Status, newest platformlog.Offset) []string {
+	var list []string
+	note := func(format string, a ...any) {
+		list = append(list, string(d.Instance)+": "+fmt.Sprintf(format, a...))
+	}
+	if !d.Ready {
+		note("the daemon takes no requests of callers")
+	}
+	if d.Draining {
+		note("a planned stop is under way")
+	}
+	if !d.Target.Ready {
+		note("the target at %s is not ready", d.Target.Addr)
+	}
+	if d.Config.Offset < newest {
+		note("the configuration is at offset %d, the newest is %d", d.Config.Offset, newest)
+	}
+	if d.Config.Fault != "" {
+		note("%s", d.Config.Fault)
+	}
+	for _, s := range d.Config.Services {
+		if s.Blocked != "" {
+			note("%s", s.Blocked)
+		}
+	}
+	if !d.Log.Reachable || d.Log.TailAge > maxTailAge {
+		note("the log service at %s was last read to its end %v ago", d.Log.Addr, d.Log.TailAge.Round(time.Second))
+	}
+	for _, w := range d.Warnings {
+		note("%s", w)
+	}
+	return list
+}
+
+func cellFindings(cell *admin.CellStatus) []string {
+	var list []string
+	name := fmt.Sprintf("cell %d of %s in %s", cell.Index, cell.Service, cell.Region)
+	if cell.Leader == "" || cell.Leader == "-" {
+		list = append(list, name+": there is no leader; see docs/operators on losing leader and deputy")
+	}
+	if len(cell.Members) > 1 && (cell.Deputy == "" || cell.Deputy == "-") {
+		list = append(list, name+": there is no deputy")
+	}
+	if cell.Provisional > 0 {
+		list = append(list, fmt.Sprintf("%s: %d assignments are provisional until the log service answers", name, cell.Provisional))
+	}
+	return list
+}
--- /dev/null
+++ b/cli/status.go
@@ -0,0 +1,98 @@
+package cli
+
+import (
+	"context"
+	"errors"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/parsleystack/parsleystack/admin"
+)
+
+// statusOutput is what status --json prints.
+type statusOutput struct {
+	Daemons     []*admin.Status     `json:"daemons"`
+	Unreachable []unreachableDaemon `json:"unreachable"`
+	Findings    []string            `json:"findings"` // what is not as it should be
+}
+
+type unreachableDaemon struct {
+	Addr  string `json:"address"`
+	Error string `json:"error"`
+}
+
+// maxConcurrentCalls bounds the calls to daemons at one time.
+const maxConcurrentCalls = 16
+
+func (c *call) status(ctx context.Context, a *StatusArgs) (int, error) {
+	clients, err := a.clients()
+	if err != nil {
+		return ExitUsage, err
+	}
+	out := c.askAll(ctx, clients)
+	if len(out.Daemons) == 0 {
+		return ExitFailure, errors.New("no daemon answers: " + out.Unreachable[0].Error)
+	}
+	out.filter(a.Service)
+	out.Findings = findings(out)
+	c.printStatus(out, a.Ranges)
+	if len(out.Findings) > 0 {
+		return ExitDegraded, nil
+	}
+	return ExitOK, nil
+}
+
+// askAll asks all daemons at once; the answers stand in the order of clients.
+func (c *call) askAll(ctx context.Context, clients []daemonClient) *statusOutput {
+	ctx, cancel := context.WithTimeout(ctx, c.args.Timeout)
+	defer cancel()
+	statuses := make([]*admin.Status, len(clients))
+	errs := make([]error, len(clients))
+	var g errgroup.Group
+	g.SetLimit(maxConcurrentCalls)
+	for i, client := range clients {
+		g.Go(func() error {
+			statuses[i], errs[i] = client.Status(ctx)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	out := &statusOutput{Daemons: []*admin.Status{}, Unreachable: []unreachableDaemon{}, Findings: []string{}}
+	for i, err := range errs {
+		if err != nil {
+			out.Unreachable = append(out.Unreachable, unreachableDaemon{Addr: clients[i].addr, Error: err.Error()})
+			continue
+		}
+		out.Daemons = append(out.Daemons, statuses[i])
+	}
+	return out
+}
+
+func (o *statusOutput) filter(service string) {
+	if service == "" {
+		return
+	}
+	kept := o.Daemons[:0]
+	for _, d := range o.Daemons {
+		if string(d.Service) == service {
+			kept = append(kept, d)
+		}
+	}
+	o.Daemons = kept
+}
+
+// firstAnswer calls the daemons one after another until one answers. A refusal
+// is an answer.
+func firstAnswer[T any](ctx context.Context, clients []daemonClient, ask func(context.Context, daemonClient) (T, error)) (T, error) {
+	var zero T
+	var last error
+	for _, client := range clients {
+		out, err := ask(ctx, client)
+		var unreachable *admin.UnreachableError
+		if !errors.As(err, &unreachable) {
+			return out, err
+		}
+		last = err
+	}
+	return zero, last
+}
--- a/config/core_read.go
+++ b/config/core_read.go
@@ -65,7 +65,9 @@
 		c.snapshots.note(rec.Time)
 	}
 	c.remember(rec)
-	eff.Verdicts = append(eff.Verdicts, v)
+	if c.ready {
+		eff.Verdicts = append(eff.Verdicts, v)
+	}
 }
 
 func (c *Core) atTail(ev LogRead, now clock.Time, eff *Effects) {
--- a/config/effects.go
+++ b/config/effects.go
@@ -10,7 +10,8 @@
 type Effects struct {
 	// InForce replaces the configuration in force if it is not nil.
 	InForce *InForce
-	// Verdicts lists the records that were applied, for logs and audit.
+	// Verdicts lists the records that were applied since the end of the stream
+	// was first reached, for logs.
 	Verdicts []Verdict
 	// Read asks for a read of the stream; the driver answers with LogRead,
 	// LogFailed or LogGap. At most one read is in flight.
--- a/config/follower_io.go
+++ b/config/follower_io.go
@@ -61,6 +61,11 @@
 	for i := range eff.Verdicts {
 		f.reportVerdict(&eff.Verdicts[i])
 	}
+	if eff.InForce != nil && eff.InForce.Ready && !f.InForce().Ready {
+		for _, err := range eff.InForce.Blocked() {
+			logevent.Log(f.cfg.Logger, logevent.ServiceBlocked, zap.Error(err))
+		}
+	}
 	before := f.Status().Fault
 	if eff.Fault == nil || before != nil && before.Error() == eff.Fault.Error() {
 		return
--- a/config/in_force.go
+++ b/config/in_force.go
@@ -52,6 +52,18 @@
 	return nil
 }
 
+// Blocked returns an error for each service whose newest accepted change is not
+// in force since this version does not understand its content.
+func (f *InForce) Blocked() []error {
+	var errs []error
+	for i := range f.snapshot.Entries {
+		if _, err := f.snapshot.Entries[i].decodeBody(Schema); err != nil {
+			errs = append(errs, err)
+		}
+	}
+	return errs
+}
+
 // Answer returns what a peer that asks with p lacks.
 func (f *InForce) Answer(p Pull) *PullAnswer {
 	a := &PullAnswer{Ready: f.Ready}
