Add the parsley command and run every example of its help in a test

Cause: operators need one command, and examples that are known to work. A change that lost to one of the same content is reported as unchanged: there is nothing that its publisher has to do.

--- /dev/null
+++ b/cli/cli_test.go
@@ -0,0 +1,175 @@
+package cli
+
+import (
+	"encoding/json"
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/parsleystack/parsleystack/platformlog/logtest"
+)
+
+var update = flag.Bool("update", false, "rewrite the expected output in testdata")
+
+const otherReports = "service: reports\ntargets: {slots: 1, connections: 1}\nrequests: [{method: GET, timeout: 1s}]\n"
+
+const sampleServices = "../deploy/perizia/services"
+
+// Every example of the help does what it says.
+func TestExamplesWork(t *testing.T) {
+	d := newDeployment(t)
+	d.nodes[1].status.Incarnation = 1800000000000000000
+	plan := filepath.Join(t.TempDir(), "plan.json")
+	replace := strings.NewReplacer(
+		"parsley ", "",
+		"deploy/perizia/services", sampleServices,
+		"deploy/perizia/daemons", d.dir,
+		"127.0.0.1:21200", d.addrs[0],
+		"plan.json", plan,
+	)
+	for _, command := range commandOrder {
+		for _, line := range examples[command] {
+			if code, out := d.run(replace.Replace(line)); code != ExitOK {
+				t.Errorf("%s: exit code %d\n%s", line, code, out)
+			}
+			jsonLine := replace.Replace(line)
+			if _, out := d.run(jsonLine + " --json"); !json.Valid([]byte(out)) {
+				t.Errorf("%s --json prints\n%s", line, out)
+			}
+		}
+	}
+	if d.nodes[1].drained == nil || d.nodes[1].drained.Operator != "anna" || d.nodes[1].drained.Reason != "upgrade" {
+		t.Errorf("the drained daemon got %+v", d.nodes[1].drained)
+	}
+	if c := d.nodes[2].confirmed; c == nil || c.Instance != "reports-2" || c.Incarnation != 1700000000000000000 {
+		t.Errorf("the confirmation is %+v", c)
+	}
+}
+
+func TestHelpShowsExamplesOfEachCommand(t *testing.T) {
+	d := newDeployment(t)
+	for _, command := range commandOrder {
+		code, out := d.run(command + " --help")
+		if code != ExitOK || !strings.Contains(out, examples[command][0]) {
+			t.Errorf("%s --help: exit code %d\n%s", command, code, out)
+		}
+	}
+}
+
+func TestExitCodesAndRemedies(t *testing.T) {
+	d := newDeployment(t)
+	bad := filepath.Join(t.TempDir(), "parsley.yaml")
+	if err := os.WriteFile(bad, []byte("service: NO\n"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	for line, want := range map[string]struct {
+		code int
+		text string
+	}{
+		"":                                  {ExitUsage, "Usage"},
+		"nonsense":                          {ExitUsage, "invalid subcommand"},
+		"check " + bad:                      {ExitBadFiles, "parsley.yaml:1: service:"},
+		"check /nonexistent":                {ExitFailure, "name an existing file"},
+		"plan --log x " + bad:               {ExitBadFiles, "lower-case"},
+		"plan " + sampleServices:            {ExitUsage, "--log"},
+		"publish --log x " + sampleServices: {ExitUsage, "--operator"},
+		"status":                            {ExitUsage, "--admin"},
+		"status --admin 127.0.0.1:1":        {ExitFailure, "listen.admin"},
+		"explain --admin " + d.addrs[0] + " --service x k":                                {ExitFailure, "publish its file"},
+		"audit --log x --key k":                                                           {ExitUsage, "--service"},
+		"audit --log x --since yesterday":                                                 {ExitUsage, "2h"},
+		"drain --daemons " + d.dir + " reports-1":                                         {ExitUsage, "--operator"},
+		"drain --operator a --daemons " + d.dir + " x":                                    {ExitFailure, "parsley status"},
+		"confirm-loss --operator a --service reports --daemons " + d.dir + " reports-1#7": {ExitFailure, "so it is not lost"},
+		"confirm-loss --operator a --service reports --daemons " + d.dir + " reports-1":   {ExitUsage, "INCARNATION"},
+	} {
+		code, out := d.run(line)
+		if code != want.code || !strings.Contains(out, want.text) {
+			t.Errorf("%q: exit code %d, want %d and %q\n%s", line, code, want.code, want.text, out)
+		}
+	}
+}
+
+func TestPublishReportsAConflict(t *testing.T) {
+	d := newDeployment(t)
+	plan := filepath.Join(t.TempDir(), "plan.json")
+	mustRun(t, d, "plan --log x --out "+plan+" "+sampleServices)
+	other := filepath.Join(t.TempDir(), "parsley.yaml")
+	if err := os.WriteFile(other, []byte(otherReports), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	mustRun(t, d, "publish --log x --operator berta "+other)
+	code, out := d.run("publish --log x --operator anna --plan " + plan + " " + sampleServices)
+	if code != ExitLost || !strings.Contains(out, "berta published it at 2026-01-31T08:00:00Z") || strings.Count(out, "accepted") != 2 {
+		t.Errorf("exit code %d\n%s", code, out)
+	}
+	code, out = d.run("publish --log x --operator anna " + sampleServices)
+	if code != ExitOK || strings.Count(out, "unchanged") != 2 || strings.Count(out, "accepted") != 1 {
+		t.Errorf("publishing again: exit code %d\n%s", code, out)
+	}
+}
+
+func TestPublishReportsAnUnsettledChange(t *testing.T) {
+	d := newDeployment(t)
+	d.log.SetFaults(logtest.Faults{LateRatio: 1, Late: time.Hour})
+	code, out := d.run("publish --settle 1ms --log x --operator anna " + sampleServices)
+	if code != ExitUnsettled || !strings.Contains(out, "publishing again is safe") {
+		t.Errorf("exit code %d\n%s", code, out)
+	}
+}
+
+func TestOutputForPeople(t *testing.T) {
+	d := newDeployment(t)
+	for _, tc := range []struct{ name, line string }{
+		{"plan", "plan --log x " + sampleServices},
+		{"publish", "publish --log x --operator anna " + sampleServices},
+		{"status", "status --ranges --daemons " + d.dir},
+		{"explain", "explain --service reports --daemons " + d.dir + " via-roma-1"},
+		{"audit", "audit --log x --region lombardy"},
+	} {
+		_, out := d.run(tc.line)
+		compare(t, filepath.Join("testdata", tc.name+".txt"), out)
+	}
+}
+
+func TestStatusNamesWhatIsNotWhole(t *testing.T) {
+	d := newDeployment(t)
+	d.nodes[0].status.Ready = false
+	d.nodes[1].status.Config.Offset = 2
+	d.nodes[2].status.Log.Reachable = false
+	for _, n := range d.nodes {
+		n.status.Cells[0].Deputy = "-"
+		n.status.Cells[0].Provisional = 1
+	}
+	code, out := d.run("status --daemons " + d.dir)
+	if code != ExitDegraded {
+		t.Errorf("exit code %d", code)
+	}
+	compare(t, "testdata/status-degraded.txt", out)
+}
+
+func mustRun(t *testing.T, d *deployment, line string) {
+	t.Helper()
+	if code, out := d.run(line); code != ExitOK {
+		t.Fatalf("%s: exit code %d\n%s", line, code, out)
+	}
+}
+
+func compare(t *testing.T, path, got string) {
+	t.Helper()
+	if *update {
+		if err := os.WriteFile(path, []byte(got), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got != string(want) {
+		t.Errorf("%s: output is\n%s\nwant\n%s", path, got, want)
+	}
+}
--- a/cli/publish.go
+++ b/cli/publish.go
@@ -115,7 +115,7 @@
 		r := &out.Results[i]
 		switch {
 		case r.Err != nil:
-			c.printf("%-9s %s\n    %s\n", r.Kind, r.Service, r.Error)
+			c.printf("%-9s %s\n    %s\n", r.Kind, r.Service, plain(r.Err))
 		case r.Kind == config.ResultAccepted:
 			c.printf("%-9s %s (version %d)\n", r.Kind, r.Service, r.Version)
 		default:
--- a/cli/run.go
+++ b/cli/run.go
@@ -82,10 +82,13 @@
 		c.printJSON(failure{Error: err.Error(), ExitCode: code})
 		return code
 	}
-	fmt.Fprintln(c.env.Err, "parsley:", strings.TrimPrefix(err.Error(), "config: "))
+	fmt.Fprintln(c.env.Err, "parsley:", plain(err))
 	return code
 }
 
+// plain returns the error without the name of the package that it comes from.
+func plain(err error) string { return strings.TrimPrefix(err.Error(), "config: ") }
+
 // failure is what --json prints for an error.
 type failure struct {
 	Error    string `json:"error"`
--- a/config/publisher.go
+++ b/config/publisher.go
@@ -90,6 +90,14 @@
 	return errors.As(err, &unavailable)
 }
 
+// wants reports whether the step asks for what the entry already holds.
+func (s *PlanStep) wants(e *Entry) bool {
+	if s.Action == ActionRetire {
+		return e.Kind == KindRetire
+	}
+	return e.Kind == KindPublish && e.Schema == Schema && s.Content == digest(e.Body)
+}
+
 func (s *PlanStep) change(author string, nonce uint64) (*Change, error) {
 	if s.Action == ActionRetire {
 		return NewRetire(s.Service, s.Base, author, nonce), nil
@@ -155,8 +163,13 @@
 	return Result{}, false
 }
 
+// lost returns the result of a change that another one came before. If both
+// have the same content there is nothing that the publisher has to do.
 func (p *Publisher) lost(s *PlanStep) Result {
 	e := p.tail.State().Entry(s.Service)
+	if e != nil && s.wants(e) {
+		return Result{Service: s.Service, Kind: ResultUnchanged, Version: e.Version}
+	}
 	lost := &LostError{Service: s.Service, Base: s.Base}
 	if e != nil {
 		lost.Winner = e.Version
