Add the target stand-in and the daemon-target protocol

standin/target admits by slots, connections, cold time, drain and fencing tokens, honours deadlines and a peer that closes, and shows late, torn, closed and wrong answers, freezes and misleading reports on demand. Every request that it starts is recorded, so that double runs can be counted over all targets.

A request that leaves or times out while it waits for a slot was not run and is not recorded.

--- /dev/null
+++ b/standin/target/admin.go
@@ -0,0 +1,41 @@
+package target
+
+import (
+	"bufio"
+	"encoding/json"
+
+	"github.com/valyala/fasthttp"
+)
+
+func (t *Target) handleRuns(ctx *fasthttp.RequestCtx) {
+	runs := t.Runs()
+	mutatingOnly := ctx.QueryArgs().GetBool("mutating")
+	ctx.Response.Header.SetContentType("application/x-ndjson")
+	ctx.SetBodyStreamWriter(func(w *bufio.Writer) { _ = writeRuns(w, runs, mutatingOnly) })
+}
+
+func (t *Target) handleControl(ctx *fasthttp.RequestCtx) {
+	if ctx.IsPut() {
+		var c Control
+		if err := json.Unmarshal(ctx.PostBody(), &c); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		if err := c.Validate(); err != nil {
+			ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+			return
+		}
+		t.SetControl(c)
+	}
+	writeJSON(ctx, t.Control())
+}
+
+func writeJSON(ctx *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.Response.Header.SetContentType("application/json")
+	ctx.SetBody(body)
+}
--- /dev/null
+++ b/standin/target/answer.go
@@ -0,0 +1,37 @@
+package target
+
+import (
+	"encoding/json"
+	"strings"
+)
+
+// Answer is the body of the answer to a request.
+type Answer struct {
+	ID             string `json:"id"`
+	IdempotencyKey string `json:"idempotency_key,omitempty"`
+	Service        string `json:"service"`
+	Method         string `json:"method"`
+	Path           string `json:"path"`
+	Key            string `json:"key"`
+	Token          string `json:"token,omitempty"`
+	Target         string `json:"target"`
+	Padding        string `json:"padding,omitempty"`
+}
+
+func appendAnswer(b []byte, r *request, padding int) []byte {
+	body, err := json.Marshal(Answer{
+		ID:             r.run.ID,
+		IdempotencyKey: r.run.IdempotencyKey,
+		Service:        r.service,
+		Method:         r.run.Method,
+		Path:           r.run.Path,
+		Key:            r.run.Key,
+		Token:          r.run.Token,
+		Target:         r.run.Target,
+		Padding:        strings.Repeat("x", padding),
+	})
+	if err != nil {
+		panic("target: an answer of strings can be marshaled: " + err.Error())
+	}
+	return append(b, body...)
+}
--- /dev/null
+++ b/standin/target/recorder.go
@@ -0,0 +1,91 @@
+package target
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"sync"
+)
+
+// notRecorded is the index of a run that is not recorded.
+const notRecorded = -1
+
+// recorder keeps the runs of a target in memory.
+type recorder struct {
+	mode  string
+	limit int
+
+	mu         sync.Mutex
+	runs       []Run
+	dropped    uint64
+	duplicates uint64
+	seen       map[string]struct{} // idempotency keys of mutating runs
+}
+
+func newRecorder(mode string, limit int) *recorder {
+	return &recorder{mode: mode, limit: limit, seen: map[string]struct{}{}}
+}
+
+// wants reports whether requests of method are recorded.
+func (r *recorder) wants(method string) bool {
+	return r.mode == RecordAll || r.mode == RecordMutating && mutating(method)
+}
+
+// start records the start of a run and returns its index.
+func (r *recorder) start(run Run) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if run.Mutating() && run.IdempotencyKey != "" {
+		if _, ok := r.seen[run.IdempotencyKey]; ok {
+			r.duplicates++
+		}
+		r.seen[run.IdempotencyKey] = struct{}{}
+	}
+	if len(r.runs) >= r.limit {
+		r.dropped++
+		return notRecorded
+	}
+	r.runs = append(r.runs, run)
+	return len(r.runs) - 1
+}
+
+// end records the end of a run.
+func (r *recorder) end(index int, now int64, completed bool) {
+	if index == notRecorded {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runs[index].End = now
+	r.runs[index].Completed = completed
+}
+
+// snapshot returns a copy of the runs.
+func (r *recorder) snapshot() []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Run(nil), r.runs...)
+}
+
+// counts returns the number of runs that were not recorded for want of room
+// and of mutating runs whose idempotency key had run before.
+func (r *recorder) counts() (dropped, duplicates uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dropped, r.duplicates
+}
+
+// writeRuns writes runs as one JSON object a line.
+func writeRuns(w io.Writer, runs []Run, mutatingOnly bool) error {
+	buffered := bufio.NewWriter(w)
+	encoder := json.NewEncoder(buffered)
+	for i := range runs {
+		if mutatingOnly && !runs[i].Mutating() {
+			continue
+		}
+		if err := encoder.Encode(&runs[i]); err != nil {
+			return err
+		}
+	}
+	return buffered.Flush()
+}
--- /dev/null
+++ b/standin/target/request.go
@@ -0,0 +1,134 @@
+package target
+
+import (
+	"bytes"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	headerToken     = "Parsley-Token"
+	headerRange     = "Parsley-Range"
+	headerTimeout   = "Parsley-Timeout-Ms"
+	headerRequestID = "Parsley-Request-Id"
+	headerRefused   = "Parsley-Refused"
+
+	headerCallerID       = "X-Request-Id"
+	headerIdempotencyKey = "Idempotency-Key"
+
+	// pollInterval is the time between checks for a closed connection.
+	pollInterval = 2 * time.Millisecond
+)
+
+// request is one request at work.
+type request struct {
+	run      Run
+	service  string
+	conn     *conn     // nil if the connection can't be watched
+	deadline time.Time // zero if there is none
+}
+
+func newRequest(ctx *fasthttp.RequestCtx, name string) *request {
+	r := &request{run: runOf(ctx, name)}
+	r.service, r.run.Key = splitPath(ctx.Path())
+	if c, ok := ctx.Conn().(*conn); ok {
+		r.conn = c
+	}
+	if v := ctx.Request.Header.Peek(headerTimeout); len(v) > 0 {
+		if ms, err := fasthttp.ParseUint(v); err == nil {
+			r.deadline = time.Now().Add(milliseconds(int64(ms)))
+		}
+	}
+	return r
+}
+
+func runOf(ctx *fasthttp.RequestCtx, name string) Run {
+	h := &ctx.Request.Header
+	run := Run{
+		ID:             string(h.Peek(headerCallerID)),
+		IdempotencyKey: string(h.Peek(headerIdempotencyKey)),
+		Method:         string(ctx.Method()),
+		Path:           string(ctx.Path()),
+		Token:          string(h.Peek(headerToken)),
+		Target:         name,
+	}
+	if run.ID == "" {
+		run.ID = string(h.Peek(headerRequestID))
+	}
+	return run
+}
+
+// splitPath returns the first and the last segment of a path.
+func splitPath(path []byte) (service, key string) {
+	path = bytes.Trim(path, "/")
+	if i := bytes.IndexByte(path, '/'); i >= 0 {
+		service = string(path[:i])
+	} else {
+		service = string(path)
+	}
+	return service, string(path[bytes.LastIndexByte(path, '/')+1:])
+}
+
+// interruption is the reason for which work ended early.
+type interruption int
+
+const (
+	notInterrupted interruption = iota
+	interruptedByPeer
+	interruptedByDeadline
+)
+
+// interrupted reports whether the peer has left or the time has run out.
+func (r *request) interrupted() interruption {
+	if !r.deadline.IsZero() && !time.Now().Before(r.deadline) {
+		return interruptedByDeadline
+	}
+	if r.conn != nil && r.conn.peerClosed() {
+		return interruptedByPeer
+	}
+	return notInterrupted
+}
+
+// work takes d of time unless it is interrupted.
+func (r *request) work(d time.Duration) interruption {
+	end := time.Now().Add(d)
+	for {
+		rest := time.Until(end)
+		if rest <= 0 {
+			return notInterrupted
+		}
+		time.Sleep(min(rest, pollInterval))
+		if i := r.interrupted(); i != notInterrupted {
+			return i
+		}
+	}
+}
+
+// acquire waits for a slot unless it is interrupted.
+func (r *request) acquire(slots chan struct{}) interruption {
+	select {
+	case slots <- struct{}{}:
+		return notInterrupted
+	default:
+	}
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case slots <- struct{}{}:
+			return notInterrupted
+		case <-ticker.C:
+			if i := r.interrupted(); i != notInterrupted {
+				return i
+			}
+		}
+	}
+}
+
+// closeUnanswered ends the connection after the bytes of partial.
+func closeUnanswered(ctx *fasthttp.RequestCtx, partial []byte) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) { _, _ = c.Write(partial) })
+}
--- /dev/null
+++ b/standin/target/run.go
@@ -0,0 +1,20 @@
+package target
+
+// Run is the record of one request that a target started.
+type Run struct {
+	ID             string `json:"id"` // X-Request-Id, or Parsley-Request-Id if there is none
+	IdempotencyKey string `json:"idempotency_key,omitempty"`
+	Method         string `json:"method"`
+	Path           string `json:"path"`
+	Key            string `json:"key"`
+	Token          string `json:"token,omitempty"`
+	Target         string `json:"target"`
+	Start          int64  `json:"start"`         // Unix nanoseconds
+	End            int64  `json:"end,omitempty"` // Unix nanoseconds, 0 while it runs
+	Completed      bool   `json:"completed"`     // the work was neither canceled nor out of time
+}
+
+// Mutating reports whether the request is one that changes state.
+func (r *Run) Mutating() bool { return mutating(r.Method) }
+
+func mutating(method string) bool { return method != "GET" && method != "HEAD" }
--- /dev/null
+++ b/standin/target/target.go
@@ -0,0 +1,151 @@
+package target
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Target is a stand-in of a target. Start it with Serve.
+type Target struct {
+	config   Config
+	http     *fasthttp.Server
+	fence    *fence
+	recorder *recorder
+	counters counters
+	slots    chan struct{}
+	draining atomic.Bool
+
+	control     atomic.Pointer[Control]
+	frozenUntil atomic.Int64 // Unix nanoseconds
+	coldUntil   atomic.Int64 // Unix nanoseconds
+	lagged      lagged
+
+	randomMu sync.Mutex
+	random   *rand.Rand
+}
+
+// New returns a target that is cold for the configured time from now on.
+func New(config Config) *Target {
+	config = config.withDefaults()
+	t := &Target{
+		config:   config,
+		fence:    newFence(),
+		recorder: newRecorder(config.Record, config.RecordLimit),
+		slots:    make(chan struct{}, config.Slots),
+		random:   rand.New(rand.NewPCG(config.Seed, 0)),
+	}
+	t.http = &fasthttp.Server{
+		Handler:               t.handle,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		CloseOnShutdown:       true,
+		Concurrency:           16 * config.Conns,
+	}
+	t.SetControl(Control{})
+	t.coldUntil.Store(time.Now().Add(config.ColdStart).UnixNano())
+	return t
+}
+
+// Serve answers connections of listener until Shutdown is called.
+func (t *Target) Serve(listener net.Listener) error {
+	return t.http.Serve(&limitListener{
+		Listener: listener,
+		limit:    int64(t.config.Conns),
+		cost:     t.config.ConnCost,
+		counters: &t.counters,
+	})
+}
+
+// Shutdown refuses new requests, waits for those in flight, ctx at the
+// longest, and stops the server.
+func (t *Target) Shutdown(ctx context.Context) error {
+	t.draining.Store(true)
+	return t.http.ShutdownWithContext(ctx)
+}
+
+// SetControl replaces the faults that the target shows. A freeze and a cold
+// time start now.
+func (t *Target) SetControl(c Control) {
+	t.control.Store(&c)
+	now := time.Now()
+	if c.FreezeMs > 0 {
+		t.frozenUntil.Store(now.Add(milliseconds(c.FreezeMs)).UnixNano())
+	}
+	if c.ColdMs > 0 {
+		t.coldUntil.Store(now.Add(milliseconds(c.ColdMs)).UnixNano())
+	}
+}
+
+// Control returns the faults that the target shows.
+func (t *Target) Control() Control { return *t.control.Load() }
+
+// Runs returns the records of the requests that were started.
+func (t *Target) Runs() []Run { return t.recorder.snapshot() }
+
+// Stats returns the counters.
+func (t *Target) Stats() Stats {
+	c := &t.counters
+	dropped, duplicates := t.recorder.counts()
+	return Stats{
+		Started:      c.started.Load(),
+		Completed:    c.completed.Load(),
+		Canceled:     c.canceled.Load(),
+		TimedOut:     c.timedOut.Load(),
+		StaleToken:   c.staleToken.Load(),
+		Shed:         c.shed.Load(),
+		Draining:     c.draining.Load(),
+		Cold:         c.cold.Load(),
+		Duplicates:   duplicates,
+		Dropped:      dropped,
+		InFlight:     c.inFlight.now.Load(),
+		MaxInFlight:  c.inFlight.most.Load(),
+		Conns:        c.conns.now.Load(),
+		MaxConns:     c.conns.most.Load(),
+		ConnsOpened:  c.connsOpened.Load(),
+		ConnsRefused: c.connsRefused.Load(),
+	}
+}
+
+// waitFrozen holds the caller while the target is frozen.
+func (t *Target) waitFrozen() {
+	for {
+		rest := time.Until(time.Unix(0, t.frozenUntil.Load()))
+		if rest <= 0 {
+			return
+		}
+		time.Sleep(rest)
+	}
+}
+
+// chance reports true in the given share of calls.
+func (t *Target) chance(ratio float64) bool {
+	if ratio <= 0 {
+		return false
+	}
+	t.randomMu.Lock()
+	defer t.randomMu.Unlock()
+	return t.random.Float64() < ratio
+}
+
+// serviceTime draws the time of one request's work.
+func (t *Target) serviceTime(c *Control) time.Duration {
+	mean, dist := t.config.ServiceTime, t.config.Dist
+	if c.ServiceUs > 0 {
+		mean = time.Duration(c.ServiceUs) * time.Microsecond
+	}
+	if c.ServiceDist != "" {
+		dist = c.ServiceDist
+	}
+	if dist == Constant {
+		return mean
+	}
+	t.randomMu.Lock()
+	defer t.randomMu.Unlock()
+	return dist.draw(t.random, mean)
+}
