--- /dev/null
+++ b/cell/leave.go
@@ -0,0 +1,47 @@
+package cell
+
+// mayLeave reports whether a member that leaves has nothing left: no role, no
+// range and no grant.
+func (n *Node) mayLeave(p *peer) bool {
+	return p.leaving && p.node != n.ledger.Deputy() && n.leader.table.owns(p.node) == 0 && len(p.sent) == 0
+}
+
+// runLeaderLeave hands the leadership to the deputy once that is in step, and
+// ends the planned stop of a leader that is alone.
+func (n *Node) runLeaderLeave() {
+	l := n.leader
+	if !n.leaving {
+		return
+	}
+	deputy := n.ledger.Deputy()
+	if deputy.IsZero() {
+		n.leaveAlone()
+		return
+	}
+	k := l.link(deputy)
+	p := l.peer(deputy)
+	if k == nil || len(n.appends.deputies) > 0 || k.heldRev < l.revision || p == nil || p.leaving {
+		return
+	}
+	if l.handoverAt != 0 && n.now < l.handoverAt.Add(n.timing.renew) {
+		return
+	}
+	l.handoverAt = n.now
+	n.send(deputy, Message{Handover: &Handover{Term: l.term}})
+}
+
+// leaveAlone stops a leader without a deputy after all other members.
+func (n *Node) leaveAlone() {
+	l := n.leader
+	for _, p := range l.peers {
+		if p.node != n.self() && !p.dismissed && n.now.Sub(max(p.renewed, l.since)) < n.timing.lease {
+			return
+		}
+	}
+	if len(n.heldGrants()) > 0 || len(l.moves) > 0 || len(n.appends.deputies) > 0 {
+		return
+	}
+	n.stepDown()
+	n.left = true
+	n.out.Left = true
+}
