Add the open-loop load tool and its judge

Latency is counted from the scheduled send time of a Poisson schedule. Whole answers are checked by request id, path and key; outcomes are counted by Parsley-Outcome and Parsley-Reason. Several variants, a direct call of the targets among them, run in turn in one run, with the processor time and memory of watched processes.

The judge compares callers' outcomes with the targets' records: no request that may not be repeated runs twice, nothing answered not-run ran, nothing answered done is missing where the records are complete, no key has two targets at work at the same time.

The records of a target carry the name of its process, so that a collector tells a restart from a read that overlaps an earlier one.

--- /dev/null
+++ b/bench/args.go
@@ -0,0 +1,134 @@
+package bench
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Args are the arguments of the bench command, in the form of go-arg.
+type Args struct {
+	Entries     []string      `arg:"--entry,separate" help:"address of a daemon's callers' port; repeat or separate by commas"`
+	Also        []string      `arg:"--also,separate" help:"another variant to run in turn, as name=addr,addr"`
+	Baseline    []string      `arg:"--baseline,separate" help:"address of a target that is called directly as the variant direct"`
+	Targets     []string      `arg:"--target,separate" help:"address of a target whose records the judge reads"`
+	Processes   []string      `arg:"--process,separate" help:"process to watch, as label=pid"`
+	Mix         string        `arg:"--mix" default:"perizia" help:"built-in mix: perizia or raumtafel"`
+	Ops         []string      `arg:"--op,separate" help:"operation in place of the mix, as name:method:path:weight:timeout with {key} in the path"`
+	Phases      string        `arg:"--phases" default:"200x10s" help:"rates and durations, as 1000x10s,2000x10s"`
+	Rounds      int           `arg:"--rounds" default:"1" help:"times that all variants run in turn"`
+	Keys        int           `arg:"--keys" default:"10000" help:"number of keys"`
+	KeyPrefix   string        `arg:"--key-prefix" default:"k" help:"prefix of keys"`
+	Zipf        float64       `arg:"--zipf" default:"1.1" help:"Zipf exponent above 1, 0 for uniform keys"`
+	Hot         int           `arg:"--hot" default:"10" help:"most popular keys that change"`
+	Rotation    time.Duration `arg:"--rotation" default:"30s" help:"time between changes of the hot keys, 0 keeps them"`
+	MaxInFlight int           `arg:"--max-in-flight" default:"4096" help:"requests of the tool in flight"`
+	MaxConns    int           `arg:"--max-conns" default:"1024" help:"connections to one address"`
+	Generators  int           `arg:"--generators" default:"4" help:"goroutines that send"`
+	Seed        uint64        `arg:"--seed" default:"1" help:"seed of the schedule, operations and keys"`
+	RunID       string        `arg:"--run-id" help:"prefix of request ids; default from the time"`
+	Divided     bool          `arg:"--divided" help:"let the judge check that a key has one owner at a time"`
+	CSV         string        `arg:"--csv" help:"file for the report as CSV"`
+	TimelineCSV string        `arg:"--timeline-csv" help:"file for the counts of each second as CSV"`
+}
+
+// directName is the name of the variant that calls targets directly.
+const directName = "direct"
+
+// configs returns the variants that the arguments ask for.
+func (a *Args) configs() ([]Config, error) {
+	base, err := a.baseConfig()
+	if err != nil {
+		return nil, err
+	}
+	var configs []Config
+	add := func(name string, direct bool, addrs []string) {
+		c := base
+		c.Name, c.Direct, c.Addrs = name, direct, addrs
+		c.RunID += "-" + name
+		configs = append(configs, c)
+	}
+	if len(a.Entries) > 0 {
+		add("daemons", false, splitAll(a.Entries))
+	}
+	for _, s := range a.Also {
+		name, addrs, found := strings.Cut(s, "=")
+		if !found {
+			return nil, fmt.Errorf("bench: variant %q is not of the form name=addr,addr", s)
+		}
+		add(name, false, splitAll([]string{addrs}))
+	}
+	if len(a.Baseline) > 0 {
+		add(directName, true, splitAll(a.Baseline))
+	}
+	if len(configs) == 0 {
+		return nil, fmt.Errorf("bench: no address is given; use --entry, --also or --baseline")
+	}
+	return configs, nil
+}
+
+func (a *Args) baseConfig() (Config, error) {
+	mix, err := a.mix()
+	if err != nil {
+		return Config{}, err
+	}
+	phases, err := ParsePhases(a.Phases)
+	if err != nil {
+		return Config{}, err
+	}
+	runID := a.RunID
+	if runID == "" {
+		runID = fmt.Sprintf("%x", time.Now().UnixNano())
+	}
+	return Config{
+		Mix:    mix,
+		Phases: phases,
+		Keys: KeyConfig{
+			Count:    a.Keys,
+			Exponent: a.Zipf,
+			Hot:      a.Hot,
+			Rotation: a.Rotation,
+			Prefix:   a.KeyPrefix,
+		},
+		MaxInFlight: a.MaxInFlight,
+		MaxConns:    a.MaxConns,
+		Generators:  a.Generators,
+		Seed:        a.Seed,
+		RunID:       runID,
+	}, nil
+}
+
+func (a *Args) mix() (Mix, error) {
+	if len(a.Ops) == 0 {
+		return MixNamed(a.Mix)
+	}
+	var mix Mix
+	for _, s := range a.Ops {
+		op, err := ParseOp(s)
+		if err != nil {
+			return nil, err
+		}
+		mix = append(mix, op)
+	}
+	return mix, nil
+}
+
+func (a *Args) processes() ([]Process, error) {
+	var processes []Process
+	for _, s := range a.Processes {
+		p, err := ParseProcess(s)
+		if err != nil {
+			return nil, err
+		}
+		processes = append(processes, p)
+	}
+	return processes, nil
+}
+
+func splitAll(lists []string) []string {
+	var all []string
+	for _, l := range lists {
+		all = append(all, strings.Split(l, ",")...)
+	}
+	return all
+}
--- /dev/null
+++ b/bench/cpu.go
@@ -0,0 +1,80 @@
+package bench
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// clockTick is the unit of the processor times in /proc.
+const clockTick = 10 * time.Millisecond
+
+// Process is a process whose processor time and memory a run watches.
+type Process struct {
+	Label string
+	PID   int
+}
+
+// ParseProcess parses label=pid.
+func ParseProcess(s string) (Process, error) {
+	label, pid, found := strings.Cut(s, "=")
+	n, err := strconv.Atoi(pid)
+	if !found || err != nil {
+		return Process{}, fmt.Errorf("bench: process %q is not of the form label=pid", s)
+	}
+	return Process{Label: label, PID: n}, nil
+}
+
+// processCPU returns the processor time of a process since its start.
+func processCPU(pid int) (time.Duration, error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0, fmt.Errorf("bench: processor time of process %d: %w", pid, err)
+	}
+	// The second field, the name in parentheses, may hold spaces.
+	fields := bytes.Fields(stat[bytes.LastIndexByte(stat, ')')+1:])
+	const user, system = 11, 12
+	if len(fields) <= system {
+		return 0, fmt.Errorf("bench: processor time of process %d: unknown form", pid)
+	}
+	ticks := 0
+	for _, f := range [][]byte{fields[user], fields[system]} {
+		n, err := strconv.Atoi(string(f))
+		if err != nil {
+			return 0, fmt.Errorf("bench: processor time of process %d: %w", pid, err)
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * clockTick, nil
+}
+
+// processRSS returns the resident memory of a process in bytes, or 0.
+func processRSS(pid int) uint64 {
+	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
+	if err != nil {
+		return 0
+	}
+	fields := bytes.Fields(statm)
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, err := strconv.ParseUint(string(fields[1]), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return pages * uint64(os.Getpagesize())
+}
+
+// ownCPU returns the processor time of this process.
+func ownCPU() time.Duration {
+	var u unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/bench/owners.go
@@ -0,0 +1,61 @@
+package bench
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/parsleystack/parsleystack/standin/target"
+)
+
+// ownedKey is a key of one service.
+type ownedKey struct{ service, key string }
+
+// judgeOwners finds keys that two targets worked for at the same time. Runs
+// without a token belong to no owner. A run that has no end is taken to be cut
+// off at its start.
+func judgeOwners(runs []target.Run) []Violation {
+	byKey := map[ownedKey][]*target.Run{}
+	for i := range runs {
+		r := &runs[i]
+		if r.Token == "" {
+			continue
+		}
+		k := ownedKey{service: serviceOf(r.Path), key: r.Key}
+		byKey[k] = append(byKey[k], r)
+	}
+	var violations []Violation
+	for k, keyRuns := range byKey {
+		if v, found := overlap(keyRuns); found {
+			v.ID = k.service + "/" + k.key
+			violations = append(violations, v)
+		}
+	}
+	slices.SortFunc(violations, func(a, b Violation) int { return cmp.Compare(a.ID, b.ID) })
+	return violations
+}
+
+func serviceOf(path string) string {
+	service, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	return service
+}
+
+// overlap finds the first pair of runs at different targets whose times
+// overlap.
+func overlap(runs []*target.Run) (Violation, bool) {
+	slices.SortFunc(runs, func(a, b *target.Run) int { return cmp.Compare(a.Start, b.Start) })
+	latest := map[string]*target.Run{} // by target, the run that ends last
+	for _, r := range runs {
+		for name, other := range latest {
+			if name != r.Target && other.End > r.Start {
+				detail := fmt.Sprintf("%s (token %s) until %d, %s (token %s) from %d", name, other.Token, other.End, r.Target, r.Token, r.Start)
+				return Violation{Kind: TwoOwners, Detail: detail}, true
+			}
+		}
+		if l := latest[r.Target]; l == nil || r.End > l.End {
+			latest[r.Target] = r
+		}
+	}
+	return Violation{}, false
+}
--- /dev/null
+++ b/bench/text.go
@@ -0,0 +1,94 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/parsleystack/parsleystack/outcome"
+)
+
+// WriteText writes a plain text report.
+func WriteText(w io.Writer, results []*Result) error {
+	for _, r := range results {
+		if err := r.writeText(w); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Result) writeText(w io.Writer) error {
+	seconds := r.Duration.Seconds()
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(t, "\n%s: %d requests in %.0f s, %.1f/s; latency from the scheduled time, in ms\n", r.Name, r.Count(), seconds, float64(r.Count())/seconds)
+	fmt.Fprintln(t, "operation\toutcome\treason\tcount\tshare\tin time\tp50\tp90\tp99\tp99.9\tmax\t")
+	totals := r.totalByOp()
+	for i := range r.Rows {
+		row := &r.Rows[i]
+		share := float64(row.Count) / float64(totals[row.Op])
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.3f%%\t%d\t%s\t\n", row.Op, row.Class.Kind, row.Class.Reason, row.Count, 100*share, row.InTime, quantileText(row.Latency))
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	r.writeSummary(w)
+	return nil
+}
+
+func quantileText(h *hdrhistogram.Histogram) string {
+	s := ""
+	for _, q := range reportQuantiles {
+		s += fmt.Sprintf("%.3f\t", ms(h.ValueAtQuantile(q)))
+	}
+	return s + fmt.Sprintf("%.3f", ms(h.Max()))
+}
+
+func (r *Result) writeSummary(w io.Writer) {
+	seconds := r.Duration.Seconds()
+	fmt.Fprintf(w, "goodput (done in time): %.1f/s\n", float64(r.inTime())/seconds)
+	fmt.Fprintf(w, "answers of other requests: %d, torn: %d, refusals without Retry-After: %d\n", r.Wrong, r.Torn, r.noRetry())
+	fmt.Fprintf(w, "delay of the tool in sending: p99 %.3f ms, max %.3f ms; its processor time: %.2f s\n",
+		ms(r.Lag.ValueAtQuantile(99)), ms(r.Lag.Max()), r.ToolCPU.Seconds())
+	for _, p := range r.CPU {
+		fmt.Fprintf(w, "%s: %.2f s of processor time, %.1f%% of a core, %.1f us a request, %.1f MB resident\n",
+			p.Label, p.CPU.Seconds(), 100*p.CPU.Seconds()/seconds,
+			float64(p.CPU.Microseconds())/float64(max(1, r.Count())), float64(p.RSSBytes)/1e6)
+	}
+}
+
+func (r *Result) totalByOp() map[string]uint64 {
+	totals := map[string]uint64{}
+	for i := range r.Rows {
+		totals[r.Rows[i].Op] += r.Rows[i].Count
+	}
+	return totals
+}
+
+// inTime counts requests that the target ran well within their timeout.
+func (r *Result) inTime() uint64 {
+	var n uint64
+	for i := range r.Rows {
+		if r.Rows[i].Class == (Class{Kind: outcome.Done}) {
+			n += r.Rows[i].InTime
+		}
+	}
+	return n
+}
+
+// noRetry counts refusals that a caller may repeat and that state no time.
+func (r *Result) noRetry() uint64 {
+	var n uint64
+	for i := range r.Rows {
+		c := r.Rows[i].Class
+		if c.Kind == outcome.NotRun && c.Reason != reasonConnect && c.Reason != reasonUnsent {
+			n += r.Rows[i].NoRetry
+		}
+	}
+	return n
+}
+
+func ms(ns int64) float64 { return float64(ns) / float64(time.Millisecond) }
--- /dev/null
+++ b/bench/variant.go
@@ -0,0 +1,104 @@
+package bench
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// variant is one set of addresses under load, over one or several rounds.
+type variant struct {
+	config    Config
+	processes []Process
+	callers   []*caller
+	total     *recorder
+	lag       *lag
+	rounds    int
+	toolCPU   time.Duration
+	cpu       map[string]time.Duration
+}
+
+func newVariant(config Config, processes []Process) *variant {
+	config = config.withDefaults()
+	v := &variant{
+		config:    config,
+		processes: processes,
+		total:     newRecorder(),
+		lag:       newLag(),
+		cpu:       map[string]time.Duration{},
+	}
+	for _, addr := range config.Addrs {
+		v.callers = append(v.callers, newCaller(addr, config.Direct, config.MaxConns))
+	}
+	return v
+}
+
+// round runs all phases once.
+func (v *variant) round(ctx context.Context) {
+	config := v.config
+	config.Seed += uint64(v.rounds)
+	config.RunID += "-" + itoa(v.rounds)
+	before, toolBefore := v.readCPU(), ownCPU()
+	generators := v.runGenerators(ctx, &config)
+	v.addCPU(before)
+	v.toolCPU += ownCPU() - toolBefore
+	for _, g := range generators {
+		v.total.merge(g.recorder)
+		v.lag.histogram.Merge(g.lag.histogram)
+	}
+	v.rounds++
+}
+
+func (v *variant) runGenerators(ctx context.Context, config *Config) []*generator {
+	inFlight := make(chan struct{}, config.MaxInFlight)
+	start := time.Now()
+	var wait sync.WaitGroup
+	var generators []*generator
+	for i := range config.Generators {
+		g := newGenerator(i, config, v.callers, inFlight)
+		generators = append(generators, g)
+		wait.Go(func() { g.run(ctx, start) })
+	}
+	wait.Wait()
+	return generators
+}
+
+// readCPU returns the processor times of the watched processes. A process that
+// has ended has none.
+func (v *variant) readCPU() map[string]time.Duration {
+	now := map[string]time.Duration{}
+	for _, p := range v.processes {
+		if d, err := processCPU(p.PID); err == nil {
+			now[p.Label] = d
+		}
+	}
+	return now
+}
+
+func (v *variant) addCPU(before map[string]time.Duration) {
+	for label, d := range v.readCPU() {
+		if b, ok := before[label]; ok {
+			v.cpu[label] += d - b
+		}
+	}
+}
+
+// result returns the report of the rounds so far.
+func (v *variant) result() *Result {
+	r := &Result{
+		Name:     v.config.Name,
+		Duration: totalDuration(v.config.Phases) * time.Duration(v.rounds),
+		Rounds:   v.rounds,
+		Rows:     v.total.tableRows(v.config.Mix),
+		Timeline: v.total.timelineRows(v.config.Mix),
+		Wrong:    v.total.wrong,
+		Torn:     v.total.torn,
+		Lag:      v.lag.histogram,
+		Fates:    v.total.fates,
+		ToolCPU:  v.toolCPU,
+	}
+	for _, p := range v.processes {
+		r.CPU = append(r.CPU, ProcessCPU{Label: p.Label, CPU: v.cpu[p.Label], RSSBytes: processRSS(p.PID)})
+	}
+	return r
+}
--- a/standin/target/admin.go
+++ b/standin/target/admin.go
@@ -7,9 +7,14 @@
 	"github.com/valyala/fasthttp"
 )
 
+// HeaderProcess names the process whose runs an answer of /runs holds.
+const HeaderProcess = "Target-Process"
+
 func (t *Target) handleRuns(ctx *fasthttp.RequestCtx) {
-	runs := t.Runs()
+	from := ctx.QueryArgs().GetUintOrZero("from")
+	runs := t.recorder.snapshot(from)
 	mutatingOnly := ctx.QueryArgs().GetBool("mutating")
+	ctx.Response.Header.Set(HeaderProcess, t.process)
 	ctx.Response.Header.SetContentType("application/x-ndjson")
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) { _ = writeRuns(w, runs, mutatingOnly) })
 }
--- a/standin/target/recorder.go
+++ b/standin/target/recorder.go
@@ -60,11 +60,11 @@
 	r.runs[index].Completed = completed
 }
 
-// snapshot returns a copy of the runs.
-func (r *recorder) snapshot() []Run {
+// snapshot returns a copy of the runs but the first n.
+func (r *recorder) snapshot(n int) []Run {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append([]Run(nil), r.runs...)
+	return append([]Run(nil), r.runs[min(n, len(r.runs)):]...)
 }
 
 // counts returns the number of runs that were not recorded for want of room
--- a/standin/target/request.go
+++ b/standin/target/request.go
@@ -60,15 +60,12 @@
 	return run
 }
 
-// splitPath returns the first and the last segment of a path.
+// splitPath returns the first and the second segment of a path.
 func splitPath(path []byte) (service, key string) {
 	path = bytes.Trim(path, "/")
-	if i := bytes.IndexByte(path, '/'); i >= 0 {
-		service = string(path[:i])
-	} else {
-		service = string(path)
-	}
-	return service, string(path[bytes.LastIndexByte(path, '/')+1:])
+	first, rest, _ := bytes.Cut(path, []byte{'/'})
+	second, _, _ := bytes.Cut(rest, []byte{'/'})
+	return string(first), string(second)
 }
 
 // interruption is the reason for which work ended early.
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 // Target is a stand-in of a target. Start it with Serve.
 type Target struct {
 	config   Config
+	process  string // unique name of this process
 	http     *fasthttp.Server
 	fence    *fence
 	recorder *recorder
@@ -35,6 +37,7 @@
 	config = config.withDefaults()
 	t := &Target{
 		config:   config,
+		process:  strconv.FormatInt(time.Now().UnixNano(), 10),
 		fence:    newFence(),
 		recorder: newRecorder(config.Record, config.RecordLimit),
 		slots:    make(chan struct{}, config.Slots),
@@ -86,7 +89,7 @@
 func (t *Target) Control() Control { return *t.control.Load() }
 
 // Runs returns the records of the requests that were started.
-func (t *Target) Runs() []Run { return t.recorder.snapshot() }
+func (t *Target) Runs() []Run { return t.recorder.snapshot(0) }
 
 // Stats returns the counters.
 func (t *Target) Stats() Stats {
