--- a/bench/run.go
+++ b/bench/run.go
@@ -18,13 +18,10 @@
 	return fmt.Sprintf("bench: %d promises were broken; the report names each, look up its request id in the logs of the daemons", len(e.Violations))
 }
 
-// Run runs the load that args ask for, writes the reports, and judges the
-// outcome. It returns a *BrokenPromisesError if a promise was broken.
-func Run(ctx context.Context, args Args) error {
-	return runTo(ctx, args, os.Stdout)
-}
-
-func runTo(ctx context.Context, args Args, out io.Writer) error {
+// Run runs the load that args ask for, writes the text report to out, and
+// judges the outcome. It returns a *BrokenPromisesError if a promise was
+// broken.
+func Run(ctx context.Context, args Args, out io.Writer) error {
 	configs, err := args.configs()
 	if err != nil {
 		return err
--- a/bench/run_test.go
+++ b/bench/run_test.go
@@ -64,7 +64,7 @@
 }
 
 func runReport(args Args, out *strings.Builder) error {
-	return runTo(context.Background(), args, out)
+	return Run(context.Background(), args, out)
 }
 
 func TestRunFindsBadAnswers(t *testing.T) {
--- a/cli/args.go
+++ b/cli/args.go
@@ -1,6 +1,10 @@
 package cli
 
-import "time"
+import (
+	"time"
+
+	"github.com/parsleystack/parsleystack/bench"
+)
 
 // Args holds the arguments of the parsley command.
 type Args struct {
@@ -12,6 +16,7 @@
 	Audit       *AuditArgs       `arg:"subcommand:audit" help:"show who changed what, and what moved and why"`
 	Drain       *DrainArgs       `arg:"subcommand:drain" help:"start the planned stop of an instance"`
 	ConfirmLoss *ConfirmLossArgs `arg:"subcommand:confirm-loss" help:"confirm that a process is gone for good"`
+	Bench       *bench.Args      `arg:"subcommand:bench" help:"send load to a deployment and judge its answers"`
 
 	JSON    bool          `arg:"--json" help:"print JSON for programs"`
 	Timeout time.Duration `arg:"--timeout,env:PARSLEY_TIMEOUT" default:"10s" help:"time limit of calls"`
--- a/cli/run.go
+++ b/cli/run.go
@@ -7,6 +7,8 @@
 	"strings"
 
 	"github.com/alexflint/go-arg"
+
+	"github.com/parsleystack/parsleystack/bench"
 )
 
 // Run parses argv, the arguments without the program's name, carries out the
@@ -60,6 +62,8 @@
 		return c.finish(c.audit(ctx, args.Audit))
 	case args.Drain != nil:
 		return c.finish(c.drain(ctx, args.Drain))
+	case args.Bench != nil:
+		return c.finish(ExitOK, bench.Run(ctx, *args.Bench, env.Out))
 	}
 	return c.finish(c.confirmLoss(ctx, args.ConfirmLoss))
 }
