--- /dev/null
+++ b/cmd/parsley-measure/main.go
@@ -0,0 +1,57 @@
+// Command parsley-measure writes raw figures of the parts as CSV, one file for
+// each quantity; parsley-capacity works out the capacity page from them.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/parsleystack/parsleystack/measure"
+)
+
+type args struct {
+	Out    string   `arg:"--out,required" help:"directory of the CSV files"`
+	Commit string   `arg:"--commit,required" help:"commit that is measured"`
+	Log    *logArgs `arg:"subcommand:log" help:"cost of calls of the log service"`
+}
+
+type logArgs struct {
+	Addr string `arg:"--addr,required" help:"address of a log service without an append cap and with an empty log"`
+}
+
+func main() {
+	var a args
+	parser := arg.MustParse(&a)
+	if parser.Subcommand() == nil {
+		parser.Fail("say what to measure")
+	}
+	if err := run(a); err != nil {
+		fmt.Fprintln(os.Stderr, "parsley-measure:", err)
+		os.Exit(1)
+	}
+}
+
+func run(a args) error {
+	facts := measure.ReadFacts(a.Commit, os.Args)
+	series, err := measure.LogCost(a.Log.Addr, facts)
+	if err != nil {
+		return err
+	}
+	for _, s := range series {
+		if err := write(s, a.Out); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func write(s *measure.Series, dir string) error {
+	line, err := s.Fit()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s: %.4g %s + %.4g %s a unit of size, residual %.3g %s\n", s.Name, line.Intercept, s.Unit, line.Slope, s.Unit, line.Residual, s.Unit)
+	return s.WriteFile(dir)
+}
--- /dev/null
+++ b/measure/platformlog.go
@@ -0,0 +1,138 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/parsleystack/parsleystack/platformlog"
+)
+
+const (
+	// callsForBytes is the number of calls whose bytes are counted. The counts
+	// of equal calls differ by the digits of offsets only.
+	callsForBytes = 20
+
+	// callsForCPU is the number of calls of a round whose processor time is
+	// measured.
+	callsForCPU = 500
+
+	// recordBytes is the payload of the records that reads return.
+	recordBytes = 200
+
+	measureTimeout = 10 * time.Second
+)
+
+var (
+	payloadSizes = []int{64, 256, 1024, 4096, 16384}
+	batchSizes   = []int{0, 1, 4, 16, 64, 256}
+)
+
+// LogCost measures what one append and one read of the log service cost a
+// daemon. The service runs in another process, and its append cap must not
+// limit the calls.
+func LogCost(addr string, facts Facts) ([]*Series, error) {
+	appends, err := appendCost(addr, facts)
+	if err != nil {
+		return nil, err
+	}
+	reads, err := readCost(addr, facts)
+	if err != nil {
+		return nil, err
+	}
+	return append(appends, reads...), nil
+}
+
+// logCall measures one kind of call at one size.
+type logCall struct {
+	bytes, cpu *Series
+}
+
+func newLogCall(name, quantity string, facts Facts) *logCall {
+	return &logCall{
+		bytes: &Series{Name: name + "-bytes", Quantity: "bytes on the wire of " + quantity, Unit: "B", Facts: facts},
+		cpu:   &Series{Name: name + "-cpu", Quantity: "client processor time of " + quantity, Unit: "ns", Facts: facts},
+	}
+}
+
+// measure adds the cost of call at a size to both series.
+func (l *logCall) measure(size int, wire *WireCounter, call func() error) error {
+	if err := call(); err != nil { // connects
+		return err
+	}
+	before := wire.Total()
+	for range callsForBytes {
+		if err := call(); err != nil {
+			return err
+		}
+	}
+	l.bytes.Add(float64(size), float64(wire.Total()-before)/callsForBytes)
+	cpu, err := CPUPerCall(callsForCPU, call)
+	if err != nil {
+		return err
+	}
+	l.cpu.Add(float64(size), cpu)
+	return nil
+}
+
+func newCountedClient(addr string) (*platformlog.Client, *WireCounter) {
+	wire := &WireCounter{}
+	return platformlog.NewClient(platformlog.ClientConfig{Addr: addr, Dial: wire.Dial, LongPoll: time.Millisecond}), wire
+}
+
+func appendCost(addr string, facts Facts) ([]*Series, error) {
+	client, wire := newCountedClient(addr)
+	defer client.Close()
+	l := newLogCall("log-append", "one append, by payload bytes", facts)
+	for _, size := range payloadSizes {
+		payload := make([]byte, size)
+		call := func() error { return appendOnce(client, "measure/append", payload) }
+		if err := l.measure(size, wire, call); err != nil {
+			return nil, fmt.Errorf("measure: append of %d bytes: %w", size, err)
+		}
+	}
+	return []*Series{l.bytes, l.cpu}, nil
+}
+
+func readCost(addr string, facts Facts) ([]*Series, error) {
+	client, wire := newCountedClient(addr)
+	defer client.Close()
+	l := newLogCall("log-read", "one read, by records of "+strconv.Itoa(recordBytes)+" bytes", facts)
+	const stream = platformlog.Stream("measure/read")
+	for range batchSizes[len(batchSizes)-1] {
+		if err := appendOnce(client, stream, make([]byte, recordBytes)); err != nil {
+			return nil, fmt.Errorf("measure: %w", err)
+		}
+	}
+	for _, size := range batchSizes {
+		call := func() error { return readOnce(client, stream, size) }
+		if err := l.measure(size, wire, call); err != nil {
+			return nil, fmt.Errorf("measure: read of %d records: %w", size, err)
+		}
+	}
+	return []*Series{l.bytes, l.cpu}, nil
+}
+
+func appendOnce(log platformlog.Log, stream platformlog.Stream, payload []byte) error {
+	ctx, cancel := context.WithTimeout(context.Background(), measureTimeout)
+	defer cancel()
+	_, err := log.Append(ctx, stream, payload)
+	return err
+}
+
+// readOnce reads exactly n records from the start of a stream, or polls its
+// end if n is zero.
+func readOnce(log platformlog.Log, stream platformlog.Stream, n int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), measureTimeout)
+	defer cancel()
+	from, limit := platformlog.Offset(1), n
+	if n == 0 {
+		from, limit = platformlog.Offset(batchSizes[len(batchSizes)-1]+1), 1
+	}
+	batch, err := log.Read(ctx, stream, from, limit)
+	if err == nil && len(batch.Records) != n {
+		err = fmt.Errorf("read %d records, want %d; start the stand-in with an empty log", len(batch.Records), n)
+	}
+	return err
+}
