Measure cells, configuration, routes, frames and the log for the capacity page

make measure writes one series for each quantity and works out docs/CAPACITY.md from docs/capacity/model.yaml.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 STEPS ?= 1000000
 
-.PHONY: build generate run test lint soak
+.PHONY: build generate run test lint soak measure
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -21,3 +21,7 @@
 
 test: lint
 	$(GO) test -race ./...
+
+# Writes docs/capacity/series and docs/CAPACITY.md.
+measure: build
+	BIN=$(BIN) scripts/measure.sh
--- a/capacity/load.go
+++ b/capacity/load.go
@@ -50,7 +50,7 @@
 	if budget.isRate() && t.Series != "" && t.PerSecond == "" {
 		return fmt.Errorf("resource %q is a rate; give per_second", t.Resource)
 	}
-	for _, expr := range []string{t.Size, t.Value, t.PerSecond} {
+	for _, expr := range []string{t.Size, t.Value, t.PerSecond, t.Each} {
 		if expr == "" {
 			continue
 		}
--- a/capacity/model.go
+++ b/capacity/model.go
@@ -53,5 +53,6 @@
 	Size      string `yaml:"size,omitempty"`       // expression: the size at which the series is taken
 	Value     string `yaml:"value,omitempty"`      // expression in the budget's unit, in place of a series
 	PerSecond string `yaml:"per_second,omitempty"` // expression: how often it happens
+	Each      string `yaml:"each,omitempty"`       // expression: what one counts in a series of unit 1
 	Mechanism string `yaml:"mechanism"`            // what carries it
 }
--- a/capacity/unit.go
+++ b/capacity/unit.go
@@ -18,6 +18,9 @@
 // secondsOf are the units of time of series.
 var secondsOf = map[string]float64{"ns": 1e-9, "us": 1e-6, "ms": 1e-3, "s": 1}
 
+// unitCount is the unit of series that count things.
+const unitCount = "1"
+
 // factor converts a value of a series into the budget's unit, or into that
 // unit for one event if the budget is a rate.
 func (b *Budget) factor(seriesUnit string) (float64, error) {
@@ -31,7 +34,7 @@
 			return 1, nil
 		}
 	case unitPerSecond:
-		if seriesUnit == "1" {
+		if seriesUnit == unitCount {
 			return 1, nil
 		}
 	}
--- a/capacity/work.go
+++ b/capacity/work.go
@@ -108,15 +108,26 @@
 	if s == nil {
 		return r, nil
 	}
-	return r, r.takeSeries(s, b)
+	factor, err := termFactor(&t, b, s.Unit, values)
+	if err != nil {
+		return r, err
+	}
+	return r, r.takeSeries(s, factor)
 }
 
-// takeSeries works out the value of a term from its series.
-func (r *TermResult) takeSeries(s *measure.Series, b *Budget) error {
-	factor, err := b.factor(s.Unit)
-	if err != nil {
-		return err
+// termFactor converts a value of the term's series into the budget's unit.
+func termFactor(t *Term, b *Budget, seriesUnit string, values []namedValue) (float64, error) {
+	if t.Each == "" {
+		return b.factor(seriesUnit)
+	}
+	if seriesUnit != unitCount {
+		return 0, fmt.Errorf("series %s is in %q; each goes with a series that counts", t.Series, seriesUnit)
 	}
+	return evaluate(t.Each, values)
+}
+
+// takeSeries works out the value of a term from its series.
+func (r *TermResult) takeSeries(s *measure.Series, factor float64) error {
 	line, err := s.Fit()
 	if err != nil {
 		return err
--- a/cmd/parsley-measure/main.go
+++ b/cmd/parsley-measure/main.go
@@ -9,12 +9,14 @@
 	"github.com/alexflint/go-arg"
 
 	"github.com/parsleystack/parsleystack/measure"
+	"github.com/parsleystack/parsleystack/measure/cost"
 )
 
 type args struct {
-	Out    string   `arg:"--out,required" help:"directory of the CSV files"`
-	Commit string   `arg:"--commit,required" help:"commit that is measured"`
-	Log    *logArgs `arg:"subcommand:log" help:"cost of calls of the log service"`
+	Out    string    `arg:"--out,required" help:"directory of the CSV files"`
+	Commit string    `arg:"--commit,required" help:"commit that is measured"`
+	Log    *logArgs  `arg:"subcommand:log" help:"cost of calls of the log service"`
+	Parts  *struct{} `arg:"subcommand:parts" help:"cost of cells, configuration, routes and frames, in this process"`
 }
 
 type logArgs struct {
@@ -35,12 +37,24 @@
 
 func run(a args) error {
 	facts := measure.ReadFacts(a.Commit, os.Args)
-	series, err := measure.LogCost(a.Log.Addr, facts)
+	if a.Log != nil {
+		return writeAll(a.Out, func() ([]*measure.Series, error) { return cost.Log(a.Log.Addr, facts) })
+	}
+	for _, part := range []func(measure.Facts) ([]*measure.Series, error){cost.Cell, cost.Config, cost.Routes, cost.Transport} {
+		if err := writeAll(a.Out, func() ([]*measure.Series, error) { return part(facts) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func writeAll(dir string, take func() ([]*measure.Series, error)) error {
+	series, err := take()
 	if err != nil {
 		return err
 	}
 	for _, s := range series {
-		if err := write(s, a.Out); err != nil {
+		if err := write(s, dir); err != nil {
 			return err
 		}
 	}
--- a/measure/platformlog.go
+++ b/measure/cost/platformlog.go
@@ -1,4 +1,6 @@
-package measure
+// Package cost measures what the parts of the system cost as they grow: bytes,
+// messages, processor time and memory, as series for the capacity page.
+package cost
 
 import (
 	"context"
@@ -6,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/parsleystack/parsleystack/measure"
 	"github.com/parsleystack/parsleystack/platformlog"
 )
 
@@ -29,10 +32,10 @@
 	batchSizes   = []int{0, 1, 4, 16, 64, 256}
 )
 
-// LogCost measures what one append and one read of the log service cost a
+// Log measures what one append and one read of the log service cost a
 // daemon. The service runs in another process, and its append cap must not
 // limit the calls.
-func LogCost(addr string, facts Facts) ([]*Series, error) {
+func Log(addr string, facts measure.Facts) ([]*measure.Series, error) {
 	appends, err := appendCost(addr, facts)
 	if err != nil {
 		return nil, err
@@ -46,18 +49,18 @@
 
 // logCall measures one kind of call at one size.
 type logCall struct {
-	bytes, cpu *Series
+	bytes, cpu *measure.Series
 }
 
-func newLogCall(name, quantity string, facts Facts) *logCall {
+func newLogCall(name, quantity string, facts measure.Facts) *logCall {
 	return &logCall{
-		bytes: &Series{Name: name + "-bytes", Quantity: "bytes on the wire of " + quantity, Unit: "B", Facts: facts},
-		cpu:   &Series{Name: name + "-cpu", Quantity: "client processor time of " + quantity, Unit: "ns", Facts: facts},
+		bytes: &measure.Series{Name: name + "-bytes", Quantity: "bytes on the wire of " + quantity, Unit: "B", Facts: facts},
+		cpu:   &measure.Series{Name: name + "-cpu", Quantity: "client processor time of " + quantity, Unit: "ns", Facts: facts},
 	}
 }
 
 // measure adds the cost of call at a size to both series.
-func (l *logCall) measure(size int, wire *WireCounter, call func() error) error {
+func (l *logCall) measure(size int, wire *measure.WireCounter, call func() error) error {
 	if err := call(); err != nil { // connects
 		return err
 	}
@@ -68,7 +71,7 @@
 		}
 	}
 	l.bytes.Add(float64(size), float64(wire.Total()-before)/callsForBytes)
-	cpu, err := CPUPerCall(callsForCPU, call)
+	cpu, err := measure.CPUPerCall(callsForCPU, call)
 	if err != nil {
 		return err
 	}
@@ -76,12 +79,12 @@
 	return nil
 }
 
-func newCountedClient(addr string) (*platformlog.Client, *WireCounter) {
-	wire := &WireCounter{}
+func newCountedClient(addr string) (*platformlog.Client, *measure.WireCounter) {
+	wire := &measure.WireCounter{}
 	return platformlog.NewClient(platformlog.ClientConfig{Addr: addr, Dial: wire.Dial, LongPoll: time.Millisecond}), wire
 }
 
-func appendCost(addr string, facts Facts) ([]*Series, error) {
+func appendCost(addr string, facts measure.Facts) ([]*measure.Series, error) {
 	client, wire := newCountedClient(addr)
 	defer client.Close()
 	l := newLogCall("log-append", "one append, by payload bytes", facts)
@@ -89,29 +92,29 @@
 		payload := make([]byte, size)
 		call := func() error { return appendOnce(client, "measure/append", payload) }
 		if err := l.measure(size, wire, call); err != nil {
-			return nil, fmt.Errorf("measure: append of %d bytes: %w", size, err)
+			return nil, fmt.Errorf("cost: append of %d bytes: %w", size, err)
 		}
 	}
-	return []*Series{l.bytes, l.cpu}, nil
+	return []*measure.Series{l.bytes, l.cpu}, nil
 }
 
-func readCost(addr string, facts Facts) ([]*Series, error) {
+func readCost(addr string, facts measure.Facts) ([]*measure.Series, error) {
 	client, wire := newCountedClient(addr)
 	defer client.Close()
 	l := newLogCall("log-read", "one read, by records of "+strconv.Itoa(recordBytes)+" bytes", facts)
 	const stream = platformlog.Stream("measure/read")
 	for range batchSizes[len(batchSizes)-1] {
 		if err := appendOnce(client, stream, make([]byte, recordBytes)); err != nil {
-			return nil, fmt.Errorf("measure: %w", err)
+			return nil, fmt.Errorf("cost: %w", err)
 		}
 	}
 	for _, size := range batchSizes {
 		call := func() error { return readOnce(client, stream, size) }
 		if err := l.measure(size, wire, call); err != nil {
-			return nil, fmt.Errorf("measure: read of %d records: %w", size, err)
+			return nil, fmt.Errorf("cost: read of %d records: %w", size, err)
 		}
 	}
-	return []*Series{l.bytes, l.cpu}, nil
+	return []*measure.Series{l.bytes, l.cpu}, nil
 }
 
 func appendOnce(log platformlog.Log, stream platformlog.Stream, payload []byte) error {
