--- a/measure/cost/config.go
+++ b/measure/cost/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"runtime"
 	"time"
 
 	"github.com/parsleystack/parsleystack/config"
@@ -90,8 +89,11 @@
 	}
 	size := float64(services)
 	c.snapshot.Add(size, float64(len(body)))
-	c.memory.Add(size, heapOf(func() any { return follow(records) }))
-	runtime.KeepAlive(records)
+	memory, err := followerHeap(services)
+	if err != nil {
+		return err
+	}
+	c.memory.Add(size, memory)
 	replay, err := measure.CPUPerCall(3, func() error {
 		var s config.Snapshot
 		if _, err := s.UnmarshalMsg(body); err != nil {
@@ -154,6 +156,17 @@
 	return core
 }
 
+// followerHeap returns the heap of a daemon's core and the records that it keeps.
+func followerHeap(services int) (float64, error) {
+	var err error
+	heap := heapOf(func() any {
+		var records []platformlog.Record
+		records, err = changes(services)
+		return follow(records)
+	})
+	return heap, err
+}
+
 // applyTime measures how long a daemon's core takes for one more change.
 func applyTime(records []platformlog.Record) (float64, error) {
 	core := follow(records)
