--- a/bench/args.go
+++ b/bench/args.go
@@ -12,6 +12,7 @@
 	Also        []string      `arg:"--also,separate" help:"another variant to run in turn, as name=addr,addr"`
 	Baseline    []string      `arg:"--baseline,separate" help:"address of a target that is called directly as the variant direct"`
 	Targets     []string      `arg:"--target,separate" help:"address of a target whose records the judge reads"`
+	Journals    []string      `arg:"--runs,separate" help:"file of a target's runs that the judge reads at the end"`
 	Processes   []string      `arg:"--process,separate" help:"process to watch, as label=pid"`
 	Mix         string        `arg:"--mix" default:"perizia" help:"built-in mix: perizia or raumtafel"`
 	Ops         []string      `arg:"--op,separate" help:"operation in place of the mix, as name:method:path:weight:timeout with {key} in the path"`
--- /dev/null
+++ b/bench/journal.go
@@ -0,0 +1,50 @@
+package bench
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+
+	"github.com/parsleystack/parsleystack/standin/target"
+)
+
+// readJournals returns the runs of the files that targets wrote with --runs.
+func readJournals(paths []string) ([]target.Run, error) {
+	var all []target.Run
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, fmt.Errorf("bench: runs of a target: %w", err)
+		}
+		runs, err := parseJournal(text)
+		if err != nil {
+			return nil, fmt.Errorf("bench: runs of a target: %s: %w", path, err)
+		}
+		all = append(all, runs...)
+	}
+	return all, nil
+}
+
+// parseJournal joins the start and the end of each run. A start whose number
+// was used before is one of a later process.
+func parseJournal(text []byte) ([]target.Run, error) {
+	var runs []target.Run
+	index := map[int]int{} // by number of the run in its process
+	for i, line := range bytes.Split(text, []byte{'\n'}) {
+		if len(line) == 0 {
+			continue
+		}
+		var r target.Run
+		if err := json.Unmarshal(line, &r); err != nil {
+			return nil, fmt.Errorf("line %d: %w", i+1, err)
+		}
+		if at, started := index[r.Seq]; started && r.End != 0 {
+			runs[at] = r
+			continue
+		}
+		index[r.Seq] = len(runs)
+		runs = append(runs, r)
+	}
+	return runs, nil
+}
--- a/bench/run.go
+++ b/bench/run.go
@@ -96,13 +96,19 @@
 		fmt.Fprintln(out, "records are not complete:", err)
 	}
 	runs, complete := collector.Runs()
-	complete = complete && len(args.Targets) > 0
+	journals, err := readJournals(splitAll(args.Journals))
+	if err != nil {
+		return err
+	}
+	runs = append(runs, journals...)
+	sources := len(splitAll(args.Targets)) + len(splitAll(args.Journals))
+	complete = complete && sources > 0
 	violations := answerViolations(results)
 	for _, r := range results {
 		violations = append(violations, judgeFates(r.Fates, runsByID(runs), complete && r.Name != directName)...)
 	}
 	violations = append(violations, judgeRuns(runs, args.Divided)...)
-	fmt.Fprintf(out, "judge: %d records of %d targets (complete: %t), %d violations\n", len(runs), len(splitAll(args.Targets)), complete, len(violations))
+	fmt.Fprintf(out, "judge: %d records of %d targets (complete: %t), %d violations\n", len(runs), sources, complete, len(violations))
 	for _, v := range violations {
 		fmt.Fprintln(out, "  "+v.String())
 	}
--- a/standin/target/config.go
+++ b/standin/target/config.go
@@ -3,7 +3,10 @@
 // a record of every request that it ran.
 package target
 
-import "time"
+import (
+	"io"
+	"time"
+)
 
 // Record modes of Config.
 const (
@@ -32,6 +35,7 @@
 	BodyBytes   int           // padding of each answer
 	Record      string        // record mode; default RecordAll
 	RecordLimit int           // most recorded requests; default 4 Mi
+	Journal     io.Writer     // takes every run as a line of JSON at its start and at its end; may be nil
 	Seed        uint64        // seed of service times and faults
 }
 
--- a/standin/target/recorder.go
+++ b/standin/target/recorder.go
@@ -12,8 +12,9 @@
 
 // recorder keeps the runs of a target in memory.
 type recorder struct {
-	mode  string
-	limit int
+	mode    string
+	limit   int
+	journal io.Writer // may be nil
 
 	mu         sync.Mutex
 	runs       []Run
@@ -22,8 +23,13 @@
 	seen       map[string]struct{} // idempotency keys of mutating runs
 }
 
-func newRecorder(mode string, limit int) *recorder {
-	return &recorder{mode: mode, limit: limit, seen: map[string]struct{}{}}
+func newRecorder(config Config) *recorder {
+	return &recorder{
+		mode:    config.Record,
+		limit:   config.RecordLimit,
+		journal: config.Journal,
+		seen:    map[string]struct{}{},
+	}
 }
 
 // wants reports whether requests of method are recorded.
@@ -45,8 +51,10 @@
 		r.dropped++
 		return notRecorded
 	}
+	run.Seq = len(r.runs)
 	r.runs = append(r.runs, run)
-	return len(r.runs) - 1
+	r.writeJournal(&run)
+	return run.Seq
 }
 
 // end records the end of a run.
@@ -58,6 +66,22 @@
 	defer r.mu.Unlock()
 	r.runs[index].End = now
 	r.runs[index].Completed = completed
+	r.writeJournal(&r.runs[index])
+}
+
+// writeJournal writes a run as one line, at its start and at its end, in one
+// write each, so that the lines outlive the process.
+func (r *recorder) writeJournal(run *Run) {
+	if r.journal == nil {
+		return
+	}
+	line, err := json.Marshal(run)
+	if err == nil {
+		_, err = r.journal.Write(append(line, '\n'))
+	}
+	if err != nil {
+		panic("target: the journal of runs can't be written: " + err.Error())
+	}
 }
 
 // snapshot returns a copy of the runs but the first n.
--- a/standin/target/run.go
+++ b/standin/target/run.go
@@ -2,7 +2,8 @@
 
 // Run is the record of one request that a target started.
 type Run struct {
-	ID             string `json:"id"` // X-Request-Id, or Parsley-Request-Id if there is none
+	Seq            int    `json:"seq"` // number of the run in its process, from 0
+	ID             string `json:"id"`  // X-Request-Id, or Parsley-Request-Id if there is none
 	IdempotencyKey string `json:"idempotency_key,omitempty"`
 	Method         string `json:"method"`
 	Path           string `json:"path"`
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -39,7 +39,7 @@
 		config:   config,
 		process:  strconv.FormatInt(time.Now().UnixNano(), 10),
 		fence:    newFence(),
-		recorder: newRecorder(config.Record, config.RecordLimit),
+		recorder: newRecorder(config),
 		slots:    make(chan struct{}, config.Slots),
 		random:   rand.New(rand.NewPCG(config.Seed, 0)),
 	}
