Lower the cost of the request path

One context without timers a request (the watcher ends it), deadlines by clock.Fast, no probe of idle connections for idempotent requests (a stale one is tried again before any byte of the answer), write batches that wait for frames being made, and write buffers that are kept.

Also fixed: a listener given to Serve after Close stayed open and took connections that nobody answered (seen as a flaky test of an unreachable peer), and a bad connection was counted only after it was closed.

--- a/entry/config.go
+++ b/entry/config.go
@@ -21,7 +21,7 @@
 	// Source finds owners on demand; nil leaves that to refusals.
 	Source route.Source
 
-	// Now reads the clock that deadlines are measured on; clock.Now if nil.
+	// Now reads the clock that deadlines are measured on; clock.Fast if nil.
 	Now func() clock.Time
 	// MaxBody is the largest request body in bytes; DefaultMaxBody if 0.
 	MaxBody int
@@ -73,7 +73,7 @@
 	setDefault(&c.HoldLimit, DefaultHoldLimit)
 	setDefault(&c.DefaultTimeout, DefaultRequestTimeout)
 	if c.Now == nil {
-		c.Now = clock.Now
+		c.Now = clock.Fast
 	}
 	if c.Log == nil {
 		c.Log = zap.NewNop()
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"strconv"
 	"sync"
 	"time"
@@ -30,8 +29,7 @@
 type flight struct {
 	gateway  *Gateway
 	http     *fasthttp.RequestCtx
-	ctx      context.Context
-	cancel   context.CancelCauseFunc
+	ctx      *flightContext
 	service  *route.Service // as of the last attempt
 	deadline clock.Time
 	state    dispatch.Request
@@ -48,6 +46,9 @@
 func newFlight(g *Gateway, ctx *fasthttp.RequestCtx) *flight {
 	f := flights.Get().(*flight)
 	f.gateway, f.http = g, ctx
+	if f.ctx == nil || f.ctx.Err() != nil {
+		f.ctx = newFlightContext()
+	}
 	return f
 }
 
@@ -55,7 +56,7 @@
 	f.resp.Release()
 	f.resp.Reset()
 	f.req.Reset()
-	f.gateway, f.http, f.ctx, f.cancel, f.service = nil, nil, nil, nil, nil
+	f.gateway, f.http, f.service = nil, nil, nil
 	f.state = dispatch.Request{}
 	f.last = route.Target{}
 	f.key = keyInput{}
@@ -172,6 +173,9 @@
 // repeats reports whether the caller counts this as its second attempt or a
 // later one.
 func repeats(attempt []byte) bool {
+	if len(attempt) == 0 {
+		return false
+	}
 	n, err := strconv.ParseUint(view(attempt), 10, 32)
 	return err == nil && n > 1
 }
--- a/entry/gateway.go
+++ b/entry/gateway.go
@@ -6,7 +6,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -46,10 +45,11 @@
 		Concurrency:                  cfg.MaxConns,
 		DisablePreParseMultipartForm: true,
 		NoDefaultContentType:         true,
+		LazyRequestTime:              true,
 		CloseOnShutdown:              true,
 		Logger:                       quietLogger{},
 	}
-	go g.watcher.run(g.ctx)
+	go g.watcher.run(g.ctx, cfg.Now)
 	return g
 }
 
@@ -121,5 +121,3 @@
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
 }
-
-const watchInterval = 25 * time.Millisecond
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"errors"
 	"time"
 
@@ -47,17 +46,9 @@
 	f.write(result)
 }
 
-// begin sets the deadline and starts to watch for the caller's leaving.
+// begin starts to watch for the deadline and for the caller's leaving.
 func (f *flight) begin() {
 	g := f.gateway
-	left := f.deadline.Sub(g.cfg.Now())
-	withDeadline, release := context.WithDeadlineCause(g.ctx, time.Now().Add(left), errDeadline)
-	ctx, cancel := context.WithCancelCause(withDeadline)
-	f.ctx = ctx
-	f.cancel = func(cause error) {
-		cancel(cause)
-		release()
-	}
 	f.state.Rule = dispatch.Rule{
 		Keyed:      f.req.Keyed,
 		Idempotent: f.req.Idempotent,
@@ -72,7 +63,6 @@
 
 func (f *flight) end() {
 	f.gateway.watcher.remove(f)
-	f.cancel(nil)
 }
 
 // dispatch drives the request's state machine to its outcome.
@@ -165,7 +155,7 @@
 
 // interrupted returns the event that ended the request's context.
 func (f *flight) interrupted(sent bool) dispatch.Event {
-	if errors.Is(context.Cause(f.ctx), errCallerLeft) {
+	if errors.Is(f.ctx.Err(), errCallerLeft) {
 		return dispatch.Event{Kind: dispatch.CallerLeft, Sent: sent}
 	}
 	return dispatch.Event{Kind: dispatch.DeadlinePassed, Sent: sent}
--- a/entry/moving_test.go
+++ b/entry/moving_test.go
@@ -16,6 +16,9 @@
 	"github.com/parsleystack/parsleystack/wire"
 )
 
+// unreachable is an address that nothing listens on.
+const unreachable = "127.0.0.1:1"
+
 // sourceFunc is a route.Source.
 type sourceFunc func() []route.Entry
 
@@ -76,9 +79,8 @@
 
 func TestUnreachableOwnerIsReplaced(t *testing.T) {
 	tgt := newFakeTarget(t)
-	a := newDaemon(t, "a", reports(), tgt.addr, nil)
+	a := &daemon{node: ident.Node{Instance: "a", Incarnation: 1}, addr: unreachable}
 	b := newDaemon(t, "b", reports(), tgt.addr, nil)
-	a.server.Close()
 	b.hold(keyspace.Full(), 2, false)
 	e := newDoor(t, sourceFunc(func() []route.Entry { return []route.Entry{b.route(keyspace.Full(), 2)} }), reports())
 	e.router.Learn("reports", a.route(keyspace.Full(), 1))
@@ -88,10 +90,9 @@
 func TestUndividedServiceAvoidsALostDaemon(t *testing.T) {
 	tgt := newFakeTarget(t)
 	halves := keyspace.Divide(2)
-	a := newDaemon(t, "a", bookings(), tgt.addr, nil)
+	a := &daemon{node: ident.Node{Instance: "a", Incarnation: 1}, addr: unreachable}
 	b := newDaemon(t, "b", bookings(), tgt.addr, nil)
 	b.hold(halves[1], 2, false)
-	a.server.Close()
 	e := newDoor(t, nil, bookings())
 	e.router.Learn("bookings", a.route(halves[0], 1), b.route(halves[1], 2))
 	for range 10 {
--- a/entry/watcher.go
+++ b/entry/watcher.go
@@ -9,25 +9,35 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/parsleystack/parsleystack/clock"
 )
 
-const watchShards = 16
+const (
+	watchShards = 16
+	// watchInterval is the time between sweeps, and thus the delay with which a
+	// deadline is noticed here. The owner's daemon notices it exactly.
+	watchInterval = 5 * time.Millisecond
+	// probeRounds is the number of sweeps between looks at the connections.
+	probeRounds = 5
+)
 
-// watcher looks for callers that have left: fasthttp reads nothing from a
-// connection while its request is served.
+// watcher ends the contexts of requests whose deadline has passed or whose
+// caller has left: fasthttp reads nothing from a connection while its request
+// is served.
 type watcher struct {
 	shards [watchShards]watchShard
 }
 
 type watchShard struct {
 	mu      sync.Mutex
-	flights map[*flight]bool // value: seen by the last sweep
+	flights map[*flight]struct{}
 }
 
 func newWatcher() *watcher {
 	w := &watcher{}
 	for i := range w.shards {
-		w.shards[i].flights = make(map[*flight]bool)
+		w.shards[i].flights = make(map[*flight]struct{})
 	}
 	return w
 }
@@ -39,7 +49,7 @@
 func (w *watcher) add(f *flight) {
 	s := w.shard(f)
 	s.mu.Lock()
-	s.flights[f] = false
+	s.flights[f] = struct{}{}
 	s.mu.Unlock()
 }
 
@@ -51,33 +61,32 @@
 }
 
 // run sweeps until ctx ends.
-func (w *watcher) run(ctx context.Context) {
+func (w *watcher) run(ctx context.Context, now func() clock.Time) {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
-	for {
+	for round := 0; ; round++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 		}
 		for i := range w.shards {
-			w.shards[i].sweep()
+			w.shards[i].sweep(now(), round%probeRounds == 0)
 		}
 	}
 }
 
-// sweep cancels the requests whose callers have left. Short requests end
-// before they are looked at.
-func (s *watchShard) sweep() {
+// sweep ends the requests whose deadline has passed and, if probe is set,
+// those whose callers have left. Most requests end before the first probe.
+func (s *watchShard) sweep(now clock.Time, probe bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for f, seen := range s.flights {
-		if !seen {
-			s.flights[f] = true
-			continue
-		}
-		if hasLeft(f.http.Conn()) {
-			f.cancel(errCallerLeft)
+	for f := range s.flights {
+		switch {
+		case !now.Before(f.deadline):
+			f.ctx.end(errDeadline)
+		case probe && hasLeft(f.http.Conn()):
+			f.ctx.end(errCallerLeft)
 		}
 	}
 }
--- a/owner/config.go
+++ b/owner/config.go
@@ -26,6 +26,9 @@
 
 	// Now reads the clock that leases are measured on; clock.Now if nil.
 	Now func() clock.Time
+	// Fast reads the clock that deadlines and durations are measured on;
+	// clock.Fast if nil. Its readings are not compared with those of Now.
+	Fast func() clock.Time
 	// LeaseMargin is kept between the deadline of a request and the end of the
 	// lease where targets do not check tokens; DefaultLeaseMargin if 0.
 	LeaseMargin time.Duration
@@ -45,6 +48,9 @@
 	if c.Now == nil {
 		c.Now = clock.Now
 	}
+	if c.Fast == nil {
+		c.Fast = clock.Fast
+	}
 	if c.LeaseMargin == 0 {
 		c.LeaseMargin = DefaultLeaseMargin
 	}
--- a/owner/once.go
+++ b/owner/once.go
@@ -5,7 +5,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/outcome"
 )
 
@@ -37,11 +36,11 @@
 // heldShorter reports whether an earlier owner may have run the request less
 // than d ago.
 func (r *run) heldShorter(d time.Duration) bool {
-	return r.use.Since != clock.Never && r.arrived.Sub(r.use.Since) < d
+	return r.owner.cfg.Now().Sub(r.use.Since) < d
 }
 
 func (r *run) remember(key memoryKey) {
-	now := r.owner.cfg.Now()
+	now := r.owner.cfg.Fast()
 	switch r.resp.Kind {
 	case outcome.NotRun:
 		r.owner.memory.drop(key)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -33,7 +33,7 @@
 // New returns an Owner that refuses requests until SetSpec is called.
 func New(cfg Config) *Owner {
 	cfg = cfg.withDefaults()
-	return &Owner{cfg: cfg, gate: newGate(cfg.Admission, cfg.Now), memory: newMemory(cfg.Memory)}
+	return &Owner{cfg: cfg, gate: newGate(cfg.Admission, cfg.Fast), memory: newMemory(cfg.Memory)}
 }
 
 // SetSpec puts a configuration of the service in force. One older than the
--- a/owner/run.go
+++ b/owner/run.go
@@ -29,10 +29,11 @@
 	exchange *transport.Exchange
 	req      *wire.Request
 	spec     *specVersion
-	arrived  clock.Time
-	deadline clock.Time
+	arrived  clock.Time // by Config.Fast
+	deadline clock.Time // by Config.Fast
 	use      lease.Use
 	grant    cell.Grant // that the request goes to the target with
+	expires  clock.Time // end of the grant's lease, less a margin, by Config.Now
 	ticket   *ticket
 	call     target.Call
 	sending  atomic.Bool // bytes may have gone to the target
@@ -51,7 +52,7 @@
 func newRun(o *Owner, e *transport.Exchange) *run {
 	r := runs.Get().(*run)
 	r.owner, r.exchange, r.req = o, e, &e.Request
-	r.arrived = o.cfg.Now()
+	r.arrived = o.cfg.Fast()
 	r.deadline = r.arrived.Add(r.req.Timeout)
 	return r
 }
@@ -107,10 +108,11 @@
 // acquire counts the request in flight under the grant of its range.
 func (r *run) acquire() bool {
 	var verdict lease.Verdict
+	now := r.owner.cfg.Now()
 	if r.req.Keyed {
-		r.use, verdict = r.owner.cfg.Leases.Acquire(r.req.Point, r.arrived)
+		r.use, verdict = r.owner.cfg.Leases.Acquire(r.req.Point, now)
 	} else {
-		r.use, verdict = r.owner.cfg.Leases.AcquireAny(r.arrived)
+		r.use, verdict = r.owner.cfg.Leases.AcquireAny(now)
 	}
 	return r.accept(verdict)
 }
@@ -142,9 +144,9 @@
 	if !r.admit() {
 		return
 	}
-	started := r.owner.cfg.Now()
+	started := r.owner.cfg.Fast()
 	ending := r.runTarget()
-	inFlight, capacity := r.owner.gate.finish(r.ticket, ending, r.owner.cfg.Now().Sub(started))
+	inFlight, capacity := r.owner.gate.finish(r.ticket, ending, r.owner.cfg.Fast().Sub(started))
 	r.resp.InFlight, r.resp.Capacity = uint32(inFlight), uint32(capacity)
 }
 
@@ -200,7 +202,7 @@
 	return admission.Answered
 }
 
-// prepareCall checks the lease and builds the target's request. The deadline
+// prepareCall checks the lease and builds the target's request. The time left
 // ends before the lease where the target does not check tokens.
 func (r *run) prepareCall() bool {
 	now := r.owner.cfg.Now()
@@ -208,17 +210,19 @@
 	if !r.accept(verdict) {
 		return false
 	}
-	r.grant = grant
+	r.grant, r.expires = grant, expires
+	left := r.deadline.Sub(r.owner.cfg.Fast())
 	if !r.spec.spec.Fenced {
-		r.deadline = min(r.deadline, expires.Add(-r.owner.cfg.LeaseMargin))
+		r.expires = expires.Add(-r.owner.cfg.LeaseMargin)
+		left = min(left, r.expires.Sub(now))
 	}
-	left := r.deadline.Sub(now)
 	if left <= 0 {
 		return r.refuse(outcome.DeadlineExceeded, 0)
 	}
 	buildRequest(&r.httpReq, r.req)
 	target.SetGrant(&r.httpReq.Header, grant, left)
 	r.call.Request, r.call.Response = &r.httpReq, &r.httpResp
+	r.call.Idempotent = r.req.Idempotent
 	r.call.Deadline = time.Now().Add(left)
 	r.call.Confirm = r.confirm
 	return true
@@ -231,7 +235,10 @@
 func (r *run) confirmLease() error {
 	now := r.owner.cfg.Now()
 	grant, _, verdict := r.use.Check(now)
-	if verdict != lease.Held || grant.Token != r.grant.Token || !now.Before(r.deadline) {
+	if verdict != lease.Held || grant.Token != r.grant.Token || !now.Before(r.expires) && !r.spec.spec.Fenced {
+		return errNotConfirmed
+	}
+	if r.late() {
 		return errNotConfirmed
 	}
 	r.sending.Store(true)
@@ -247,7 +254,7 @@
 		r.refuse(outcome.Overloaded, retryAfterMoving)
 	case errors.Is(err, errNotConfirmed):
 		r.notConfirmed()
-	case !r.owner.cfg.Now().Before(r.deadline):
+	case r.late():
 		r.refuse(outcome.DeadlineExceeded, 0)
 	default:
 		r.refuse(outcome.ConnectionLost, retryAfterMoving)
@@ -255,12 +262,11 @@
 }
 
 func (r *run) notConfirmed() {
-	now := r.owner.cfg.Now()
-	_, _, verdict := r.use.Check(now)
-	if !now.Before(r.deadline) {
+	if r.late() {
 		r.refuse(outcome.DeadlineExceeded, 0)
 		return
 	}
+	_, _, verdict := r.use.Check(r.owner.cfg.Now())
 	if r.accept(verdict) {
 		r.refuse(outcome.Moving, retryAfterMoving)
 	}
@@ -271,7 +277,7 @@
 	switch {
 	case errors.Is(err, target.ErrCanceled):
 		r.unknown(outcome.Canceled)
-	case !r.owner.cfg.Now().Before(r.deadline):
+	case r.late():
 		r.unknown(outcome.DeadlineExceeded)
 	default:
 		r.unknown(outcome.ConnectionLost)
@@ -280,7 +286,8 @@
 
 // answered stores the target's answer if the range was held throughout.
 func (r *run) answered() {
-	if _, _, verdict := r.use.Check(r.owner.cfg.Now()); verdict != lease.Held && verdict != lease.Releasing {
+	_, _, verdict := r.use.Check(r.owner.cfg.Now())
+	if verdict != lease.Held && verdict != lease.Releasing {
 		r.hint()
 		r.unknown(outcome.LeaseExpired)
 		return
@@ -289,6 +296,9 @@
 	fillAnswer(&r.resp, &r.httpResp)
 }
 
+// late reports whether the request's deadline has passed.
+func (r *run) late() bool { return !r.owner.cfg.Fast().Before(r.deadline) }
+
 // refuse stores the outcome "not run" and returns false.
 func (r *run) refuse(reason outcome.Reason, retryAfter time.Duration) bool {
 	r.resp.Kind, r.resp.Reason, r.resp.RetryAfter = outcome.NotRun, reason, retryAfter
--- a/target/call.go
+++ b/target/call.go
@@ -7,11 +7,18 @@
 	"github.com/valyala/fasthttp"
 )
 
+// socketBuffer is the size in bytes up to which a body is written without
+// waiting for the target to read it.
+const socketBuffer = 8 << 10
+
 // Call is one request to the target. It may be reused after Do has returned.
 type Call struct {
 	Request  *fasthttp.Request
 	Response *fasthttp.Response
 	Deadline time.Time
+	// Idempotent lets the call be sent again if an idle connection turns out to
+	// be closed before any byte of the answer came.
+	Idempotent bool
 	// Confirm is called at the last step before bytes go to the socket; an
 	// error stops the call.
 	Confirm func() error
@@ -38,7 +45,7 @@
 	c.canceled, c.conn = false, nil
 	c.mu.Unlock()
 	c.Request, c.Response, c.Confirm = nil, nil, nil
-	c.Deadline = time.Time{}
+	c.Deadline, c.Idempotent = time.Time{}, false
 }
 
 // attach sets the connection and its deadline. It reports false if the call
@@ -50,7 +57,10 @@
 		return false
 	}
 	c.conn = conn
-	_ = conn.SetDeadline(c.Deadline)
+	_ = conn.SetReadDeadline(c.Deadline)
+	if len(c.Request.Body()) > socketBuffer {
+		_ = conn.SetWriteDeadline(c.Deadline)
+	}
 	return true
 }
 
--- a/target/client.go
+++ b/target/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -46,33 +48,57 @@
 // socket; the request was not run then. If sent is true and err is not nil,
 // the request may have run.
 func (c *Client) Do(call *Call) (sent bool, err error) {
-	conn, err := c.pool.get(call.Deadline)
+	if !call.Idempotent {
+		sent, _, err = c.try(call, true)
+		return sent, err
+	}
+	sent, stale, err := c.try(call, false)
+	if err == nil || !stale || call.isCanceled() {
+		return sent, err
+	}
+	again, _, err := c.try(call, true)
+	return sent || again, err
+}
+
+// try runs a call once. stale reports that an idle connection failed before
+// any byte of the answer came.
+func (c *Client) try(call *Call, probe bool) (sent, stale bool, err error) {
+	conn, err := c.pool.get(call.Deadline, probe)
 	if err != nil {
-		return false, err
+		return false, false, err
 	}
 	if !call.attach(conn) {
 		c.pool.put(conn)
-		return false, ErrCanceled
+		return false, false, ErrCanceled
 	}
 	if call.Confirm != nil {
 		if err := call.Confirm(); err != nil {
 			call.detach()
 			c.pool.put(conn)
-			return false, err
+			return false, false, err
 		}
 	}
 	sent, err = roundTrip(conn, call, c.cfg.MaxBody)
 	call.detach()
+	stale = err != nil && conn.used && !conn.answered && !isTimeout(err)
 	c.finish(conn, call, err)
 	if err != nil && call.isCanceled() {
 		err = ErrCanceled
 	}
-	return sent, err
+	return sent, stale, err
+}
+
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
 // finish keeps the connection if the target can read the next request on it.
 func (c *Client) finish(conn *conn, call *Call, err error) {
 	if err == nil && !call.Response.ConnectionClose() && conn.reader.Buffered() == 0 {
+		if len(call.Request.Body()) > socketBuffer {
+			_ = conn.SetWriteDeadline(time.Time{})
+		}
 		c.pool.put(conn)
 		return
 	}
@@ -81,7 +107,7 @@
 
 // roundTrip writes the request and reads the whole answer.
 func roundTrip(conn *conn, call *Call, maxBody int) (sent bool, err error) {
-	conn.wrote = false
+	conn.wrote, conn.answered = false, false
 	if err := call.Request.Write(conn.writer); err != nil {
 		return conn.wrote, err
 	}
@@ -120,6 +146,7 @@
 		if err := resp.Header.Read(conn.reader); err != nil {
 			return err
 		}
+		conn.answered = true
 		if resp.StatusCode() >= fasthttp.StatusOK {
 			return nil
 		}
--- a/target/conn.go
+++ b/target/conn.go
@@ -13,10 +13,12 @@
 // conn is one connection to the target.
 type conn struct {
 	net.Conn
-	raw    syscall.RawConn
-	reader *bufio.Reader
-	writer *bufio.Writer
-	wrote  bool // bytes of the current request went to the socket
+	raw      syscall.RawConn
+	reader   *bufio.Reader
+	writer   *bufio.Writer
+	wrote    bool // bytes of the current request went to the socket
+	answered bool // a header block of the answer came
+	used     bool // the connection has carried an earlier request or was idle
 
 	idle     bool                  // result of probe
 	probeFn  func(fd uintptr) bool // probe, allocated once
--- a/target/pool.go
+++ b/target/pool.go
@@ -24,8 +24,9 @@
 	return &pool{addr: addr, max: limit, dialTimeout: dialTimeout, low: make(chan struct{}, 1)}
 }
 
-// get returns an idle connection that the target has not closed, or a new one.
-func (p *pool) get(deadline time.Time) (*conn, error) {
+// get returns an idle connection, or a new one. With probe set, the idle
+// connection is one that the target has not closed.
+func (p *pool) get(deadline time.Time, probe bool) (*conn, error) {
 	for {
 		c, err := p.pop()
 		if err != nil {
@@ -34,7 +35,8 @@
 		if c == nil {
 			return p.dial(deadline)
 		}
-		if c.reusable() {
+		if !probe || c.reusable() {
+			c.used = true
 			return c, nil
 		}
 		p.discard(c)
--- a/transport/server.go
+++ b/transport/server.go
@@ -48,12 +48,13 @@
 // Counters returns the server's traffic counters.
 func (s *Server) Counters() *Counters { return &s.count }
 
-// Serve accepts connections until the listener fails or Close is called, and
-// returns ErrClosed in the latter case.
+// Serve accepts connections until the listener fails or the server is closed,
+// and returns ErrClosed in the latter case. It closes l.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
-	if s.closed {
+	if s.closed || s.closing {
 		s.mu.Unlock()
+		_ = l.Close()
 		return ErrClosed
 	}
 	s.listener = l
@@ -97,13 +98,13 @@
 		c.close()
 		return
 	}
-	err = c.run()
+	if err := c.run(); err != nil && !s.isClosed() {
+		s.report(conn, err)
+	}
+	c.close()
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
-	if err != nil && !s.isClosed() {
-		s.report(conn, err)
-	}
 }
 
 func (s *Server) track(c *serverConn) bool {
@@ -126,10 +127,10 @@
 	delete(s.raw, conn)
 	closed := s.closed
 	s.mu.Unlock()
-	_ = conn.Close()
 	if !closed {
 		s.report(conn, err)
 	}
+	_ = conn.Close()
 }
 
 func (s *Server) report(conn net.Conn, err error) {
@@ -139,7 +140,13 @@
 
 // serve runs the request handler in a goroutine.
 func (s *Server) serve(e *Exchange) {
-	s.done.Go(func() { s.handler.ServeRequest(e) })
+	s.done.Add(1)
+	go s.serveOne(e)
+}
+
+func (s *Server) serveOne(e *Exchange) {
+	defer s.done.Done()
+	s.handler.ServeRequest(e)
 }
 
 // Drain tells all peers to send no new request on their connections. Requests
@@ -162,8 +169,8 @@
 	defer s.Close()
 	s.Drain()
 	s.mu.Lock()
+	s.closing = true
 	if s.listener != nil {
-		s.closing = true
 		_ = s.listener.Close()
 	}
 	s.mu.Unlock()
--- a/transport/serverconn.go
+++ b/transport/serverconn.go
@@ -26,9 +26,8 @@
 	lastID    uint64
 }
 
-// run reads frames until the connection ends, and cancels what is in flight.
+// run reads frames until the connection ends. The caller closes c.
 func (c *serverConn) run() error {
-	defer c.close()
 	go func() {
 		_ = c.writer.run(func(n int) { c.server.count.BytesOut[c.class].Add(uint64(n)) })
 		_ = c.conn.Close()
@@ -144,6 +143,7 @@
 
 func (c *serverConn) goaway() { _, _ = c.writer.raw(wire.KindGoaway, 0, nil) }
 
+// close ends the connection and cancels what is in flight.
 func (c *serverConn) close() {
 	c.cancel()
 	c.writer.fail(net.ErrClosed)
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -151,9 +151,28 @@
 	}
 }
 
-func TestUnreachablePeerMeansNotSent(t *testing.T) {
-	s, addr := start(t, &echo{})
+// TestServeAfterClose: a listener that Serve is given too late takes no
+// connection that nobody would answer.
+func TestServeAfterClose(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(Config{Hello: hello("server")}, &echo{}, nil)
 	s.Close()
+	if err := s.Serve(l); !errors.Is(err, ErrClosed) {
+		t.Errorf("got %v, want ErrClosed", err)
+	}
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("listener: %v, want it closed", err)
+	}
+}
+
+// unreachable is an address that nothing listens on.
+const unreachable = "127.0.0.1:1"
+
+func TestUnreachablePeerMeansNotSent(t *testing.T) {
+	addr := unreachable
 	p := newTestPool(t, nil)
 	var resp wire.Response
 	var peerErr *PeerError
--- a/transport/writer.go
+++ b/transport/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"runtime"
 	"sync"
 	"time"
 
@@ -10,7 +11,10 @@
 	"github.com/parsleystack/parsleystack/wire"
 )
 
-const keptBuffer = 256 << 10 // bytes of a write buffer kept for reuse
+const keptBuffer = 64 << 10 // bytes of a write buffer that is kept in any case
+
+// maxHardlyUsed is the number of batches after which a large buffer is given up.
+const maxHardlyUsed = 256
 
 // writer collects frames and writes all that wait with one system call.
 type writer struct {
@@ -123,7 +127,9 @@
 // error.
 func (w *writer) run(count func(bytes int)) error {
 	var spare []byte
+	var keeper bufferKeeper
 	for range w.wake {
+		runtime.Gosched() // lets frames that are being made join the batch
 		batch, err := w.take(spare)
 		if err != nil {
 			return err
@@ -136,11 +142,27 @@
 			return err
 		}
 		count(len(batch))
-		spare = batch
-		if cap(spare) > keptBuffer {
-			spare = nil
-		}
+		spare = keeper.keep(batch)
+	}
+	return nil
+}
+
+// bufferKeeper decides which write buffers are reused: a large one that was
+// hardly used several times in a row is given up.
+type bufferKeeper struct {
+	hardlyUsed int
+}
+
+func (k *bufferKeeper) keep(batch []byte) []byte {
+	if cap(batch) <= keptBuffer || len(batch) >= cap(batch)/4 {
+		k.hardlyUsed = 0
+		return batch
+	}
+	k.hardlyUsed++
+	if k.hardlyUsed < maxHardlyUsed {
+		return batch
 	}
+	k.hardlyUsed = 0
 	return nil
 }
 
