Forward the path with the service's prefix; adapt the limit by default

The written target protocol hands the whole path on. The zero admission configuration adapts its limit; FixedLimit and NoAdmission are baselines of measurements. Idle connections to the target are kept warm by default.

--- a/admission/config.go
+++ b/admission/config.go
@@ -10,8 +10,9 @@
 	// MaxWait is the longest expected wait at which a request is still taken
 	// into the queue; DefaultMaxWait if 0.
 	MaxWait time.Duration
-	// Adapt lets the limit fall below Slots where the target slows.
-	Adapt bool
+	// FixedLimit keeps the limit at Slots. Otherwise it falls below where the
+	// target slows.
+	FixedLimit bool
 	// MinLimit is the lowest limit; a quarter of Slots if 0.
 	MinLimit int
 	// Window is the time between changes of the limit; DefaultWindow if 0.
--- a/admission/limit.go
+++ b/admission/limit.go
@@ -36,7 +36,7 @@
 func newLimit(cfg *Config) limit { return limit{cfg: cfg, value: float64(cfg.Slots)} }
 
 func (l *limit) current() int {
-	if !l.cfg.Adapt {
+	if l.cfg.FixedLimit {
 		return l.cfg.Slots
 	}
 	return int(l.value)
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -25,6 +25,9 @@
 	maxIdempotencyKey    = 255 // bytes
 )
 
+// rootPath is the path below the service's prefix if there is none.
+var rootPath = []byte{'/'}
+
 // flight is one caller's request on its way through the gateway.
 type flight struct {
 	gateway  *Gateway
@@ -82,19 +85,15 @@
 	}
 	f.service = svc
 	f.key = keyInput{header: &f.http.Request.Header, path: path, query: query}
-	f.fillURI(uri, len(name)+1, path)
+	f.fillLine(uri)
 	f.fillRule(path)
 	f.fillHeaders()
 	return f.fillKey()
 }
 
-// fillURI sets the URI without the service's prefix.
-func (f *flight) fillURI(uri []byte, prefix int, path []byte) {
-	f.req.URI = uri[prefix:]
-	if len(path) == 0 {
-		f.scratch = append(append(f.scratch[:0], '/'), f.req.URI...)
-		f.req.URI = bytes.Clone(f.scratch)
-	}
+// fillLine sets what the target sees of the request line.
+func (f *flight) fillLine(uri []byte) {
+	f.req.URI = uri
 	f.req.Method = f.http.Method()
 	f.req.Body = f.http.Request.Body()
 	f.id = f.gateway.ids.append(f.id[:0])
@@ -106,7 +105,7 @@
 func (f *flight) fillRule(path []byte) {
 	timeout := f.gateway.cfg.DefaultTimeout
 	if len(path) == 0 {
-		path = f.req.URI[:1]
+		path = rootPath
 	}
 	if rule := f.rule(path); rule != nil {
 		f.req.Idempotent, f.req.Priority = rule.Idempotent, rule.Priority
--- a/owner/config.go
+++ b/owner/config.go
@@ -35,6 +35,9 @@
 	// Admission holds the parameters of the queue; slots and queue limit come
 	// from the service's configuration.
 	Admission admission.Config
+	// NoAdmission hands all requests to the target at once, as a baseline of
+	// measurements. Only its connections bound them then.
+	NoAdmission bool
 	// Memory bounds what is remembered of requests with idempotency keys.
 	Memory MemoryConfig
 	// Log may be nil.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -44,6 +45,9 @@
 	o.spec.Store(&specVersion{spec: spec, offset: offset})
 	cfg := o.cfg.Admission
 	cfg.Slots, cfg.QueueLimit = spec.Slots, spec.QueueLimit
+	if o.cfg.NoAdmission {
+		cfg.Slots, cfg.QueueLimit, cfg.FixedLimit = math.MaxInt32, 0, true
+	}
 	o.gate.step(admission.Event{Kind: admission.Configure, Config: &cfg})
 }
 
--- a/target/config.go
+++ b/target/config.go
@@ -9,7 +9,8 @@
 	// MaxConns is the number of connections for requests; orders use up to
 	// OrderConns more.
 	MaxConns int
-	// WarmConns is the number of idle connections that Run keeps open.
+	// WarmConns is the number of idle connections that Run keeps open;
+	// DefaultWarmConns if 0.
 	WarmConns int
 	// MaxBody is the largest body of an answer in bytes; DefaultMaxBody if 0.
 	MaxBody int
@@ -24,6 +25,8 @@
 	OrderConns = 2
 	// DefaultMaxConns is the default of Config.MaxConns.
 	DefaultMaxConns = 128
+	// DefaultWarmConns is the default of Config.WarmConns.
+	DefaultWarmConns = 8
 	// DefaultMaxBody is the default of Config.MaxBody in bytes.
 	DefaultMaxBody = 8 << 20
 	// DefaultDialTimeout is the default of Config.DialTimeout.
@@ -36,6 +39,9 @@
 	if c.MaxConns == 0 {
 		c.MaxConns = DefaultMaxConns
 	}
+	if c.WarmConns == 0 {
+		c.WarmConns = DefaultWarmConns
+	}
 	if c.MaxBody == 0 {
 		c.MaxBody = DefaultMaxBody
 	}
