--- a/dispatch/budget.go
+++ b/dispatch/budget.go
@@ -4,7 +4,7 @@
 
 const (
 	budgetUnit  = 1000 // tokens of one retry
-	budgetBurst = 10   // retries that can be saved up
+	budgetBurst = 100  // retries that can be saved up, about the work in flight at a lost target
 )
 
 // Budget bounds retries to a share of first attempts. Its methods may be
--- a/dispatch/event.go
+++ b/dispatch/event.go
@@ -25,6 +25,9 @@
 	// CallerLeft reports that nobody waits for the answer. Event.Sent is as
 	// with DeadlinePassed.
 	CallerLeft EventKind = 8
+	// OwnerReplaced reports that the key of an idempotent request has another
+	// owner while the last one has not answered. Event.Sent is as above.
+	OwnerReplaced EventKind = 9
 )
 
 // Event is an input of a Request.
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -60,6 +60,8 @@
 		return r.answered(ev, now)
 	case PeerFailed:
 		return r.peerFailed(ev, now)
+	case OwnerReplaced:
+		return r.ownerReplaced(ev, now)
 	case HoldRefused:
 		return r.finish(outcome.NotRun, r.reason, retryAfterHold)
 	case DeadlinePassed:
@@ -122,6 +124,14 @@
 	return r.redirect(Event{Kind: Answered, Result: outcome.Result{Kind: outcome.NotRun, Reason: r.reason}, Moved: ev.Moved}, now)
 }
 
+// ownerReplaced gives up an attempt whose owner has lost the key.
+func (r *Request) ownerReplaced(ev Event, now clock.Time) Action {
+	if ev.Sent {
+		return r.unknown(outcome.LeaseExpired, now, Send)
+	}
+	return r.attempt(now, Send)
+}
+
 // unknown handles an attempt that may have run.
 func (r *Request) unknown(reason outcome.Reason, now clock.Time, again ActionKind) Action {
 	r.mayHave = true
--- a/dispatch/request_test.go
+++ b/dispatch/request_test.go
@@ -52,6 +52,8 @@
 		{"peer lost before sending", keyed, Event{Kind: PeerFailed}, 1, Hold, 0},
 		{"peer lost after sending", keyed, Event{Kind: PeerFailed, Sent: true}, 1, Finish, outcome.Unknown},
 		{"peer lost after sending a read", read, Event{Kind: PeerFailed, Sent: true}, 1, Hold, 0},
+		{"owner replaced under a read", read, Event{Kind: OwnerReplaced, Sent: true}, 1, Send, 0},
+		{"owner replaced", keyed, Event{Kind: OwnerReplaced, Sent: true}, 1, Finish, outcome.Unknown},
 		{"deadline in flight", keyed, Event{Kind: DeadlinePassed, Sent: true}, deadline, Finish, outcome.Unknown},
 		{"deadline in the hold queue", keyed, Event{Kind: DeadlinePassed}, deadline, Finish, outcome.NotRun},
 		{"hold queue full", keyed, Event{Kind: HoldRefused}, 1, Finish, outcome.NotRun},
@@ -139,6 +141,8 @@
 		return Event{Kind: DeadlinePassed, Sent: x&0x100 != 0}
 	case 3:
 		return Event{Kind: NoRoute}
+	case 4:
+		return Event{Kind: OwnerReplaced, Sent: x&0x100 != 0}
 	}
 	return notRun(reason, x&0x200 != 0)
 }
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 	"unsafe"
 
@@ -32,8 +33,9 @@
 type flight struct {
 	gateway  *Gateway
 	http     *fasthttp.RequestCtx
-	ctx      *flightContext
-	service  *route.Service // as of the last attempt
+	ctx      *flightContext             // replaced under the watcher's lock
+	asked    atomic.Pointer[askedOwner] // set while an attempt may be given up
+	service  *route.Service             // as of the last attempt
 	deadline clock.Time
 	state    dispatch.Request
 	req      wire.Request
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -15,6 +15,7 @@
 var (
 	errDeadline   = errors.New("entry: the request's deadline passed")
 	errCallerLeft = errors.New("entry: the caller left")
+	errReplaced   = errors.New("entry: the key has another owner")
 )
 
 // answerMargin is the part of the time left that is kept for the owner's last
@@ -132,9 +133,11 @@
 	}
 	f.resp.Release()
 	f.resp.Reset()
+	f.ask(to)
 	to.Peer.Begin()
 	sent, err := f.gateway.cfg.Pool.Do(f.ctx, to.Entry.Addr, &f.req, &f.resp)
 	to.Peer.End()
+	f.asked.Store(nil)
 	if err != nil {
 		return f.failed(sent, err)
 	}
@@ -155,8 +158,11 @@
 
 // interrupted returns the event that ended the request's context.
 func (f *flight) interrupted(sent bool) dispatch.Event {
-	if errors.Is(f.ctx.Err(), errCallerLeft) {
+	switch f.ctx.Err() {
+	case errCallerLeft:
 		return dispatch.Event{Kind: dispatch.CallerLeft, Sent: sent}
+	case errReplaced:
+		return f.renewContext(sent)
 	}
 	return dispatch.Event{Kind: dispatch.DeadlinePassed, Sent: sent}
 }
@@ -174,13 +180,13 @@
 
 // moved reports whether the table names another owner than the last asked.
 func (f *flight) moved() bool {
-	if !f.req.Keyed {
-		return false
-	}
 	svc, ok := f.gateway.cfg.Router.Table().Service([]byte(f.req.Service))
 	if !ok {
 		return false
 	}
+	if !f.req.Keyed {
+		return f.last.Peer == nil && len(svc.Peers()) > 0
+	}
 	to, ok := svc.Owner(f.req.Point)
 	return ok && (f.last.Entry == nil || to.Entry.Token != f.last.Entry.Token || to.Entry.Addr != f.last.Entry.Addr)
 }
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -19,6 +19,10 @@
 	recheckAfter = 100 * time.Millisecond
 	// maxRefreshPoints is the number of points asked for in one round.
 	maxRefreshPoints = 8
+	// minSuspectPause and maxSuspectPause bound the time between questions for
+	// the owner of a point whose owner is silent.
+	minSuspectPause = time.Second
+	maxSuspectPause = 8 * time.Second
 )
 
 // holder holds the requests of one service that wait for a new owner, and asks
@@ -32,6 +36,10 @@
 	nextID  uint64
 	held    map[uint64]*heldFlight
 	running bool
+
+	suspected    bool // a suspicion is being looked into
+	nextSuspect  clock.Time
+	suspectPause time.Duration
 }
 
 // heldFlight is one request in the queue.
@@ -133,11 +141,13 @@
 	return points, true
 }
 
-func (h *holder) refresh(points []keyspace.Point) {
+// refresh asks for the owners of points and reports whether any has changed.
+func (h *holder) refresh(points []keyspace.Point) bool {
 	source := h.gateway.cfg.Source
 	if source == nil {
-		return
+		return false
 	}
+	changed := false
 	for _, p := range points {
 		entries, err := source.Refresh(h.gateway.ctx, h.service, p)
 		if err != nil {
@@ -145,8 +155,9 @@
 			continue
 		}
 		h.gateway.stats.refreshes.Add(1)
-		h.gateway.cfg.Router.Learn(h.service, entries...)
+		changed = h.gateway.cfg.Router.Learn(h.service, entries...) || changed
 	}
+	return changed
 }
 
 // release wakes the requests whose owner has changed and those that have
@@ -180,3 +191,27 @@
 	}
 	h.running = false
 }
+
+// suspect asks for the owner of a point once, unless that was done shortly
+// before. Answers that change nothing make the next question later.
+func (h *holder) suspect(p keyspace.Point, now clock.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.suspected || h.running || now.Before(h.nextSuspect) {
+		return
+	}
+	h.suspected = true
+	go h.lookInto(p)
+}
+
+func (h *holder) lookInto(p keyspace.Point) {
+	changed := h.refresh([]keyspace.Point{p})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.suspected = false
+	h.suspectPause = min(max(h.suspectPause*2, minSuspectPause), maxSuspectPause)
+	if changed {
+		h.suspectPause = minSuspectPause
+	}
+	h.nextSuspect = h.gateway.cfg.Now().Add(h.suspectPause)
+}
--- a/entry/moving_test.go
+++ b/entry/moving_test.go
@@ -87,6 +87,31 @@
 	e.do(t, "POST", "/reports/k", nil).want(t, 200, "done", "")
 }
 
+// TestReadLeavesAFrozenOwner: an owner that is silent is replaced while it
+// holds a read; the read goes to the new owner, a booking does not.
+func TestReadLeavesAFrozenOwner(t *testing.T) {
+	frozen, healthy := newFakeTarget(t), newFakeTarget(t)
+	release := make(chan struct{})
+	defer close(release)
+	frozen.setRun(func(ctx *fasthttp.RequestCtx) { <-release })
+	a := newDaemon(t, "a", reports(), frozen.addr, nil)
+	b := newDaemon(t, "b", reports(), healthy.addr, nil)
+	a.hold(keyspace.Full(), 1, false)
+	b.hold(keyspace.Full(), 2, false)
+	e := newDoor(t, sourceFunc(func() []route.Entry { return []route.Entry{b.route(keyspace.Full(), 2)} }), reports())
+	e.router.Learn("reports", a.route(keyspace.Full(), 1))
+	booking := make(chan reply, 1)
+	go func() { booking <- e.do(t, "POST", "/reports/k", nil) }()
+	for frozen.ran("POST /reports/k") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	e.do(t, "GET", "/reports/k", nil).want(t, 200, "done", "")
+	(<-booking).want(t, 504, "unknown", "deadline-exceeded")
+	if n := healthy.ran("POST /reports/k"); n != 0 {
+		t.Errorf("the booking ran %d times at the new owner", n)
+	}
+}
+
 func TestUndividedServiceAvoidsALostDaemon(t *testing.T) {
 	tgt := newFakeTarget(t)
 	halves := keyspace.Divide(2)
--- a/entry/watcher.go
+++ b/entry/watcher.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// sweep ends the requests whose deadline has passed and, if probe is set,
-// those whose callers have left. Most requests end before the first probe.
+// sweep ends the requests whose deadline has passed, the attempts whose owner
+// was replaced and, if probe is set, the requests whose callers have left. Most requests end before the first probe.
 func (s *watchShard) sweep(now clock.Time, probe bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -87,6 +87,8 @@
 			f.ctx.end(errDeadline)
 		case probe && hasLeft(f.http.Conn()):
 			f.ctx.end(errCallerLeft)
+		case f.replaced(now):
+			f.ctx.end(errReplaced)
 		}
 	}
 }
