--- a/admission/limit.go
+++ b/admission/limit.go
@@ -9,7 +9,7 @@
 
 const (
 	slowTolerance   = 2.0  // ratio of recent to usual time at which the limit falls
-	shedFactor      = 0.8  // change of the limit in a window with sheds
+	clipFactor      = 4.0  // usual times that one request counts at most
 	minGradient     = 0.7  // smallest change of the limit in a window without
 	usualWeight     = 0.02 // weight of a slow window in the usual time
 	usualFastWeight = 0.2  // weight of a fast window in the usual time
@@ -61,7 +61,7 @@
 }
 
 func (l *limit) sample(seconds float64) {
-	l.sum += seconds
+	l.sum += l.clip(seconds)
 	l.count++
 	if l.recent == 0 {
 		l.recent = seconds
@@ -70,11 +70,20 @@
 	l.recent += recentWeight * (seconds - l.recent)
 }
 
+// clip bounds what one slow request adds to its window, so that a few of them
+// do not make the target look slow.
+func (l *limit) clip(seconds float64) float64 {
+	if l.usual == 0 {
+		return seconds
+	}
+	return math.Min(seconds, clipFactor*l.usual)
+}
+
 // adjust ends a window.
 func (l *limit) adjust() {
 	if l.sheds > 0 {
-		l.set(l.value * shedFactor)
-		return
+		shed := float64(l.sheds) / float64(l.sheds+l.count)
+		l.set(l.value * (1 - shed))
 	}
 	if l.count == 0 {
 		return
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -182,6 +182,36 @@
 	}
 }
 
+// TestFewSlowRequestsLeaveTheLimitAlone: one request in thirty takes a hundred
+// times as long, and one in twenty is shed.
+func TestFewSlowRequestsLeaveTheLimitAlone(t *testing.T) {
+	n := 0
+	s := newSim(Config{Slots: 16, QueueLimit: 16}, func(int) time.Duration {
+		n++
+		if n%30 == 0 {
+			return 200 * time.Millisecond
+		}
+		return 2 * time.Millisecond
+	})
+	s.shed = func(id uint64) bool { return id%20 == 0 }
+	for range 30 {
+		s.run(100*time.Millisecond, 2)
+		if _, _, limit := s.queue.Load(); limit < 12 {
+			t.Fatalf("limit %d at %v", limit, s.now)
+		}
+	}
+}
+
+// TestLimitFollowsSheds: a target that sheds above four requests at once.
+func TestLimitFollowsSheds(t *testing.T) {
+	s := newSim(Config{Slots: 16, QueueLimit: 16}, func(int) time.Duration { return 4 * time.Millisecond })
+	s.shed = func(uint64) bool { return len(s.ends) >= 4 }
+	s.run(3*time.Second, 4)
+	if _, _, limit := s.queue.Load(); limit > 8 {
+		t.Errorf("limit %d", limit)
+	}
+}
+
 func TestFrozenTargetIsNotQueuedFor(t *testing.T) {
 	s := newSim(Config{Slots: 4, QueueLimit: 100}, func(int) time.Duration { return time.Millisecond })
 	s.run(time.Second, 1)
--- a/admission/sim_test.go
+++ b/admission/sim_test.go
@@ -14,6 +14,7 @@
 type sim struct {
 	queue *Queue
 	took  func(running int) time.Duration
+	shed  func(id uint64) bool // nil if the target sheds nothing
 	now   clock.Time
 	next  uint64
 	flows map[uint64]Flow
@@ -63,7 +64,12 @@
 			continue
 		}
 		delete(s.ends, id)
-		s.done[s.flows[id]]++
-		s.step(Event{Kind: Finish, Item: Item{ID: id}, Ending: Answered, Took: e.took})
+		ending := Answered
+		if s.shed != nil && s.shed(id) {
+			ending = Shed
+		} else {
+			s.done[s.flows[id]]++
+		}
+		s.step(Event{Kind: Finish, Item: Item{ID: id}, Ending: ending, Took: e.took})
 	}
 }
