--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -27,7 +27,7 @@
 	parameters.MinSuccessfulTests = 500
 	properties := gopter.NewProperties(parameters)
 	properties.Property("slots, queue and decisions", prop.ForAll(func(raw []uint32) bool {
-		q := New(Config{Slots: 4, QueueLimit: 5, Adapt: true, MaxWait: time.Hour})
+		q := New(Config{Slots: 4, QueueLimit: 5, MaxWait: time.Hour})
 		pending, running := make(map[uint64]bool), make(map[uint64]bool)
 		now := clock.Time(1)
 		for i, x := range raw {
@@ -117,6 +117,17 @@
 	}
 }
 
+func TestFlowWithFewerRunningGoesFirst(t *testing.T) {
+	q := New(Config{Slots: 2, QueueLimit: 4})
+	q.Step(arrive(1, 1, 1, never), 0)
+	q.Step(arrive(2, 1, 1, never), 0)
+	q.Step(arrive(3, 1, 1, 100), 0)
+	q.Step(arrive(4, 2, 1, 200), 0)
+	if got := q.Step(finish(1, Answered, 1), 1).Start; len(got) != 1 || got[0] != 4 {
+		t.Errorf("started %v, want request 4 of the other flow", got)
+	}
+}
+
 // TestHotKeyDoesNotStarveOthers offers a hot key at five times the capacity
 // beside a quiet key.
 func TestHotKeyDoesNotStarveOthers(t *testing.T) {
@@ -153,7 +164,7 @@
 	}
 	goodput := func(adapt bool) int {
 		crowded = false
-		s := newSim(Config{Slots: 16, QueueLimit: 16, Adapt: adapt}, took)
+		s := newSim(Config{Slots: 16, QueueLimit: 16, FixedLimit: !adapt}, took)
 		s.run(3*time.Second, 3)
 		crowded = true
 		s.run(time.Second, 3)
@@ -171,6 +182,36 @@
 	}
 }
 
+// TestFewSlowRequestsLeaveTheLimitAlone: one request in thirty takes a hundred
+// times as long, and one in twenty is shed.
+func TestFewSlowRequestsLeaveTheLimitAlone(t *testing.T) {
+	n := 0
+	s := newSim(Config{Slots: 16, QueueLimit: 16}, func(int) time.Duration {
+		n++
+		if n%30 == 0 {
+			return 200 * time.Millisecond
+		}
+		return 2 * time.Millisecond
+	})
+	s.shed = func(id uint64) bool { return id%20 == 0 }
+	for range 30 {
+		s.run(100*time.Millisecond, 2)
+		if _, _, limit := s.queue.Load(); limit < 12 {
+			t.Fatalf("limit %d at %v", limit, s.now)
+		}
+	}
+}
+
+// TestLimitFollowsSheds: a target that sheds above four requests at once.
+func TestLimitFollowsSheds(t *testing.T) {
+	s := newSim(Config{Slots: 16, QueueLimit: 16}, func(int) time.Duration { return 4 * time.Millisecond })
+	s.shed = func(uint64) bool { return len(s.ends) >= 4 }
+	s.run(3*time.Second, 4)
+	if _, _, limit := s.queue.Load(); limit > 8 {
+		t.Errorf("limit %d", limit)
+	}
+}
+
 func TestFrozenTargetIsNotQueuedFor(t *testing.T) {
 	s := newSim(Config{Slots: 4, QueueLimit: 100}, func(int) time.Duration { return time.Millisecond })
 	s.run(time.Second, 1)
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -2,9 +2,9 @@
 
 import (
 	"bytes"
-	"context"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 	"unsafe"
 
@@ -26,13 +26,16 @@
 	maxIdempotencyKey    = 255 // bytes
 )
 
+// rootPath is the path below the service's prefix if there is none.
+var rootPath = []byte{'/'}
+
 // flight is one caller's request on its way through the gateway.
 type flight struct {
 	gateway  *Gateway
 	http     *fasthttp.RequestCtx
-	ctx      context.Context
-	cancel   context.CancelCauseFunc
-	service  *route.Service // as of the last attempt
+	ctx      *flightContext             // replaced under the watcher's lock
+	asked    atomic.Pointer[askedOwner] // set while an attempt may be given up
+	service  *route.Service             // as of the last attempt
 	deadline clock.Time
 	state    dispatch.Request
 	req      wire.Request
@@ -48,6 +51,9 @@
 func newFlight(g *Gateway, ctx *fasthttp.RequestCtx) *flight {
 	f := flights.Get().(*flight)
 	f.gateway, f.http = g, ctx
+	if f.ctx == nil || f.ctx.Err() != nil {
+		f.ctx = newFlightContext()
+	}
 	return f
 }
 
@@ -55,7 +61,7 @@
 	f.resp.Release()
 	f.resp.Reset()
 	f.req.Reset()
-	f.gateway, f.http, f.ctx, f.cancel, f.service = nil, nil, nil, nil, nil
+	f.gateway, f.http, f.service = nil, nil, nil
 	f.state = dispatch.Request{}
 	f.last = route.Target{}
 	f.key = keyInput{}
@@ -81,19 +87,15 @@
 	}
 	f.service = svc
 	f.key = keyInput{header: &f.http.Request.Header, path: path, query: query}
-	f.fillURI(uri, len(name)+1, path)
+	f.fillLine(uri)
 	f.fillRule(path)
 	f.fillHeaders()
 	return f.fillKey()
 }
 
-// fillURI sets the URI without the service's prefix.
-func (f *flight) fillURI(uri []byte, prefix int, path []byte) {
-	f.req.URI = uri[prefix:]
-	if len(path) == 0 {
-		f.scratch = append(append(f.scratch[:0], '/'), f.req.URI...)
-		f.req.URI = bytes.Clone(f.scratch)
-	}
+// fillLine sets what the target sees of the request line.
+func (f *flight) fillLine(uri []byte) {
+	f.req.URI = uri
 	f.req.Method = f.http.Method()
 	f.req.Body = f.http.Request.Body()
 	f.id = f.gateway.ids.append(f.id[:0])
@@ -105,7 +107,7 @@
 func (f *flight) fillRule(path []byte) {
 	timeout := f.gateway.cfg.DefaultTimeout
 	if len(path) == 0 {
-		path = f.req.URI[:1]
+		path = rootPath
 	}
 	if rule := f.rule(path); rule != nil {
 		f.req.Idempotent, f.req.Priority = rule.Idempotent, rule.Priority
@@ -175,6 +177,9 @@
 // repeats reports whether the caller counts this as its second attempt or a
 // later one.
 func repeats(attempt []byte) bool {
+	if len(attempt) == 0 {
+		return false
+	}
 	n, err := strconv.ParseUint(view(attempt), 10, 32)
 	return err == nil && n > 1
 }
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/parsleystack/parsleystack/admission"
 	"github.com/parsleystack/parsleystack/cell"
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/entry"
@@ -102,7 +101,7 @@
 func newDaemon(t testing.TB, name string, spec service.Spec, targetAddr string, change func(*owner.Config)) *daemon {
 	d := &daemon{node: ident.Node{Instance: ident.Instance(name), Incarnation: 1}, leases: lease.NewTable(clock.Now)}
 	d.client = target.New(target.Config{Addr: targetAddr, MaxConns: spec.Conns})
-	cfg := owner.Config{Service: spec.Name, Leases: d.leases, Target: d.client, Admission: admission.Config{Adapt: true}}
+	cfg := owner.Config{Service: spec.Name, Leases: d.leases, Target: d.client}
 	if change != nil {
 		change(&cfg)
 	}
@@ -147,11 +146,22 @@
 }
 
 func newDoor(t testing.TB, source route.Source, specs ...service.Spec) *door {
-	d := &door{router: route.NewRouter()}
+	router := route.NewRouter()
+	router.SetSpecs(1, specs)
+	return openDoor(t, entry.Config{Router: router, Source: source})
+}
+
+// newDoorWith returns a door that holds at most limit requests.
+func newDoorWith(t testing.TB, router *route.Router, limit int) *door {
+	return openDoor(t, entry.Config{Router: router, HoldLimit: limit})
+}
+
+func openDoor(t testing.TB, cfg entry.Config) *door {
+	d := &door{router: cfg.Router}
 	node := ident.Node{Instance: "entry", Incarnation: 1}
-	d.router.SetSpecs(1, specs)
 	d.pool = transport.NewPool(transport.Config{Hello: wire.NewHello("reports", node, "z1")})
-	d.gateway = entry.New(entry.Config{Self: node, Zone: "z1", Router: d.router, Pool: d.pool, Source: source})
+	cfg.Self, cfg.Zone, cfg.Pool = node, "z1", d.pool
+	d.gateway = entry.New(cfg)
 	l := listen(t)
 	d.addr = l.Addr().String()
 	go func() { _ = d.gateway.Serve(l) }()
--- a/entry/moving_test.go
+++ b/entry/moving_test.go
@@ -16,6 +16,9 @@
 	"github.com/parsleystack/parsleystack/wire"
 )
 
+// unreachable is an address that nothing listens on.
+const unreachable = "127.0.0.1:1"
+
 // sourceFunc is a route.Source.
 type sourceFunc func() []route.Entry
 
@@ -46,7 +49,7 @@
 	if held := e.gateway.Stats().Held(); held != 0 {
 		t.Errorf("held %d times, want a redirect at once", held)
 	}
-	if n := tgt.ran("POST /k"); n != 1 {
+	if n := tgt.ran("POST /reports/k"); n != 1 {
 		t.Errorf("ran %d times, want once", n)
 	}
 }
@@ -69,35 +72,58 @@
 		moved.Store(true)
 	})
 	e.do(t, "POST", "/reports/k", nil).want(t, 200, "done", "")
-	if n := tgt.ran("POST /k"); n != 1 {
+	if n := tgt.ran("POST /reports/k"); n != 1 {
 		t.Errorf("ran %d times, want once", n)
 	}
 }
 
 func TestUnreachableOwnerIsReplaced(t *testing.T) {
 	tgt := newFakeTarget(t)
-	a := newDaemon(t, "a", reports(), tgt.addr, nil)
+	a := &daemon{node: ident.Node{Instance: "a", Incarnation: 1}, addr: unreachable}
 	b := newDaemon(t, "b", reports(), tgt.addr, nil)
-	a.server.Close()
 	b.hold(keyspace.Full(), 2, false)
 	e := newDoor(t, sourceFunc(func() []route.Entry { return []route.Entry{b.route(keyspace.Full(), 2)} }), reports())
 	e.router.Learn("reports", a.route(keyspace.Full(), 1))
 	e.do(t, "POST", "/reports/k", nil).want(t, 200, "done", "")
 }
 
+// TestReadLeavesAFrozenOwner: an owner that is silent is replaced while it
+// holds a read; the read goes to the new owner, a booking does not.
+func TestReadLeavesAFrozenOwner(t *testing.T) {
+	frozen, healthy := newFakeTarget(t), newFakeTarget(t)
+	release := make(chan struct{})
+	defer close(release)
+	frozen.setRun(func(ctx *fasthttp.RequestCtx) { <-release })
+	a := newDaemon(t, "a", reports(), frozen.addr, nil)
+	b := newDaemon(t, "b", reports(), healthy.addr, nil)
+	a.hold(keyspace.Full(), 1, false)
+	b.hold(keyspace.Full(), 2, false)
+	e := newDoor(t, sourceFunc(func() []route.Entry { return []route.Entry{b.route(keyspace.Full(), 2)} }), reports())
+	e.router.Learn("reports", a.route(keyspace.Full(), 1))
+	booking := make(chan reply, 1)
+	go func() { booking <- e.do(t, "POST", "/reports/k", nil) }()
+	for frozen.ran("POST /reports/k") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	e.do(t, "GET", "/reports/k", nil).want(t, 200, "done", "")
+	(<-booking).want(t, 504, "unknown", "deadline-exceeded")
+	if n := healthy.ran("POST /reports/k"); n != 0 {
+		t.Errorf("the booking ran %d times at the new owner", n)
+	}
+}
+
 func TestUndividedServiceAvoidsALostDaemon(t *testing.T) {
 	tgt := newFakeTarget(t)
 	halves := keyspace.Divide(2)
-	a := newDaemon(t, "a", bookings(), tgt.addr, nil)
+	a := &daemon{node: ident.Node{Instance: "a", Incarnation: 1}, addr: unreachable}
 	b := newDaemon(t, "b", bookings(), tgt.addr, nil)
 	b.hold(halves[1], 2, false)
-	a.server.Close()
 	e := newDoor(t, nil, bookings())
 	e.router.Learn("bookings", a.route(halves[0], 1), b.route(halves[1], 2))
 	for range 10 {
 		e.do(t, "POST", "/bookings/x", nil).want(t, 200, "done", "")
 	}
-	if n := tgt.ran("POST /x"); n != 10 {
+	if n := tgt.ran("POST /bookings/x"); n != 10 {
 		t.Errorf("ran %d times, want 10", n)
 	}
 }
@@ -166,7 +192,7 @@
 	for got := range failed {
 		t.Errorf("%d %s %s", got.status, got.outcome, got.reason)
 	}
-	if n := tgt.ran("POST /x"); n != total {
+	if n := tgt.ran("POST /bookings/x"); n != total {
 		t.Errorf("%d runs for %d requests", n, total)
 	}
 }
--- a/transport/serverconn.go
+++ b/transport/serverconn.go
@@ -143,6 +143,7 @@
 
 func (c *serverConn) goaway() { _, _ = c.writer.raw(wire.KindGoaway, 0, nil) }
 
+// close ends the connection and cancels what is in flight.
 func (c *serverConn) close() {
 	c.cancel()
 	c.writer.fail(net.ErrClosed)
