--- /dev/null
+++ b/audit/audit_test.go
@@ -0,0 +1,159 @@
+package audit
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/parsleystack/parsleystack/cell"
+	"github.com/parsleystack/parsleystack/config"
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/keyspace"
+	"github.com/parsleystack/parsleystack/platformlog"
+	"github.com/parsleystack/parsleystack/platformlog/logtest"
+	"github.com/parsleystack/parsleystack/service"
+)
+
+// trailLog is a log whose clock moves by a minute with each record.
+type trailLog struct {
+	t   *testing.T
+	log *logtest.Log
+	now time.Time
+}
+
+var testStart = time.Date(2026, 1, 31, 8, 0, 0, 0, time.UTC)
+
+func newTrailLog(t *testing.T, retention time.Duration) *trailLog {
+	l := &trailLog{t: t, now: testStart}
+	l.log = logtest.New(logtest.Options{
+		LongPoll:  time.Millisecond,
+		Retention: retention,
+		Now:       func() time.Time { return l.now },
+	})
+	return l
+}
+
+func (l *trailLog) append(stream platformlog.Stream, payload []byte) {
+	l.t.Helper()
+	l.now = l.now.Add(time.Minute)
+	if _, err := l.log.Append(context.Background(), stream, payload); err != nil {
+		l.t.Fatal(err)
+	}
+}
+
+func (l *trailLog) publish(name ident.Service, base platformlog.Offset, author string) {
+	l.t.Helper()
+	c, err := config.NewPublish(&service.Spec{Name: name}, base, author, uint64(l.now.Unix()))
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	payload, err := c.Encode()
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	l.append(config.Stream, payload)
+}
+
+var (
+	first  = ident.Node{Instance: "reports-1", Incarnation: 1}
+	second = ident.Node{Instance: "reports-2", Incarnation: 1}
+	stream = cell.StreamName("reports", "lombardy", 0)
+)
+
+// writeCell writes a cell whose lower half moves from the first member to the
+// second one.
+func (l *trailLog) writeCell() {
+	halves := keyspace.Divide(2)
+	grants := []cell.Grant{
+		{Range: halves[0], Owner: first, Token: cell.Token{Term: 3, Seq: 1}},
+		{Range: halves[1], Owner: second, Token: cell.Token{Term: 3, Seq: 2}},
+	}
+	waiting := cell.State{Grants: []cell.Grant{{Range: halves[0]}, {Range: halves[1]}}}
+	moved := []cell.Grant{{Range: halves[0], Owner: second, Token: cell.Token{Term: 3, Seq: 4}}}
+	for _, r := range []cell.Record{
+		{Announce: &cell.Announce{Nonce: 1, Member: cell.Member{Node: first}}},
+		{Announce: &cell.Announce{Nonce: 2, Member: cell.Member{Node: second}}},
+		{Claim: &cell.Claim{Nonce: 3, Kind: cell.ClaimFirst, Candidate: first, Deputy: second, Active: true, State: waiting}},
+		{Assign: &cell.Assign{Nonce: 4, Term: 3, From: 0, To: 2, Changed: grants}},
+		{Assign: &cell.Assign{Nonce: 5, Term: 3, From: 2, To: 4, Changed: moved}},
+		{Claim: &cell.Claim{Nonce: 6, Kind: cell.ClaimFirst, Candidate: second, Deputy: first, State: waiting}},
+	} {
+		l.append(stream, r.AppendTo(nil))
+	}
+}
+
+func read(t *testing.T, l *trailLog, f *Filter) []Entry {
+	t.Helper()
+	trail, err := Read(context.Background(), l.log, []ident.Region{"lombardy"}, f)
+	if err != nil || len(trail.Incomplete) > 0 {
+		t.Fatalf("error %v, incomplete %v", err, trail.Incomplete)
+	}
+	return trail.Entries
+}
+
+func kinds(entries []Entry) map[Kind]int {
+	counts := map[Kind]int{}
+	for _, e := range entries {
+		counts[e.Kind]++
+	}
+	return counts
+}
+
+func TestTrailNamesChangesAndMoves(t *testing.T) {
+	l := newTrailLog(t, 0)
+	l.publish("reports", 0, "anna")
+	l.publish("reports", 0, "berta")
+	l.writeCell()
+	entries := read(t, l, &Filter{})
+	got := kinds(entries)
+	for kind, want := range map[Kind]int{ConfigAccepted: 1, ConfigVoid: 1, Joined: 2, Leader: 1, Granted: 3, Void: 1} {
+		if got[kind] != want {
+			t.Errorf("%d entries of kind %s, want %d", got[kind], kind, want)
+		}
+	}
+	for i := 1; i < len(entries); i++ {
+		if entries[i].Time.Before(entries[i-1].Time) {
+			t.Fatal("entries are not in the order of time")
+		}
+	}
+}
+
+func TestFilterByKeyFollowsOneRange(t *testing.T) {
+	l := newTrailLog(t, 0)
+	l.publish("reports", 0, "anna")
+	l.writeCell()
+	key := "a"
+	for keyspace.Hash("reports", []byte(key)) > keyspace.Divide(2)[0].Last {
+		key += "a"
+	}
+	entries := read(t, l, &Filter{Service: "reports", Key: key, Kinds: []Kind{Granted}})
+	if len(entries) != 2 || entries[0].Node != first.String() || entries[1].Node != second.String() || entries[1].Token != "3.4" {
+		t.Fatalf("entries of the key are %+v", entries)
+	}
+}
+
+func TestFilterByTimeAndService(t *testing.T) {
+	l := newTrailLog(t, 0)
+	l.publish("reports", 0, "anna")
+	l.publish("bookings", 0, "anna")
+	l.publish("reports", 1, "berta")
+	at := func(minutes int) time.Time { return testStart.Add(time.Duration(minutes) * time.Minute) }
+	if got := read(t, l, &Filter{Since: at(2), Until: at(3)}); len(got) != 1 || got[0].Service != "bookings" {
+		t.Errorf("entries from minute 2 to 3 are %+v", got)
+	}
+	if got := read(t, l, &Filter{Service: "reports"}); len(got) != 2 || got[1].Author != "berta" {
+		t.Errorf("entries of reports are %+v", got)
+	}
+}
+
+// A trail whose start has expired says so instead of showing a part as the whole.
+func TestExpiredStartIsReported(t *testing.T) {
+	l := newTrailLog(t, 90*time.Second)
+	for i := range 4 {
+		l.publish("reports", platformlog.Offset(i), "anna")
+	}
+	trail, err := Read(context.Background(), l.log, nil, &Filter{})
+	if err != nil || len(trail.Incomplete) != 1 {
+		t.Fatalf("trail %+v, error %v", trail, err)
+	}
+}
--- a/config/change_gen.go
+++ b/config/change_gen.go
@@ -7,6 +7,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	ze34be19flimitArrays = 65536
+	ze34be19flimitMaps   = 16
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Change) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -76,11 +82,27 @@
 		err = msgp.WrapError(err, "Schema")
 		return
 	}
-	z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Body")
 		return
 	}
+	if zb0003 > ze34be19flimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Body == nil || uint32(cap(z.Body)) < zb0003 {
+		z.Body = make([]byte, zb0003)
+	} else {
+		z.Body = z.Body[:zb0003]
+	}
+	if uint32(len(bts)) < zb0003 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Body, bts[:zb0003])
+	bts = bts[zb0003:]
 	o = bts
 	return
 }
--- a/config/entry_gen.go
+++ b/config/entry_gen.go
@@ -7,6 +7,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zd44b10b1limitArrays = 65536
+	zd44b10b1limitMaps   = 16
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Entry) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -83,16 +89,48 @@
 		err = msgp.WrapError(err, "Schema")
 		return
 	}
-	z.Body, bts, err = msgp.ReadBytesBytes(bts, z.Body)
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Body")
 		return
 	}
-	z.Understood, bts, err = msgp.ReadBytesBytes(bts, z.Understood)
+	if zb0003 > zd44b10b1limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Body == nil || uint32(cap(z.Body)) < zb0003 {
+		z.Body = make([]byte, zb0003)
+	} else {
+		z.Body = z.Body[:zb0003]
+	}
+	if uint32(len(bts)) < zb0003 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Body, bts[:zb0003])
+	bts = bts[zb0003:]
+	var zb0004 uint32
+	zb0004, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Understood")
 		return
 	}
+	if zb0004 > zd44b10b1limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Understood == nil || uint32(cap(z.Understood)) < zb0004 {
+		z.Understood = make([]byte, zb0004)
+	} else {
+		z.Understood = z.Understood[:zb0004]
+	}
+	if uint32(len(bts)) < zb0004 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Understood, bts[:zb0004])
+	bts = bts[zb0004:]
 	o = bts
 	return
 }
--- a/config/pull_gen.go
+++ b/config/pull_gen.go
@@ -7,6 +7,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	z37f35e75limitArrays = 65536
+	z37f35e75limitMaps   = 16
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z Pull) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -96,6 +102,10 @@
 		err = msgp.WrapError(err, "Records")
 		return
 	}
+	if zb0002 > z37f35e75limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Records) >= int(zb0002) {
 		z.Records = (z.Records)[:zb0002]
 	} else {
@@ -126,11 +136,27 @@
 			err = msgp.WrapError(err, "Records", za0001, "Time")
 			return
 		}
-		z.Records[za0001].Payload, bts, err = msgp.ReadBytesBytes(bts, z.Records[za0001].Payload)
+		var zb0005 uint32
+		zb0005, bts, err = msgp.ReadBytesHeader(bts)
 		if err != nil {
 			err = msgp.WrapError(err, "Records", za0001, "Payload")
 			return
 		}
+		if zb0005 > z37f35e75limitArrays {
+			err = msgp.ErrLimitExceeded
+			return
+		}
+		if z.Records[za0001].Payload == nil || uint32(cap(z.Records[za0001].Payload)) < zb0005 {
+			z.Records[za0001].Payload = make([]byte, zb0005)
+		} else {
+			z.Records[za0001].Payload = z.Records[za0001].Payload[:zb0005]
+		}
+		if uint32(len(bts)) < zb0005 {
+			err = msgp.ErrShortBytes
+			return
+		}
+		copy(z.Records[za0001].Payload, bts[:zb0005])
+		bts = bts[zb0005:]
 	}
 	if msgp.IsNil(bts) {
 		bts, err = msgp.ReadNilBytes(bts)
@@ -203,11 +229,27 @@
 		err = msgp.WrapError(err, "Time")
 		return
 	}
-	z.Payload, bts, err = msgp.ReadBytesBytes(bts, z.Payload)
+	var zb0003 uint32
+	zb0003, bts, err = msgp.ReadBytesHeader(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Payload")
 		return
 	}
+	if zb0003 > z37f35e75limitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if z.Payload == nil || uint32(cap(z.Payload)) < zb0003 {
+		z.Payload = make([]byte, zb0003)
+	} else {
+		z.Payload = z.Payload[:zb0003]
+	}
+	if uint32(len(bts)) < zb0003 {
+		err = msgp.ErrShortBytes
+		return
+	}
+	copy(z.Payload, bts[:zb0003])
+	bts = bts[zb0003:]
 	o = bts
 	return
 }
--- a/config/snapshot.go
+++ b/config/snapshot.go
@@ -1,5 +1,6 @@
 package config
 
+//msgp:limit arrays:65536 maps:16
 //msgp:tuple Snapshot
 //msgp:replace platformlog.Offset with:uint64
 
--- a/config/snapshot_gen.go
+++ b/config/snapshot_gen.go
@@ -7,6 +7,12 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// Size limits for msgp deserialization
+const (
+	zf18e7e2flimitArrays = 65536
+	zf18e7e2flimitMaps   = 16
+)
+
 // MarshalMsg implements msgp.Marshaler
 func (z *Snapshot) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
@@ -61,6 +67,10 @@
 		err = msgp.WrapError(err, "Entries")
 		return
 	}
+	if zb0004 > zf18e7e2flimitArrays {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Entries) >= int(zb0004) {
 		z.Entries = (z.Entries)[:zb0004]
 	} else {
