--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -22,21 +22,14 @@
 func TestExamplesWork(t *testing.T) {
 	d := newDeployment(t)
 	d.nodes[1].status.Incarnation = 1800000000000000000
-	plan := filepath.Join(t.TempDir(), "plan.json")
-	replace := strings.NewReplacer(
-		"parsley ", "",
-		"deploy/perizia/services", sampleServices,
-		"deploy/perizia/daemons", d.dir,
-		"127.0.0.1:21200", d.addrs[0],
-		"plan.json", plan,
-	)
+	replace := d.sampleNames(t)
 	for _, command := range commandOrder {
 		for _, line := range examples[command] {
-			if code, out := d.run(replace.Replace(line)); code != ExitOK {
+			command := replace.Replace(strings.TrimPrefix(line, "parsley "))
+			if code, out := d.run(command); code != ExitOK {
 				t.Errorf("%s: exit code %d\n%s", line, code, out)
 			}
-			jsonLine := replace.Replace(line)
-			if _, out := d.run(jsonLine + " --json"); !json.Valid([]byte(out)) {
+			if _, out := d.run(command + " --json"); !json.Valid([]byte(out)) {
 				t.Errorf("%s --json prints\n%s", line, out)
 			}
 		}
--- a/cli/fake_test.go
+++ b/cli/fake_test.go
@@ -150,6 +150,16 @@
 	}
 }
 
+// sampleNames replaces the paths and addresses of examples by those of d.
+func (d *deployment) sampleNames(t *testing.T) *strings.Replacer {
+	return strings.NewReplacer(
+		"deploy/perizia/services", sampleServices,
+		"deploy/perizia/daemons", d.dir,
+		"127.0.0.1:21200", d.addrs[0],
+		"plan.json", filepath.Join(t.TempDir(), "plan.json"),
+	)
+}
+
 // run carries out a command line and returns its exit code and output.
 func (d *deployment) run(line string) (int, string) {
 	var out bytes.Buffer
--- /dev/null
+++ b/settings/docs_test.go
@@ -0,0 +1,64 @@
+package settings
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+)
+
+const referencePage = "../docs/operators/settings.md"
+
+// The reference page lists every field with its default.
+func TestReferencePageListsEveryField(t *testing.T) {
+	page, err := os.ReadFile(referencePage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	fields := map[string]string{}
+	leafFields(fields, "", reflect.ValueOf(*Defaults()))
+	for field, value := range fields {
+		row := fmt.Sprintf("| `%s` | %s |", field, value)
+		if !strings.Contains(string(page), row) {
+			t.Errorf("%s has no row that starts with %s", referencePage, row)
+		}
+	}
+	if rows := strings.Count(string(page), "\n| `"); rows != len(fields) {
+		t.Errorf("%s lists %d fields, the settings have %d", referencePage, rows, len(fields))
+	}
+}
+
+// leafFields collects the fields of a struct and the text of their defaults.
+func leafFields(out map[string]string, prefix string, v reflect.Value) {
+	for i := range v.NumField() {
+		name := prefix + v.Type().Field(i).Tag.Get("yaml")
+		if v.Field(i).Kind() == reflect.Struct {
+			leafFields(out, name+".", v.Field(i))
+			continue
+		}
+		out[name] = defaultText(v.Field(i))
+	}
+}
+
+func defaultText(v reflect.Value) string {
+	if d, ok := v.Interface().(time.Duration); ok {
+		return "`" + shortDuration(d) + "`"
+	}
+	if v.IsZero() && v.Kind() != reflect.Bool {
+		return "required"
+	}
+	return fmt.Sprintf("`%v`", v.Interface())
+}
+
+func shortDuration(d time.Duration) string {
+	s := d.String()
+	if strings.HasSuffix(s, "m0s") {
+		s = strings.TrimSuffix(s, "0s")
+	}
+	if strings.HasSuffix(s, "h0m") {
+		s = strings.TrimSuffix(s, "0m")
+	}
+	return s
+}
