Note operators' orders in the trail and say from whom a range moved

Cause: the trail showed that a range moved, but not from whom, and nothing of who had ordered a drain or confirmed a loss. audit.Recorder wraps a daemon's admin.Backend; orders go through also while the log is down, and the daemon's own log then holds them.

--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -5,6 +5,9 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/parsleystack/parsleystack/admin"
 	"github.com/parsleystack/parsleystack/cell"
 	"github.com/parsleystack/parsleystack/config"
 	"github.com/parsleystack/parsleystack/ident"
@@ -127,6 +130,9 @@
 		key += "a"
 	}
 	entries := read(t, l, &Filter{Service: "reports", Key: key, Kinds: []Kind{Granted}})
+	if want := "moved from reports-1#1, which still takes part: balance or planned stop"; len(entries) == 2 && entries[1].Reason != want {
+		t.Errorf("the reason of the move is %q", entries[1].Reason)
+	}
 	if len(entries) != 2 || entries[0].Node != first.String() || entries[1].Node != second.String() || entries[1].Token != "3.4" {
 		t.Fatalf("entries of the key are %+v", entries)
 	}
@@ -157,3 +163,36 @@
 		t.Fatalf("trail %+v, error %v", trail, err)
 	}
 }
+
+type orderBackend struct{ admin.Backend }
+
+func (orderBackend) Drain(context.Context, *admin.DrainRequest) (*admin.DrainAnswer, error) {
+	return &admin.DrainAnswer{Instance: "reports-1"}, nil
+}
+
+func (orderBackend) ConfirmLoss(context.Context, *admin.ConfirmLossRequest) (*admin.ConfirmLossAnswer, error) {
+	return nil, &admin.Error{Problem: "it answers", Remedy: "drain it"}
+}
+
+// Orders that were accepted are in the trail, also those that the log refused
+// are carried out, and refused ones leave no entry.
+func TestOrdersAreRecorded(t *testing.T) {
+	ctx := context.Background()
+	l := newTrailLog(t, 0)
+	r := NewRecorder(orderBackend{}, l.log, zap.NewNop(), first, "reports")
+	if _, err := r.Drain(ctx, &admin.DrainRequest{Operator: "anna", Reason: "upgrade"}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.ConfirmLoss(ctx, &admin.ConfirmLossRequest{Operator: "anna"}); err == nil {
+		t.Fatal("the refusal is lost")
+	}
+	l.log.SetFaults(logtest.Faults{Outage: true})
+	if _, err := r.Drain(ctx, &admin.DrainRequest{Operator: "anna"}); err != nil {
+		t.Fatalf("an order fails with the log: %v", err)
+	}
+	l.log.SetFaults(logtest.Faults{})
+	entries := read(t, l, &Filter{Service: "reports"})
+	if len(entries) != 1 || entries[0].Kind != DrainOrdered || entries[0].Author != "anna" || entries[0].Reason != "upgrade" {
+		t.Fatalf("entries are %+v", entries)
+	}
+}
--- a/audit/cell.go
+++ b/audit/cell.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/parsleystack/parsleystack/cell"
@@ -31,12 +32,17 @@
 		if rec.Offset <= ledger.CoveredOffset() {
 			continue
 		}
+		before := ledger.Assignments()
 		v := ledger.Apply(rec.Offset, rec.Time, rec.Payload)
 		if v.Err != nil {
 			return entries, v.Err
 		}
 		for _, a := range v.Audit {
-			entries = append(entries, cellEntry(svc, stream, rec, a))
+			e := cellEntry(svc, stream, rec, a)
+			if a.Kind == cell.AuditGranted {
+				e.Reason = moveReason(before, ledger.Members(), a)
+			}
+			entries = append(entries, e)
 		}
 	}
 	return entries, nil
@@ -84,6 +90,29 @@
 	return nil
 }
 
+// moveReason says from whom a range came and whether that member still takes
+// part.
+func moveReason(before []cell.Grant, members []cell.Member, a cell.AuditEntry) string {
+	var from ident.Node
+	for _, g := range before {
+		if g.Range.Overlaps(a.Range) && !g.Owner.IsZero() {
+			from = g.Owner
+		}
+	}
+	switch {
+	case from.IsZero():
+		return "the range had no owner"
+	case from == a.Node:
+		return "granted anew to its owner"
+	}
+	for _, m := range members {
+		if m.Node == from {
+			return fmt.Sprintf("moved from %v, which still takes part: balance or planned stop", from)
+		}
+	}
+	return fmt.Sprintf("moved from %v, which left, was lost or was restarted", from)
+}
+
 func cellEntry(svc ident.Service, stream platformlog.Stream, rec platformlog.Record, a cell.AuditEntry) Entry {
 	e := Entry{
 		Time:    time.Unix(0, rec.Time),
--- a/audit/kind.go
+++ b/audit/kind.go
@@ -14,6 +14,12 @@
 	ConfigSnapshot    Kind = "config-snapshot"
 )
 
+// Kinds of entries of operators' orders to daemons.
+const (
+	DrainOrdered  Kind = "drain-ordered"
+	LossConfirmed Kind = "loss-confirmed"
+)
+
 // Kinds of entries of a cell.
 const (
 	Leader    Kind = "leader"
--- /dev/null
+++ b/audit/recorder.go
@@ -0,0 +1,80 @@
+package audit
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/parsleystack/parsleystack/admin"
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/logevent"
+	"github.com/parsleystack/parsleystack/platformlog"
+)
+
+// recordTimeout bounds the time that an order waits for its note in the log.
+const recordTimeout = time.Second
+
+// Recorder is an admin.Backend that notes the orders that another Backend has
+// accepted. An order is carried out also if the log does not take the note;
+// the daemon's own log then holds it.
+type Recorder struct {
+	admin.Backend
+	log     platformlog.Log
+	logger  *zap.Logger
+	self    ident.Node
+	service ident.Service
+}
+
+// NewRecorder returns a Recorder for the daemon self, whose target belongs to
+// svc.
+func NewRecorder(backend admin.Backend, log platformlog.Log, logger *zap.Logger, self ident.Node, svc ident.Service) *Recorder {
+	return &Recorder{Backend: backend, log: log, logger: logger, self: self, service: svc}
+}
+
+// Drain implements admin.Backend.
+func (r *Recorder) Drain(ctx context.Context, req *admin.DrainRequest) (*admin.DrainAnswer, error) {
+	answer, err := r.Backend.Drain(ctx, req)
+	if err != nil || answer.Already {
+		return answer, err
+	}
+	r.record(ctx, &Order{
+		Kind:     OrderDrain,
+		Service:  r.service,
+		Node:     r.self,
+		Operator: req.Operator,
+		Reason:   req.Reason,
+	})
+	return answer, nil
+}
+
+// ConfirmLoss implements admin.Backend.
+func (r *Recorder) ConfirmLoss(ctx context.Context, req *admin.ConfirmLossRequest) (*admin.ConfirmLossAnswer, error) {
+	answer, err := r.Backend.ConfirmLoss(ctx, req)
+	if err != nil {
+		return answer, err
+	}
+	r.record(ctx, &Order{
+		Kind:     OrderConfirmLoss,
+		Service:  req.Service,
+		Node:     ident.Node{Instance: req.Instance, Incarnation: req.Incarnation},
+		Operator: req.Operator,
+		Reason:   req.Reason,
+	})
+	return answer, nil
+}
+
+func (r *Recorder) record(ctx context.Context, o *Order) {
+	fields := []zap.Field{
+		zap.String("kind", string(o.Kind.entryKind())),
+		zap.Stringer("node", o.Node),
+		zap.String("operator", o.Operator),
+		zap.String("reason", o.Reason),
+	}
+	logevent.Log(r.logger, logevent.OrderCarriedOut, fields...)
+	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
+	defer cancel()
+	if err := o.Append(ctx, r.log); err != nil {
+		logevent.Log(r.logger, logevent.OrderNotRecorded, append(fields, zap.Error(err))...)
+	}
+}
--- a/audit/trail.go
+++ b/audit/trail.go
@@ -18,8 +18,8 @@
 	Incomplete []error
 }
 
-// Read returns the entries that the filter chooses, of the configuration and
-// of the cells of all its services in the regions, by time. It fails only if
+// Read returns the entries that the filter chooses, of the configuration, of
+// operators' orders and of the cells of all its services in the regions, by time. It fails only if
 // the log can't be read at all.
 func Read(ctx context.Context, log platformlog.Log, regions []ident.Region, f *Filter) (*Trail, error) {
 	t := new(Trail)
@@ -32,6 +32,7 @@
 		return nil, err
 	}
 	t.add(entries, f)
+	t.readOrders(ctx, log, f)
 	for _, svc := range servicesOf(state, f) {
 		for _, region := range regions {
 			t.readCell(ctx, log, svc, region, f)
@@ -41,6 +42,14 @@
 	return t, nil
 }
 
+func (t *Trail) readOrders(ctx context.Context, log platformlog.Log, f *Filter) {
+	entries, err := ReadOrders(ctx, log)
+	if err != nil {
+		t.Incomplete = append(t.Incomplete, err)
+	}
+	t.add(entries, f)
+}
+
 func (t *Trail) readCell(ctx context.Context, log platformlog.Log, svc ident.Service, region ident.Region, f *Filter) {
 	entries, err := ReadCell(ctx, log, svc, cell.StreamName(svc, region, 0))
 	if err != nil {
--- a/config/follower_io.go
+++ b/config/follower_io.go
@@ -52,6 +52,8 @@
 	offset, err := f.cfg.Log.Append(appendCtx, Stream, payload)
 	if err == nil {
 		logevent.Log(f.cfg.Logger, logevent.ConfigSnapshot, zap.Uint64("offset", uint64(offset)), zap.Int("bytes", len(payload)))
+	} else if ctx.Err() == nil {
+		logevent.Log(f.cfg.Logger, logevent.ConfigSnapshotFailed, zap.Error(err), zap.Int("bytes", len(payload)))
 	}
 	f.send(ctx, SnapshotDone{Err: err})
 }
--- a/logevent/daemon.go
+++ b/logevent/daemon.go
@@ -13,6 +13,8 @@
 	DrainFinished        = define(1009, "drain finished", info, "All ranges and roles are handed over and no request is in flight.", "")
 	DrainLimitExceeded   = define(1010, "drain limit exceeded", warning, "Work was still in flight when lease.drain_limit ended.", "Look for requests with long timeouts, or raise lease.drain_limit.")
 	ListenerFailed       = define(1011, "listener failed", failure, "An address of the settings can't be listened on.", "Check that no other process uses the port and that the address belongs to the instance.")
+	OrderCarriedOut      = define(1021, "order carried out", info, "An operator's order was accepted.", "")
+	OrderNotRecorded     = define(1022, "order not recorded", warning, "An operator's order was carried out but is missing from the audit trail.", "Keep this line; it holds what the trail would show.")
 	OrderRefused         = define(1012, "order refused", warning, "An operator's or a daemon's order was not carried out.", "Check who sent it and whether its certificate is one that tls.ca_file signs.")
 	ControlFault         = define(1013, "control fault", warning, "The goroutine of the cell met a condition that an operator should know of.", "Follow the remedy that the error names.")
 )
