--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -32,9 +32,10 @@
 	return nil, &Error{Status: 409, Problem: "the process answers", Remedy: "drain it"}
 }
 
-func startServer(t *testing.T, b Backend) *Client {
+func startServer(t *testing.T, b Backend) *Client { return startServerOf(t, NewHandler(b)) }
+
+func startServerOf(t *testing.T, h *Handler) *Client {
 	ln := fasthttputil.NewInmemoryListener()
-	h := NewHandler(b)
 	srv := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
 		if !h.Serve(ctx) {
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
--- a/admin/handler.go
+++ b/admin/handler.go
@@ -21,11 +21,16 @@
 
 // Handler serves a Backend over HTTP.
 type Handler struct {
-	backend Backend
+	backend   Backend
+	operators []string
 }
 
-// NewHandler returns a Handler of backend.
-func NewHandler(backend Backend) *Handler { return &Handler{backend: backend} }
+// NewHandler returns a Handler of backend. With mutual TLS, operators lists the
+// common names of the certificates that may give orders; if it is empty, every
+// verified certificate may.
+func NewHandler(backend Backend, operators ...string) *Handler {
+	return &Handler{backend: backend, operators: operators}
+}
 
 // Serve answers the request if its path belongs to the interface, and reports
 // whether it does, so that a daemon can add paths of its own.
@@ -82,9 +87,8 @@
 	if err := readJSON(req, &order); err != nil {
 		return nil, err
 	}
-	order.Operator = operatorOf(req, order.Operator)
-	if order.Operator == "" {
-		return nil, errNoOperator()
+	if err := h.authorize(req, &order.Operator); err != nil {
+		return nil, err
 	}
 	return h.backend.Drain(ctx, &order)
 }
@@ -94,30 +98,15 @@
 	if err := readJSON(req, &order); err != nil {
 		return nil, err
 	}
-	order.Operator = operatorOf(req, order.Operator)
-	switch {
-	case order.Operator == "":
-		return nil, errNoOperator()
-	case order.Instance == "" || order.Incarnation == 0:
+	if err := h.authorize(req, &order.Operator); err != nil {
+		return nil, err
+	}
+	if order.Instance == "" || order.Incarnation == 0 {
 		return nil, badRequest("the instance or its incarnation is missing", "name both as parsley status shows them, such as reports-1#1700000000000000000")
 	}
 	return h.backend.ConfirmLoss(ctx, &order)
 }
 
-// operatorOf returns the common name of the client's certificate, or named
-// where there is none.
-func operatorOf(req *fasthttp.RequestCtx, named string) string {
-	state := req.TLSConnectionState()
-	if state == nil || len(state.VerifiedChains) == 0 {
-		return named
-	}
-	return state.VerifiedChains[0][0].Subject.CommonName
-}
-
-func errNoOperator() *Error {
-	return badRequest("the order names no operator", "name yourself, with --operator on the command line")
-}
-
 func badRequest(problem, remedy string) *Error {
 	return &Error{Status: fasthttp.StatusBadRequest, Problem: problem, Remedy: remedy}
 }
--- /dev/null
+++ b/admin/tls_test.go
@@ -0,0 +1,61 @@
+package admin
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/parsleystack/parsleystack/certs"
+	"github.com/parsleystack/parsleystack/certs/certtest"
+)
+
+// With mutual TLS the certificate says who gives an order, and only the named
+// operators may.
+func TestOrdersNeedTheCertificateOfAnOperator(t *testing.T) {
+	authority := certtest.NewAuthority(t)
+	source := func(name string) *certs.Source {
+		s, err := certs.NewSource(authority.Issue(t.TempDir(), name, "127.0.0.1"), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &fakeBackend{}
+	h := NewHandler(b, "anna")
+	srv := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { h.Serve(ctx) }}
+	go func() { _ = srv.Serve(tls.NewListener(ln, source("reports-1").Server())) }()
+	t.Cleanup(func() { _ = ln.Close() })
+
+	ctx := context.Background()
+	anna := NewClient(ln.Addr().String(), source("anna").Client())
+	if _, err := anna.Drain(ctx, &DrainRequest{Operator: "someone else"}); err != nil || b.drained.Operator != "anna" {
+		t.Fatalf("the order came from %+v, error %v", b.drained, err)
+	}
+	daemon := NewClient(ln.Addr().String(), source("reports-2").Client())
+	var refusal *Error
+	if _, err := daemon.Drain(ctx, &DrainRequest{Operator: "anna"}); !errors.As(err, &refusal) || refusal.Status != 403 {
+		t.Errorf("an order with a daemon's certificate: %v", err)
+	}
+	if _, err := daemon.Status(ctx); err != nil {
+		t.Errorf("status with a daemon's certificate: %v", err)
+	}
+	if _, err := NewClient(ln.Addr().String(), nil).Status(ctx); err == nil {
+		t.Error("plain HTTP is answered")
+	}
+}
+
+func TestNamedOperatorsNeedTLS(t *testing.T) {
+	c := startServerOf(t, NewHandler(&fakeBackend{}, "anna"))
+	var refusal *Error
+	if _, err := c.Drain(context.Background(), &DrainRequest{Operator: "anna"}); !errors.As(err, &refusal) || refusal.Status != 403 {
+		t.Errorf("an order without a certificate: %v", err)
+	}
+}
--- a/settings/docs_test.go
+++ b/settings/docs_test.go
@@ -46,6 +46,9 @@
 	if d, ok := v.Interface().(time.Duration); ok {
 		return "`" + shortDuration(d) + "`"
 	}
+	if v.Kind() == reflect.Slice {
+		return "none"
+	}
 	if v.IsZero() && v.Kind() != reflect.Bool {
 		return "required"
 	}
--- a/settings/tls.go
+++ b/settings/tls.go
@@ -13,6 +13,10 @@
 	CertFile string `yaml:"cert_file"` // certificate of this daemon
 	KeyFile  string `yaml:"key_file"`  // private key of the certificate
 	CAFile   string `yaml:"ca_file"`   // authorities that others' certificates are checked against
+	// Operators lists the common names of the certificates that may give orders
+	// at the operators' endpoint. If it is empty, every certificate that the
+	// authorities have signed may, those of other daemons included.
+	Operators []string `yaml:"operators"`
 	// Insecure turns TLS off. Anyone who reaches the daemon's addresses may
 	// then give orders.
 	Insecure bool `yaml:"insecure"`
@@ -30,8 +34,8 @@
 }
 
 func (t *TLS) checkUnused(c *yamlfile.Checker) {
-	if t.CertFile != "" || t.KeyFile != "" || t.CAFile != "" {
-		c.Fail("tls.insecure", "TLS is off but files are named", "remove tls.insecure, or remove the files")
+	if t.CertFile != "" || t.KeyFile != "" || t.CAFile != "" || len(t.Operators) > 0 {
+		c.Fail("tls.insecure", "TLS is off but files or operators are named", "remove tls.insecure, or remove the other fields")
 	}
 }
 
