Add celltest: a deterministic world that checks the cell's invariants

Cause: the ownership protocol needs randomised proof with faults at every step. The world has drifting clocks, a lossy network, a log with late and lost appends, freezes, kills and operators; schedules come from gopter generators and shrink with its shrinkers.

--- a/Makefile
+++ b/Makefile
@@ -21,3 +21,6 @@
 
 test: lint
 	$(GO) test -race ./...
+
+soak:
+	$(GO) run ./cmd/parsley-soak --seed $(SEED) --steps $(STEPS)
--- /dev/null
+++ b/cell/celltest/fake_test.go
@@ -0,0 +1,136 @@
+package celltest
+
+import (
+	"time"
+
+	"github.com/parsleystack/parsleystack/cell"
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/keyspace"
+	"github.com/parsleystack/parsleystack/platformlog"
+)
+
+// flaw is a defect of a fake machine that the checker must notice.
+type flaw int
+
+const (
+	sound flaw = iota
+	twoHolders
+	tokenFalls
+	forgets
+	differs
+	lapses
+	tooLong
+	dropsWork
+	leavesAtOnce
+	staysOn
+	panics
+)
+
+// fakeMachine holds a fixed part of the hash space, renewed at every tick, and
+// shows one flaw from flawFrom on.
+type fakeMachine struct {
+	cfg   cell.Config
+	slot  int
+	size  int
+	flaw  flaw
+	start clock.Time
+	seq   uint64
+	next  platformlog.Offset
+}
+
+const flawFrom = 20 * time.Second
+
+func fakeOptions(size int, f flaw) Options {
+	slot := 0
+	return Options{
+		Encode: encodeRecord,
+		New: func(cfg cell.Config) (Machine, error) {
+			m := &fakeMachine{cfg: cfg, slot: int(cfg.Self.Node.Instance[2] - '0'), size: size, flaw: f, next: 1, seq: 100}
+			slot++
+			return m, nil
+		},
+	}
+}
+
+func (m *fakeMachine) NextOffset() platformlog.Offset { return m.next }
+
+func (m *fakeMachine) flawed(now clock.Time) bool { return now.Sub(m.start) > flawFrom && m.slot == 0 }
+
+func (m *fakeMachine) grant(now clock.Time) cell.Grant {
+	g := cell.Grant{Range: keyspace.Divide(m.size)[m.slot], Owner: m.cfg.Self.Node, Token: cell.Token{Term: 1, Seq: m.seq}}
+	switch {
+	case !m.flawed(now):
+	case m.flaw == twoHolders:
+		g.Range = keyspace.Full()
+		g.Token.Seq++
+	case m.flaw == tokenFalls:
+		g.Token.Seq--
+	}
+	return g
+}
+
+func (m *fakeMachine) Step(ev cell.Event, now clock.Time) cell.Effects {
+	if m.start == 0 {
+		m.start = now
+	}
+	if m.flaw == panics && m.flawed(now) {
+		panic("flaw")
+	}
+	var eff cell.Effects
+	switch ev := ev.(type) {
+	case cell.LogRead:
+		m.next = ev.Batch.Next
+		eff.Appends = []cell.Append{{Nonce: uint64(now)}}
+		return eff
+	case cell.Leave:
+		eff.Left = m.flaw == leavesAtOnce
+		return eff
+	case cell.Tick, cell.TargetState:
+	default:
+		return eff
+	}
+	eff.HoldingsChanged = true
+	eff.Holdings = m.holdings(now)
+	if m.slot == 0 {
+		eff.Acknowledged = []cell.Grant{m.grant(now)}
+	}
+	eff.Wake = now.Add(100 * time.Millisecond)
+	return eff
+}
+
+func (m *fakeMachine) holdings(now clock.Time) []cell.Holding {
+	length := time.Second
+	if m.flawed(now) {
+		switch m.flaw {
+		case dropsWork:
+			return nil
+		case lapses:
+			length = 10 * time.Millisecond
+		case tooLong:
+			length = time.Minute
+		}
+	}
+	return []cell.Holding{{Grant: m.grant(now), Expires: now.Add(length)}}
+}
+
+// View shows the fake as a cell whose leader is slot 0. The other slots claim to
+// have read nothing of the log, so that their view of the roles is not compared.
+func (m *fakeMachine) View(now clock.Time) cell.View {
+	v := cell.View{Self: m.cfg.Self.Node, Term: 1, Leader: m.cfg.Self.Node, NextOffset: m.next}
+	if m.flaw == differs {
+		v.Leader = cell.View{}.Leader
+		if m.flawed(now) {
+			v.Deputy = m.cfg.Self.Node
+		}
+		return v
+	}
+	if m.slot != 0 {
+		v.Leader.Instance, v.NextOffset = instance(0), 0
+		return v
+	}
+	v.Assignments = []cell.Grant{m.grant(now)}
+	if m.flaw == forgets && m.flawed(now) {
+		v.Assignments = nil
+	}
+	return v
+}
--- /dev/null
+++ b/cell/celltest/node.go
@@ -0,0 +1,28 @@
+package celltest
+
+import (
+	"github.com/parsleystack/parsleystack/cell"
+	"github.com/parsleystack/parsleystack/platformlog"
+)
+
+// nodeMachine is a cell.Node as the world drives it.
+type nodeMachine struct{ *cell.Node }
+
+func (m nodeMachine) NextOffset() platformlog.Offset { return m.View(0).NextOffset }
+
+// CellOptions returns the options of worlds that check cell.Node.
+func CellOptions() Options {
+	return Options{New: newNode, Encode: encodeRecord}
+}
+
+func newNode(cfg cell.Config) (Machine, error) {
+	n, err := cell.NewNode(cfg)
+	if err != nil {
+		return nil, err
+	}
+	return nodeMachine{n}, nil
+}
+
+func encodeRecord(rec cell.Record) ([]byte, error) {
+	return append([]byte{byte(rec.Kind)}, rec.Body...), nil
+}
--- /dev/null
+++ b/cell/celltest/segments.go
@@ -0,0 +1,98 @@
+package celltest
+
+import (
+	"sort"
+
+	"github.com/parsleystack/parsleystack/cell"
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/keyspace"
+)
+
+// segment is a part of the hash space with the newest grant seen over it.
+type segment struct {
+	first keyspace.Point
+	token cell.Token
+	owner ident.Node
+}
+
+// segments maps every point to the newest grant seen over it. The first
+// segment starts at point 0, each ends before the next.
+type segments struct {
+	list  []segment
+	spare []segment
+}
+
+func newSegments() segments { return segments{list: make([]segment, 1, 64)} }
+
+// find returns the index of the segment that holds p.
+func (s *segments) find(p keyspace.Point) int {
+	return sort.Search(len(s.list), func(i int) bool { return s.list[i].first > p }) - 1
+}
+
+// last returns the last point of segment i.
+func (s *segments) last(i int) keyspace.Point {
+	if i+1 < len(s.list) {
+		return s.list[i+1].first - 1
+	}
+	return keyspace.MaxPoint
+}
+
+// conflict returns a segment over g whose grant is newer than g or gives the
+// same token to another owner.
+func (s *segments) conflict(g *cell.Grant) *segment {
+	for i := s.find(g.Range.First); i < len(s.list) && s.list[i].first <= g.Range.Last; i++ {
+		seg := &s.list[i]
+		if g.Token.Less(seg.token) || g.Token == seg.token && !seg.owner.IsZero() && seg.owner != g.Owner {
+			return seg
+		}
+	}
+	return nil
+}
+
+// covers reports whether every segment over g already carries it.
+func (s *segments) covers(g *cell.Grant) bool {
+	for i := s.find(g.Range.First); i < len(s.list) && s.list[i].first <= g.Range.Last; i++ {
+		if s.list[i].token != g.Token || s.list[i].owner != g.Owner {
+			return false
+		}
+	}
+	return true
+}
+
+// raise records g wherever it is newer than what is known.
+func (s *segments) raise(g *cell.Grant) {
+	if s.covers(g) {
+		return
+	}
+	out := s.spare[:0]
+	for i := range s.list {
+		out = s.raiseOne(out, i, g)
+	}
+	s.spare, s.list = s.list, out
+}
+
+// raiseOne appends segment i, cut where g starts and ends.
+func (s *segments) raiseOne(out []segment, i int, g *cell.Grant) []segment {
+	seg := s.list[i]
+	last := s.last(i)
+	if last < g.Range.First || seg.first > g.Range.Last || !seg.token.Less(g.Token) {
+		return appendSegment(out, seg)
+	}
+	if seg.first < g.Range.First {
+		out = appendSegment(out, seg)
+	}
+	out = appendSegment(out, segment{first: max(seg.first, g.Range.First), token: g.Token, owner: g.Owner})
+	if last > g.Range.Last {
+		rest := seg
+		rest.first = g.Range.Last + 1
+		out = appendSegment(out, rest)
+	}
+	return out
+}
+
+func appendSegment(out []segment, seg segment) []segment {
+	if n := len(out); n > 0 && out[n-1].token == seg.token && out[n-1].owner == seg.owner {
+		return out
+	}
+	return append(out, seg)
+}
--- /dev/null
+++ b/cell/celltest/soak.go
@@ -0,0 +1,126 @@
+package celltest
+
+import (
+	"context"
+	"errors"
+	"math/rand"
+	"sync/atomic"
+
+	"github.com/leanovate/gopter"
+	"golang.org/x/sync/errgroup"
+)
+
+// worldSeedStep spreads the seeds of successive worlds over the seed space.
+const worldSeedStep = 0x9E3779B97F4A7C
+
+// Soak runs many worlds until they have taken a number of steps.
+type Soak struct {
+	Options  Options
+	Seed     int64
+	Steps    int64
+	Size     int     // instances per world; 0 varies it
+	Profile  Profile // "" varies it
+	Rule     string
+	Workers  int
+	Progress func(SoakStats) // called now and then by one worker at a time, if set
+}
+
+// SoakStats sums up the worlds of a soak.
+type SoakStats struct {
+	Worlds  int64
+	Steps   int64
+	Virtual int64 // seconds
+	Acks    int64
+	Terms   int64
+	Counts  [faultKinds]int64
+}
+
+// Failure is a schedule that violates an invariant.
+type Failure struct {
+	Schedule  *Schedule
+	Violation *Violation
+}
+
+// errFailed stops the workers of a soak after a violation.
+var errFailed = errors.New("celltest: a world violates an invariant; see the failure returned")
+
+// NewSchedule returns the schedule of the world with an index of a soak.
+func (s *Soak) NewSchedule(index int64) *Schedule {
+	seed := s.Seed + index*worldSeedStep
+	rng := rand.New(rand.NewSource(seed))
+	sch := &Schedule{Seed: seed, Profile: s.Profile, Size: s.Size, Rule: s.Rule}
+	if sch.Profile == "" {
+		sch.Profile = Profiles[rng.Intn(len(Profiles))]
+	}
+	if sch.Size == 0 {
+		sch.Size = anySize(rng, sch.Profile)
+	}
+	params := gopter.DefaultGenParameters().CloneWithSeed(rng.Int63())
+	faults, _ := GenFaults(sch.Profile, sch.Size)(params).Retrieve()
+	sch.Faults = faults.([]Fault)
+	return sch
+}
+
+// anySize returns a size of a cell; small cells are frequent. A cell that is to
+// stand the loss of one instance has at least three.
+func anySize(rng *rand.Rand, profile Profile) int {
+	if rng.Intn(8) == 0 {
+		return 3 + rng.Intn(maxSlots-2)
+	}
+	if profile == Single {
+		return 3 + rng.Intn(3)
+	}
+	return 1 + rng.Intn(5)
+}
+
+// Run runs the soak. A failure is nil if every world was clean.
+func (s *Soak) Run() (SoakStats, *Failure) {
+	var next, steps atomic.Int64
+	results := make(chan Result, s.Workers)
+	failures := make(chan *Failure, s.Workers)
+	group, ctx := errgroup.WithContext(context.Background())
+	for range s.Workers {
+		group.Go(func() error {
+			for ctx.Err() == nil && steps.Load() < s.Steps {
+				sch := s.NewSchedule(next.Add(1) - 1)
+				r := Run(s.Options, sch)
+				steps.Add(r.Steps)
+				results <- r
+				if r.Violation != nil {
+					failures <- &Failure{Schedule: sch, Violation: r.Violation}
+					return errFailed
+				}
+			}
+			return nil
+		})
+	}
+	var stats SoakStats
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for r := range results {
+			stats.add(r)
+			if s.Progress != nil {
+				s.Progress(stats)
+			}
+		}
+	}()
+	err := group.Wait()
+	close(results)
+	<-done
+	if err != nil {
+		return stats, <-failures
+	}
+	return stats, nil
+}
+
+func (st *SoakStats) add(r Result) {
+	st.Worlds++
+	st.Steps += r.Steps
+	st.Virtual += int64(r.Virtual.Seconds())
+	st.Acks += r.Acks
+	st.Terms += r.Terms
+	for i, n := range r.Counts {
+		st.Counts[i] += n
+	}
+}
--- /dev/null
+++ b/cmd/parsley-soak/reporter.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/parsleystack/parsleystack/cell/celltest"
+)
+
+// reporter prints the state of a soak.
+type reporter struct {
+	out    io.Writer
+	goal   int64
+	start  time.Time
+	latest time.Time
+}
+
+func newReporter(out io.Writer, goal int64) *reporter {
+	now := time.Now()
+	return &reporter{out: out, goal: goal, start: now, latest: now}
+}
+
+// progress prints a line now and then.
+func (r *reporter) progress(st celltest.SoakStats) {
+	if time.Since(r.latest) < reportInterval {
+		return
+	}
+	r.latest = time.Now()
+	fmt.Fprintf(r.out, "%d of %d steps, %d worlds, %.0f steps/s\n", st.Steps, r.goal, st.Worlds, r.speed(st))
+}
+
+// print prints the sums of the whole soak.
+func (r *reporter) print(st celltest.SoakStats) {
+	fmt.Fprintf(r.out, "steps %d, worlds %d, virtual time %ds, terms %d, acknowledged grants %d, %.0f steps/s\n",
+		st.Steps, st.Worlds, st.Virtual, st.Terms, st.Acks, r.speed(st))
+	for k, n := range st.Counts {
+		fmt.Fprintf(r.out, "  %-16v %d\n", celltest.FaultKind(k), n)
+	}
+}
+
+func (r *reporter) speed(st celltest.SoakStats) float64 {
+	return float64(st.Steps) / time.Since(r.start).Seconds()
+}
