--- a/cell/celltest/load.go
+++ b/cell/celltest/load.go
@@ -7,7 +7,10 @@
 )
 
 // loadInterval is the time between load reports of a process.
-const loadInterval = trueTime(time.Second)
+const loadInterval = 10 * sampleInterval
+
+// hotTime is the time for which a range stays the hottest.
+const hotTime = trueTime(20 * time.Second)
 
 // reportLoad sends the load of the ranges held to each machine that balances.
 // The load of a range follows from its position and the time, so that the
@@ -25,7 +28,7 @@
 }
 
 func (w *World) loadOf(p *process) cell.Load {
-	phase := uint64(w.now / (20 * loadInterval))
+	phase := uint64(w.now / hotTime)
 	ranges := make([]cell.RangeLoad, 0, len(p.holdings))
 	for k := range p.holdings {
 		r := p.holdings[k].Grant.Range
--- a/cell/celltest/world.go
+++ b/cell/celltest/world.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	sampleInterval = trueTime(100 * time.Millisecond)
+	sampleInterval = trueTime(97 * time.Millisecond) // in step with no other interval
 	probeInterval  = trueTime(35 * time.Millisecond)
 	tickInterval   = 250 * time.Millisecond
 	calmTime       = trueTime(6 * time.Second)
