--- a/cell/celltest/load.go
+++ b/cell/celltest/load.go
@@ -7,7 +7,7 @@
 )
 
 // loadInterval is the time between load reports of a process.
-const loadInterval = 10 * sampleInterval
+const loadInterval = trueTime(time.Second)
 
 // hotTime is the time for which a range stays the hottest.
 const hotTime = trueTime(20 * time.Second)
@@ -16,9 +16,10 @@
 // The load of a range follows from its position and the time, so that the
 // hottest range changes now and then.
 func (w *World) reportLoad() {
-	if !w.params.moves || w.now%loadInterval != 0 {
+	if !w.params.moves || w.now < w.nextLoad {
 		return
 	}
+	w.nextLoad = w.now + loadInterval
 	for i := range w.procs {
 		p := &w.procs[i]
 		if p.alive && len(p.holdings) > 0 {
--- a/cell/celltest/world.go
+++ b/cell/celltest/world.go
@@ -10,7 +10,8 @@
 )
 
 const (
-	sampleInterval = trueTime(97 * time.Millisecond) // in step with no other interval
+	sampleInterval = trueTime(60 * time.Millisecond) // shortest; varied to be in step with nothing
+	sampleJitter   = trueTime(80 * time.Millisecond)
 	probeInterval  = trueTime(35 * time.Millisecond)
 	tickInterval   = 250 * time.Millisecond
 	calmTime       = trueTime(6 * time.Second)
@@ -49,6 +50,7 @@
 	links    links
 	active   []activeFault
 	dead     []ident.Node
+	nextLoad trueTime
 	check    checker
 	result   Result
 }
@@ -139,7 +141,7 @@
 	case itemSample:
 		w.check.sample()
 		w.reportLoad()
-		w.queue.push(item{at: w.now + sampleInterval, kind: itemSample})
+		w.queue.push(item{at: w.now + sampleInterval + w.upTo(sampleJitter), kind: itemSample})
 	case itemProbe:
 		w.probe(w.rng.Intn(len(w.procs)))
 		w.queue.push(item{at: w.now + probeInterval, kind: itemProbe})
