Tell lost grants from forgotten ones, accept a stream lost to retention, name the broken rules

Cause: a grant that stood on a leader and a deputy that were both killed while the log was down was reported as forgotten, and a cell whose log had expired while all its processes were dead as not serving. Both are losses of two; the checker asks for the log or a survivor of the pair now, and for the typed gap error of every process.

--- a/cell/celltest/fake_test.go
+++ b/cell/celltest/fake_test.go
@@ -141,3 +141,4 @@
 func (fakeFold) Term() uint64                                         { return 1 }
 func (fakeFold) Leader() ident.Node                                   { return ident.Node{} }
 func (fakeFold) Deputy() ident.Node                                   { return ident.Node{} }
+func (fakeFold) Assignments() []cell.Grant                            { return nil }
--- a/cell/celltest/holders.go
+++ b/cell/celltest/holders.go
@@ -76,7 +76,7 @@
 		c.fail(TokensGrow, "%v holds %v after %v of %v was in use at %x", p.node, h.Grant, seg.token, seg.owner, uint64(seg.first))
 		return
 	}
-	c.used.raise(&h.Grant)
+	c.used.raise(&h.Grant, segment{})
 }
 
 // handed checks a request that is handed to the target of p.
--- a/cell/celltest/liveness.go
+++ b/cell/celltest/liveness.go
@@ -37,6 +37,11 @@
 
 // sample checks the time-dependent invariants.
 func (c *checker) sample() {
+	if c.lostStream() {
+		c.w.result.LostStreams++
+		c.w.end = c.w.now
+		return
+	}
 	c.mark()
 	for i := range c.watched {
 		c.watchPoint(i)
--- a/cell/celltest/logdriver.go
+++ b/cell/celltest/logdriver.go
@@ -187,6 +187,7 @@
 	if _, gap := it.event.(cell.LogGap); gap {
 		p.gapAt = p.now(w.now)
 	}
+	p.lastErr = nil
 	w.step(p, it.event)
 	if !p.alive {
 		return
--- a/cell/celltest/machine.go
+++ b/cell/celltest/machine.go
@@ -23,6 +23,7 @@
 	Term() uint64
 	Leader() ident.Node
 	Deputy() ident.Node
+	Assignments() []cell.Grant
 }
 
 // Encoder turns a record into the payload that the log keeps.
--- a/cell/celltest/node.go
+++ b/cell/celltest/node.go
@@ -17,6 +17,9 @@
 		New:    newNode,
 		Encode: func(rec cell.Record) ([]byte, error) { return rec.AppendTo(nil), nil },
 		Fold:   func() Fold { return cell.NewLedger(service, keyspace.Full()) },
+		Configure: func(cfg *cell.Config, rule string) {
+			cfg.Fault = faultOf(rule)
+		},
 	}
 }
 
--- a/cell/celltest/segments.go
+++ b/cell/celltest/segments.go
@@ -13,6 +13,11 @@
 	first keyspace.Point
 	token cell.Token
 	owner ident.Node
+
+	// Of acknowledged grants only:
+	leader ident.Node // the pair that the grant stood on
+	deputy ident.Node
+	logged bool // the log holds it or a newer one
 }
 
 // segments maps every point to the newest grant seen over it. The first
@@ -59,20 +64,21 @@
 	return true
 }
 
-// raise records g wherever it is newer than what is known.
-func (s *segments) raise(g *cell.Grant) {
+// raise records g wherever it is newer than what is known. The segment given
+// carries what else is to be kept of it.
+func (s *segments) raise(g *cell.Grant, with segment) {
 	if s.covers(g) {
 		return
 	}
 	out := s.spare[:0]
 	for i := range s.list {
-		out = s.raiseOne(out, i, g)
+		out = s.raiseOne(out, i, g, with)
 	}
 	s.spare, s.list = s.list, out
 }
 
 // raiseOne appends segment i, cut where g starts and ends.
-func (s *segments) raiseOne(out []segment, i int, g *cell.Grant) []segment {
+func (s *segments) raiseOne(out []segment, i int, g *cell.Grant, with segment) []segment {
 	seg := s.list[i]
 	last := s.last(i)
 	if last < g.Range.First || seg.first > g.Range.Last || !seg.token.Less(g.Token) {
@@ -81,7 +87,8 @@
 	if seg.first < g.Range.First {
 		out = appendSegment(out, seg)
 	}
-	out = appendSegment(out, segment{first: max(seg.first, g.Range.First), token: g.Token, owner: g.Owner})
+	with.first, with.token, with.owner = max(seg.first, g.Range.First), g.Token, g.Owner
+	out = appendSegment(out, with)
 	if last > g.Range.Last {
 		rest := seg
 		rest.first = g.Range.Last + 1
--- a/cell/celltest/soak.go
+++ b/cell/celltest/soak.go
@@ -27,13 +27,14 @@
 
 // SoakStats sums up the worlds of a soak.
 type SoakStats struct {
-	Worlds     int64
-	Steps      int64
-	Virtual    int64 // seconds
-	Acks       int64
-	Terms      int64
-	Recoveries int64
-	Counts     [faultKinds]int64
+	Worlds      int64
+	Steps       int64
+	Virtual     int64 // seconds
+	Acks        int64
+	Terms       int64
+	Recoveries  int64
+	LostStreams int64 // worlds that ended because the log had lost its records
+	Counts      [faultKinds]int64
 }
 
 // Failure is a schedule that violates an invariant.
@@ -122,6 +123,7 @@
 	st.Acks += r.Acks
 	st.Terms += r.Terms
 	st.Recoveries += r.Recoveries
+	st.LostStreams += r.LostStreams
 	for i, n := range r.Counts {
 		st.Counts[i] += n
 	}
--- a/cell/celltest/world.go
+++ b/cell/celltest/world.go
@@ -29,13 +29,14 @@
 
 // Result is the outcome of a run.
 type Result struct {
-	Steps      int64
-	Virtual    time.Duration
-	Counts     [faultKinds]int64
-	Acks       int64
-	Terms      int64
-	Recoveries int64
-	Violation  *Violation
+	Steps       int64
+	Virtual     time.Duration
+	Counts      [faultKinds]int64
+	Acks        int64
+	Terms       int64
+	Recoveries  int64
+	LostStreams int64 // worlds that ended because the log had lost its records
+	Violation   *Violation
 }
 
 // World is a cell and everything around it.
