--- a/cell/leader_peer.go
+++ b/cell/leader_peer.go
@@ -19,9 +19,11 @@
 	listed   []Grant
 	notReady bool
 	leaving  bool
-	renewed  clock.Time // newest Renew
-	lapse    clock.Time // end of the newest lease, on the leader's clock
-	leadAt   clock.Time // when Lead was last sent
+	// dismissed is set once the process has been told that it may stop.
+	dismissed bool
+	renewed   clock.Time // newest Renew
+	lapse     clock.Time // end of the newest lease, on the leader's clock
+	leadAt    clock.Time // when Lead was last sent
 
 	version uint32  // of sent; 0 before the first
 	sent    []Grant // grants last sent
@@ -98,7 +100,7 @@
 		l.peers = append(l.peers, p)
 	}
 	if !p.confirmed && (m.Lead == 0 || m.Lead > l.leadSeq) {
-		n.sendLead(p)
+		n.answerStranger(p)
 		return
 	}
 	p.note(m, n.now)
@@ -107,6 +109,13 @@
 	n.sendLease(p, m.Request)
 }
 
+// answerStranger tells a process that does not follow the term to do so.
+func (n *Node) answerStranger(p *peer) {
+	if p.leadAt == clock.Never || n.now >= p.leadAt.Add(n.timing.retry) {
+		n.sendLead(p)
+	}
+}
+
 // note takes in what a Renew says.
 func (p *peer) note(m *Renew, now clock.Time) {
 	if !p.confirmed {
@@ -134,6 +143,7 @@
 	m := &Lease{Term: l.term, Request: request, Micros: micros, Version: p.version}
 	if n.mayLeave(p) {
 		m.Flags |= leaseMayLeave
+		p.dismissed = true
 	}
 	n.addGrants(p, m)
 	n.send(p.node, Message{Lease: m})
