--- a/cell/celltest/driver.go
+++ b/cell/celltest/driver.go
@@ -159,9 +159,21 @@
 // release refuses new requests of a range and reports the end of the work in flight.
 func (w *World) release(p *process, h *cell.Holding) {
 	p.forgetDone(w.now)
-	p.drains = append(p.drains, drain{rng: h.Grant.Range, limit: w.now + toTrue(drainLimit)})
+	p.drainID++
+	p.drains = append(p.drains, drain{id: p.drainID, rng: h.Grant.Range, limit: w.now + toTrue(drainLimit)})
 	ev := cell.Released{Range: h.Grant.Range, Token: h.Grant.Token}
-	w.queue.push(item{at: p.workEnd(h.Grant.Range, w.now) + netDelay, kind: itemEvent, slot: int8(p.slot), gen: p.gen, event: ev})
+	w.queue.push(item{at: p.workEnd(h.Grant.Range, w.now) + netDelay, kind: itemReleased, slot: int8(p.slot), gen: p.gen, id: p.drainID, event: ev})
+}
+
+// released reports the end of the work in flight, unless the machine has taken
+// up admission again in the meantime.
+func (w *World) released(p *process, it *item) {
+	for _, d := range p.drains {
+		if d.id == it.id {
+			w.step(p, it.event)
+			return
+		}
+	}
 }
 
 // prepare gets the target ready after a cold start.
--- a/cell/celltest/process.go
+++ b/cell/celltest/process.go
@@ -24,6 +24,7 @@
 
 // drain is a range that the machine has asked to release.
 type drain struct {
+	id    uint64
 	rng   keyspace.Range
 	limit trueTime // from then on, work may be cut off
 }
@@ -40,6 +41,7 @@
 	stall   trueTime // freeze for this long before the next effects; 0 if not
 
 	holdings []heldGrant
+	drainID  uint64
 	work     []work
 	drains   []drain
 
--- a/cell/celltest/queue.go
+++ b/cell/celltest/queue.go
@@ -12,6 +12,7 @@
 	itemEvent        itemKind = iota // an event for the machine of slot
 	itemMessage                      // a message reaches slot
 	itemTick                         // the driver's timer fires
+	itemReleased                     // work of a range that is being released has ended
 	itemEffects                      // a process wakes before its effects
 	itemWake                         // a frozen process wakes
 	itemRestart                      // a new process starts
@@ -31,7 +32,7 @@
 // process is frozen.
 func (k itemKind) bound() bool {
 	switch k {
-	case itemEvent, itemTick, itemEffects, itemReadRetry, itemReadAnswer, itemWake:
+	case itemEvent, itemTick, itemReleased, itemEffects, itemReadRetry, itemReadAnswer, itemWake:
 		return true
 	}
 	return false
--- a/cell/celltest/world.go
+++ b/cell/celltest/world.go
@@ -134,7 +134,7 @@
 		}
 	}
 	switch it.kind {
-	case itemEvent, itemMessage, itemTick, itemEffects, itemWake, itemRestart:
+	case itemEvent, itemMessage, itemTick, itemReleased, itemEffects, itemWake, itemRestart:
 		w.handleProcess(it)
 	case itemAppendArrive, itemAppendLand, itemReadArrive, itemReadPollEnd, itemReadRetry, itemReadAnswer:
 		w.handleLog(it)
@@ -166,6 +166,8 @@
 		w.deliver(p, it)
 	case itemTick:
 		w.tick(p, it.id)
+	case itemReleased:
+		w.released(p, it)
 	case itemEffects:
 		w.apply(p, it.effects)
 	case itemWake:
