--- a/cell/celltest/generate.go
+++ b/cell/celltest/generate.go
@@ -19,8 +19,11 @@
 // GenFaults generates the faults of a schedule of a profile in a cell of the
 // given size. Slices shrink by leaving out faults and by simpler faults.
 func GenFaults(profile Profile, size int) gopter.Gen {
-	if profile == Single {
+	switch profile {
+	case Single:
 		return genSingle(size)
+	case Corner:
+		return genCorner(size)
 	}
 	return genSlice(profile, maxFaults, func(rng *rand.Rand, _ int) Fault { return anyFault(rng, profile, size) })
 }
--- /dev/null
+++ b/cell/celltest/generate_corner.go
@@ -0,0 +1,144 @@
+package celltest
+
+import (
+	"math/rand"
+	"reflect"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+)
+
+// cornerSpacing is the time between the two corners of a schedule.
+const cornerSpacing = 20 * time.Second
+
+// corner returns faults that together reach a state which independent faults
+// rarely do. Times are relative to its start.
+type corner func(rng *rand.Rand, size int) []Fault
+
+var corners = []corner{stalePledge, lateClaim, pairApart, pairBlind, frozenOwner, unsettledDeputy, quickRestart, outageLoss, leaveInOutage, claimChain, handOverLoss}
+
+// genCorner generates two corners and up to two faults of any kind.
+func genCorner(size int) gopter.Gen {
+	return func(p *gopter.GenParameters) *gopter.GenResult {
+		var faults []Fault
+		for i := range 2 {
+			start := Warmup + time.Duration(i)*cornerSpacing + randDur(p.Rng, 0, 2*time.Second)
+			for _, f := range corners[p.Rng.Intn(len(corners))](p.Rng, size) {
+				f.At += start
+				faults = append(faults, f)
+			}
+		}
+		for range p.Rng.Intn(3) {
+			faults = append(faults, anyFault(p.Rng, Chaos, size))
+		}
+		result := gopter.NewGenResult(faults, gen.SliceShrinker(faultShrinker(Corner)))
+		result.ResultType = reflect.TypeOf(faults)
+		return result
+	}
+}
+
+func millis(rng *rand.Rand, from, to int) time.Duration {
+	return randDur(rng, time.Duration(from)*time.Millisecond, time.Duration(to)*time.Millisecond)
+}
+
+// stalePledge makes the deputy claim needlessly while the leader cannot read
+// the log and one member cannot hear the deputy.
+func stalePledge(rng *rand.Rand, size int) []Fault {
+	return []Fault{
+		{Kind: CutBoth, From: Leader, To: Log, Dur: millis(rng, 6000, 15000)},
+		{Kind: CutBoth, From: Deputy, To: Rest, At: 100 * time.Millisecond, Dur: millis(rng, 4000, 14000)},
+		{Kind: Cut, From: Leader, To: Deputy, At: millis(rng, 100, 1000), Dur: millis(rng, 900, 2500)},
+	}
+}
+
+// lateClaim has a claim in a slow log while leader and deputy change owners.
+func lateClaim(rng *rand.Rand, size int) []Fault {
+	slow := []FaultKind{LogSlow, LogLate}[rng.Intn(2)]
+	return []Fault{
+		{Kind: slow, Percent: 100, Amount: millis(rng, 1000, 5000), Dur: millis(rng, 3000, 10000)},
+		{Kind: Kill, From: Slot(rng.Intn(size)), Dur: millis(rng, 3000, 12000)},
+		{Kind: Cut, From: Leader, To: Deputy, At: millis(rng, 0, 3000), Dur: millis(rng, 900, 1600)},
+	}
+}
+
+// pairApart cuts leader and deputy off together.
+func pairApart(rng *rand.Rand, size int) []Fault {
+	return []Fault{{Kind: CutBoth, From: Leader | Deputy, To: Rest | Log, Dur: millis(rng, 9000, 32000)}}
+}
+
+// pairBlind cuts all but one member off the log.
+func pairBlind(rng *rand.Rand, size int) []Fault {
+	one := Slot(rng.Intn(size))
+	return []Fault{
+		{Kind: CutBoth, From: Leader | Deputy | Rest, To: Log, Dur: millis(rng, 2000, 4000)},
+		{Kind: CutBoth, From: Leader | Deputy, To: Log, Dur: millis(rng, 12000, 32000)},
+		{Kind: CutBoth, From: Leader | Deputy, To: one, Dur: millis(rng, 12000, 32000)},
+	}
+}
+
+// frozenOwner freezes an owner around a change of leader.
+func frozenOwner(rng *rand.Rand, size int) []Fault {
+	kind := []FaultKind{Pause, PauseEffects}[rng.Intn(2)]
+	return []Fault{
+		{Kind: kind, From: Slot(rng.Intn(size)), At: millis(rng, 0, 2500), Dur: millis(rng, 500, 7000)},
+		{Kind: []FaultKind{Kill, Pause, PauseEffects}[rng.Intn(3)], From: Leader, At: millis(rng, 0, 2500), Dur: millis(rng, 900, 6000)},
+	}
+}
+
+// unsettledDeputy loses the deputy while appends land late.
+func unsettledDeputy(rng *rand.Rand, size int) []Fault {
+	return []Fault{
+		{Kind: LogLate, Percent: 100, Amount: millis(rng, 500, 5000), Dur: millis(rng, 2000, 8000)},
+		{Kind: []FaultKind{Cut, CutBoth}[rng.Intn(2)], From: Deputy, To: Leader, At: millis(rng, 0, 1000), Dur: millis(rng, 900, 6000)},
+		{Kind: []FaultKind{Kill, Pause, PauseEffects}[rng.Intn(3)], From: []NodeSet{Leader, Deputy}[rng.Intn(2)], At: millis(rng, 1500, 6000), Dur: millis(rng, 900, 5000)},
+	}
+}
+
+// quickRestart restarts a process with a role at once.
+func quickRestart(rng *rand.Rand, size int) []Fault {
+	return []Fault{
+		{Kind: Kill, From: []NodeSet{Leader, Deputy}[rng.Intn(2)], Dur: millis(rng, 10, 800)},
+		{Kind: LogSlow, Amount: millis(rng, 100, 2000), Dur: millis(rng, 500, 4000)},
+		{Kind: Kill, From: []NodeSet{Leader, Deputy}[rng.Intn(2)], At: millis(rng, 500, 6000), Dur: millis(rng, 10, 800)},
+	}
+}
+
+// outageLoss loses a member while the log is down, and the leader about when
+// the log returns.
+func outageLoss(rng *rand.Rand, size int) []Fault {
+	down := millis(rng, 3500, 8000)
+	return []Fault{
+		{Kind: LogDown, Dur: down},
+		{Kind: Kill, From: Slot(rng.Intn(size)), At: millis(rng, 0, 1500), Dur: millis(rng, 500, 12000)},
+		{Kind: []FaultKind{Kill, Pause, Leave}[rng.Intn(3)], From: Leader, At: down - time.Second + millis(rng, 0, 2000), Dur: millis(rng, 500, 6000)},
+	}
+}
+
+// leaveInOutage stops leader and deputy on purpose while the log is down.
+func leaveInOutage(rng *rand.Rand, size int) []Fault {
+	return []Fault{
+		{Kind: LogDown, At: millis(rng, 0, 1000), Dur: millis(rng, 1000, 7000)},
+		{Kind: Leave, From: Leader, At: millis(rng, 0, 3000), Dur: millis(rng, 3000, 14000)},
+		{Kind: Leave, From: Deputy, At: millis(rng, 0, 3000), Dur: millis(rng, 3000, 14000)},
+	}
+}
+
+// claimChain has several claims in a slow log behind one another.
+func claimChain(rng *rand.Rand, size int) []Fault {
+	return []Fault{
+		{Kind: LogSlow, Amount: millis(rng, 500, 4000), Dur: millis(rng, 3000, 10000)},
+		{Kind: Pause, From: Leader, At: millis(rng, 0, 1500), Dur: millis(rng, 900, 2500)},
+		{Kind: Pause, From: Deputy, At: millis(rng, 1000, 5000), Dur: millis(rng, 900, 4000)},
+		{Kind: Cut, From: Slot(rng.Intn(size)), To: Leader | Deputy, At: millis(rng, 0, 4000), Dur: millis(rng, 500, 6000)},
+	}
+}
+
+// handOverLoss loses a process during a hand-over.
+func handOverLoss(rng *rand.Rand, size int) []Fault {
+	one := Slot(rng.Intn(size))
+	return []Fault{
+		{Kind: []FaultKind{Leave, Unready}[rng.Intn(2)], From: one, Dur: millis(rng, 1000, 9000)},
+		{Kind: []FaultKind{Pause, PauseEffects, Cut, Kill}[rng.Intn(4)], From: []NodeSet{Leader, Deputy, one, Slot(rng.Intn(size))}[rng.Intn(4)], To: Leader | Deputy, At: millis(rng, 0, 1500), Dur: millis(rng, 300, 5000)},
+	}
+}
--- a/cell/celltest/liveness.go
+++ b/cell/celltest/liveness.go
@@ -49,7 +49,7 @@
 	if c.covered() {
 		c.coveredAt = c.w.now
 	}
-	if c.w.now > max(c.coveredAt, c.w.quiet)+toTrue(recoveryBound) {
+	if c.w.now > max(c.coveredAt, c.w.quiet)+c.w.params.recoveryBound() {
 		c.fail(ServedAgain, "the owners have not covered the hash space since %v; %s", time.Duration(c.coveredAt), c.w.describe())
 	}
 }
@@ -107,7 +107,7 @@
 	if c.strict() {
 		return toTrue(FirstService)
 	}
-	wait := toTrue(recoveryBound)
+	wait := c.w.params.recoveryBound()
 	if pt.since < c.w.quiet {
 		wait += c.w.quiet - pt.since
 	}
--- a/cell/celltest/params.go
+++ b/cell/celltest/params.go
@@ -16,9 +16,8 @@
 	// FirstService is the time within which a new cell serves every point.
 	FirstService = 10 * time.Second
 
-	// blindLimit is that of most worlds; the log may be down for less in
-	// worlds with one loss at a time.
-	blindLimit       = 10 * time.Second
+	// singleBlindLimit is longer than any outage of the log in worlds with one
+	// loss at a time.
 	singleBlindLimit = 30 * time.Second
 
 	leaseDuration = 2 * time.Second
@@ -26,9 +25,8 @@
 	shortestKept  = 30 * time.Second
 )
 
-// recoveryBound is the time within which a cell serves every point again after
-// any faults have stopped.
-const recoveryBound = blindLimit + 3*leaseDuration + FirstService
+// blindLimits are the blind limits of the other worlds.
+var blindLimits = []time.Duration{5 * time.Second, 10 * time.Second, 25 * time.Second}
 
 // driftBounds are the assumed drifts that worlds are run with, in parts per million.
 var driftBounds = []int64{200, 2000, 20000}
@@ -50,7 +48,7 @@
 }
 
 func newParams(rng *rand.Rand, s *Schedule) params {
-	p := params{drift: driftBounds[rng.Intn(len(driftBounds))], ranges: 1 + rng.Intn(16), blind: blindLimit}
+	p := params{drift: driftBounds[rng.Intn(len(driftBounds))], ranges: 1 + rng.Intn(16), blind: blindLimits[rng.Intn(len(blindLimits))]}
 	if rng.Intn(4) == 0 {
 		p.margin = 200 * time.Millisecond
 	}
@@ -64,6 +62,12 @@
 	return p
 }
 
+// recoveryBound returns the time within which a cell serves every point again
+// after any faults have stopped.
+func (p params) recoveryBound() trueTime {
+	return toTrue(p.blind + 3*leaseDuration + FirstService)
+}
+
 // instance returns the name of the instance of a slot.
 func instance(slot int) ident.Instance { return ident.Instance(fmt.Sprintf("n%02d", slot)) }
 
--- a/cell/celltest/schedule.go
+++ b/cell/celltest/schedule.go
@@ -17,10 +17,12 @@
 	LogTrouble Profile = "log"
 	// Churn has mostly kills, restarts and planned stops.
 	Churn Profile = "churn"
+	// Corner has combinations of faults that lead into rare states.
+	Corner Profile = "corner"
 )
 
 // Profiles lists all profiles.
-var Profiles = []Profile{Single, Chaos, LogTrouble, Churn}
+var Profiles = []Profile{Single, Chaos, LogTrouble, Churn, Corner}
 
 // Schedule is all that a run of a world depends on.
 type Schedule struct {
--- a/cell/celltest/soak.go
+++ b/cell/celltest/soak.go
@@ -69,7 +69,7 @@
 	if rng.Intn(8) == 0 {
 		return 3 + rng.Intn(maxSlots-2)
 	}
-	if profile == Single {
+	if profile == Single || profile == Corner {
 		return 3 + rng.Intn(3)
 	}
 	return 1 + rng.Intn(5)
--- a/cell/celltest/world.go
+++ b/cell/celltest/world.go
@@ -76,7 +76,7 @@
 	rng := rand.New(rand.NewSource(s.Seed))
 	w := &World{opts: opts, schedule: s, params: newParams(rng, s), rng: rng}
 	w.quiet = toTrue(s.FaultsEnd())
-	w.end = w.quiet + toTrue(recoveryBound) + calmTime
+	w.end = w.quiet + w.params.recoveryBound() + calmTime
 	if s.Profile == Single {
 		w.end = w.quiet + toTrue(ServeAgain) + calmTime
 	}
--- a/cmd/parsley-soak/main.go
+++ b/cmd/parsley-soak/main.go
@@ -24,7 +24,7 @@
 	Seed     int64  `arg:"--seed" default:"1" help:"seed of the first world"`
 	Steps    int64  `arg:"--steps" default:"1000000" help:"steps of the state machines to run in all worlds together"`
 	CellSize int    `arg:"--cell-size" help:"instances per cell, up to 12 [default: varies]"`
-	Profile  string `arg:"--profile" help:"single, chaos, log or churn [default: varies]"`
+	Profile  string `arg:"--profile" help:"single, chaos, log, churn or corner [default: varies]"`
 	Rule     string `arg:"--fault" help:"name of a rule of the protocol to break, to see that the checks notice"`
 	Replay   string `arg:"--replay" help:"run the schedule of a trace file instead"`
 }
