--- a/cell/leader_deputy.go
+++ b/cell/leader_deputy.go
@@ -38,23 +38,48 @@
 		return n.unsettledChoice(), true
 	}
 	if current.IsZero() {
-		next := n.bestDeputy(clock.Never)
+		next := n.bestDeputy(0)
 		return next, !next.IsZero() && n.logFresh()
 	}
 	silence := n.deputySilence()
 	switch p := n.leader.peer(current); {
 	case n.ledger.ended(current):
-		return n.bestDeputy(clock.Never), true
+		return n.bestDeputy(0), true
 	case p != nil && p.leaving:
-		return n.bestDeputy(clock.Never), true
+		return n.bestDeputy(0), true
 	case silence >= n.soloTimeout():
-		return n.bestDeputy(clock.Never), true
-	case silence >= n.timing.claimTimeout:
-		next := n.bestDeputy(n.now.Add(-silence))
-		return next, !next.IsZero()
+		return n.bestDeputy(0), true
+	}
+	n.probe(silence)
+	if silence < n.timing.replaceTimeout {
+		n.wake(n.now.Add(n.timing.replaceTimeout - silence))
+		return ident.Node{}, false
+	}
+	next := n.bestDeputy(n.leader.leadSeq)
+	return next, !next.IsZero()
+}
+
+// probe asks all members to renew when the deputy begins to be silent. Only
+// one that answers is named in its place: a leader that is itself cut off must
+// not make its deputy's claim void.
+func (n *Node) probe(silence time.Duration) {
+	l := n.leader
+	start := n.timing.replaceTimeout - 2*n.timing.retry
+	if silence < start {
+		l.probed = clock.Never
+		n.wake(n.now.Add(start - silence))
+		return
+	}
+	if l.probed != clock.Never {
+		return
+	}
+	l.probed = n.now
+	l.leadSeq++
+	for _, p := range l.peers {
+		if p.node != n.self() && p.confirmed {
+			n.sendLead(p)
+		}
 	}
-	n.wake(n.now.Add(n.timing.claimTimeout - silence))
-	return ident.Node{}, false
 }
 
 // unsettledChoice repeats the choice of the newest unsettled record if that
@@ -64,7 +89,7 @@
 	if p := n.leader.peer(newest); p != nil && n.live(p) && !p.leaving {
 		return newest
 	}
-	return n.bestDeputy(clock.Never)
+	return n.bestDeputy(0)
 }
 
 // deputySilence returns the time since the sending of the last heartbeat that
--- a/cell/leader_giveaway.go
+++ b/cell/leader_giveaway.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/ident"
 )
 
@@ -71,7 +70,7 @@
 		if n.broken(FaultGiveAwayBeforeLapse) && p.confirmed {
 			until = min(until, p.renewed.Add(n.timing.renew))
 		}
-		if n.now.Sub(p.renewed) < n.timing.renew && p.confirmed && n.ledger.announced(owner) != nil {
+		if n.reachable(p) {
 			return false
 		}
 	}
@@ -80,6 +79,13 @@
 	return n.now >= until && n.now.Sub(max(l.since, l.judgeFrom)) >= n.timing.claimTimeout
 }
 
+// reachable reports whether messages pass in both directions between the
+// leader and a member. Its lease then only waits for the leader's authority.
+func (n *Node) reachable(p *peer) bool {
+	return p.confirmed && n.ledger.announced(p.node) != nil &&
+		n.now.Sub(p.renewed) < n.timing.renew && n.now.Sub(p.seenAt) <= n.timing.claimTimeout
+}
+
 // candidates returns the processes that may be granted ranges, in the order of
 // the peers.
 func (n *Node) candidates() []candidate {
@@ -156,10 +162,10 @@
 // proposeNext keeps the deputy that is proposed for a takeover up to date.
 func (n *Node) proposeNext() {
 	l := n.leader
-	if p := l.peer(l.next); p != nil && n.mayDeputize(p, clock.Never) {
+	if p := l.peer(l.next); p != nil && n.mayDeputize(p, 0) {
 		return
 	}
-	next := n.bestDeputy(clock.Never)
+	next := n.bestDeputy(0)
 	if next == l.next {
 		return
 	}
@@ -167,18 +173,18 @@
 	l.changed()
 }
 
-// mayDeputize reports whether the process can be the deputy: it renewed after
-// the time given, stays, and is not the deputy already.
-func (n *Node) mayDeputize(p *peer, since clock.Time) bool {
-	return p.node != n.self() && p.node != n.ledger.Deputy() && n.live(p) && !p.leaving && p.renewed > since
+// mayDeputize reports whether the process can be the deputy: it has answered
+// the Lead of that number, stays, and is not the deputy already.
+func (n *Node) mayDeputize(p *peer, lead uint32) bool {
+	return p.node != n.self() && p.node != n.ledger.Deputy() && n.live(p) && !p.leaving && p.lead >= lead
 }
 
 // bestDeputy returns a member that can be the deputy, of another zone if there
 // is one, or zero.
-func (n *Node) bestDeputy(since clock.Time) ident.Node {
+func (n *Node) bestDeputy(lead uint32) ident.Node {
 	var best *peer
 	for _, p := range n.leader.peers {
-		if !n.mayDeputize(p, since) {
+		if !n.mayDeputize(p, lead) {
 			continue
 		}
 		if best == nil || n.preferDeputy(p, best) {
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -114,9 +114,12 @@
 	n.follower.heard = n.now
 	known := n.knownBefore(before)
 	wasDeputy := n.deputy
+	n.noteReport()
 	n.stepDown()
 	n.deputy = deputy{lastPledge: n.deputy.lastPledge}
 	switch {
+	case c.Candidate == n.self() && n.follower.term > n.ledger.Term():
+		// A newer leader has been followed already.
 	case c.Candidate == n.self():
 		n.becomeLeader(c, known, wasDeputy)
 	case c.Deputy == n.self():
