--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -76,6 +76,7 @@
 		"audit --log x --since yesterday":                                                 {ExitUsage, "2h"},
 		"drain --daemons " + d.dir + " reports-1":                                         {ExitUsage, "--operator"},
 		"drain --operator a --daemons " + d.dir + " x":                                    {ExitFailure, "parsley status"},
+		"drain --operator a --admin 127.0.0.1:1 x":                                        {ExitFailure, "no daemon answers"},
 		"confirm-loss --operator a --service reports --daemons " + d.dir + " reports-1#7": {ExitFailure, "so it is not lost"},
 		"confirm-loss --operator a --service reports --daemons " + d.dir + " reports-1":   {ExitUsage, "INCARNATION"},
 	} {
@@ -131,11 +132,13 @@
 func TestStatusNamesWhatIsNotWhole(t *testing.T) {
 	d := newDeployment(t)
 	d.nodes[0].status.Ready = false
-	d.nodes[1].status.Config.Offset = 2
+	d.nodes[1].status.Config.Services[0].Version = 1
+	d.nodes[2].status.Config.Offset = 2 // lacks a snapshot, which is not reported
 	d.nodes[2].status.Log.Reachable = false
 	for _, n := range d.nodes {
 		n.status.Cells[0].Deputy = "-"
 		n.status.Cells[0].Provisional = 1
+		n.status.Cells[0].Ranges[3].Owner = "-"
 	}
 	code, out := d.run("status --daemons " + d.dir)
 	if code != ExitDegraded {
--- a/cli/drain.go
+++ b/cli/drain.go
@@ -42,9 +42,11 @@
 // findInstance returns the client of the daemon that runs on the instance.
 func (c *call) findInstance(ctx context.Context, clients []daemonClient, instance string) (*daemonClient, error) {
 	var names []string
+	var last error
 	for i := range clients {
 		st, err := clients[i].Status(ctx)
 		if err != nil {
+			last = err
 			continue
 		}
 		if string(st.Instance) == instance {
@@ -52,6 +54,9 @@
 		}
 		names = append(names, string(st.Instance))
 	}
+	if len(names) == 0 {
+		return nil, fmt.Errorf("no daemon answers: %w", last)
+	}
 	return nil, fmt.Errorf("no daemon that answers runs on instance %q (answers from %v); check the name with parsley status, or name its own admin address with --admin; if it is gone for good, see parsley confirm-loss", instance, names)
 }
 
--- a/cli/fake_test.go
+++ b/cli/fake_test.go
@@ -144,9 +144,13 @@
 		Service:     "reports",
 		Ready:       true,
 		Target:      admin.TargetStatus{Ready: true, Slots: 20},
-		Config:      admin.ConfigStatus{Offset: 3, AtTail: true},
-		Cells:       []admin.CellStatus{full},
-		Log:         admin.LogStatus{Addr: "127.0.0.1:4", Reachable: true},
+		Config: admin.ConfigStatus{
+			Offset:   3,
+			AtTail:   true,
+			Services: []admin.ServiceVersion{{Service: "reports", Version: 2}},
+		},
+		Cells: []admin.CellStatus{full},
+		Log:   admin.LogStatus{Addr: "127.0.0.1:4", Reachable: true},
 	}
 }
 
--- a/cli/findings.go
+++ b/cli/findings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/parsleystack/parsleystack/admin"
+	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/platformlog"
 )
 
@@ -18,7 +19,7 @@
 	for _, u := range out.Unreachable {
 		list = append(list, u.Error)
 	}
-	newest := newestOffset(out.Daemons)
+	newest := newestVersions(out.Daemons)
 	for _, d := range out.Daemons {
 		list = append(list, daemonFindings(d, newest)...)
 	}
@@ -28,15 +29,20 @@
 	return list
 }
 
-func newestOffset(daemons []*admin.Status) platformlog.Offset {
-	var newest platformlog.Offset
+// newestVersions returns the newest version of each service that a daemon has
+// in force. Offsets would not do: they also count snapshots, which change
+// nothing.
+func newestVersions(daemons []*admin.Status) map[ident.Service]platformlog.Offset {
+	newest := map[ident.Service]platformlog.Offset{}
 	for _, d := range daemons {
-		newest = max(newest, d.Config.Offset)
+		for _, s := range d.Config.Services {
+			newest[s.Service] = max(newest[s.Service], s.Version)
+		}
 	}
 	return newest
 }
 
-func daemonFindings(d *admin.Status, newest platformlog.Offset) []string {
+func daemonFindings(d *admin.Status, newest map[ident.Service]platformlog.Offset) []string {
 	var list []string
 	note := func(format string, a ...any) {
 		list = append(list, string(d.Instance)+": "+fmt.Sprintf(format, a...))
@@ -50,13 +56,13 @@
 	if !d.Target.Ready {
 		note("the target at %s is not ready", d.Target.Addr)
 	}
-	if d.Config.Offset < newest {
-		note("the configuration is at offset %d, the newest is %d", d.Config.Offset, newest)
-	}
 	if d.Config.Fault != "" {
 		note("%s", d.Config.Fault)
 	}
 	for _, s := range d.Config.Services {
+		if s.Version < newest[s.Service] {
+			note("version %d of %s is in force, another daemon has %d", s.Version, s.Service, newest[s.Service])
+		}
 		if s.Blocked != "" {
 			note("%s", s.Blocked)
 		}
@@ -79,8 +85,21 @@
 	if len(cell.Members) > 1 && (cell.Deputy == "" || cell.Deputy == "-") {
 		list = append(list, name+": there is no deputy")
 	}
+	if waiting := withoutOwner(cell); waiting > 0 {
+		list = append(list, fmt.Sprintf("%s: %d of %d ranges have no owner", name, waiting, len(cell.Ranges)))
+	}
 	if cell.Provisional > 0 {
 		list = append(list, fmt.Sprintf("%s: %d assignments are provisional until the log service answers", name, cell.Provisional))
 	}
 	return list
 }
+
+func withoutOwner(cell *admin.CellStatus) int {
+	n := 0
+	for _, r := range cell.Ranges {
+		if r.Owner == "" || r.Owner == "-" {
+			n++
+		}
+	}
+	return n
+}
