--- a/transport/server.go
+++ b/transport/server.go
@@ -48,12 +48,13 @@
 // Counters returns the server's traffic counters.
 func (s *Server) Counters() *Counters { return &s.count }
 
-// Serve accepts connections until the listener fails or Close is called, and
-// returns ErrClosed in the latter case.
+// Serve accepts connections until the listener fails or the server is closed,
+// and returns ErrClosed in the latter case. It closes l.
 func (s *Server) Serve(l net.Listener) error {
 	s.mu.Lock()
-	if s.closed {
+	if s.closed || s.closing {
 		s.mu.Unlock()
+		_ = l.Close()
 		return ErrClosed
 	}
 	s.listener = l
@@ -92,18 +93,19 @@
 	}
 	c := &serverConn{server: s, conn: conn, peer: peer, class: Class(peer.Class), reader: reader, exchanges: make(map[uint64]*Exchange)}
 	c.writer = newWriter(conn, &s.cfg)
+	limitSilence(conn, c.class)
 	c.ctx, c.cancel = context.WithCancel(s.ctx)
 	if !s.track(c) {
 		c.close()
 		return
 	}
-	err = c.run()
+	if err := c.run(); err != nil && !s.isClosed() {
+		s.report(conn, err)
+	}
+	c.close()
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
-	if err != nil && !s.isClosed() {
-		s.report(conn, err)
-	}
 }
 
 func (s *Server) track(c *serverConn) bool {
@@ -126,12 +128,14 @@
 	delete(s.raw, conn)
 	closed := s.closed
 	s.mu.Unlock()
-	_ = conn.Close()
 	if !closed {
 		s.report(conn, err)
 	}
+	_ = conn.Close()
 }
 
+// report counts a protocol error before its connection is closed, so that the
+// peer never sees the end of a connection that is not counted yet.
 func (s *Server) report(conn net.Conn, err error) {
 	s.count.BadConns.Add(1)
 	s.log.Warn("peer connection closed", zap.Stringer("peer", conn.RemoteAddr()), zap.Error(err))
@@ -139,7 +143,13 @@
 
 // serve runs the request handler in a goroutine.
 func (s *Server) serve(e *Exchange) {
-	s.done.Go(func() { s.handler.ServeRequest(e) })
+	s.done.Add(1)
+	go s.serveOne(e)
+}
+
+func (s *Server) serveOne(e *Exchange) {
+	defer s.done.Done()
+	s.handler.ServeRequest(e)
 }
 
 // Drain tells all peers to send no new request on their connections. Requests
@@ -162,8 +172,8 @@
 	defer s.Close()
 	s.Drain()
 	s.mu.Lock()
+	s.closing = true
 	if s.listener != nil {
-		s.closing = true
 		_ = s.listener.Close()
 	}
 	s.mu.Unlock()
@@ -210,6 +220,16 @@
 	s.done.Wait()
 }
 
+// CloseConnections closes all connections at once, as a fault for tests. Peers
+// connect again.
+func (s *Server) CloseConnections() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		_ = c.conn.Close()
+	}
+}
+
 func (s *Server) isClosed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
