Keep only events that something logs; do not block when a daemon's role is set

Follower.SetReadsLog and SetPeers no longer block and keep the last value. The daemon called them in goroutines of their own, whose order is not defined: a new leader could have ended with the role of before, and would then have followed the configuration every 30 s only. Contract change: both lose their context argument; the two calls in package daemon are adapted.

--- a/admin/handler.go
+++ b/admin/handler.go
@@ -23,6 +23,9 @@
 type Handler struct {
 	backend   Backend
 	operators []string
+	// Refused is called for each order that is refused. It may be nil, and is
+	// set before the handler serves.
+	Refused func(path, remote string, e *Error)
 }
 
 // NewHandler returns a Handler of backend. With mutual TLS, operators lists the
@@ -63,7 +66,11 @@
 	}
 	body, err := op(ctx, ctx)
 	if err != nil {
-		writeError(ctx, asError(err))
+		refusal := asError(err)
+		if h.Refused != nil && method == fasthttp.MethodPost {
+			h.Refused(string(ctx.Path()), ctx.RemoteAddr().String(), refusal)
+		}
+		writeError(ctx, refusal)
 		return
 	}
 	writeJSON(ctx, fasthttp.StatusOK, body)
--- a/admin/tls_test.go
+++ b/admin/tls_test.go
@@ -8,6 +8,9 @@
 	"testing"
 
 	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/parsleystack/parsleystack/certs"
 	"github.com/parsleystack/parsleystack/certs/certtest"
@@ -30,6 +33,8 @@
 	}
 	b := &fakeBackend{}
 	h := NewHandler(b, "anna")
+	core, logs := observer.New(zapcore.WarnLevel)
+	h.Refused = LogRefused(zap.New(core))
 	srv := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) { h.Serve(ctx) }}
 	go func() { _ = srv.Serve(tls.NewListener(ln, source("reports-1").Server())) }()
 	t.Cleanup(func() { _ = ln.Close() })
@@ -44,6 +49,9 @@
 	if _, err := daemon.Drain(ctx, &DrainRequest{Operator: "anna"}); !errors.As(err, &refusal) || refusal.Status != 403 {
 		t.Errorf("an order with a daemon's certificate: %v", err)
 	}
+	if logs.Len() != 1 || logs.All()[0].ContextMap()["status"] != int64(403) {
+		t.Errorf("logged is %+v", logs.All())
+	}
 	if _, err := daemon.Status(ctx); err != nil {
 		t.Errorf("status with a daemon's certificate: %v", err)
 	}
--- a/config/core_peer.go
+++ b/config/core_peer.go
@@ -41,6 +41,10 @@
 	return newest
 }
 
+// BehindSince returns the time since which a peer has been ahead, or
+// clock.Never if none is.
+func (c *Core) BehindSince() clock.Time { return c.peers.behind }
+
 // decidePull asks a peer if the daemon lacks records that a peer has, or if
 // the log does not give it a configuration.
 func (c *Core) decidePull(now clock.Time, eff *Effects) {
--- a/config/follower.go
+++ b/config/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,9 +30,15 @@
 type Follower struct {
 	cfg     FollowerConfig
 	core    *Core
+	report  reporter
 	events  chan Event
+	orders  chan struct{} // a role or the peers were set
 	inForce atomic.Pointer[InForce]
 	status  atomic.Pointer[FollowerStatus]
+
+	mu       sync.Mutex
+	peers    *Peers    // set since the control goroutine looked; nil if not
+	readsLog *ReadsLog // likewise
 }
 
 // FollowerStatus describes a Follower beside the configuration in force.
@@ -58,7 +65,9 @@
 	f := &Follower{
 		cfg:    cfg,
 		core:   NewCore(cfg.Parameters),
+		report: reporter{logger: cfg.Logger},
 		events: make(chan Event, eventBuffer),
+		orders: make(chan struct{}, 1),
 	}
 	f.inForce.Store(newInForce(NewState(Schema), false, nil, nil))
 	f.status.Store(&FollowerStatus{})
@@ -86,14 +95,46 @@
 	}
 }
 
-// SetPeers replaces the list of the daemons that can be asked.
-func (f *Follower) SetPeers(ctx context.Context, nodes []ident.Node) {
-	f.send(ctx, Peers{Nodes: nodes})
+// SetPeers replaces the list of the daemons that can be asked. It does not
+// block; of several calls the last one counts.
+func (f *Follower) SetPeers(nodes []ident.Node) {
+	f.mu.Lock()
+	f.peers = &Peers{Nodes: nodes}
+	f.mu.Unlock()
+	f.nudge()
 }
 
 // SetReadsLog says whether the daemon follows the log itself or leaves that to
-// its peers.
-func (f *Follower) SetReadsLog(ctx context.Context, on bool) { f.send(ctx, ReadsLog{On: on}) }
+// its peers. It does not block; of several calls the last one counts.
+func (f *Follower) SetReadsLog(on bool) {
+	f.mu.Lock()
+	f.readsLog = &ReadsLog{On: on}
+	f.mu.Unlock()
+	f.nudge()
+}
+
+func (f *Follower) nudge() {
+	select {
+	case f.orders <- struct{}{}:
+	default:
+	}
+}
+
+// takeOrders returns what was set since the last call.
+func (f *Follower) takeOrders() []Event {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var events []Event
+	if f.peers != nil {
+		events = append(events, *f.peers)
+	}
+	if f.readsLog != nil {
+		events = append(events, *f.readsLog)
+	}
+	f.peers = nil
+	f.readsLog = nil
+	return events
+}
 
 func (f *Follower) send(ctx context.Context, ev Event) {
 	select {
@@ -114,20 +155,31 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
-		var ev Event = Tick{}
+		events := []Event{Tick{}}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case ev = <-f.events:
+		case ev := <-f.events:
+			events = []Event{ev}
+		case <-f.orders:
+			events = f.takeOrders()
 		case <-timer.C:
 		}
-		now := clock.Now()
-		eff := f.core.Step(ev, now)
-		f.carryOut(ctx, g, eff)
-		timer.Reset(untilWake(eff.Wake, now))
+		for _, ev := range events {
+			timer.Reset(f.step(ctx, g, ev))
+		}
 	}
 }
 
+// step hands an event to the core and returns the time until the next tick.
+func (f *Follower) step(ctx context.Context, g *errgroup.Group, ev Event) time.Duration {
+	now := clock.Now()
+	eff := f.core.Step(ev, now)
+	f.report.step(ev, &eff, f.core.BehindSince(), now)
+	f.carryOut(ctx, g, eff)
+	return untilWake(eff.Wake, now)
+}
+
 func untilWake(wake, now clock.Time) time.Duration {
 	if wake == clock.Never {
 		return maxTick
@@ -136,7 +188,6 @@
 }
 
 func (f *Follower) carryOut(ctx context.Context, g *errgroup.Group, eff Effects) {
-	f.report(eff)
 	if eff.InForce != nil {
 		f.inForce.Store(eff.InForce)
 		if f.cfg.OnChange != nil {
--- a/config/follower_test.go
+++ b/config/follower_test.go
@@ -95,7 +95,7 @@
 	}
 	waitFor(t, peerChanges, 1)
 	f, changes := follow(t, downLog{}, directPeer{peer})
-	f.SetPeers(context.Background(), []ident.Node{node})
+	f.SetPeers([]ident.Node{node})
 	waitFor(t, changes, 1)
 	if _, err := log.Append(context.Background(), Stream, publishPayload(t, "reports", 2, 1, "anna", 2)); err != nil {
 		t.Fatal(err)
--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -22,7 +22,7 @@
 		return
 	}
 	d.readsConfig = reads
-	go d.follower.SetReadsLog(d.ctx, reads)
+	d.follower.SetReadsLog(reads)
 }
 
 // trackPeers names the members of the cell as sources of configuration.
@@ -37,7 +37,7 @@
 		return
 	}
 	d.peerNodes = nodes
-	go d.follower.SetPeers(d.ctx, nodes)
+	d.follower.SetPeers(nodes)
 }
 
 func equalNodes(a, b []ident.Node) bool {
--- a/logevent/catalogue.go
+++ b/logevent/catalogue.go
@@ -8,7 +8,6 @@
 )
 
 const (
-	debug   = zapcore.DebugLevel
 	info    = zapcore.InfoLevel
 	warning = zapcore.WarnLevel
 	failure = zapcore.ErrorLevel
--- a/logevent/logevent_test.go
+++ b/logevent/logevent_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"flag"
+	"io/fs"
 	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
 	"testing"
 
 	"go.uber.org/zap"
@@ -48,10 +52,54 @@
 	}
 }
 
+// Every event of the catalogue is logged by some package, so that the page
+// promises no line that never comes.
+func TestEveryEventIsLogged(t *testing.T) {
+	declared := map[string]bool{}
+	used := map[string]bool{}
+	err := filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		if filepath.Base(filepath.Dir(path)) == "logevent" {
+			collect(declared, declaration, text)
+		} else {
+			collect(used, usage, text)
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(declared) != len(All()) {
+		t.Errorf("found %d declarations of %d events", len(declared), len(All()))
+	}
+	for name := range declared {
+		if !used[name] {
+			t.Errorf("%s is never logged; log it or remove it", name)
+		}
+	}
+}
+
+var (
+	declaration = regexp.MustCompile(`(?m)^\t([A-Z]\w*) += define\(`)
+	usage       = regexp.MustCompile(`\blogevent\.([A-Z]\w*)`)
+)
+
+func collect(out map[string]bool, pattern *regexp.Regexp, text []byte) {
+	for _, m := range pattern.FindAllSubmatch(text, -1) {
+		out[string(m[1])] = true
+	}
+}
+
 func TestLogWritesNumberAndRemedy(t *testing.T) {
 	core, logs := observer.New(zapcore.InfoLevel)
 	logger := zap.New(core)
-	Log(logger, PeerConnected)
+	Log(logger, &Event{Number: 9001, Name: "below the level", Level: zapcore.DebugLevel})
 	Log(logger, TLSDisabled, zap.String("instance", "reports-1"))
 	entries := logs.All()
 	if len(entries) != 1 {
