Add make run: the sample deployment with a loss, a drain and a judge

A second signal now ends parsleyd without its planned stop: when a whole cell is stopped at once nobody is left to take the ranges over.

--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,9 @@
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
+run: build
+	./scripts/run.sh
+
 generate:
 	$(GO) generate ./...
 
@@ -22,11 +25,9 @@
 test: lint
 	GO="$(GO)" ./scripts/test.sh
 
-<<<<<<< HEAD
 # Writes docs/capacity/series and docs/CAPACITY.md.
 measure: build
 	BIN=$(BIN) scripts/measure.sh
-=======
+
 soak:
 	$(GO) run ./cmd/parsley-soak --seed $(SEED) --steps $(STEPS)
->>>>>>> soak
--- a/cmd/parsleyd/main.go
+++ b/cmd/parsleyd/main.go
@@ -22,7 +22,7 @@
 
 // Description is shown by --help.
 func (args) Description() string {
-	return "parsleyd routes callers' requests and guards one target. SIGTERM makes a planned stop."
+	return "parsleyd routes callers' requests and guards one target. SIGTERM makes a planned stop, a second one ends the process at once."
 }
 
 func main() {
@@ -53,6 +53,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	context.AfterFunc(ctx, stop) // a second signal ends the process at once
 	return daemon.New(s, tlsConfig, log).Run(ctx)
 }
 
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -41,6 +41,7 @@
 
 lose_instance() {
   kill -KILL "${DAEMON_PID[$1]}" "${TARGET_PID[$1]}"
+  wait "${DAEMON_PID[$1]}" "${TARGET_PID[$1]}" 2>/dev/null
 }
 
 instances() { # DIR: the names of the deployment's instances
@@ -52,6 +53,10 @@
 
 stop_all() {
   local pid
+  for pid in "${PIDS[@]}"; do # the second signal ends a daemon without its planned stop
+    kill -TERM "$pid" 2>/dev/null
+  done
+  sleep 0.2
   for pid in "${PIDS[@]}"; do
     kill -TERM "$pid" 2>/dev/null
   done
@@ -59,3 +64,20 @@
     wait "$pid" 2>/dev/null
   done
 }
+
+# wait_served DIR SECONDS [LOST-INSTANCE]: waits until every service's cell has
+# assigned all its ranges, none of them to the lost instance.
+wait_served() {
+  local services deadline=$((SECONDS + $2))
+  services="$(find "$1/services" -type f | wc -l)"
+  while [ "$SECONDS" -lt "$deadline" ]; do
+    "$BIN/parsley" status --daemons "$1/daemons" >"$RUN_DIR/status.out" 2>/dev/null
+    if [ "$(grep -c '^Cell .* leader [^-].* [1-9][0-9]* ranges' "$RUN_DIR/status.out")" -eq "$services" ] &&
+      ! grep -q 'have no owner' "$RUN_DIR/status.out" &&
+      ! grep -q "^  ${3:-none}#.* [1-9][0-9]*\$" "$RUN_DIR/status.out"; then
+      return 0
+    fi
+    sleep 0.1
+  done
+  return 1
+}
