--- a/admission/queue.go
+++ b/admission/queue.go
@@ -11,6 +11,10 @@
 // to come back.
 const minRetryAfter = 50 * time.Millisecond
 
+// flowShare is the share of the queue, one in flowShare, above which a flow's
+// requests give way to those of other flows.
+const flowShare = 4
+
 // running is a request at the target.
 type running struct {
 	id    uint64
@@ -107,7 +111,7 @@
 		return q.waiting.last(func(x *Item) bool { return x.Priority == lowest })
 	}
 	flow, most := q.waiting.largestFlow()
-	if flow == item.Flow || most <= q.waiting.ofFlow(item.Flow)+1 {
+	if flow == item.Flow || most <= max(q.cfg.QueueLimit/flowShare, q.waiting.ofFlow(item.Flow)+1) {
 		return -1
 	}
 	return q.waiting.last(func(x *Item) bool { return x.Flow == flow && x.Priority <= item.Priority })
