--- a/entry/asked.go
+++ b/entry/asked.go
@@ -12,17 +12,12 @@
 // makes the gateway ask who owns the key now.
 const suspectAfter = 300 * time.Millisecond
 
-// askedOwner is the owner that an attempt of an idempotent request waits for.
-type askedOwner struct {
-	entry *route.Entry
-	since clock.Time
-}
-
 // ask notes that the request waits for the owner of its key, if it may be sent
 // to another one.
 func (f *flight) ask(to route.Target) {
 	if f.req.Keyed && f.req.Idempotent {
-		f.asked.Store(&askedOwner{entry: to.Entry, since: f.gateway.cfg.Now()})
+		f.askedAt.Store(int64(f.gateway.cfg.Now()))
+		f.asked.Store(to.Entry)
 	}
 }
 
@@ -38,11 +33,11 @@
 	if !ok {
 		return false
 	}
-	if now.Sub(asked.since) > suspectAfter {
+	if now.Sub(clock.Time(f.askedAt.Load())) > suspectAfter {
 		f.gateway.holder(f.req.Service).suspect(f.req.Point, now)
 	}
 	to, ok := svc.Owner(f.req.Point)
-	return ok && (to.Entry.Owner != asked.entry.Owner || to.Entry.Addr != asked.entry.Addr)
+	return ok && (to.Entry.Owner != asked.Owner || to.Entry.Addr != asked.Addr)
 }
 
 // renewContext lets the request go on after its attempt was given up.
--- a/entry/flight.go
+++ b/entry/flight.go
@@ -34,7 +34,8 @@
 	gateway  *Gateway
 	http     *fasthttp.RequestCtx
 	ctx      *flightContext             // replaced under the watcher's lock
-	asked    atomic.Pointer[askedOwner] // set while an attempt may be given up
+	asked    atomic.Pointer[route.Entry] // owner that an idempotent attempt waits for
+	askedAt  atomic.Int64                // clock.Time at which asked was set
 	service  *route.Service             // as of the last attempt
 	deadline clock.Time
 	state    dispatch.Request
--- a/transport/clientconn.go
+++ b/transport/clientconn.go
@@ -61,6 +61,11 @@
 
 // register writes the question under a new id.
 func (c *clientConn) register(w *waiter, kind wire.Kind, m msgp.Marshaler) (uint64, error) {
+	s := newScratch()
+	defer s.free()
+	if err := s.encode(kind, 0, m, c.writer.limit); err != nil {
+		return 0, err
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err != nil {
@@ -70,7 +75,8 @@
 		return 0, ErrGoaway
 	}
 	c.nextID++
-	position, err := c.writer.frame(kind, c.nextID, m)
+	wire.SetID(s.b, c.nextID)
+	position, err := c.writer.encoded(s.b)
 	if err != nil {
 		return 0, err
 	}
--- a/transport/serverconn.go
+++ b/transport/serverconn.go
@@ -109,8 +109,8 @@
 		if err != nil {
 			reply = wire.Reply{Error: err.Error()}
 		}
-		if _, err := c.writer.frame(wire.KindReply, id, &reply); err != nil {
-			_, _ = c.writer.frame(wire.KindReply, id, &wire.Reply{Error: err.Error()})
+		if err := c.writer.frame(wire.KindReply, id, &reply); err != nil {
+			_ = c.writer.frame(wire.KindReply, id, &wire.Reply{Error: err.Error()})
 		}
 		c.server.count.FramesOut[c.class].Add(1)
 	})
@@ -129,7 +129,7 @@
 // respond writes an answer and forgets its exchange. Only an oversize answer
 // is reported; one for a peer that has left is dropped.
 func (c *serverConn) respond(id uint64, resp *wire.Response) error {
-	_, err := c.writer.frame(wire.KindResponse, id, resp)
+	err := c.writer.frame(wire.KindResponse, id, resp)
 	var oversize *wire.OversizeError
 	if errors.As(err, &oversize) {
 		return err
--- a/transport/writer.go
+++ b/transport/writer.go
@@ -36,18 +36,29 @@
 	return &writer{conn: conn, timeout: cfg.WriteTimeout, maxSize: cfg.MaxBacklog, limit: cfg.MaxFrame, wake: make(chan struct{}, 1)}
 }
 
-// frame appends a frame and returns its position in the stream. If it returns
-// an error, no byte of the frame was or will be written.
-func (w *writer) frame(kind wire.Kind, id uint64, m msgp.Marshaler) (uint64, error) {
+// frame encodes and appends a frame. If it returns an error, no byte of the
+// frame was or will be written.
+func (w *writer) frame(kind wire.Kind, id uint64, m msgp.Marshaler) error {
+	s := newScratch()
+	defer s.free()
+	if err := s.encode(kind, id, m, w.limit); err != nil {
+		return err
+	}
+	_, err := w.encoded(s.b)
+	return err
+}
+
+// encoded appends a whole frame and returns its position in the stream, with
+// the same error as frame.
+func (w *writer) encoded(frame []byte) (uint64, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.ready(); err != nil {
 		return 0, err
 	}
 	before := len(w.pending)
-	pending, err := wire.Append(w.pending, kind, id, m, w.limit)
-	w.pending = pending
-	return w.appended(before, err)
+	w.pending = append(w.pending, frame...)
+	return w.appended(before, nil)
 }
 
 // raw is frame for a body that is encoded already.
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -53,6 +53,12 @@
 	return finish(dst, start, limit)
 }
 
+// SetID changes the correlation id of a frame that Append has made at the start
+// of b.
+func SetID(b []byte, id uint64) {
+	binary.BigEndian.PutUint64(b[lengthSize+kindSize:], id)
+}
+
 // AppendRaw adds a frame with the given body to dst, with the same errors as
 // Append.
 func AppendRaw(dst []byte, kind Kind, id uint64, body []byte, limit int) ([]byte, error) {
