--- a/transport/server.go
+++ b/transport/server.go
@@ -93,6 +93,7 @@
 	}
 	c := &serverConn{server: s, conn: conn, peer: peer, class: Class(peer.Class), reader: reader, exchanges: make(map[uint64]*Exchange)}
 	c.writer = newWriter(conn, &s.cfg)
+	limitSilence(conn, c.class)
 	c.ctx, c.cancel = context.WithCancel(s.ctx)
 	if !s.track(c) {
 		c.close()
@@ -133,6 +134,8 @@
 	_ = conn.Close()
 }
 
+// report counts a protocol error before its connection is closed, so that the
+// peer never sees the end of a connection that is not counted yet.
 func (s *Server) report(conn net.Conn, err error) {
 	s.count.BadConns.Add(1)
 	s.log.Warn("peer connection closed", zap.Stringer("peer", conn.RemoteAddr()), zap.Error(err))
