--- a/entry/flight.go
+++ b/entry/flight.go
@@ -33,10 +33,10 @@
 type flight struct {
 	gateway  *Gateway
 	http     *fasthttp.RequestCtx
-	ctx      *flightContext             // replaced under the watcher's lock
+	ctx      *flightContext              // replaced under the watcher's lock
 	asked    atomic.Pointer[route.Entry] // owner that an idempotent attempt waits for
 	askedAt  atomic.Int64                // clock.Time at which asked was set
-	service  *route.Service             // as of the last attempt
+	service  *route.Service              // as of the last attempt
 	deadline clock.Time
 	state    dispatch.Request
 	req      wire.Request
