--- a/entry/flight.go
+++ b/entry/flight.go
@@ -88,15 +88,19 @@
 	}
 	f.service = svc
 	f.key = keyInput{header: &f.http.Request.Header, path: path, query: query}
-	f.fillLine(uri)
+	f.fillLine(uri[1+len(name):], path)
 	f.fillRule(path)
 	f.fillHeaders()
 	return f.fillKey()
 }
 
-// fillLine sets what the target sees of the request line.
-func (f *flight) fillLine(uri []byte) {
+// fillLine sets what the target sees of the request line: the path below the
+// service's prefix, and the query.
+func (f *flight) fillLine(uri, path []byte) {
 	f.req.URI = uri
+	if len(path) == 0 {
+		f.req.URI = append([]byte{'/'}, uri...)
+	}
 	f.req.Method = f.http.Method()
 	f.req.Body = f.http.Request.Body()
 	f.id = f.gateway.ids.append(f.id[:0])
--- a/wire/request.go
+++ b/wire/request.go
@@ -26,7 +26,7 @@
 	Idempotent     bool               `msg:"i"`
 	Repeat         bool               `msg:"e"` // the caller says that it sent the request before
 	Method         []byte             `msg:"m,zerocopy"`
-	URI            []byte             `msg:"u,zerocopy"` // path and query, service's prefix included
+	URI            []byte             `msg:"u,zerocopy"` // path and query below the service's prefix
 	RequestID      []byte             `msg:"r,zerocopy"`
 	IdempotencyKey []byte             `msg:"y,zerocopy"`
 	Headers        []Header           `msg:"h,limit=128"`
