--- a/entry/holder.go
+++ b/entry/holder.go
@@ -19,6 +19,11 @@
 	recheckAfter = 100 * time.Millisecond
 	// maxRefreshPoints is the number of points asked for in one round.
 	maxRefreshPoints = 8
+	// releaseBatch is the number of held requests that are sent on at once, and
+	// releasePause the time between batches: all at once would overrun the queue
+	// of the new owner.
+	releaseBatch = 16
+	releasePause = 5 * time.Millisecond
 	// minSuspectPause and maxSuspectPause bound the time between questions for
 	// the owner of a point whose owner is silent.
 	minSuspectPause = time.Second
@@ -109,19 +114,31 @@
 			return
 		}
 		h.refresh(points)
-		if h.release() {
+		woken, more := h.release()
+		for more && h.sleep(releasePause) {
+			_, more = h.release()
+		}
+		if woken > 0 {
 			pause = minRefreshPause
 		}
-		select {
-		case <-h.gateway.ctx.Done():
+		if !h.sleep(pause/2 + rand.N(pause/2)) {
 			h.stop()
 			return
-		case <-time.After(pause/2 + rand.N(pause/2)):
 		}
 		pause = min(pause*2, maxRefreshPause)
 	}
 }
 
+// sleep reports false if the gateway is closed meanwhile.
+func (h *holder) sleep(d time.Duration) bool {
+	select {
+	case <-h.gateway.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // points returns the points of the requests with the earliest deadlines. It
 // reports false, and ends the run, if none is held.
 func (h *holder) points() ([]keyspace.Point, bool) {
@@ -160,26 +177,27 @@
 	return changed
 }
 
-// release wakes the requests whose owner has changed and those that have
-// waited for long, by deadline. It reports whether any was woken.
-func (h *holder) release() bool {
+// release wakes a batch of the requests whose owner has changed and of those
+// that have waited for long, by deadline. more reports that others are due.
+func (h *holder) release() (woken int, more bool) {
 	now := h.gateway.cfg.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	woken := false
 	for _, x := range h.queue.Take() {
 		w := h.held[x.ID]
 		if w == nil {
 			continue
 		}
-		if w.flight.moved() || now.Sub(w.since) >= recheckAfter {
+		due := w.flight.moved() || now.Sub(w.since) >= recheckAfter
+		if due && woken < releaseBatch {
 			h.wakeLocked(x.ID, dispatch.Refreshed)
-			woken = true
+			woken++
 			continue
 		}
+		more = more || due
 		h.queue.Add(x)
 	}
-	return woken
+	return woken, more
 }
 
 // stop wakes all requests; their contexts have ended.
--- a/entry/moving_test.go
+++ b/entry/moving_test.go
@@ -87,6 +87,40 @@
 	e.do(t, "POST", "/reports/k", nil).want(t, 200, "done", "")
 }
 
+// TestHeldRequestsDoNotOverrunTheNewOwner holds far more than the new owner
+// runs and queues; all are served.
+func TestHeldRequestsDoNotOverrunTheNewOwner(t *testing.T) {
+	const held = 600
+	spec := reports()
+	spec.QueueLimit = 120
+	spec.Methods[1].Timeout = 30 * time.Second
+	tgt := newFakeTarget(t)
+	tgt.setRun(func(ctx *fasthttp.RequestCtx) { time.Sleep(time.Millisecond) })
+	a := newDaemon(t, "a", spec, tgt.addr, nil)
+	b := newDaemon(t, "b", spec, tgt.addr, nil)
+	a.hold(keyspace.Full(), 1, true)
+	var moved atomic.Bool
+	e := newDoor(t, sourceFunc(func() []route.Entry {
+		if moved.Load() {
+			return []route.Entry{b.route(keyspace.Full(), 2)}
+		}
+		return nil
+	}), spec)
+	e.router.Learn("reports", a.route(keyspace.Full(), 1))
+	replies := make(chan reply, held)
+	for range held {
+		go func() { replies <- e.do(t, "POST", "/reports/k", nil) }()
+	}
+	for e.gateway.Stats().Held() < held {
+		time.Sleep(time.Millisecond)
+	}
+	b.hold(keyspace.Full(), 2, false)
+	moved.Store(true)
+	for range held {
+		(<-replies).want(t, 200, "done", "")
+	}
+}
+
 // TestReadLeavesAFrozenOwner: an owner that is silent is replaced while it
 // holds a read; the read goes to the new owner, a booking does not.
 func TestReadLeavesAFrozenOwner(t *testing.T) {
