--- a/entry/flight.go
+++ b/entry/flight.go
@@ -33,9 +33,10 @@
 type flight struct {
 	gateway  *Gateway
 	http     *fasthttp.RequestCtx
-	ctx      *flightContext             // replaced under the watcher's lock
-	asked    atomic.Pointer[askedOwner] // set while an attempt may be given up
-	service  *route.Service             // as of the last attempt
+	ctx      *flightContext              // replaced under the watcher's lock
+	asked    atomic.Pointer[route.Entry] // owner that an idempotent attempt waits for
+	askedAt  atomic.Int64                // clock.Time at which asked was set
+	service  *route.Service              // as of the last attempt
 	deadline clock.Time
 	state    dispatch.Request
 	req      wire.Request
@@ -87,15 +88,19 @@
 	}
 	f.service = svc
 	f.key = keyInput{header: &f.http.Request.Header, path: path, query: query}
-	f.fillLine(uri)
+	f.fillLine(uri[1+len(name):], path)
 	f.fillRule(path)
 	f.fillHeaders()
 	return f.fillKey()
 }
 
-// fillLine sets what the target sees of the request line.
-func (f *flight) fillLine(uri []byte) {
+// fillLine sets what the target sees of the request line: the path below the
+// service's prefix, and the query.
+func (f *flight) fillLine(uri, path []byte) {
 	f.req.URI = uri
+	if len(path) == 0 {
+		f.req.URI = append([]byte{'/'}, uri...)
+	}
 	f.req.Method = f.http.Method()
 	f.req.Body = f.http.Request.Body()
 	f.id = f.gateway.ids.append(f.id[:0])
