Name a leader or deputy that does not answer in the status

Cause: the log names a leader until another claim is made, so the finding that a cell has no leader never showed when leader and deputy were both lost.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -21,7 +21,6 @@
 // Every example of the help does what it says.
 func TestExamplesWork(t *testing.T) {
 	d := newDeployment(t)
-	d.nodes[1].status.Incarnation = 1800000000000000000
 	replace := d.sampleNames(t)
 	for _, command := range commandOrder {
 		for _, line := range examples[command] {
@@ -150,6 +149,20 @@
 	compare(t, "testdata/status-degraded.txt", out)
 }
 
+func TestStatusNamesALeaderThatDoesNotAnswer(t *testing.T) {
+	d := newDeployment(t)
+	d.nodes[1].status.Incarnation = 8
+	code, out := d.run("status --admin 127.0.0.1:1 --admin " + d.addrs[1] + " --admin " + d.addrs[2])
+	for _, want := range []string{
+		"the leader reports-1#7 is not among the daemons that answer",
+		"the deputy reports-2#7 was restarted since",
+	} {
+		if code != ExitDegraded || !strings.Contains(out, want) {
+			t.Errorf("exit code %d, output does not say %q\n%s", code, want, out)
+		}
+	}
+}
+
 func mustRun(t *testing.T, d *deployment, line string) {
 	t.Helper()
 	if code, out := d.run(line); code != ExitOK {
--- a/cli/docs_test.go
+++ b/cli/docs_test.go
@@ -25,7 +25,6 @@
 		t.Fatal(err)
 	}
 	d := newDeployment(t)
-	d.nodes[1].status.Incarnation = 1800000000000000000
 	replace := d.sampleNames(t)
 	for line := range strings.Lines(string(text)) {
 		command, isCommand := strings.CutPrefix(strings.TrimSpace(line), "parsley ")
--- a/cli/findings.go
+++ b/cli/findings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/parsleystack/parsleystack/admin"
@@ -25,6 +26,7 @@
 	}
 	for _, cell := range mergeCells(out.Daemons) {
 		list = append(list, cellFindings(&cell)...)
+		list = append(list, roleFindings(&cell, out)...)
 	}
 	return list
 }
@@ -103,3 +105,38 @@
 	}
 	return n
 }
+
+// roleFindings names a leader or a deputy whose process does not answer. The
+// log names them until another claim is made.
+func roleFindings(cell *admin.CellStatus, out *statusOutput) []string {
+	var list []string
+	for _, role := range []struct{ name, node string }{{"leader", cell.Leader}, {"deputy", cell.Deputy}} {
+		problem := missing(role.node, out)
+		if problem != "" {
+			list = append(list, fmt.Sprintf("cell %d of %s in %s: the %s %s %s", cell.Index, cell.Service, cell.Region, role.name, role.node, problem))
+		}
+	}
+	return list
+}
+
+// missing says why the process, instance#incarnation, is not among those that
+// answer, or returns "".
+func missing(node string, out *statusOutput) string {
+	instance, _, found := strings.Cut(node, "#")
+	if !found {
+		return ""
+	}
+	for _, d := range out.Daemons {
+		if string(d.Instance) != instance {
+			continue
+		}
+		if fmt.Sprintf("%s#%d", d.Instance, uint64(d.Incarnation)) != node {
+			return "was restarted since"
+		}
+		return ""
+	}
+	if len(out.Unreachable) > 0 {
+		return "is not among the daemons that answer"
+	}
+	return ""
+}
