--- a/bench/judge_test.go
+++ b/bench/judge_test.go
@@ -9,7 +9,7 @@
 
 func runOf(id, key, name, token string, start, end int64) target.Run {
 	return target.Run{
-		ID: id, IdempotencyKey: id, Method: "POST", Path: "/bookings/" + key, Key: key,
+		ID: id, IdempotencyKey: id, Service: "bookings", Method: "POST", Path: "/" + key, Key: key,
 		Target: name, Token: token, Start: start, End: end, Completed: end > 0,
 	}
 }
--- a/bench/owners.go
+++ b/bench/owners.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"slices"
-	"strings"
 
 	"github.com/parsleystack/parsleystack/standin/target"
 )
@@ -22,7 +21,7 @@
 		if r.Token == "" {
 			continue
 		}
-		k := ownedKey{service: serviceOf(r.Path), key: r.Key}
+		k := ownedKey{service: r.Service, key: r.Key}
 		byKey[k] = append(byKey[k], r)
 	}
 	var violations []Violation
@@ -36,11 +35,6 @@
 	return violations
 }
 
-func serviceOf(path string) string {
-	service, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
-	return service
-}
-
 // overlap finds the first pair of runs at different targets whose times
 // overlap.
 func overlap(runs []*target.Run) (Violation, bool) {
--- a/standin/target/answer.go
+++ b/standin/target/answer.go
@@ -22,7 +22,7 @@
 	body, err := json.Marshal(Answer{
 		ID:             r.run.ID,
 		IdempotencyKey: r.run.IdempotencyKey,
-		Service:        r.service,
+		Service:        r.run.Service,
 		Method:         r.run.Method,
 		Path:           r.run.Path,
 		Key:            r.run.Key,
--- a/standin/target/handler.go
+++ b/standin/target/handler.go
@@ -31,7 +31,7 @@
 // handleRequest admits a request, runs it and answers.
 func (t *Target) handleRequest(ctx *fasthttp.RequestCtx) {
 	control := t.control.Load()
-	r := newRequest(ctx, t.config.Name)
+	r := newRequest(ctx, &t.config)
 	if why := t.admit(ctx, r, control); why != admitted {
 		t.refuse(ctx, why)
 		return
@@ -57,7 +57,7 @@
 		return admitted
 	}
 	if r.run.Token == "" {
-		if t.fence.known(r.service) {
+		if t.fence.known() {
 			return staleToken
 		}
 		return admitted
@@ -70,7 +70,7 @@
 	if err != nil {
 		return staleToken
 	}
-	return t.fence.check(r.service, rng, token, now)
+	return t.fence.check(rng, token, now)
 }
 
 // acquireSlot takes a slot, or answers for the request and returns false.
--- a/standin/target/order.go
+++ b/standin/target/order.go
@@ -51,7 +51,7 @@
 		return
 	}
 	ready := time.Now().Add(milliseconds(t.control.Load().ColdGrantMs))
-	if !t.fence.grant(o.Service, rng, o.Token(), ready) {
+	if !t.fence.grant(rng, o.Token(), ready) {
 		ctx.Response.Header.Set(headerRefused, string(staleToken))
 		ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
 	}
@@ -68,5 +68,5 @@
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
-	t.fence.revoke(o.Service, rng, o.Token())
+	t.fence.revoke(rng, o.Token())
 }
--- a/standin/target/request.go
+++ b/standin/target/request.go
@@ -25,14 +25,12 @@
 // request is one request at work.
 type request struct {
 	run      Run
-	service  string
 	conn     *conn     // nil if the connection can't be watched
 	deadline time.Time // zero if there is none
 }
 
-func newRequest(ctx *fasthttp.RequestCtx, name string) *request {
-	r := &request{run: runOf(ctx, name)}
-	r.service, r.run.Key = splitPath(ctx.Path())
+func newRequest(ctx *fasthttp.RequestCtx, config *Config) *request {
+	r := &request{run: runOf(ctx, config)}
 	if c, ok := ctx.Conn().(*conn); ok {
 		r.conn = c
 	}
@@ -44,15 +42,17 @@
 	return r
 }
 
-func runOf(ctx *fasthttp.RequestCtx, name string) Run {
+func runOf(ctx *fasthttp.RequestCtx, config *Config) Run {
 	h := &ctx.Request.Header
 	run := Run{
 		ID:             string(h.Peek(headerCallerID)),
 		IdempotencyKey: string(h.Peek(headerIdempotencyKey)),
+		Service:        config.Service,
 		Method:         string(ctx.Method()),
 		Path:           string(ctx.Path()),
+		Key:            keyOf(ctx.Path()),
 		Token:          string(h.Peek(headerToken)),
-		Target:         name,
+		Target:         config.Name,
 	}
 	if run.ID == "" {
 		run.ID = string(h.Peek(headerRequestID))
@@ -60,12 +60,10 @@
 	return run
 }
 
-// splitPath returns the first and the second segment of a path.
-func splitPath(path []byte) (service, key string) {
-	path = bytes.Trim(path, "/")
-	first, rest, _ := bytes.Cut(path, []byte{'/'})
-	second, _, _ := bytes.Cut(rest, []byte{'/'})
-	return string(first), string(second)
+// keyOf returns the first segment of a path.
+func keyOf(path []byte) string {
+	key, _, _ := bytes.Cut(bytes.TrimPrefix(path, []byte{'/'}), []byte{'/'})
+	return string(key)
 }
 
 // interruption is the reason for which work ended early.
--- a/standin/target/run.go
+++ b/standin/target/run.go
@@ -5,6 +5,7 @@
 	Seq            int    `json:"seq"` // number of the run in its process, from 0
 	ID             string `json:"id"`  // X-Request-Id, or Parsley-Request-Id if there is none
 	IdempotencyKey string `json:"idempotency_key,omitempty"`
+	Service        string `json:"service"`
 	Method         string `json:"method"`
 	Path           string `json:"path"`
 	Key            string `json:"key"`
