--- a/target/call.go
+++ b/target/call.go
@@ -7,6 +7,10 @@
 	"github.com/valyala/fasthttp"
 )
 
+// socketBuffer is the size in bytes up to which a body is written without
+// waiting for the target to read it.
+const socketBuffer = 8 << 10
+
 // Call is one request to the target. It may be reused after Do has returned.
 type Call struct {
 	Request  *fasthttp.Request
@@ -50,7 +54,10 @@
 		return false
 	}
 	c.conn = conn
-	_ = conn.SetDeadline(c.Deadline)
+	_ = conn.SetReadDeadline(c.Deadline)
+	if len(c.Request.Body()) > socketBuffer {
+		_ = conn.SetWriteDeadline(c.Deadline)
+	}
 	return true
 }
 
--- a/target/pool.go
+++ b/target/pool.go
@@ -24,7 +24,9 @@
 	return &pool{addr: addr, max: limit, dialTimeout: dialTimeout, low: make(chan struct{}, 1)}
 }
 
-// get returns an idle connection that the target has not closed, or a new one.
+// get returns an idle connection, or a new one. An idle connection is probed
+// first: one that the target has closed would make the outcome unknown, and one
+// with surplus bytes would give the request another one's answer.
 func (p *pool) get(deadline time.Time) (*conn, error) {
 	for {
 		c, err := p.pop()
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -151,9 +151,28 @@
 	}
 }
 
-func TestUnreachablePeerMeansNotSent(t *testing.T) {
-	s, addr := start(t, &echo{})
+// TestServeAfterClose: a listener that Serve is given too late takes no
+// connection that nobody would answer.
+func TestServeAfterClose(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(Config{Hello: hello("server")}, &echo{}, nil)
 	s.Close()
+	if err := s.Serve(l); !errors.Is(err, ErrClosed) {
+		t.Errorf("got %v, want ErrClosed", err)
+	}
+	if _, err := l.Accept(); !errors.Is(err, net.ErrClosed) {
+		t.Errorf("listener: %v, want it closed", err)
+	}
+}
+
+// unreachable is an address that nothing listens on.
+const unreachable = "127.0.0.1:1"
+
+func TestUnreachablePeerMeansNotSent(t *testing.T) {
+	addr := unreachable
 	p := newTestPool(t, nil)
 	var resp wire.Response
 	var peerErr *PeerError
@@ -329,3 +348,29 @@
 		t.Errorf("after the shutdown: sent %v, %v", sent, err)
 	}
 }
+
+// TestMutualTLS: both ends need a certificate of the shared authority.
+func TestMutualTLS(t *testing.T) {
+	authority := newAuthority(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(Config{Hello: hello("server"), TLS: authority.config(t)}, &echo{}, nil)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Close)
+	addr := l.Addr().String()
+
+	good := newTestPool(t, func(c *Config) { c.TLS = authority.config(t) })
+	if got, err := good.Call(ctxFor(t, 5*time.Second), addr, 1, []byte("x")); err != nil || string(got) != "\x01x" {
+		t.Errorf("with a certificate: %q, %v", got, err)
+	}
+	stranger := newTestPool(t, func(c *Config) { c.TLS = newAuthority(t).config(t) })
+	if _, err := stranger.Call(ctxFor(t, 5*time.Second), addr, 1, nil); err == nil {
+		t.Error("a certificate of another authority is accepted")
+	}
+	plain := newTestPool(t, nil)
+	if _, err := plain.Call(ctxFor(t, 5*time.Second), addr, 1, nil); err == nil {
+		t.Error("a plain connection is accepted")
+	}
+}
