Use reloading certificates, the operators' list and order records in the daemon

Cause: the operators' endpoint was served without TLS also when TLS was configured, certificates were read once at the start, and orders left no trace.

--- a/cmd/parsleyd/main.go
+++ b/cmd/parsleyd/main.go
@@ -44,16 +44,16 @@
 		return err
 	}
 	defer func() { _ = log.Sync() }()
-	tlsConfig, err := daemon.LoadTLS(&s.TLS)
+	source, err := daemon.LoadTLS(&s.TLS, log)
 	if err != nil {
 		return err
 	}
-	if tlsConfig == nil {
+	if source == nil {
 		logevent.Log(log, logevent.TLSDisabled)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return daemon.New(s, tlsConfig, log).Run(ctx)
+	return daemon.New(s, source, log).Run(ctx)
 }
 
 func newLogger(s *settings.Daemon) (*zap.Logger, error) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,14 +5,15 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/parsleystack/parsleystack/admin"
+	"github.com/parsleystack/parsleystack/audit"
 	"github.com/parsleystack/parsleystack/cell/driver"
+	"github.com/parsleystack/parsleystack/certs"
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/config"
 	"github.com/parsleystack/parsleystack/directory"
@@ -31,6 +32,7 @@
 // Daemon is one process beside a target.
 type Daemon struct {
 	settings *settings.Daemon
+	certs    *certs.Source // nil without TLS
 	log      *zap.Logger
 	node     ident.Node
 	metrics  *daemonMetrics
@@ -61,14 +63,16 @@
 
 	// Owned by the goroutine of the ownership core.
 	readsConfig bool
+	provisional bool // assignments wait for the log, as was last logged
 	peerNodes   []ident.Node
 }
 
-// New returns a daemon that is not running yet. tlsConfig is nil if the
+// New returns a daemon that is not running yet. source is nil if the
 // settings turn TLS off.
-func New(s *settings.Daemon, tlsConfig *tls.Config, log *zap.Logger) *Daemon {
+func New(s *settings.Daemon, source *certs.Source, log *zap.Logger) *Daemon {
 	d := &Daemon{
 		settings:    s,
+		certs:       source,
 		log:         log,
 		node:        ident.Node{Instance: s.Instance, Incarnation: ident.Incarnation(time.Now().UnixNano())},
 		platform:    platformlog.NewClient(platformlog.ClientConfig{Addr: s.Log.Addr}),
@@ -78,20 +82,22 @@
 		leave:       make(chan struct{}),
 		readsConfig: true,
 	}
-	d.buildNetwork(tlsConfig)
+	d.buildNetwork(source)
 	d.buildOwner()
 	d.buildEntry()
 	d.buildConfig()
-	d.admin = admin.NewHandler(&backend{d: d})
+	recorder := audit.NewRecorder(&backend{d: d}, d.platform, log, d.node, s.Service)
+	d.admin = admin.NewHandler(recorder, s.TLS.Operators...)
+	d.admin.Refused = admin.LogRefused(log)
 	d.metrics = newMetrics(d)
 	return d
 }
 
-func (d *Daemon) buildNetwork(tlsConfig *tls.Config) {
+func (d *Daemon) buildNetwork(source *certs.Source) {
 	cfg := transport.Config{
 		Hello: wire.NewHello(d.settings.Service, d.node, d.settings.Zone),
-		TLS:   tlsConfig,
 	}
+	secureTransport(&cfg, source)
 	d.pool = transport.NewPool(cfg)
 	d.server = transport.NewServer(cfg, d, d.log)
 	d.messenger = transport.NewMessenger(d.node, d.pool, d.server, d)
--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -4,6 +4,7 @@
 	"go.uber.org/zap"
 
 	"github.com/parsleystack/parsleystack/cell"
+	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/logevent"
 )
@@ -12,6 +13,17 @@
 func (d *Daemon) Changed(v cell.View) {
 	d.trackRoles(&v)
 	d.trackPeers(&v)
+	d.trackProvisional(&v)
+}
+
+// trackProvisional logs when assignments stop reaching the log.
+func (d *Daemon) trackProvisional(v *cell.View) {
+	silent := clock.Now().Sub(v.LastTail) >= logSilence
+	provisional := silent && v.Provisional > 0 && v.Self == v.Leader
+	if provisional && !d.provisional {
+		logevent.Log(d.log, logevent.AssignmentsProvisional, zap.Int("assignments", v.Provisional))
+	}
+	d.provisional = provisional
 }
 
 // trackRoles lets only the leader and the deputy of a cell follow the
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -88,7 +88,7 @@
 		return nil
 	})
 	admin := &fasthttp.Server{Handler: d.serveAdmin, Name: "parsleyd", CloseOnShutdown: true}
-	g.Go(func() error { return admin.Serve(ls.admin) })
+	g.Go(func() error { return admin.Serve(secureListener(ls.admin, d.certs)) })
 	g.Go(func() error {
 		<-d.ctx.Done()
 		sctx, cancel := context.WithTimeout(context.Background(), stopGrace)
--- a/daemon/tls.go
+++ b/daemon/tls.go
@@ -2,36 +2,37 @@
 
 import (
 	"crypto/tls"
-	"crypto/x509"
-	"fmt"
-	"os"
+	"net"
 
+	"go.uber.org/zap"
+
+	"github.com/parsleystack/parsleystack/certs"
 	"github.com/parsleystack/parsleystack/settings"
+	"github.com/parsleystack/parsleystack/transport"
 )
 
-// LoadTLS returns the configuration of mutual TLS between daemons and towards
+// LoadTLS returns the certificates for mutual TLS between daemons and towards
 // operators, or nil if the settings turn TLS off.
-func LoadTLS(s *settings.TLS) (*tls.Config, error) {
+func LoadTLS(s *settings.TLS, log *zap.Logger) (*certs.Source, error) {
 	if s.Insecure {
 		return nil, nil
 	}
-	cert, err := tls.LoadX509KeyPair(s.CertFile, s.KeyFile)
-	if err != nil {
-		return nil, fmt.Errorf("daemon: tls.cert_file and tls.key_file can't be used: %w; write a matching pair in PEM form", err)
-	}
-	pem, err := os.ReadFile(s.CAFile)
-	if err != nil {
-		return nil, fmt.Errorf("daemon: tls.ca_file can't be read: %w", err)
+	return certs.NewSource(certs.Files{Cert: s.CertFile, Key: s.KeyFile, CA: s.CAFile}, log)
+}
+
+// secureTransport turns on TLS between daemons.
+func secureTransport(cfg *transport.Config, source *certs.Source) {
+	if source == nil {
+		return
 	}
-	authorities := x509.NewCertPool()
-	if !authorities.AppendCertsFromPEM(pem) {
-		return nil, fmt.Errorf("daemon: tls.ca_file %s holds no certificate; write at least one in PEM form", s.CAFile)
+	cfg.TLS = source.Server()
+	cfg.ClientTLS = source.Client
+}
+
+// secureListener turns on TLS for operators.
+func secureListener(l net.Listener, source *certs.Source) net.Listener {
+	if source == nil {
+		return l
 	}
-	return &tls.Config{
-		Certificates: []tls.Certificate{cert},
-		RootCAs:      authorities,
-		ClientCAs:    authorities,
-		ClientAuth:   tls.RequireAndVerifyClientCert,
-		MinVersion:   tls.VersionTLS13,
-	}, nil
+	return tls.NewListener(l, source.Server())
 }
--- a/logevent/markdown.go
+++ b/logevent/markdown.go
@@ -11,6 +11,7 @@
 }{
 	{1000, "Daemon"},
 	{2000, "Cell"},
+	{3000, "Request path"},
 	{4000, "Configuration"},
 	{5000, "Log service"},
 	{6000, "Target"},
--- a/transport/config.go
+++ b/transport/config.go
@@ -15,6 +15,9 @@
 	// TLS is used on all connections if it is not nil. For mutual TLS it holds
 	// a certificate, RootCAs, ClientCAs and ClientAuth.
 	TLS *tls.Config
+	// ClientTLS returns the configuration of one dialed connection, in place of
+	// TLS, if it is not nil.
+	ClientTLS func() *tls.Config
 	// MaxFrame is the largest frame in bytes; wire.DefaultMaxFrame if 0.
 	MaxFrame int
 	// MaxBacklog is the number of bytes that may wait to be written to one
--- a/transport/handshake.go
+++ b/transport/handshake.go
@@ -86,10 +86,18 @@
 func dial(ctx context.Context, addr string, cfg *Config) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, cfg.HandshakeTimeout)
 	defer cancel()
-	if cfg.TLS == nil {
+	config := cfg.clientTLS()
+	if config == nil {
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp", addr)
 	}
-	d := tls.Dialer{Config: cfg.TLS}
+	d := tls.Dialer{Config: config}
 	return d.DialContext(ctx, "tcp", addr)
 }
+
+func (c *Config) clientTLS() *tls.Config {
+	if c.ClientTLS != nil {
+		return c.ClientTLS()
+	}
+	return c.TLS
+}
