End only the release in progress

Cause: the core may take a release back under a new term and order it again. The driver now numbers releases and drops the end of an earlier one.

--- a/cell/driver/driver.go
+++ b/cell/driver/driver.go
@@ -29,10 +29,13 @@
 	view   atomic.Pointer[cell.View]
 	left   chan struct{}
 
-	isLeft  bool
-	held    heldSet
-	reader  *reader
-	dropped atomic.Uint64
+	isLeft bool
+	held   heldSet
+	// Owned by the control goroutine, but for sends on quiesced.
+	releases releaseSet
+	quiesced chan quiesced
+	reader   *reader
+	dropped  atomic.Uint64
 }
 
 // New returns a driver of a process that has just started.
@@ -48,6 +51,9 @@
 		events: make(chan cell.Event, eventQueueLength),
 		left:   make(chan struct{}),
 		held:   heldSet{},
+
+		releases: newReleaseSet(),
+		quiesced: make(chan quiesced),
 	}
 	d.reader = newReader(cfg, d.post)
 	v := node.View(clock.Now())
@@ -110,6 +116,11 @@
 		case <-ctx.Done():
 			return nil
 		case ev = <-d.events:
+		case q := <-d.quiesced:
+			if !d.releases.end(q) {
+				continue
+			}
+			ev = cell.Released{Range: q.grant.Range, Token: q.grant.Token}
 		case <-timer.C:
 			ev = cell.Tick{}
 		}
@@ -131,6 +142,7 @@
 func (d *Driver) apply(ctx context.Context, fx cell.Effects) {
 	if fx.HoldingsChanged {
 		d.cfg.Holder.Store(fx.Holdings)
+		d.releases.keep(fx.Holdings)
 		d.orderTarget(ctx, fx.Holdings)
 	}
 	d.publishView()
--- a/cell/driver/orders.go
+++ b/cell/driver/orders.go
@@ -51,10 +51,3 @@
 	}
 	d.post(ctx, cell.Prepared{Range: g.Range, Token: g.Token})
 }
-
-func (d *Driver) release(ctx context.Context, h cell.Holding) {
-	g := h.Grant
-	d.cfg.Holder.Quiesce(g.Range, func() {
-		go d.post(ctx, cell.Released{Range: g.Range, Token: g.Token})
-	})
-}
