Answer repeats of unknown outcome as unknown, and say when to come back

Cause: a repeat with an idempotency key whose first run was in flight or of unknown outcome was refused as 'not run'. That is true of the repeat alone; a caller that takes it for the order itself may send the order again under a new key and run it twice. Such repeats are now 'unknown' with reason duplicate (409).

Requests given up at their deadline or with an unknown outcome carried no Retry-After.

--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -18,6 +18,9 @@
 	retryAfterHold = time.Second
 	// retryAfterBusy is the same where the owner is overloaded.
 	retryAfterBusy = 100 * time.Millisecond
+	// retryAfterDefault is the same for every other request that a repeat may
+	// serve.
+	retryAfterDefault = time.Second
 	// maxHold is the longest time that a request is held for its owner.
 	maxHold = 6 * time.Second
 )
@@ -79,6 +82,9 @@
 	case outcome.NotRun:
 		return r.refused(ev, now)
 	}
+	if ev.Result.Reason == outcome.Duplicate {
+		return r.finish(outcome.Unknown, outcome.Duplicate, ev.Result.RetryAfter)
+	}
 	return r.unknown(ev.Result.Reason, now, Send)
 }
 
@@ -199,7 +205,19 @@
 func (r *Request) finish(kind outcome.Kind, reason outcome.Reason, retryAfter time.Duration) Action {
 	if r.mayHave {
 		kind = outcome.Unknown
-		retryAfter = 0
+	}
+	if retryAfter == 0 && comesBack(reason) {
+		retryAfter = retryAfterDefault
 	}
 	return Action{Kind: Finish, Result: outcome.Result{Kind: kind, Reason: reason, RetryAfter: retryAfter}}
 }
+
+// comesBack reports whether a later repeat of a request that was given up for
+// the reason can fare better.
+func comesBack(reason outcome.Reason) bool {
+	switch reason {
+	case outcome.BadRequest, outcome.UnknownService, outcome.Canceled:
+		return false
+	}
+	return true
+}
--- a/entry/write.go
+++ b/entry/write.go
@@ -70,10 +70,7 @@
 // statusOf maps an outcome that is not Done to an HTTP status.
 func statusOf(r outcome.Result) int {
 	if r.Kind == outcome.Unknown {
-		if r.Reason == outcome.DeadlineExceeded {
-			return fasthttp.StatusGatewayTimeout
-		}
-		return fasthttp.StatusBadGateway
+		return statusOfUnknown(r.Reason)
 	}
 	switch r.Reason {
 	case outcome.Overloaded, outcome.TargetShed:
@@ -82,19 +79,27 @@
 		return fasthttp.StatusNotFound
 	case outcome.BadRequest:
 		return fasthttp.StatusBadRequest
+	}
+	return fasthttp.StatusServiceUnavailable
+}
+
+func statusOfUnknown(reason outcome.Reason) int {
+	switch reason {
+	case outcome.DeadlineExceeded:
+		return fasthttp.StatusGatewayTimeout
 	case outcome.Duplicate:
 		return fasthttp.StatusConflict
 	}
-	return fasthttp.StatusServiceUnavailable
+	return fasthttp.StatusBadGateway
 }
 
 func messageOf(r outcome.Result) string {
-	if r.Kind == outcome.Unknown {
-		return "the request may have run; check its effect, or repeat it with the same Idempotency-Key"
-	}
 	if r.Reason == outcome.Duplicate {
 		return "an earlier request with this Idempotency-Key is in flight or of unknown outcome; check its effect before using a new key"
 	}
+	if r.Kind == outcome.Unknown {
+		return "the request may have run; check its effect, or repeat it with the same Idempotency-Key"
+	}
 	if r.RetryAfter > 0 {
 		return "the request was not run; repeat it after the time given"
 	}
--- a/owner/once.go
+++ b/owner/once.go
@@ -26,7 +26,7 @@
 	}
 	if r.req.Repeat && r.heldShorter(r.owner.cfg.Memory.Keep) {
 		r.owner.memory.drop(key)
-		r.refuse(outcome.Duplicate, 0)
+		r.duplicate(0)
 		return
 	}
 	r.execute()
@@ -56,19 +56,27 @@
 	switch known {
 	case recallAnswer:
 		if _, err := r.resp.UnmarshalMsg(answer); err != nil {
-			r.refuse(outcome.Duplicate, 0)
+			r.duplicate(0)
 			return
 		}
 		r.owner.stats.replays.Add(1)
 	case recallInFlight:
-		r.refuse(outcome.Duplicate, retryAfterInFlight)
+		r.duplicate(retryAfterInFlight)
 	case recallMismatch:
 		r.refuse(outcome.BadRequest, 0)
 	default:
-		r.refuse(outcome.Duplicate, 0)
+		r.duplicate(0)
 	}
 }
 
+// duplicate refuses a repeat. Its outcome is unknown, not "not run": the first
+// request with the idempotency key may have run, and a caller that is told
+// "not run" would be free to send the same order under a new key.
+func (r *run) duplicate(retryAfter time.Duration) {
+	r.unknown(outcome.Duplicate)
+	r.resp.RetryAfter = retryAfter
+}
+
 // fingerprint tells different requests with one idempotency key apart.
 func (r *run) fingerprint() uint64 {
 	var d xxhash.Digest
