--- a/bench/args.go
+++ b/bench/args.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"strings"
 	"time"
+
+	"github.com/parsleystack/parsleystack/measure"
 )
 
 // Args are the arguments of the bench command, in the form of go-arg.
@@ -114,10 +116,10 @@
 	return mix, nil
 }
 
-func (a *Args) processes() ([]Process, error) {
-	var processes []Process
+func (a *Args) processes() ([]measure.Process, error) {
+	var processes []measure.Process
 	for _, s := range a.Processes {
-		p, err := ParseProcess(s)
+		p, err := measure.ParseProcess(s)
 		if err != nil {
 			return nil, err
 		}
--- a/bench/caller.go
+++ b/bench/caller.go
@@ -82,8 +82,9 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
+	path := op.PathFor(key)
 	req.Header.SetMethod(op.Method)
-	req.SetRequestURI("http://" + c.addr + c.path(op, key))
+	req.SetRequestURI("http://" + c.addr + path)
 	req.Header.Set(headerCallerID, id)
 	req.Header.Set(headerTimeout, strconv.FormatInt(op.Timeout.Milliseconds(), 10))
 	if !op.Idempotent {
@@ -94,18 +95,11 @@
 	}
 	r := reply{class: c.classOf(resp), retry: len(resp.Header.Peek(fasthttp.HeaderRetryAfter)) > 0}
 	if r.class.Kind == outcome.Done && resp.StatusCode() < 300 {
-		r.answer = checkAnswer(resp.Body(), id, op.TargetPathFor(key), key)
+		r.answer = checkAnswer(resp.Body(), id, path, key)
 	}
 	return r
 }
 
-func (c *caller) path(op *Op, key string) string {
-	if c.direct {
-		return op.TargetPathFor(key)
-	}
-	return op.PathFor(key)
-}
-
 func classOfError(err error) Class {
 	var connect *connectError
 	var timeout net.Error
--- a/bench/execute.go
+++ b/bench/execute.go
@@ -5,13 +5,15 @@
 	"errors"
 	"fmt"
 	"strconv"
+
+	"github.com/parsleystack/parsleystack/measure"
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
 
 // Execute runs the configured variants in turn, rounds times each, and returns
 // one result for each. Processes are watched during every variant.
-func Execute(ctx context.Context, configs []Config, rounds int, processes []Process) ([]*Result, error) {
+func Execute(ctx context.Context, configs []Config, rounds int, processes []measure.Process) ([]*Result, error) {
 	var variants []*variant
 	for _, c := range configs {
 		if err := c.validate(); err != nil {
--- a/bench/op.go
+++ b/bench/op.go
@@ -27,17 +27,11 @@
 	return ident.Service(service)
 }
 
-// PathFor returns the path for a key at a daemon.
+// PathFor returns the path for a key.
 func (o *Op) PathFor(key string) string {
 	return strings.Replace(o.Path, keyPlaceholder, key, 1)
 }
 
-// TargetPathFor returns the path for a key at a target, which lacks the
-// service's prefix.
-func (o *Op) TargetPathFor(key string) string {
-	return strings.TrimPrefix(o.PathFor(key), "/"+string(o.Service()))
-}
-
 // ParseOp parses name:method:path:weight:timeout. GET and HEAD requests are
 // idempotent.
 func ParseOp(s string) (Op, error) {
--- a/bench/variant.go
+++ b/bench/variant.go
@@ -4,12 +4,14 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/parsleystack/parsleystack/measure"
 )
 
 // variant is one set of addresses under load, over one or several rounds.
 type variant struct {
 	config    Config
-	processes []Process
+	processes []measure.Process
 	callers   []*caller
 	total     *recorder
 	lag       *lag
@@ -18,7 +20,7 @@
 	cpu       map[string]time.Duration
 }
 
-func newVariant(config Config, processes []Process) *variant {
+func newVariant(config Config, processes []measure.Process) *variant {
 	config = config.withDefaults()
 	v := &variant{
 		config:    config,
@@ -38,10 +40,10 @@
 	config := v.config
 	config.Seed += uint64(v.rounds)
 	config.RunID += "-" + itoa(v.rounds)
-	before, toolBefore := v.readCPU(), ownCPU()
+	before, toolBefore := v.readCPU(), measure.CPUTime()
 	generators := v.runGenerators(ctx, &config)
 	v.addCPU(before)
-	v.toolCPU += ownCPU() - toolBefore
+	v.toolCPU += measure.CPUTime() - toolBefore
 	for _, g := range generators {
 		v.total.merge(g.recorder)
 		v.lag.histogram.Merge(g.lag.histogram)
@@ -68,7 +70,7 @@
 func (v *variant) readCPU() map[string]time.Duration {
 	now := map[string]time.Duration{}
 	for _, p := range v.processes {
-		if d, err := processCPU(p.PID); err == nil {
+		if d, err := measure.ProcessCPU(p.PID); err == nil {
 			now[p.Label] = d
 		}
 	}
@@ -98,7 +100,7 @@
 		ToolCPU:  v.toolCPU,
 	}
 	for _, p := range v.processes {
-		r.CPU = append(r.CPU, ProcessCPU{Label: p.Label, CPU: v.cpu[p.Label], RSSBytes: processRSS(p.PID)})
+		r.CPU = append(r.CPU, ProcessCPU{Label: p.Label, CPU: v.cpu[p.Label], RSSBytes: measure.ProcessRSS(p.PID)})
 	}
 	return r
 }
--- a/cmd/parsley-measure/main.go
+++ b/cmd/parsley-measure/main.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"os"
+	"time"
 
 	"github.com/alexflint/go-arg"
 
@@ -13,16 +14,24 @@
 )
 
 type args struct {
-	Out    string    `arg:"--out,required" help:"directory of the CSV files"`
-	Commit string    `arg:"--commit,required" help:"commit that is measured"`
-	Log    *logArgs  `arg:"subcommand:log" help:"cost of calls of the log service"`
-	Parts  *struct{} `arg:"subcommand:parts" help:"cost of cells, configuration, routes and frames, in this process"`
+	Out    string     `arg:"--out,required" help:"directory of the CSV files"`
+	Commit string     `arg:"--commit,required" help:"commit that is measured"`
+	Log    *logArgs   `arg:"subcommand:log" help:"cost of calls of the log service"`
+	Watch  *watchArgs `arg:"subcommand:watch" help:"processor time and memory of running processes, added as one size to their series"`
+	Parts  *struct{}  `arg:"subcommand:parts" help:"cost of cells, configuration, routes and frames, in this process"`
 }
 
 type logArgs struct {
 	Addr string `arg:"--addr,required" help:"address of a log service without an append cap and with an empty log"`
 }
 
+type watchArgs struct {
+	Processes []string      `arg:"--process,separate,required" help:"process as label=pid; its series are LABEL-cpu and LABEL-memory-bytes"`
+	Size      float64       `arg:"--size,required" help:"size that the processes run at"`
+	By        string        `arg:"--by,required" help:"what the size counts"`
+	Duration  time.Duration `arg:"--duration" default:"20s" help:"time to watch"`
+}
+
 func main() {
 	var a args
 	parser := arg.MustParse(&a)
@@ -37,6 +46,9 @@
 
 func run(a args) error {
 	facts := measure.ReadFacts(a.Commit, os.Args)
+	if a.Watch != nil {
+		return watch(a.Out, a.Watch, facts)
+	}
 	if a.Log != nil {
 		return writeAll(a.Out, func() ([]*measure.Series, error) { return cost.Log(a.Log.Addr, facts) })
 	}
--- a/measure/csv.go
+++ b/measure/csv.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/csv"
+	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -54,6 +56,23 @@
 	return nil
 }
 
+// MergeFile adds the points to the series' file in dir, if there is one of the
+// same commit, and replaces it otherwise.
+func (s *Series) MergeFile(dir string) error {
+	old, err := readFile(filepath.Join(dir, s.Name+fileExtension))
+	switch {
+	case errors.Is(err, fs.ErrNotExist):
+		return s.WriteFile(dir)
+	case err != nil:
+		return err
+	}
+	merged := *s
+	if old.Facts.Commit == s.Facts.Commit {
+		merged.Points = append(old.Points, s.Points...)
+	}
+	return merged.WriteFile(dir)
+}
+
 // Read reads a series that Write wrote.
 func Read(name string, r io.Reader) (*Series, error) {
 	text, err := io.ReadAll(r)
--- a/bench/cpu.go
+++ b/measure/process.go
@@ -1,4 +1,4 @@
-package bench
+package measure
 
 import (
 	"bytes"
@@ -7,14 +7,12 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // clockTick is the unit of the processor times in /proc.
 const clockTick = 10 * time.Millisecond
 
-// Process is a process whose processor time and memory a run watches.
+// Process is a process whose processor time and memory are watched.
 type Process struct {
 	Label string
 	PID   int
@@ -25,36 +23,36 @@
 	label, pid, found := strings.Cut(s, "=")
 	n, err := strconv.Atoi(pid)
 	if !found || err != nil {
-		return Process{}, fmt.Errorf("bench: process %q is not of the form label=pid", s)
+		return Process{}, fmt.Errorf("measure: process %q is not of the form label=pid", s)
 	}
 	return Process{Label: label, PID: n}, nil
 }
 
-// processCPU returns the processor time of a process since its start.
-func processCPU(pid int) (time.Duration, error) {
+// ProcessCPU returns the processor time of a process since its start.
+func ProcessCPU(pid int) (time.Duration, error) {
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	if err != nil {
-		return 0, fmt.Errorf("bench: processor time of process %d: %w", pid, err)
+		return 0, fmt.Errorf("measure: processor time of process %d: %w", pid, err)
 	}
 	// The second field, the name in parentheses, may hold spaces.
 	fields := bytes.Fields(stat[bytes.LastIndexByte(stat, ')')+1:])
 	const user, system = 11, 12
 	if len(fields) <= system {
-		return 0, fmt.Errorf("bench: processor time of process %d: unknown form", pid)
+		return 0, fmt.Errorf("measure: processor time of process %d: unknown form", pid)
 	}
 	ticks := 0
 	for _, f := range [][]byte{fields[user], fields[system]} {
 		n, err := strconv.Atoi(string(f))
 		if err != nil {
-			return 0, fmt.Errorf("bench: processor time of process %d: %w", pid, err)
+			return 0, fmt.Errorf("measure: processor time of process %d: %w", pid, err)
 		}
 		ticks += n
 	}
 	return time.Duration(ticks) * clockTick, nil
 }
 
-// processRSS returns the resident memory of a process in bytes, or 0.
-func processRSS(pid int) uint64 {
+// ProcessRSS returns the resident memory of a process in bytes, or 0.
+func ProcessRSS(pid int) uint64 {
 	statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid))
 	if err != nil {
 		return 0
@@ -69,12 +67,3 @@
 	}
 	return pages * uint64(os.Getpagesize())
 }
-
-// ownCPU returns the processor time of this process.
-func ownCPU() time.Duration {
-	var u unix.Rusage
-	if err := unix.Getrusage(unix.RUSAGE_SELF, &u); err != nil {
-		return 0
-	}
-	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
-}
--- a/standin/target/request.go
+++ b/standin/target/request.go
@@ -47,23 +47,24 @@
 	run := Run{
 		ID:             string(h.Peek(headerCallerID)),
 		IdempotencyKey: string(h.Peek(headerIdempotencyKey)),
-		Service:        config.Service,
 		Method:         string(ctx.Method()),
 		Path:           string(ctx.Path()),
-		Key:            keyOf(ctx.Path()),
 		Token:          string(h.Peek(headerToken)),
 		Target:         config.Name,
 	}
+	run.Service, run.Key = splitPath(ctx.Path())
 	if run.ID == "" {
 		run.ID = string(h.Peek(headerRequestID))
 	}
 	return run
 }
 
-// keyOf returns the first segment of a path.
-func keyOf(path []byte) string {
-	key, _, _ := bytes.Cut(bytes.TrimPrefix(path, []byte{'/'}), []byte{'/'})
-	return string(key)
+// splitPath returns the first and the second segment of a path.
+func splitPath(path []byte) (service, key string) {
+	path = bytes.TrimPrefix(path, []byte{'/'})
+	first, rest, _ := bytes.Cut(path, []byte{'/'})
+	second, _, _ := bytes.Cut(rest, []byte{'/'})
+	return string(first), string(second)
 }
 
 // interruption is the reason for which work ended early.
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -73,8 +73,8 @@
 }
 
 func TestAnswerNamesRequestAndKey(t *testing.T) {
-	tt := start(t, target.Config{Name: "t1", Service: "reports"})
-	resp, err := tt.do("POST", "/house-7/photos", "", "X-Request-Id", "r1", "Idempotency-Key", "k1")
+	tt := start(t, target.Config{Name: "t1"})
+	resp, err := tt.do("POST", "/reports/house-7/photos", "", "X-Request-Id", "r1", "Idempotency-Key", "k1")
 	if err != nil {
 		t.Fatal(err)
 	}
