--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -22,4 +22,7 @@
 
 "$bin/parsley-measure" --out "$out" --commit "$commit" parts
 "$bin/parsley-measure" --out "$out" --commit "$commit" log --addr "$log_addr"
+if [ "${PROCESSES:-1}" = 1 ]; then
+	BIN="$bin" scripts/measure-processes.sh "$out"
+fi
 "$bin/parsley-capacity" --series "$out"
