--- a/measure/cost/cellrun.go
+++ b/measure/cost/cellrun.go
@@ -10,6 +10,7 @@
 	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/keyspace"
 	"github.com/parsleystack/parsleystack/platformlog"
+	"github.com/parsleystack/parsleystack/settings"
 	"github.com/parsleystack/parsleystack/wire"
 )
 
@@ -80,6 +81,7 @@
 
 // cellConfig is the configuration of a member with the default settings.
 func cellConfig(member, ranges int) cell.Config {
+	lease := settings.Defaults().Lease
 	return cell.Config{
 		Service: serviceName(0),
 		Self: cell.Member{
@@ -91,13 +93,13 @@
 		},
 		Span:              keyspace.Full(),
 		InitialRanges:     ranges,
-		LeaseDuration:     2 * time.Second,
-		HeartbeatInterval: 700 * time.Millisecond,
-		RetryInterval:     250 * time.Millisecond,
-		DriftPPM:          500,
-		BlindLimit:        24 * time.Hour,
-		SnapshotInterval:  6 * time.Hour,
-		DrainLimit:        30 * time.Second,
+		LeaseDuration:     lease.Duration,
+		HeartbeatInterval: lease.HeartbeatInterval,
+		RetryInterval:     lease.RetryInterval,
+		DriftPPM:          lease.DriftPPM,
+		BlindLimit:        lease.BlindLimit,
+		SnapshotInterval:  lease.SnapshotInterval,
+		DrainLimit:        lease.DrainLimit,
 		Seed:              1,
 	}
 }
