Hold requests again when their new owner is busy with what was held

Requests whose owner has changed are sent on in batches of 8; those whose owner has not changed are rechecked one batch a round, so that they cannot keep the holder from asking for routes.

--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -108,14 +108,21 @@
 	return r.hold(now)
 }
 
-// busy tries another daemon once, if any can run the request.
+// busy tries another daemon once, if any can run the request. A request that
+// was held for a new owner is held again: the owner is busy with what was held.
 func (r *Request) busy(ev Event, now clock.Time) Action {
-	if r.Rule.Keyed || r.retries > 0 {
-		return r.finish(outcome.NotRun, ev.Result.Reason, max(ev.Result.RetryAfter, retryAfterBusy))
+	retryAfter := max(ev.Result.RetryAfter, retryAfterBusy)
+	switch {
+	case !r.Rule.Keyed && r.retries == 0:
+		return r.retry(now, SendElsewhere, retryAfter)
+	case r.Rule.Keyed && r.held() && now.Sub(r.heldSince) < maxHold:
+		return r.retry(now, Hold, retryAfter)
 	}
-	return r.retry(now, SendElsewhere, max(ev.Result.RetryAfter, retryAfterBusy))
+	return r.finish(outcome.NotRun, ev.Result.Reason, retryAfter)
 }
 
+func (r *Request) held() bool { return r.heldSince != clock.Never }
+
 func (r *Request) peerFailed(ev Event, now clock.Time) Action {
 	if ev.Sent {
 		return r.unknown(outcome.ConnectionLost, now, Hold)
@@ -169,7 +176,7 @@
 }
 
 func (r *Request) hold(now clock.Time) Action {
-	if r.heldSince == clock.Never {
+	if !r.held() {
 		r.heldSince = now
 	}
 	if r.late(now) || now.Sub(r.heldSince) > maxHold {
--- a/dispatch/request_test.go
+++ b/dispatch/request_test.go
@@ -81,6 +81,20 @@
 	t.Error("held without end")
 }
 
+func TestBusyNewOwnerIsTriedAgain(t *testing.T) {
+	var b Budget
+	r := Request{Rule: Rule{Keyed: true, Deadline: clock.Time(time.Minute), Service: &b}}
+	r.Step(notRun(outcome.Moving, false), 1)
+	r.Step(Event{Kind: Refreshed}, 2)
+	if got := r.Step(notRun(outcome.Overloaded, false), 3); got.Kind != Hold {
+		t.Errorf("after a hold: %+v, want another", got)
+	}
+	late := clock.Time(1).Add(maxHold)
+	if got := r.Step(notRun(outcome.Overloaded, false), late); got.Kind != Finish || got.Result.RetryAfter == 0 {
+		t.Errorf("after all holds: %+v", got)
+	}
+}
+
 func TestBudgetBoundsRetries(t *testing.T) {
 	var b Budget
 	retries := 0
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -22,7 +22,7 @@
 	// releaseBatch is the number of held requests that are sent on at once, and
 	// releasePause the time between batches: all at once would overrun the queue
 	// of the new owner.
-	releaseBatch = 16
+	releaseBatch = 8
 	releasePause = 5 * time.Millisecond
 	// minSuspectPause and maxSuspectPause bound the time between questions for
 	// the owner of a point whose owner is silent.
@@ -114,10 +114,12 @@
 			return
 		}
 		h.refresh(points)
-		woken, more := h.release()
+		woken := h.recheck()
+		moved, more := h.release()
 		for more && h.sleep(releasePause) {
 			_, more = h.release()
 		}
+		woken += moved
 		if woken > 0 {
 			pause = minRefreshPause
 		}
@@ -177,10 +179,20 @@
 	return changed
 }
 
-// release wakes a batch of the requests whose owner has changed and of those
-// that have waited for long, by deadline. more reports that others are due.
-func (h *holder) release() (woken int, more bool) {
+// recheck wakes a batch of the requests that have waited for long, by deadline.
+func (h *holder) recheck() (woken int) {
 	now := h.gateway.cfg.Now()
+	woken, _ = h.wakeBatch(func(w *heldFlight) bool { return now.Sub(w.since) >= recheckAfter })
+	return woken
+}
+
+// release wakes a batch of the requests whose owner has changed, by deadline.
+// more reports that there are others.
+func (h *holder) release() (woken int, more bool) {
+	return h.wakeBatch(func(w *heldFlight) bool { return w.flight.moved() })
+}
+
+func (h *holder) wakeBatch(due func(*heldFlight) bool) (woken int, more bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, x := range h.queue.Take() {
@@ -188,14 +200,17 @@
 		if w == nil {
 			continue
 		}
-		due := w.flight.moved() || now.Sub(w.since) >= recheckAfter
-		if due && woken < releaseBatch {
-			h.wakeLocked(x.ID, dispatch.Refreshed)
-			woken++
+		if !due(w) {
+			h.queue.Add(x)
+			continue
+		}
+		if woken == releaseBatch {
+			more = true
+			h.queue.Add(x)
 			continue
 		}
-		more = more || due
-		h.queue.Add(x)
+		h.wakeLocked(x.ID, dispatch.Refreshed)
+		woken++
 	}
 	return woken, more
 }
