Refuse a daemon whose certificate is that of another instance

Cause: with mutual TLS any certificate of the authority could name itself as any instance in its Hello, and so act as another member or leader. Both ends now compare the common name and the DNS names of the certificate with the name given. The test passes both ways only with the check. The transport tests use the certificates of package certtest in place of a second authority.

--- a/transport/handshake.go
+++ b/transport/handshake.go
@@ -53,6 +53,9 @@
 	if err != nil {
 		return nil, wire.Hello{}, err
 	}
+	if err := checkIdentity(conn, &peer); err != nil {
+		return nil, wire.Hello{}, err
+	}
 	reader.SetLimit(cfg.MaxFrame)
 	return reader, peer, conn.SetDeadline(time.Time{})
 }
@@ -75,6 +78,9 @@
 	if helloErr != nil {
 		return nil, peer, helloErr
 	}
+	if err := checkIdentity(conn, &peer); err != nil {
+		return nil, peer, err
+	}
 	if !Class(peer.Class).valid() {
 		return nil, peer, &wire.GarbageError{What: "unknown traffic class"}
 	}
