--- /dev/null
+++ b/entry/watcher.go
@@ -0,0 +1,116 @@
+package entry
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/parsleystack/parsleystack/clock"
+)
+
+const (
+	watchShards = 16
+	// watchInterval is the time between sweeps, and thus the delay with which a
+	// deadline is noticed here. The owner's daemon notices it exactly.
+	watchInterval = 5 * time.Millisecond
+	// probeRounds is the number of sweeps between looks at the connections.
+	probeRounds = 5
+)
+
+// watcher ends the contexts of requests whose deadline has passed or whose
+// caller has left: fasthttp reads nothing from a connection while its request
+// is served.
+type watcher struct {
+	shards [watchShards]watchShard
+}
+
+type watchShard struct {
+	mu      sync.Mutex
+	flights map[*flight]struct{}
+}
+
+func newWatcher() *watcher {
+	w := &watcher{}
+	for i := range w.shards {
+		w.shards[i].flights = make(map[*flight]struct{})
+	}
+	return w
+}
+
+func (w *watcher) shard(f *flight) *watchShard {
+	return &w.shards[f.http.ConnID()%watchShards]
+}
+
+func (w *watcher) add(f *flight) {
+	s := w.shard(f)
+	s.mu.Lock()
+	s.flights[f] = struct{}{}
+	s.mu.Unlock()
+}
+
+func (w *watcher) remove(f *flight) {
+	s := w.shard(f)
+	s.mu.Lock()
+	delete(s.flights, f)
+	s.mu.Unlock()
+}
+
+// run sweeps until ctx ends.
+func (w *watcher) run(ctx context.Context, now func() clock.Time) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for i := range w.shards {
+			w.shards[i].sweep(now(), round%probeRounds == 0)
+		}
+	}
+}
+
+// sweep ends the requests whose deadline has passed, the attempts whose owner
+// was replaced and, if probe is set, the requests whose callers have left. Most requests end before the first probe.
+func (s *watchShard) sweep(now clock.Time, probe bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for f := range s.flights {
+		switch {
+		case !now.Before(f.deadline):
+			f.ctx.end(errDeadline)
+		case probe && hasLeft(f.http.Conn()):
+			f.ctx.end(errCallerLeft)
+		case f.replaced(now):
+			f.ctx.end(errReplaced)
+		}
+	}
+}
+
+// hasLeft reports whether the other end has closed the connection.
+func hasLeft(conn net.Conn) bool {
+	if t, ok := conn.(*tls.Conn); ok {
+		conn = t.NetConn()
+	}
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return true
+	}
+	left := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		left = err == nil && n == 0 || err == unix.ECONNRESET
+	})
+	return left || err != nil
+}
--- /dev/null
+++ b/settings/load_test.go
@@ -0,0 +1,37 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/parsleystack/parsleystack/yamlfile/yamltest"
+)
+
+func TestLoadKeepsDefaultsBesideSetValues(t *testing.T) {
+	d, err := Load("testdata/good.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d.Lease.Duration != 3*time.Second || d.Lease.HeartbeatInterval != 750*time.Millisecond {
+		t.Fatalf("lease settings are %+v", d.Lease)
+	}
+	if d.Zone != "lombardy-a" || d.Target.Conns != 130 || !d.TLS.Insecure || d.LogLevel != LogInfo {
+		t.Fatalf("settings are %+v", d)
+	}
+}
+
+func TestLoadNamesAMissingFile(t *testing.T) {
+	_, err := Load("testdata/absent.yaml")
+	if !errors.Is(err, os.ErrNotExist) {
+		t.Fatalf("error is %v", err)
+	}
+}
+
+func TestLoadRejectsBadFiles(t *testing.T) {
+	yamltest.BadFiles(t, "testdata/bad", func(path string) error {
+		_, err := Load(path)
+		return err
+	})
+}
