--- a/cell/effects.go
+++ b/cell/effects.go
@@ -13,8 +13,9 @@
 	// in force in the request path before any message of this call is sent.
 	Holdings        []Holding
 	HoldingsChanged bool
-	// Release names held ranges whose new requests must be refused and whose
-	// work in flight must end; the driver answers with Released.
+	// Release names ranges whose new requests must be refused and whose work in
+	// flight must end; the driver answers with Released. Before a planned stop
+	// it also names ranges that ran out while work of them was in flight.
 	Release []Holding
 	// Prepare names ranges that the target is about to own; the driver answers
 	// with Prepared.
--- a/cell/event.go
+++ b/cell/event.go
@@ -73,7 +73,8 @@
 }
 
 // TargetState reports whether the local target takes requests. A member whose
-// target is not ready is granted no further range and its ranges are moved.
+// target is not ready is granted no further range and its ranges are moved. A
+// process counts as ready until the first such event.
 type TargetState struct {
 	Ready bool
 }
