Start the judgement of the leader anew when a deputy is named again

A deputy that had been replaced and was named again in the same term kept the count of heartbeats that showed no newer pledge, and claimed at once; it named a lost process as its deputy, and healthy members lapsed.

--- a/cell/deputy.go
+++ b/cell/deputy.go
@@ -55,6 +55,10 @@
 		n.deputy = deputy{term: n.ledger.Term()}
 	}
 	n.deputy.named = true
+	n.deputy.handover = false
+	n.deputy.heard = false
+	n.deputy.seen = 0
+	n.deputy.stalled = 0
 	n.deputy.lastPledge = n.now
 	n.deputy.lastHeard = n.now
 }
--- a/cell/leader_peer.go
+++ b/cell/leader_peer.go
@@ -143,10 +143,10 @@
 	p.held = max(p.held, m.Version)
 }
 
-// newer reports whether a request number is larger than another, which may be
-// 0 for none. Numbers wrap around.
+// newer reports whether a request number is larger than another; 0 stands for
+// none. Numbers wrap around.
 func newer(request, than uint32) bool {
-	return request != than && (than == 0 || int32(request-than) > 0)
+	return request != 0 && (than == 0 || int32(request-than) > 0)
 }
 
 // sendLease answers a Renew. No grants are sent while the gate is closed: the
--- a/cell/takeover_test.go
+++ b/cell/takeover_test.go
@@ -164,6 +164,29 @@
 	s.exclusive()
 }
 
+// A deputy that was replaced and is named again must not judge the leader by
+// what it heard in between.
+func TestDeputyNamedAgainDoesNotClaim(t *testing.T) {
+	s := settled(t, 3)
+	leader, first := s.leaderProc(), s.deputyProc()
+	term := leader.node.ledger.Term()
+	s.cut = func(from, to ident.Instance) bool { return from == first.id.Instance && to == leader.id.Instance }
+	s.run(2 * time.Second)
+	s.cut = nil
+	s.run(5 * time.Second)
+	second := s.deputyProc()
+	if second == first {
+		t.Fatal("the deputy was not replaced")
+	}
+	first.node.deputy.stalled = maxStalled
+	s.kill(second)
+	s.run(3 * time.Second)
+	if s.leaderProc() != leader || leader.node.ledger.Term() != term || s.deputyProc() != first {
+		t.Errorf("the deputy that was named again claimed\n%s", s.tail())
+	}
+	s.exclusive()
+}
+
 func TestBlindLeaderStopsGranting(t *testing.T) {
 	s := settled(t, 4)
 	s.logDown = true
