--- a/cell/takeover_test.go
+++ b/cell/takeover_test.go
@@ -179,6 +179,12 @@
 		t.Fatal("the deputy was not replaced")
 	}
 	first.node.deputy.stalled = maxStalled
+	s.delay = func(to ident.Instance, m Message) time.Duration {
+		if to == first.id.Instance && m.Heartbeat != nil {
+			return simLongPoll + simLogDelay
+		}
+		return 0
+	}
 	s.kill(second)
 	s.run(3 * time.Second)
 	if s.leaderProc() != leader || leader.node.ledger.Term() != term || s.deputyProc() != first {
