--- a/cell/follower.go
+++ b/cell/follower.go
@@ -247,6 +247,7 @@
 		m.Report = f.report
 	}
 	n.send(f.leader, Message{Renew: m})
+	n.repeatReleases()
 }
 
 // renewPause returns the time to the next Renew if this one is not answered.
--- a/cell/follower_handover.go
+++ b/cell/follower_handover.go
@@ -82,6 +82,14 @@
 	}
 }
 
+// repeatReleases reports again the releases that the leader has not acted on.
+func (n *Node) repeatReleases() {
+	f := &n.follower
+	for _, g := range f.dropped {
+		n.send(f.leader, Message{ReleaseDone: &ReleaseDone{Term: f.term, Grant: g}})
+	}
+}
+
 // resumeReleasing takes up admission again where work in flight has not ended
 // within the limit, unless the target is to stop.
 func (n *Node) resumeReleasing() {
--- a/cell/handover_test.go
+++ b/cell/handover_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/parsleystack/parsleystack/ident"
 )
 
 func TestLeavingProcessHandsOverWithoutLapse(t *testing.T) {
@@ -91,3 +93,26 @@
 		s.exclusive()
 	}
 }
+
+// A release is ordered twice; the owner takes up admission again after the
+// first and gives the range up after the second, whose report is lost at first.
+func TestReleaseThatTheLeaderHasGivenUpIsActedOn(t *testing.T) {
+	s := settled(t, 4)
+	p := s.plainProc()
+	grant := p.held[0].Grant
+	lost := 0
+	s.drop = func(from, _ ident.Instance, m Message) bool {
+		if from == p.id.Instance && m.ReleaseDone != nil && lost < 2 {
+			lost++
+			return true
+		}
+		return false
+	}
+	s.step(p, Received{From: p.node.follower.leader, Message: Message{Release: &Release{Term: p.node.follower.term, Grant: grant}}})
+	s.run(100 * time.Millisecond)
+	if s.covered() {
+		t.Fatal("the range was not released")
+	}
+	s.runUntil(lossLimit, s.covered)
+	s.exclusive()
+}
--- a/cell/move.go
+++ b/cell/move.go
@@ -160,13 +160,19 @@
 	}
 }
 
-// released notes that the old owner has given the range up.
+// released notes that the owner has given the range up. That holds even if the
+// hand-over has been ended in the meantime: the range needs an owner then.
 func (l *leader) released(g Grant) {
+	if e := l.table.entry(g.Range); e == nil || e.grant != g {
+		return
+	}
 	for _, m := range l.moves {
-		if m.phase == moveReleasing && m.grant == g {
+		if m.grant == g {
 			m.phase = moveReleased
+			return
 		}
 	}
+	l.moves = append(l.moves, &move{grant: g, phase: moveReleased})
 }
 
 // resumedRelease ends a hand-over whose work in flight did not end in time.
