--- a/cell/snapshot_test.go
+++ b/cell/snapshot_test.go
@@ -21,14 +21,16 @@
 	return s
 }
 
-func snapshots(s *sim) (count, last int) {
-	for i, rec := range s.records {
+// snapshots returns the number of snapshots, and how many records the newest
+// one covers.
+func snapshots(s *sim) (count, covered int) {
+	for _, rec := range s.records {
 		if r, err := DecodeRecord(rec.Payload); err == nil && r.Snapshot != nil {
 			count++
-			last = i
+			covered = int(r.Snapshot.Covered)
 		}
 	}
-	return count, last
+	return count, covered
 }
 
 func TestSnapshotsComeWithinTheInterval(t *testing.T) {
@@ -43,8 +45,8 @@
 func TestStartFromSnapshotAndTail(t *testing.T) {
 	s := withSnapshots(t)
 	s.run(30 * time.Second)
-	_, last := snapshots(s)
-	s.kept = last
+	_, covered := snapshots(s)
+	s.kept = covered
 	s.start(testConfig("t4", 1))
 	s.runUntil(20*time.Second, func() bool { return len(s.proc("t4").held) > 0 })
 	if err := s.proc("t4").err; err != nil {
@@ -99,8 +101,8 @@
 		id := p.id.Instance
 		s.logCut = func(node ident.Instance) bool { return node == id }
 		s.run(40 * time.Second)
-		_, last := snapshots(s)
-		s.kept = last
+		_, covered := snapshots(s)
+		s.kept = covered
 		s.logCut = nil
 		s.run(20 * time.Second)
 		if !s.covered() || p.err != nil {
