Call members back once the leader has authority

The scenario of an unsettled deputy record let the record land in time by chance of its phase; it now waits until the record is late.

--- a/cell/leader_peer.go
+++ b/cell/leader_peer.go
@@ -19,6 +19,8 @@
 	listed   []Grant
 	notReady bool
 	leaving  bool
+	// unserved is set while the newest Renew got no lease for want of authority.
+	unserved bool
 	// dismissed is set once the process has been told that it may stop.
 	dismissed bool
 	renewed   clock.Time // newest Renew
@@ -162,6 +164,7 @@
 	if micros > 0 {
 		p.lapse = max(p.lapse, n.now.Add(n.lapseAfter(time.Duration(micros)*time.Microsecond)))
 	}
+	p.unserved = micros == 0
 	if l.gate.open {
 		n.updateSent(p)
 	}
@@ -209,15 +212,23 @@
 	return true
 }
 
+// callBack reports whether a member that got no lease can have one now. The
+// message makes it renew at once.
+func (n *Node) callBack(p *peer) bool { return p.unserved && n.grantLimit() > n.now }
+
 // pushGrants sends changed grants at once.
 func (n *Node) pushGrants() {
 	for _, p := range n.leader.peers {
-		if p.node == n.self() || !p.confirmed || p.lapse <= n.now {
+		if p.node == n.self() || !p.confirmed {
+			continue
+		}
+		if p.lapse <= n.now && !n.callBack(p) {
 			continue
 		}
-		if !n.updateSent(p) && (p.held >= p.version || n.now < p.pushed.Add(n.timing.retry)) {
+		if !n.updateSent(p) && !n.callBack(p) && (p.held >= p.version || n.now < p.pushed.Add(n.timing.retry)) {
 			continue
 		}
+		p.unserved = false
 		m := &Lease{Term: n.leader.term, Version: p.version}
 		n.addGrants(p, m)
 		n.send(p.node, Message{Lease: m})
--- a/cell/rules_test.go
+++ b/cell/rules_test.go
@@ -171,6 +171,7 @@
 	s.cut = func(from, to ident.Instance) bool { return from == second || to == second }
 	s.landLate = func() time.Duration { return time.Minute }
 	s.runUntil(3*time.Second, func() bool { return len(s.leaderProc().node.appends.deputies) > 0 })
+	s.run(2 * simLogDelay)
 	s.landLate = nil
 	s.logCut = func(node ident.Instance) bool { return node != second }
 	s.run(15 * time.Second)
