--- a/daemon/calls.go
+++ b/daemon/calls.go
@@ -34,12 +34,21 @@
 	if _, err := q.UnmarshalMsg(body); err != nil {
 		return nil, fmt.Errorf("daemon: owners query is malformed: %w", err)
 	}
+	answer := d.localOwners(q.Service)
+	if answer == nil {
+		answer = d.directory.Known(q.Service)
+	}
+	return answer.MarshalMsg(nil)
+}
+
+// localOwners returns what the own member of the service's cell knows, or nil.
+func (d *Daemon) localOwners(svc ident.Service) *directory.Answer {
 	member := d.member.Load()
-	if q.Service != d.settings.Service || member == nil {
-		return nil, fmt.Errorf("daemon: %s holds no cell of service %q; refresh the list of its members", d.node, q.Service)
+	if svc != d.settings.Service || member == nil {
+		return nil
 	}
 	answer := directory.NewAnswer(member.View())
-	return answer.MarshalMsg(nil)
+	return &answer
 }
 
 func (d *Daemon) answerConfig(body []byte) ([]byte, error) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -124,6 +124,8 @@
 		Region: d.settings.Region,
 		Log:    d.platform,
 		Client: &ownersClient{pool: d.pool},
+		Local:  d.localOwners,
+		Peers:  d.cellAddrs,
 	})
 	d.gateway = entry.New(entry.Config{
 		Self:     d.node,
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -66,3 +66,18 @@
 	}
 	return "", false
 }
+
+// cellAddrs returns the addresses of the other members of the local cell.
+func (d *Daemon) cellAddrs() []string {
+	member := d.member.Load()
+	if member == nil {
+		return nil
+	}
+	var addrs []string
+	for _, m := range member.View().Members {
+		if m.Node != d.node {
+			addrs = append(addrs, m.Addr)
+		}
+	}
+	return addrs
+}
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -93,14 +93,20 @@
 		<-d.ctx.Done()
 		sctx, cancel := context.WithTimeout(context.Background(), stopGrace)
 		defer cancel()
-		return errors.Join(d.gateway.Shutdown(sctx), d.closeNetwork(), admin.ShutdownWithContext(sctx))
+		return errors.Join(d.gateway.Shutdown(sctx), d.closeNetwork(sctx), admin.ShutdownWithContext(sctx))
 	})
 }
 
-func (d *Daemon) closeNetwork() error {
-	d.server.Close()
+// closeNetwork tells the other daemons to send no more, lets them receive
+// their answers, and closes all connections. Peers that keep their connections
+// open longer than ctx lasts lose them; that is no fault of the stop.
+func (d *Daemon) closeNetwork(ctx context.Context) error {
+	err := d.server.Shutdown(ctx)
 	d.pool.Close()
-	return nil
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return err
 }
 
 func ignoreCanceled(err error) error {
--- a/directory/cellstate.go
+++ b/directory/cellstate.go
@@ -48,6 +48,13 @@
 	c.term, c.leader, c.deputy, c.members = a.Term, a.Leader, a.Deputy, a.Members
 }
 
+// known returns what learn has kept.
+func (c *cellState) known() *Answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return &Answer{Term: c.term, Leader: c.leader, Deputy: c.deputy, Members: c.members}
+}
+
 // candidates returns the addresses of up to n members: leader and deputy
 // first, then others at random.
 func (c *cellState) candidates(n int) []string {
--- a/directory/config.go
+++ b/directory/config.go
@@ -20,6 +20,12 @@
 	Region ident.Region // region whose cells are asked
 	Log    platformlog.Log
 	Client Client
+	// Local returns what the local daemon itself knows of the service's cell, or
+	// nil if it is no member of it; it may be nil.
+	Local func(svc ident.Service) *Answer
+	// Peers returns the addresses of daemons that may know the members of a
+	// cell while the log does not answer; it may be nil.
+	Peers func() []string
 	// Span returns the part of the hash space that the cell holds;
 	// keyspace.Full if nil.
 	Span func(svc ident.Service) keyspace.Range
@@ -51,6 +57,12 @@
 	if c.ReadTimeout == 0 {
 		c.ReadTimeout = DefaultReadTimeout
 	}
+	if c.Local == nil {
+		c.Local = func(ident.Service) *Answer { return nil }
+	}
+	if c.Peers == nil {
+		c.Peers = func() []string { return nil }
+	}
 	if c.Span == nil {
 		c.Span = func(ident.Service) keyspace.Range { return keyspace.Full() }
 	}
--- a/directory/directory.go
+++ b/directory/directory.go
@@ -1,6 +1,7 @@
 // Package directory finds the owners of the ranges of any service on demand.
 // It asks members of the service's cell, which it knows from their earlier
-// answers or, at first, from the cell's stream of the log. A change of owner is
+// answers or, at first, from the cell's stream of the log, or from other daemons
+// if the log does not answer. A change of owner is
 // never broadcast; the refusal of a wrong owner makes the entry daemon refresh.
 package directory
 
@@ -60,13 +61,20 @@
 	return c
 }
 
-// refresh asks the members known so far and falls back to the log.
+// refresh asks the members known so far and falls back to the log, then to
+// other daemons.
 func (d *Directory) refresh(ctx context.Context, c *cellState) ([]route.Entry, error) {
+	if local := d.cfg.Local(c.service); local != nil {
+		c.learn(local)
+		if local.Complete {
+			return c.entries(local), nil
+		}
+	}
 	answer, err := d.askMembers(ctx, c)
 	if err == nil {
 		return c.entries(answer), nil
 	}
-	if readErr := d.readStream(ctx, c); readErr != nil {
+	if readErr := d.readStream(ctx, c); readErr != nil && !d.askPeers(ctx, c) {
 		return nil, &NoMemberError{Service: c.service, Cause: readErr}
 	}
 	if answer, err = d.askMembers(ctx, c); err != nil {
@@ -75,6 +83,22 @@
 	return c.entries(answer), nil
 }
 
+// Known returns the members of the service's cell as an incomplete answer, for
+// a daemon that asks while the log does not answer.
+func (d *Directory) Known(svc ident.Service) *Answer { return d.cell(svc).known() }
+
+// askPeers learns the members of the cell from other daemons. It reports
+// whether any is known now.
+func (d *Directory) askPeers(ctx context.Context, c *cellState) bool {
+	addrs := d.cfg.Peers()
+	answer, err := d.ask(ctx, c.service, addrs[:min(len(addrs), queryWidth)])
+	if err != nil {
+		return false
+	}
+	c.learn(answer)
+	return len(answer.Members) > 0
+}
+
 // askMembers asks a few members at once and follows their hints until a
 // leader or deputy has answered.
 func (d *Directory) askMembers(ctx context.Context, c *cellState) (*Answer, error) {
@@ -102,16 +126,20 @@
 
 // askRound asks up to queryWidth members at once and returns the best answer.
 func (d *Directory) askRound(ctx context.Context, c *cellState) (*Answer, error) {
+	return d.ask(ctx, c.service, c.candidates(queryWidth))
+}
+
+// ask asks all addresses at once and returns the best answer.
+func (d *Directory) ask(ctx context.Context, svc ident.Service, addrs []string) (*Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.cfg.QueryTimeout)
 	defer cancel()
-	addrs := c.candidates(queryWidth)
 	if len(addrs) == 0 {
-		return nil, &NoMemberError{Service: c.service}
+		return nil, &NoMemberError{Service: svc}
 	}
 	results := make(chan queryResult, len(addrs))
 	for _, addr := range addrs {
 		go func() {
-			answer, err := d.cfg.Client.Query(ctx, addr, Query{Service: c.service})
+			answer, err := d.cfg.Client.Query(ctx, addr, Query{Service: svc})
 			results <- queryResult{answer: answer, err: err}
 		}()
 	}
--- a/directory/directory_test.go
+++ b/directory/directory_test.go
@@ -126,3 +126,27 @@
 		}
 	}
 }
+
+func TestOwnCellNeedsNoQuery(t *testing.T) {
+	d := New(Config{
+		Log:    &fakeLog{err: errCut},
+		Client: fakeClient{},
+		Local:  func(ident.Service) *Answer { return answerOf(4, true, "c") },
+	})
+	if got := refreshOwner(t, d); got != node("c") {
+		t.Fatalf("owner is %v", got)
+	}
+}
+
+func TestPeersNameTheMembersWhileTheLogIsDown(t *testing.T) {
+	known := answerOf(4, false, "b")
+	known.Grants = nil
+	d := New(Config{
+		Log:    &fakeLog{err: errCut},
+		Client: fakeClient{"peer:1": known, "a:1": answerOf(4, true, "c")},
+		Peers:  func() []string { return []string{"peer:1"} },
+	})
+	if got := refreshOwner(t, d); got != node("c") {
+		t.Fatalf("owner is %v", got)
+	}
+}
--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -22,7 +22,7 @@
 	// serve.
 	retryAfterDefault = time.Second
 	// maxHold is the longest time that a request is held for its owner.
-	maxHold = 6 * time.Second
+	maxHold = 4 * time.Second
 )
 
 // Rule is what a request may do.
