Let no deputy take over unheard while an older pair may know unlogged assignments

Cause: with a slow log the deputy named by a claim read that claim before its leader did, heard nothing and took over with the log's state. Ruled out: a longer timeout, which a slower log outlasts. The leader of the claim or a recovery carries the assignments on now. A pledge reports the change that the deputy holds also under FaultForgetProvisional; it reported the log's, so that nothing was ever acknowledged and the broken rule could not be noticed.

--- a/cell/deputy.go
+++ b/cell/deputy.go
@@ -134,7 +134,7 @@
 		Term:     m.Term,
 		Request:  m.Request,
 		Revision: n.deputy.revision,
-		Seq:      n.deputyState().Seq,
+		Seq:      max(n.deputyState().Seq, n.deputy.seq),
 	}})
 }
 
@@ -176,9 +176,16 @@
 	}})
 }
 
-// claimKind returns the kind of claim that is due, or 0.
+// claimKind returns the kind of claim that is due, or 0. A deputy that has not
+// heard its leader does not claim while an older pair may know of assignments
+// that the log does not hold: the leader of its own term may be the only one to
+// carry them over, and may just not have read its claim yet. If that leader is
+// lost too, a recovery collects what the members report.
 func (n *Node) claimKind() ClaimKind {
 	d := &n.deputy
+	if !d.heard && len(n.ledger.state.Pending) > 0 {
+		return 0
+	}
 	timeout := n.timing.claimTimeout
 	if !d.heard {
 		timeout *= 2
