--- a/bench/caller.go
+++ b/bench/caller.go
@@ -82,9 +82,8 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	path := op.PathFor(key)
 	req.Header.SetMethod(op.Method)
-	req.SetRequestURI("http://" + c.addr + path)
+	req.SetRequestURI("http://" + c.addr + op.PathFor(key))
 	req.Header.Set(headerCallerID, id)
 	req.Header.Set(headerTimeout, strconv.FormatInt(op.Timeout.Milliseconds(), 10))
 	if !op.Idempotent {
@@ -95,7 +94,7 @@
 	}
 	r := reply{class: c.classOf(resp), retry: len(resp.Header.Peek(fasthttp.HeaderRetryAfter)) > 0}
 	if r.class.Kind == outcome.Done && resp.StatusCode() < 300 {
-		r.answer = checkAnswer(resp.Body(), id, path, key)
+		r.answer = checkAnswer(resp.Body(), id, op.TargetPathFor(key), key)
 	}
 	return r
 }
--- a/bench/op.go
+++ b/bench/op.go
@@ -32,6 +32,12 @@
 	return strings.Replace(o.Path, keyPlaceholder, key, 1)
 }
 
+// TargetPathFor returns the path for a key as the target sees it, below the
+// service's prefix.
+func (o *Op) TargetPathFor(key string) string {
+	return strings.TrimPrefix(o.PathFor(key), "/"+string(o.Service()))
+}
+
 // ParseOp parses name:method:path:weight:timeout. GET and HEAD requests are
 // idempotent.
 func ParseOp(s string) (Op, error) {
--- a/bench/schedule_test.go
+++ b/bench/schedule_test.go
@@ -62,7 +62,7 @@
 
 func TestParseOp(t *testing.T) {
 	op, err := ParseOp("booking:POST:/bookings/{key}/surveyor:0.5:5s")
-	if err != nil || op.Idempotent || op.Service() != "bookings" || op.PathFor("h1") != "/bookings/h1/surveyor" {
+	if err != nil || op.Idempotent || op.Service() != "bookings" || op.PathFor("h1") != "/bookings/h1/surveyor" || op.TargetPathFor("h1") != "/h1/surveyor" {
 		t.Errorf("operation %+v, error %v", op, err)
 	}
 	for _, s := range []string{"a:GET:/x:1:1s", "a:GET:/{key}:0:1s", "a:GET:/{key}:1:1", "a:GET:{key}:1:1s", "a"} {
--- a/cmd/standin-target/main.go
+++ b/cmd/standin-target/main.go
@@ -20,6 +20,7 @@
 type args struct {
 	Listen       string        `arg:"--listen" default:"127.0.0.1:7500" help:"address to listen on"`
 	Name         string        `arg:"--name" default:"target" help:"name in answers and records"`
+	Service      string        `arg:"--service" help:"service that the target serves; without it the first path segment names it"`
 	Slots        int           `arg:"--slots" default:"20" help:"requests at work at once"`
 	Conns        int           `arg:"--connections" default:"130" help:"open connections"`
 	ConnCost     time.Duration `arg:"--conn-cost" default:"1ms" help:"time that a new connection takes"`
@@ -58,6 +59,7 @@
 	}
 	t := target.New(target.Config{
 		Name:        a.Name,
+		Service:     a.Service,
 		Slots:       a.Slots,
 		Conns:       a.Conns,
 		ConnCost:    a.ConnCost,
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -28,12 +28,13 @@
 
 start_instance() {
   local file="$1/daemons/$2.yaml"
-  local address slots conns
+  local address slots conns service
   address="$(setting "$file" address)"
   slots="$(setting "$file" slots)"
   conns="$(setting "$file" connections)"
+  service="$(setting "$file" service)"
   spawn "$RUN_DIR/$2.target.out" "$BIN/standin-target" --listen "$address" --slots "$slots" \
-    --connections "$conns" --name "$2" --runs "$RUN_DIR/$2.runs"
+    --connections "$conns" --name "$2" --service "$service" --runs "$RUN_DIR/$2.runs"
   TARGET_PID[$2]=$SPAWNED
   spawn "$RUN_DIR/$2.out" "$BIN/parsleyd" --settings "$file"
   DAEMON_PID[$2]=$SPAWNED
--- a/standin/target/config.go
+++ b/standin/target/config.go
@@ -24,6 +24,7 @@
 // Config holds the fixed parameters of a Target.
 type Config struct {
 	Name        string        // name in answers and records
+	Service     string        // service that is served; if empty, the first path segment names it
 	Slots       int           // requests at work at once; default 20
 	Conns       int           // open connections; default 130
 	ConnCost    time.Duration // time before the first request of a new connection is read
--- a/standin/target/request.go
+++ b/standin/target/request.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -48,23 +49,32 @@
 		ID:             string(h.Peek(headerCallerID)),
 		IdempotencyKey: string(h.Peek(headerIdempotencyKey)),
 		Method:         string(ctx.Method()),
-		Path:           string(ctx.Path()),
 		Token:          string(h.Peek(headerToken)),
 		Target:         config.Name,
 	}
-	run.Service, run.Key = splitPath(ctx.Path())
+	run.Service, run.Path = splitPath(ctx.Path(), config.Service)
+	run.Key = keyOf(run.Path)
 	if run.ID == "" {
 		run.ID = string(h.Peek(headerRequestID))
 	}
 	return run
 }
 
-// splitPath returns the first and the second segment of a path.
-func splitPath(path []byte) (service, key string) {
-	path = bytes.TrimPrefix(path, []byte{'/'})
-	first, rest, _ := bytes.Cut(path, []byte{'/'})
-	second, _, _ := bytes.Cut(rest, []byte{'/'})
-	return string(first), string(second)
+// splitPath returns the service that a path names and the rest of the path. A
+// daemon passes the rest only; the target knows its service then. If it does
+// not, the first segment names it.
+func splitPath(path []byte, known string) (service, rest string) {
+	first, below, _ := bytes.Cut(bytes.TrimPrefix(path, []byte{'/'}), []byte{'/'})
+	if known != "" && string(first) != known {
+		return known, string(path)
+	}
+	return string(first), "/" + string(below)
+}
+
+// keyOf returns the first segment of a path below the service's prefix.
+func keyOf(path string) string {
+	key, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	return key
 }
 
 // interruption is the reason for which work ended early.
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -73,21 +73,30 @@
 }
 
 func TestAnswerNamesRequestAndKey(t *testing.T) {
-	tt := start(t, target.Config{Name: "t1"})
-	resp, err := tt.do("POST", "/reports/house-7/photos", "", "X-Request-Id", "r1", "Idempotency-Key", "k1")
-	if err != nil {
-		t.Fatal(err)
-	}
-	var a target.Answer
-	if err := json.Unmarshal(resp.Body(), &a); err != nil {
-		t.Fatal(err)
-	}
-	if a.ID != "r1" || a.Key != "house-7" || a.Service != "reports" || a.Target != "t1" {
-		t.Errorf("answer %+v", a)
+	tests := map[string]struct{ service, path string }{
+		"path as a daemon passes it": {"reports", "/house-7/photos"},
+		"caller's path":              {"reports", "/reports/house-7/photos"},
+		"caller's path, any service": {"", "/reports/house-7/photos"},
 	}
-	runs := tt.Runs()
-	if len(runs) != 1 || runs[0].IdempotencyKey != "k1" || !runs[0].Completed || runs[0].End < runs[0].Start {
-		t.Errorf("runs %+v", runs)
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			instance := start(t, target.Config{Name: "t1", Service: tt.service})
+			resp, err := instance.do("POST", tt.path, "", "X-Request-Id", "r1", "Idempotency-Key", "k1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			var a target.Answer
+			if err := json.Unmarshal(resp.Body(), &a); err != nil {
+				t.Fatal(err)
+			}
+			if a.ID != "r1" || a.Key != "house-7" || a.Path != "/house-7/photos" || a.Service != "reports" || a.Target != "t1" {
+				t.Errorf("answer %+v", a)
+			}
+			runs := instance.Runs()
+			if len(runs) != 1 || runs[0].IdempotencyKey != "k1" || !runs[0].Completed || runs[0].End < runs[0].Start {
+				t.Errorf("runs %+v", runs)
+			}
+		})
 	}
 }
 
