--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -18,6 +18,9 @@
 	retryAfterHold = time.Second
 	// retryAfterBusy is the same where the owner is overloaded.
 	retryAfterBusy = 100 * time.Millisecond
+	// retryAfterDefault is the same for every other request that a repeat may
+	// serve.
+	retryAfterDefault = time.Second
 	// maxHold is the longest time that a request is held for its owner.
 	maxHold = 6 * time.Second
 )
@@ -79,6 +82,9 @@
 	case outcome.NotRun:
 		return r.refused(ev, now)
 	}
+	if ev.Result.Reason == outcome.Duplicate {
+		return r.finish(outcome.Unknown, outcome.Duplicate, ev.Result.RetryAfter)
+	}
 	return r.unknown(ev.Result.Reason, now, Send)
 }
 
@@ -108,14 +114,21 @@
 	return r.hold(now)
 }
 
-// busy tries another daemon once, if any can run the request.
+// busy tries another daemon once, if any can run the request. A request that
+// was held for a new owner is held again: the owner is busy with what was held.
 func (r *Request) busy(ev Event, now clock.Time) Action {
-	if r.Rule.Keyed || r.retries > 0 {
-		return r.finish(outcome.NotRun, ev.Result.Reason, max(ev.Result.RetryAfter, retryAfterBusy))
+	retryAfter := max(ev.Result.RetryAfter, retryAfterBusy)
+	switch {
+	case !r.Rule.Keyed && r.retries == 0:
+		return r.retry(now, SendElsewhere, retryAfter)
+	case r.Rule.Keyed && r.held() && now.Sub(r.heldSince) < maxHold:
+		return r.retry(now, Hold, retryAfter)
 	}
-	return r.retry(now, SendElsewhere, max(ev.Result.RetryAfter, retryAfterBusy))
+	return r.finish(outcome.NotRun, ev.Result.Reason, retryAfter)
 }
 
+func (r *Request) held() bool { return r.heldSince != clock.Never }
+
 func (r *Request) peerFailed(ev Event, now clock.Time) Action {
 	if ev.Sent {
 		return r.unknown(outcome.ConnectionLost, now, Hold)
@@ -169,7 +182,7 @@
 }
 
 func (r *Request) hold(now clock.Time) Action {
-	if r.heldSince == clock.Never {
+	if !r.held() {
 		r.heldSince = now
 	}
 	if r.late(now) || now.Sub(r.heldSince) > maxHold {
@@ -199,7 +212,19 @@
 func (r *Request) finish(kind outcome.Kind, reason outcome.Reason, retryAfter time.Duration) Action {
 	if r.mayHave {
 		kind = outcome.Unknown
-		retryAfter = 0
+	}
+	if retryAfter == 0 && comesBack(reason) {
+		retryAfter = retryAfterDefault
 	}
 	return Action{Kind: Finish, Result: outcome.Result{Kind: kind, Reason: reason, RetryAfter: retryAfter}}
 }
+
+// comesBack reports whether a later repeat of a request that was given up for
+// the reason can fare better.
+func comesBack(reason outcome.Reason) bool {
+	switch reason {
+	case outcome.BadRequest, outcome.UnknownService, outcome.Canceled:
+		return false
+	}
+	return true
+}
