--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -34,7 +34,7 @@
   conns="$(setting "$file" connections)"
   service="$(setting "$file" service)"
   spawn "$RUN_DIR/$2.target.out" "$BIN/standin-target" --listen "$address" --slots "$slots" \
-    --connections "$conns" --name "$2" --service "$service" --runs "$RUN_DIR/$2.runs"
+    --connections "$conns" --name "$2" --service "$service" --runs "$RUN_DIR/$2.runs" ${TARGET_FLAGS:-}
   TARGET_PID[$2]=$SPAWNED
   spawn "$RUN_DIR/$2.out" "$BIN/parsleyd" --settings "$file"
   DAEMON_PID[$2]=$SPAWNED
--- a/scripts/measure-processes.sh
+++ b/scripts/measure-processes.sh
@@ -88,7 +88,8 @@
   local dir="$RUN_DIR/requests" rate load
   settings "$dir" reports 1 1
   settings "$dir" bookings 1 2
-  start "$dir"
+  # The target must not be the limit.
+  TARGET_FLAGS="--service-time 1ms" start "$dir"
   for rate in $REQUEST_RATES; do
     "$BIN/parsley" bench --entry "127.0.0.1:$((BASE_PORT + 2))" --op 'report:GET:/reports/{key}:1:2s' \
       --zipf 0 --phases "${rate}x$((${WATCH%s} + 4))s" >"$RUN_DIR/bench-$rate.out" &
