--- a/capacity/capacity_test.go
+++ b/capacity/capacity_test.go
@@ -81,6 +81,7 @@
 		"open: 1 of 2 terms not measured yet",
 		"| network | reads | absent | **not measured yet** |",
 		"| Leader | memory | 102 MB | 128 MB | 1.25 | 0.634 | met |",
+		"When the size doubles again, memory of section *Leader* breaks first (margin 0.634)",
 		"| renewal | bytes of a renewal | 4 from 1 to 8 | 100 + 50 a unit, residual 0 B |",
 	} {
 		if !strings.Contains(page.String(), want) {
--- a/capacity/model.go
+++ b/capacity/model.go
@@ -12,6 +12,7 @@
 	Derived  []Derived `yaml:"derived"`
 	Budgets  []Budget  `yaml:"budgets"`
 	Sections []Section `yaml:"sections"`
+	Notes    []string  `yaml:"notes,omitempty"` // findings behind the figures
 }
 
 // Size is one figure of the size that the system has to carry.
--- a/capacity/page.go
+++ b/capacity/page.go
@@ -31,6 +31,7 @@
 	p.line("that lacks a term is a lower bound.")
 	m.writeSizes(&p)
 	m.writeVerdict(&p, now, later)
+	m.writeNotes(&p)
 	for i := range now {
 		writeSection(&p, &now[i])
 	}
@@ -86,6 +87,28 @@
 			quantity(r.now.Value, r.now.Budget.Unit), quantity(r.now.Budget.Limit, r.now.Budget.Unit),
 			margin(&r.now), margin(&r.later), verdict(&r.now))
 	}
+	writeBreaksFirst(p, rows)
+}
+
+// writeBreaksFirst names the need with the smallest margin at double size.
+func writeBreaksFirst(p *page, rows []verdictRow) {
+	if len(rows) == 0 || rows[0].later.Value == 0 {
+		return
+	}
+	r := &rows[0]
+	p.line("\nWhen the size doubles again, %s of section *%s* breaks first (margin %s); needs that lack a",
+		r.now.Budget.Resource, r.section, margin(&r.later))
+	p.line("term may break before it.")
+}
+
+func (m *Model) writeNotes(p *page) {
+	if len(m.Notes) == 0 {
+		return
+	}
+	p.line("\n## Notes\n")
+	for _, n := range m.Notes {
+		p.line("- %s", n)
+	}
 }
 
 // compareMargins orders needs by their margin, those without a measured term
