Hold reads that leave a frozen owner, without cost to the retry budget

Trial with a daemon and its target stopped for 5 s under 1,000 requests/s, 2 s timeout: 139 of 15,936 reads ended as unknown although their new owner was known, for want of retry budget or because all were sent to it at once.

--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -18,6 +18,9 @@
 	retryAfterHold = time.Second
 	// retryAfterBusy is the same where the owner is overloaded.
 	retryAfterBusy = 100 * time.Millisecond
+	// maxBusyHolds is the number of times that a request is held again because
+	// its new owner is busy.
+	maxBusyHolds = 5
 	// maxHold is the longest time that a request is held for its owner.
 	maxHold = 6 * time.Second
 )
@@ -41,6 +44,7 @@
 	redirects int
 	retries   int
 	heldSince clock.Time
+	busyHolds int
 	mayHave   bool // an attempt of unknown outcome was made
 	reason    outcome.Reason
 }
@@ -115,8 +119,9 @@
 	switch {
 	case !r.Rule.Keyed && r.retries == 0:
 		return r.retry(now, SendElsewhere, retryAfter)
-	case r.Rule.Keyed && r.held() && now.Sub(r.heldSince) < maxHold:
-		return r.retry(now, Hold, retryAfter)
+	case r.Rule.Keyed && r.held() && r.busyHolds < maxBusyHolds:
+		r.busyHolds++
+		return r.hold(now)
 	}
 	return r.finish(outcome.NotRun, ev.Result.Reason, retryAfter)
 }
@@ -131,12 +136,15 @@
 	return r.redirect(Event{Kind: Answered, Result: outcome.Result{Kind: outcome.NotRun, Reason: r.reason}, Moved: ev.Moved}, now)
 }
 
-// ownerReplaced gives up an attempt whose owner has lost the key.
+// ownerReplaced gives up an attempt whose owner has lost the key. It takes
+// nothing from the budgets: the earlier owner is given up, not loaded twice.
 func (r *Request) ownerReplaced(ev Event, now clock.Time) Action {
-	if ev.Sent {
-		return r.unknown(outcome.LeaseExpired, now, Send)
+	r.reason = outcome.LeaseExpired
+	r.mayHave = r.mayHave || ev.Sent
+	if ev.Sent && !r.Rule.Idempotent {
+		return r.finish(outcome.Unknown, outcome.LeaseExpired, 0)
 	}
-	return r.attempt(now, Send)
+	return r.hold(now)
 }
 
 // unknown handles an attempt that may have run.
