--- a/entry/faults_test.go
+++ b/entry/faults_test.go
@@ -99,7 +99,7 @@
 	faults.Go(func() {
 		for !stop.Load() {
 			time.Sleep(time.Duration(10+rand.IntN(30)) * time.Millisecond)
-			f.daemons[rand.IntN(2)].server.CloseConnections()
+			f.daemons[rand.IntN(2)].listener.closeConns()
 		}
 	})
 	counts, reasons := make(map[string]int), make(map[string]int)
--- a/entry/harness_test.go
+++ b/entry/harness_test.go
@@ -87,6 +87,8 @@
 	owner  *owner.Owner
 	server *transport.Server
 	client *target.Client
+
+	listener *cutListener
 }
 
 // handler joins the parts of a daemon.
@@ -109,9 +111,9 @@
 	d.owner.SetSpec(1, spec)
 	hello := wire.NewHello(spec.Name, d.node, "z1")
 	d.server = transport.NewServer(transport.Config{Hello: hello}, handler{d.owner}, nil)
-	l := listen(t)
-	d.addr = l.Addr().String()
-	go func() { _ = d.server.Serve(l) }()
+	d.listener = &cutListener{Listener: listen(t)}
+	d.addr = d.listener.Addr().String()
+	go func() { _ = d.server.Serve(d.listener) }()
 	t.Cleanup(func() {
 		d.server.Close()
 		d.client.Close()
@@ -233,3 +235,17 @@
 	spec.Key = service.KeyRule{}
 	return spec
 }
+
+// serveExample serves a gateway on an address of its own.
+func serveExample(g *entry.Gateway) (addr string, stop func()) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	go func() { _ = g.Serve(l) }()
+	return l.Addr().String(), func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = g.Shutdown(ctx)
+	}
+}
--- a/transport/authority_test.go
+++ b/transport/authority_test.go
@@ -63,3 +63,29 @@
 		RootCAs:      pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
 	}
 }
+
+// TestMutualTLS: both ends need a certificate of the shared authority.
+func TestMutualTLS(t *testing.T) {
+	authority := newAuthority(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(Config{Hello: hello("server"), TLS: authority.config(t)}, &echo{}, nil)
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(s.Close)
+	addr := l.Addr().String()
+
+	good := newTestPool(t, func(c *Config) { c.TLS = authority.config(t) })
+	if got, err := good.Call(ctxFor(t, 5*time.Second), addr, 1, []byte("x")); err != nil || string(got) != "\x01x" {
+		t.Errorf("with a certificate: %q, %v", got, err)
+	}
+	stranger := newTestPool(t, func(c *Config) { c.TLS = newAuthority(t).config(t) })
+	if _, err := stranger.Call(ctxFor(t, 5*time.Second), addr, 1, nil); err == nil {
+		t.Error("a certificate of another authority is accepted")
+	}
+	plain := newTestPool(t, nil)
+	if _, err := plain.Call(ctxFor(t, 5*time.Second), addr, 1, nil); err == nil {
+		t.Error("a plain connection is accepted")
+	}
+}
--- a/transport/server.go
+++ b/transport/server.go
@@ -220,16 +220,6 @@
 	s.done.Wait()
 }
 
-// CloseConnections closes all connections at once, as a fault for tests. Peers
-// connect again.
-func (s *Server) CloseConnections() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		_ = c.conn.Close()
-	}
-}
-
 func (s *Server) isClosed() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
