Add make faults: a seeded failure run on real processes

Both sample deployments run side by side under open load while a plan drawn from a seed kills, pauses, drains and restarts instances, disturbs the log and lets operators race. The judge of parsley bench reads the targets' own records.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 BIN := bin
 SEED ?= 1
 STEPS ?= 1000000
+MINUTES ?= 3
 
-.PHONY: build generate run test lint soak measure
+.PHONY: build generate run test lint soak measure faults
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -29,5 +30,9 @@
 measure: build
 	BIN=$(BIN) scripts/measure.sh
 
+# Kills, pauses, log faults, races and drains on real processes, drawn from SEED.
+faults: build
+	BIN=$(BIN) SEED=$(SEED) MINUTES=$(MINUTES) ./scripts/faults.sh
+
 soak:
 	$(GO) run ./cmd/parsley-soak --seed $(SEED) --steps $(STEPS)
--- /dev/null
+++ b/faultplan/kind.go
@@ -0,0 +1,27 @@
+package faultplan
+
+// Kind says what an action does.
+type Kind string
+
+const (
+	Kill         Kind = "kill"          // end the daemon and the target of an instance by SIGKILL
+	Start        Kind = "start"         // start the daemon and the target of an instance
+	PauseDaemon  Kind = "pause-daemon"  // SIGSTOP to a daemon
+	ResumeDaemon Kind = "resume-daemon" // SIGCONT to a daemon
+	PauseTarget  Kind = "pause-target"  // SIGSTOP to a target
+	ResumeTarget Kind = "resume-target" // SIGCONT to a target
+	Drain        Kind = "drain"         // order the planned stop of an instance
+	Cut          Kind = "cut"           // cut links of a daemon, see Direction
+	Heal         Kind = "heal"          // end all cuts of links of a daemon
+	Log          Kind = "log"           // set the faults of the log service
+	Race         Kind = "race"          // two operators publish conflicting changes of a service at once
+)
+
+// faulting reports whether the action begins a fault.
+func (k Kind) faulting() bool {
+	switch k {
+	case Start, ResumeDaemon, ResumeTarget, Heal:
+		return false
+	}
+	return true
+}
--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -1,4 +1,5 @@
-# Starts and stops the processes of a sample deployment. Sourced by run.sh.
+# Starts and stops the processes of a sample deployment. Sourced by run.sh,
+# faults.sh and measure-loss.sh.
 #
 # start_log DIR PORT          start the stand-in of the platform's log
 # start_instance DIR NAME     start the stand-in target and the daemon of an instance
@@ -13,7 +14,7 @@
 spawn() { # LOG-FILE COMMAND...
   local out="$1"
   shift
-  "$@" >"$out" 2>&1 &
+  "$@" >>"$out" 2>&1 &
   SPAWNED=$!
   PIDS+=("$SPAWNED")
 }
@@ -23,7 +24,7 @@
 }
 
 start_log() {
-  spawn "$RUN_DIR/log.out" "$BIN/standin-log" --listen "127.0.0.1:$1"
+  spawn "$RUN_DIR/log-$1.out" "$BIN/standin-log" --listen "127.0.0.1:$1"
 }
 
 start_instance() {
--- /dev/null
+++ b/scripts/faultactions.sh
@@ -0,0 +1,185 @@
+# Carries out the actions of a plan of failures. Sourced by faults.sh.
+#
+# prepare DEP         write the settings files of a deployment for this run
+# publish_first DEP   put the deployment's service files into force
+# start_load DEP      start the load and the judge of a deployment
+# carry_out PLAN      carry out the actions of a plan at their times
+# final_status DEP    write what the daemons have in force at the end
+# stop_started        stop every process that was started here
+
+declare -A STATE     # by instance: up, down or draining
+declare -A PENDING   # by instance: deployment of a drained one that waits for its restart
+declare -A LOG_PID BENCH_PID
+
+event() { # DEP KIND SUBJECT DETAIL
+  printf '%s,%s,%s,%s,%s\n' "$(date +%s%N)" "$1" "$2" "$3" "${4//,/;}" >>"$RUN_DIR/events.csv"
+}
+
+prepare() { # ports 21000 to 22999 become 31000 to 32999
+  local f
+  mkdir -p "$RUN_DIR/$1/daemons" "$RUN_DIR/$1/publishes"
+  cp -r "deploy/$1/services" "$RUN_DIR/$1/services"
+  for f in deploy/"$1"/daemons/*.yaml; do
+    sed 's/127\.0\.0\.1:2\([12]\)/127.0.0.1:3\1/' "$f" >"$RUN_DIR/$1/daemons/$(basename "$f")"
+  done
+}
+
+log_addr() { echo "127.0.0.1:${LOG_PORT[$1]}"; }
+
+publish_first() {
+  "$BIN/parsley" --json publish --log "$(log_addr "$1")" --operator first "$RUN_DIR/$1/services" \
+    >"$RUN_DIR/$1/publishes/0-first.json"
+}
+
+entries() { # DEP: the callers' addresses, separated by commas
+  sed -n 's/^ *callers: *//p' "$RUN_DIR/$1"/daemons/*.yaml | paste -sd,
+}
+
+start_load() {
+  local runs=() name
+  for name in $(instances "$RUN_DIR/$1"); do
+    runs+=(--runs "$RUN_DIR/$name.runs")
+  done
+  event "$1" load start -
+  "$BIN/parsley" bench --entry "$(entries "$1")" --mix "$1" --phases "${RATE}x${LENGTH}s" --keys 2000 \
+    --seed "$SEED" --generators 2 --divided --timeline-csv "$RUN_DIR/$1/timeline.csv" "${runs[@]}" \
+    >"$RUN_DIR/$1/bench.out" 2>&1 &
+  BENCH_PID[$1]=$!
+}
+
+carry_out() {
+  local start now at dep losses kind subject detail
+  start="$(date +%s%N)"
+  while read -r at dep losses kind subject detail; do
+    now=$((($(date +%s%N) - start) / 1000000))
+    if [ "$at" -gt "$now" ]; then
+      sleep "$(printf '%d.%03d' $(((at - now) / 1000)) $(((at - now) % 1000)))"
+    fi
+    restart_pending
+    act "$dep" "$losses" "$kind" "$subject" "$detail"
+  done <"$1"
+}
+
+act() { # DEP LOSSES KIND SUBJECT DETAIL
+  case "$3" in
+  log) set_log "$1" "$5" ;;
+  race) race "$1" "$4" "$5" & ;;
+  start) restart "$1" "$4" ;;
+  *)
+    if [ "${STATE[$4]}" != up ]; then
+      event "$1" skipped "$4" "$3"
+      return
+    fi
+    instance_fault "$@"
+    return
+    ;;
+  esac
+  event "$1" "$3" "$4" "$5"
+}
+
+instance_fault() { # DEP LOSSES KIND INSTANCE DETAIL
+  event "$1" "$3" "$4" "$2"
+  case "$3" in
+  kill)
+    STATE[$4]=down
+    lose_instance "$4"
+    ;;
+  pause-daemon) kill -STOP "${DAEMON_PID[$4]}" ;;
+  resume-daemon) kill -CONT "${DAEMON_PID[$4]}" ;;
+  pause-target) kill -STOP "${TARGET_PID[$4]}" ;;
+  resume-target) kill -CONT "${TARGET_PID[$4]}" ;;
+  drain)
+    STATE[$4]=draining
+    drain "$1" "$4" "${DAEMON_PID[$4]}" "${TARGET_PID[$4]}" &
+    ;;
+  *) event "$1" unknown-kind "$4" "$3" ;;
+  esac
+}
+
+set_log() { # DEP JSON
+  curl -s -m 5 -X PUT -d "$2" "http://$(log_addr "$1")/control" >/dev/null
+}
+
+# restart starts an instance that is down. A drained one that has not ended yet
+# is started by restart_pending later.
+restart() { # DEP INSTANCE
+  case "${STATE[$2]}" in
+  up) return ;;
+  draining)
+    if [ -e "$RUN_DIR/$2.drain-refused" ]; then
+      rm "$RUN_DIR/$2.drain-refused"
+      unset "PENDING[$2]"
+      STATE[$2]=up
+      return
+    fi
+    if kill -0 "${TARGET_PID[$2]}" 2>/dev/null; then
+      PENDING[$2]=$1
+      return
+    fi
+    ;;
+  esac
+  unset "PENDING[$2]"
+  start_instance "$RUN_DIR/$1" "$2"
+  STATE[$2]=up
+}
+
+restart_pending() {
+  local name
+  for name in "${!PENDING[@]}"; do
+    restart "${PENDING[$name]}" "$name"
+  done
+}
+
+# drain orders the planned stop of an instance and ends its target once the
+# daemon has gone.
+drain() { # DEP INSTANCE DAEMON-PID TARGET-PID
+  if ! "$BIN/parsley" --timeout 5s drain --daemons "$RUN_DIR/$1/daemons" --operator faults \
+    --reason "failure run" "$2" >"$RUN_DIR/$2.drain.out" 2>&1; then
+    : >"$RUN_DIR/$2.drain-refused"
+    event "$1" drain-refused "$2" -
+    return
+  fi
+  while kill -0 "$3" 2>/dev/null; do
+    sleep 0.05
+  done
+  event "$1" drained "$2" -
+  kill -TERM "$4"
+}
+
+# race lets two operators plan from the same state and publish at once.
+race() { # DEP SERVICE "FIRST,SECOND"
+  local number dir who value
+  number="$(date +%s%N)"
+  dir="$RUN_DIR/$1/races/$number"
+  for who in first second; do
+    value="${3%,*}"
+    [ "$who" = second ] && value="${3#*,}"
+    mkdir -p "$dir/$who"
+    sed "s/^queue_limit: .*/queue_limit: $value/" "$RUN_DIR/$1/services/$2.parsley.yaml" >"$dir/$who/$2.parsley.yaml"
+    "$BIN/parsley" --timeout 5s plan --log "$(log_addr "$1")" --out "$dir/$who.plan" "$dir/$who" >"$dir/$who.out" 2>&1 || return
+  done
+  for who in first second; do
+    "$BIN/parsley" --json --timeout 5s publish --log "$(log_addr "$1")" --operator "$who" \
+      --plan "$dir/$who.plan" "$dir/$who" >"$RUN_DIR/$1/publishes/$number-$who.json" 2>>"$dir/$who.out" &
+  done
+  wait
+}
+
+final_status() {
+  "$BIN/parsley" --json status --daemons "$RUN_DIR/$1/daemons" >"$RUN_DIR/$1/status.json" 2>"$RUN_DIR/$1/status.err"
+  [ -s "$RUN_DIR/$1/status.json" ]
+}
+
+stop_started() {
+  local name pid pids=()
+  for name in "${!DAEMON_PID[@]}"; do
+    [ "${STATE[$name]:-down}" = down ] && continue
+    pids+=("${DAEMON_PID[$name]}" "${TARGET_PID[$name]}")
+  done
+  pids+=("${LOG_PID[@]}" "${BENCH_PID[@]}")
+  for pid in "${pids[@]}"; do
+    kill -CONT "$pid" 2>/dev/null
+    kill -KILL "$pid" 2>/dev/null
+  done
+  wait 2>/dev/null
+}
--- /dev/null
+++ b/scripts/faults.sh
@@ -0,0 +1,72 @@
+#!/usr/bin/env bash
+# Runs both sample deployments side by side under open load and a seeded plan
+# of failures, and judges the outcome by the targets' own records.
+# Ends with a non-zero exit code if any promise was broken.
+# Usage: SEED=n MINUTES=m RATE=requests-a-second scripts/faults.sh
+set -uo pipefail
+cd "$(dirname "$0")/.."
+RUN_DIR="${RUN_DIR:-run/faults}"
+. scripts/deployment.sh
+. scripts/faultactions.sh
+
+SEED="${SEED:-1}"
+MINUTES="${MINUTES:-3}"
+RATE="${RATE:-150}"      # requests a second and deployment
+TWO_SHARE="${TWO_SHARE:-0.12}"
+LENGTH=$((MINUTES * 60)) # seconds of load
+DEPLOYMENTS=(perizia raumtafel)
+declare -A LOG_PORT=([perizia]=31900 [raumtafel]=32900)
+declare -A PROBED=([perizia]=reports [raumtafel]=door-panel-status)
+
+rm -rf "$RUN_DIR"
+mkdir -p "$RUN_DIR"
+trap stop_started EXIT
+trap 'exit 130' INT TERM
+
+fail() {
+  printf 'faults: %s\n' "$*" >&2
+  exit 1
+}
+
+for dep in "${DEPLOYMENTS[@]}"; do
+  prepare "$dep"
+  start_log "${LOG_PORT[$dep]}"
+  LOG_PID[$dep]=$SPAWNED
+  for name in $(instances "$RUN_DIR/$dep"); do
+    start_instance "$RUN_DIR/$dep" "$name"
+    STATE[$name]=up
+  done
+  publish_first "$dep" || fail "the configuration of $dep was not accepted"
+done
+for dep in "${DEPLOYMENTS[@]}"; do
+  wait_served "$RUN_DIR/$dep" 60 || fail "$dep is not served; see $RUN_DIR"
+done
+
+if [ -n "${PLAN:-}" ]; then
+  cp "$PLAN" "$RUN_DIR/plan"
+else
+  plan_dirs=()
+  for dep in "${DEPLOYMENTS[@]}"; do
+    plan_dirs+=("$dep=$RUN_DIR/$dep/daemons")
+  done
+  "$BIN/parsley-faultplan" --seed "$SEED" --duration "${LENGTH}s" --two-share "$TWO_SHARE" \
+    "${plan_dirs[@]}" >"$RUN_DIR/plan" || fail "there is no plan"
+fi
+
+for dep in "${DEPLOYMENTS[@]}"; do
+  start_load "$dep"
+done
+carry_out "$RUN_DIR/plan"
+
+verdict=0
+for dep in "${DEPLOYMENTS[@]}"; do
+  wait "${BENCH_PID[$dep]}" || verdict=1
+  unset "BENCH_PID[$dep]"
+  final_status "$dep" || verdict=1
+done
+for dep in "${DEPLOYMENTS[@]}"; do
+  printf '\n== %s\n' "$dep"
+  cat "$RUN_DIR/$dep/bench.out"
+done
+[ "$verdict" -eq 0 ] || fail "a promise was broken; see $RUN_DIR (seed $SEED, $MINUTES minutes)"
+echo "faults: every promise was kept (seed $SEED, $MINUTES minutes)"
