Cut links between daemons in the failure run

Daemons announce listen.announce to others where it is set, so that a relay can stand between them. standin-link is that relay: it knows the sender by the Hello and stalls or resets links one way or both.

--- a/daemon/cellconfig.go
+++ b/daemon/cellconfig.go
@@ -50,7 +50,7 @@
 	return cell.Member{
 		Node:     d.node,
 		Zone:     d.settings.Zone,
-		Addr:     d.settings.Listen.Daemons,
+		Addr:     d.settings.Listen.Announced(),
 		Capacity: d.settings.Target.Slots,
 		Version:  memberVersion,
 	}
--- a/faultplan/direction.go
+++ b/faultplan/direction.go
@@ -4,7 +4,8 @@
 type Direction string
 
 const (
-	Both     Direction = "both"     // to and from all other daemons
-	Inbound  Direction = "inbound"  // what others send to the daemon
-	Outbound Direction = "outbound" // what the daemon sends to others
+	Both     Direction = "both"     // to and from all other daemons; data arrives late
+	Inbound  Direction = "inbound"  // what others send to the daemon; data arrives late
+	Outbound Direction = "outbound" // what the daemon sends to others; data arrives late
+	Reset    Direction = "reset"    // all connections to and from the daemon are closed
 )
--- a/faultplan/instance.go
+++ b/faultplan/instance.go
@@ -16,7 +16,7 @@
 	{Cut, Heal},
 }
 
-var directions = []Direction{Both, Inbound, Outbound}
+var directions = []Direction{Both, Inbound, Outbound, Reset}
 
 // instanceFault draws one fault of an instance and returns its end. Drains are
 // for single losses only, so that nothing else disturbs them.
--- a/scripts/faultactions.sh
+++ b/scripts/faultactions.sh
@@ -1,6 +1,7 @@
 # Carries out the actions of a plan of failures. Sourced by faults.sh.
 #
 # prepare DEP         write the settings files of a deployment for this run
+# start_links DEP     start the relay of the links between daemons
 # publish_first DEP   put the deployment's service files into force
 # start_load DEP      start the load and the judge of a deployment
 # carry_out PLAN      carry out the actions of a plan at their times
@@ -9,21 +10,51 @@
 
 declare -A STATE     # by instance: up, down or draining
 declare -A PENDING   # by instance: deployment of a drained one that waits for its restart
-declare -A LOG_PID BENCH_PID
+declare -A CUTS      # by instance: deployment:direction
+declare -A LOG_PID BENCH_PID LINK_PID
 
 event() { # DEP KIND SUBJECT DETAIL
   printf '%s,%s,%s,%s,%s\n' "$(date +%s%N)" "$1" "$2" "$3" "${4//,/;}" >>"$RUN_DIR/events.csv"
 }
 
-prepare() { # ports 21000 to 22999 become 31000 to 32999
-  local f
+# prepare moves ports 21000 to 22999 to 31000 to 32999. Daemons announce ports
+# x14nn, which standin-link relays to x11nn.
+prepare() {
+  local f port
   mkdir -p "$RUN_DIR/$1/daemons" "$RUN_DIR/$1/publishes"
   cp -r "deploy/$1/services" "$RUN_DIR/$1/services"
   for f in deploy/"$1"/daemons/*.yaml; do
-    sed 's/127\.0\.0\.1:2\([12]\)/127.0.0.1:3\1/' "$f" >"$RUN_DIR/$1/daemons/$(basename "$f")"
+    port="$(sed -n 's/^ *daemons: 127\.0\.0\.1:2\([0-9]*\)/\1/p' "$f")"
+    sed -e "s/^\( *\)daemons: .*/&\n\1announce: 127.0.0.1:3$((port + 300))/" \
+      -e 's/127\.0\.0\.1:2\([12]\)/127.0.0.1:3\1/' "$f" >"$RUN_DIR/$1/daemons/$(basename "$f")"
   done
 }
 
+start_links() { # DEP
+  local f routes=()
+  for f in "$RUN_DIR/$1"/daemons/*.yaml; do
+    routes+=(--route "$(basename "$f" .yaml)=$(setting "$f" announce)=$(setting "$f" daemons)")
+  done
+  spawn "$RUN_DIR/$1/link.out" "$BIN/standin-link" --control "127.0.0.1:${LINK_PORT[$1]}" "${routes[@]}"
+  LINK_PID[$1]=$SPAWNED
+}
+
+# set_links puts the cuts of CUTS into force.
+set_links() { # DEP
+  local name list=""
+  for name in "${!CUTS[@]}"; do
+    [ "${CUTS[$name]%%:*}" = "$1" ] || continue
+    case "${CUTS[$name]#*:}" in
+    both) list+="{\"from\":\"$name\",\"to\":\"*\"},{\"from\":\"*\",\"to\":\"$name\"}," ;;
+    inbound) list+="{\"from\":\"*\",\"to\":\"$name\"}," ;;
+    outbound) list+="{\"from\":\"$name\",\"to\":\"*\"}," ;;
+    reset) list+="{\"from\":\"$name\",\"to\":\"*\",\"reset\":true},{\"from\":\"*\",\"to\":\"$name\",\"reset\":true}," ;;
+    esac
+  done
+  curl -s -f -m 5 -X PUT -d "{\"cuts\":[${list%,}]}" "http://127.0.0.1:${LINK_PORT[$1]}/control" >/dev/null ||
+    event "$1" control-failed links -
+}
+
 log_addr() { echo "127.0.0.1:${LOG_PORT[$1]}"; }
 
 publish_first() {
@@ -66,7 +97,7 @@
   race) race "$1" "$4" "$5" & ;;
   start) restart "$1" "$4" ;;
   *)
-    if [ "${STATE[$4]}" != up ]; then
+    if [ "${STATE[$4]}" != up ]; then # its drain has not ended
       event "$1" skipped "$4" "$3"
       return
     fi
@@ -92,12 +123,21 @@
     STATE[$4]=draining
     drain "$1" "$4" "${DAEMON_PID[$4]}" "${TARGET_PID[$4]}" &
     ;;
+  cut)
+    CUTS[$4]="$1:$5"
+    set_links "$1"
+    ;;
+  heal)
+    unset "CUTS[$4]"
+    set_links "$1"
+    ;;
   *) event "$1" unknown-kind "$4" "$3" ;;
   esac
 }
 
 set_log() { # DEP JSON
-  curl -s -m 5 -X PUT -d "$2" "http://$(log_addr "$1")/control" >/dev/null
+  curl -s -f -m 5 -X PUT -d "$2" "http://$(log_addr "$1")/control" >/dev/null ||
+    event "$1" control-failed log -
 }
 
 # restart starts an instance that is down. A drained one that has not ended yet
@@ -133,7 +173,7 @@
 # drain orders the planned stop of an instance and ends its target once the
 # daemon has gone.
 drain() { # DEP INSTANCE DAEMON-PID TARGET-PID
-  if ! "$BIN/parsley" --timeout 5s drain --daemons "$RUN_DIR/$1/daemons" --operator faults \
+  if ! "$BIN/parsley" --timeout 5s drain --admin "$(setting "$RUN_DIR/$1/daemons/$2.yaml" admin)" --operator faults \
     --reason "failure run" "$2" >"$RUN_DIR/$2.drain.out" 2>&1; then
     : >"$RUN_DIR/$2.drain-refused"
     event "$1" drain-refused "$2" -
@@ -176,7 +216,7 @@
     [ "${STATE[$name]:-down}" = down ] && continue
     pids+=("${DAEMON_PID[$name]}" "${TARGET_PID[$name]}")
   done
-  pids+=("${LOG_PID[@]}" "${BENCH_PID[@]}")
+  pids+=("${LOG_PID[@]}" "${BENCH_PID[@]}" "${LINK_PID[@]}")
   for pid in "${pids[@]}"; do
     kill -CONT "$pid" 2>/dev/null
     kill -KILL "$pid" 2>/dev/null
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -16,6 +16,7 @@
 LENGTH=$((MINUTES * 60)) # seconds of load
 DEPLOYMENTS=(perizia raumtafel)
 declare -A LOG_PORT=([perizia]=31900 [raumtafel]=32900)
+declare -A LINK_PORT=([perizia]=31800 [raumtafel]=32800)
 declare -A PROBED=([perizia]=reports [raumtafel]=door-panel-status)
 
 rm -rf "$RUN_DIR"
@@ -32,6 +33,7 @@
   prepare "$dep"
   start_log "${LOG_PORT[$dep]}"
   LOG_PID[$dep]=$SPAWNED
+  start_links "$dep"
   for name in $(instances "$RUN_DIR/$dep"); do
     start_instance "$RUN_DIR/$dep" "$name"
     STATE[$name]=up
@@ -49,7 +51,7 @@
   for dep in "${DEPLOYMENTS[@]}"; do
     plan_dirs+=("$dep=$RUN_DIR/$dep/daemons")
   done
-  "$BIN/parsley-faultplan" --seed "$SEED" --duration "${LENGTH}s" --two-share "$TWO_SHARE" \
+  "$BIN/parsley-faultplan" --seed "$SEED" --duration "${LENGTH}s" --two-share "$TWO_SHARE" --links \
     "${plan_dirs[@]}" >"$RUN_DIR/plan" || fail "there is no plan"
 fi
 
--- a/settings/listen.go
+++ b/settings/listen.go
@@ -5,14 +5,28 @@
 // Listen holds the addresses that the daemon listens on, each IP:port.
 type Listen struct {
 	Callers string `yaml:"callers"` // HTTP for callers
-	Daemons string `yaml:"daemons"` // TCP for other daemons; announced to them
+	Daemons string `yaml:"daemons"` // TCP for other daemons
 	Admin   string `yaml:"admin"`   // HTTP for operators and metrics
+	// Announce is the address that other daemons connect to; Daemons if it is
+	// empty.
+	Announce string `yaml:"announce,omitempty"`
+}
+
+// Announced returns the address that other daemons connect to.
+func (l *Listen) Announced() string {
+	if l.Announce != "" {
+		return l.Announce
+	}
+	return l.Daemons
 }
 
 func (l *Listen) check(c *yamlfile.Checker) {
 	c.Addr("listen.callers", l.Callers)
 	c.Addr("listen.daemons", l.Daemons)
 	c.Addr("listen.admin", l.Admin)
+	if l.Announce != "" {
+		c.Addr("listen.announce", l.Announce)
+	}
 	const remedy = "give each listener its own port"
 	if l.Daemons != "" && l.Daemons == l.Callers {
 		c.Fail("listen.daemons", "the address is also that of listen.callers", remedy)
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -35,3 +35,14 @@
 		return err
 	})
 }
+
+func TestDaemonsAnnounceTheirListenerUnlessToldOtherwise(t *testing.T) {
+	l := Listen{Daemons: "127.0.0.1:21100"}
+	if got := l.Announced(); got != l.Daemons {
+		t.Fatalf("announced is %s", got)
+	}
+	l.Announce = "127.0.0.1:21400"
+	if got := l.Announced(); got != l.Announce {
+		t.Fatalf("announced is %s", got)
+	}
+}
