--- a/scripts/faultactions.sh
+++ b/scripts/faultactions.sh
@@ -4,6 +4,8 @@
 # start_links DEP     start the relay of the links between daemons
 # publish_first DEP   put the deployment's service files into force
 # start_load DEP      start the load and the judge of a deployment
+# start_probes DEP    start to watch how long keys are unavailable
+# stop_probes DEP     end that
 # carry_out PLAN      carry out the actions of a plan at their times
 # final_status DEP    write what the daemons have in force at the end
 # stop_started        stop every process that was started here
@@ -11,7 +13,7 @@
 declare -A STATE     # by instance: up, down or draining
 declare -A PENDING   # by instance: deployment of a drained one that waits for its restart
 declare -A CUTS      # by instance: deployment:direction
-declare -A LOG_PID BENCH_PID LINK_PID
+declare -A LOG_PID BENCH_PID LINK_PID PROBE_PID
 
 event() { # DEP KIND SUBJECT DETAIL
   printf '%s,%s,%s,%s,%s\n' "$(date +%s%N)" "$1" "$2" "$3" "${4//,/;}" >>"$RUN_DIR/events.csv"
@@ -78,6 +80,27 @@
   BENCH_PID[$1]=$!
 }
 
+# start_probes watches keys of one service through two daemons, so that the
+# loss of one of them does not count as that of keys.
+start_probes() { # DEP
+  local name
+  for name in ${PROBES[$1]}; do
+    "$BIN/parsley-probe" watch --entry "$(setting "$RUN_DIR/$1/daemons/$name.yaml" callers)" \
+      --service "${PROBED[$1]}" --keys 24 --pause 100ms --least 200ms \
+      --out "$RUN_DIR/$1/gaps-$name.csv" >"$RUN_DIR/$1/probe-$name.out" 2>&1 &
+    PROBE_PID[$name]=$!
+  done
+}
+
+stop_probes() { # DEP
+  local name
+  for name in ${PROBES[$1]}; do
+    kill -TERM "${PROBE_PID[$name]}"
+    wait "${PROBE_PID[$name]}"
+    unset "PROBE_PID[$name]"
+  done
+}
+
 carry_out() {
   local start now at dep losses kind subject detail
   start="$(date +%s%N)"
@@ -216,7 +239,7 @@
     [ "${STATE[$name]:-down}" = down ] && continue
     pids+=("${DAEMON_PID[$name]}" "${TARGET_PID[$name]}")
   done
-  pids+=("${LOG_PID[@]}" "${BENCH_PID[@]}" "${LINK_PID[@]}")
+  pids+=("${LOG_PID[@]}" "${BENCH_PID[@]}" "${LINK_PID[@]}" "${PROBE_PID[@]}")
   for pid in "${pids[@]}"; do
     kill -CONT "$pid" 2>/dev/null
     kill -KILL "$pid" 2>/dev/null
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -17,6 +17,7 @@
 DEPLOYMENTS=(perizia raumtafel)
 declare -A LOG_PORT=([perizia]=31900 [raumtafel]=32900)
 declare -A LINK_PORT=([perizia]=31800 [raumtafel]=32800)
+declare -A PROBES=([perizia]="bookings-1 payments-1" [raumtafel]="room-booking-1 release-and-agenda-1")
 declare -A PROBED=([perizia]=reports [raumtafel]=door-panel-status)
 
 rm -rf "$RUN_DIR"
@@ -57,6 +58,7 @@
 
 for dep in "${DEPLOYMENTS[@]}"; do
   start_load "$dep"
+  start_probes "$dep"
 done
 carry_out "$RUN_DIR/plan"
 
@@ -64,6 +66,7 @@
 for dep in "${DEPLOYMENTS[@]}"; do
   wait "${BENCH_PID[$dep]}" || verdict=1
   unset "BENCH_PID[$dep]"
+  stop_probes "$dep"
   final_status "$dep" || verdict=1
 done
 for dep in "${DEPLOYMENTS[@]}"; do
