Report what a failure run did, as text and as a plot

parsley-faultreport works out, per deployment, imbalance of keys and load, moves of keys, the unavailable time of watched keys, and counts of faults, drains and publishes. It judges what the judge of the load tool can't see: requests that a drain cut off, two winners of a race, configurations lost or reverted. make faults prints both and fails on any violation.

--- a/bench/journal.go
+++ b/bench/journal.go
@@ -9,8 +9,8 @@
 	"github.com/parsleystack/parsleystack/standin/target"
 )
 
-// readJournals returns the runs of the files that targets wrote with --runs.
-func readJournals(paths []string) ([]target.Run, error) {
+// ReadJournals returns the runs of the files that targets wrote with --runs.
+func ReadJournals(paths []string) ([]target.Run, error) {
 	var all []target.Run
 	for _, path := range paths {
 		text, err := os.ReadFile(path)
--- a/bench/run.go
+++ b/bench/run.go
@@ -96,7 +96,7 @@
 		fmt.Fprintln(out, "records are not complete:", err)
 	}
 	runs, complete := collector.Runs()
-	journals, err := readJournals(splitAll(args.Journals))
+	journals, err := ReadJournals(splitAll(args.Journals))
 	if err != nil {
 		return err
 	}
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -72,6 +72,9 @@
 for dep in "${DEPLOYMENTS[@]}"; do
   printf '\n== %s\n' "$dep"
   cat "$RUN_DIR/$dep/bench.out"
+  echo
+  "$BIN/parsley-faultreport" --dir "$RUN_DIR" --deployment "$dep" --probed "${PROBED[$dep]}" \
+    --length "${LENGTH}s" --plot "$RUN_DIR/$dep/plot.svg" | tee "$RUN_DIR/$dep/report.txt" || verdict=1
 done
 [ "$verdict" -eq 0 ] || fail "a promise was broken; see $RUN_DIR (seed $SEED, $MINUTES minutes)"
 echo "faults: every promise was kept (seed $SEED, $MINUTES minutes)"
