--- a/standin/target/handler.go
+++ b/standin/target/handler.go
@@ -39,6 +39,11 @@
 	if !t.acquireSlot(ctx, r, control) {
 		return
 	}
+	if i := r.interrupted(); i != notInterrupted { // as after a freeze
+		<-t.slots
+		t.turnAway(ctx, i)
+		return
+	}
 	end := t.execute(r, control)
 	<-t.slots
 	t.answer(ctx, r, control, end)
@@ -84,15 +89,20 @@
 			return false
 		}
 	}
-	switch r.acquire(t.slots) {
-	case notInterrupted:
-		return true
-	case interruptedByPeer:
+	if i := r.acquire(t.slots); i != notInterrupted {
+		t.turnAway(ctx, i)
+		return false
+	}
+	return true
+}
+
+// turnAway ends a request that was interrupted before its work began.
+func (t *Target) turnAway(ctx *fasthttp.RequestCtx, i interruption) {
+	if i == interruptedByPeer {
 		closeUnanswered(ctx, nil)
-	case interruptedByDeadline:
-		t.refuse(ctx, shedding)
+		return
 	}
-	return false
+	t.refuse(ctx, shedding)
 }
 
 // execute does the work of a request that holds a slot and records it.
