Look only at the connection before a request begins; report causes of outages

Only the look at the connection is needed after a freeze, so the rest is as it was.

The fault report groups the unavailable time of keys by the fault in which it began, and the load tool names which refusals lack Retry-After.

--- a/bench/text.go
+++ b/bench/text.go
@@ -50,7 +50,7 @@
 func (r *Result) writeSummary(w io.Writer) {
 	seconds := r.Duration.Seconds()
 	fmt.Fprintf(w, "goodput (done in time): %.1f/s; share of requests%s\n", float64(r.inTime())/seconds, r.inTimeShares())
-	fmt.Fprintf(w, "answers of other requests: %d, torn: %d, refusals without Retry-After: %d\n", r.Wrong, r.Torn, r.noRetry())
+	fmt.Fprintf(w, "answers of other requests: %d, torn: %d, refusals without Retry-After: %d%s\n", r.Wrong, r.Torn, r.noRetry(), r.noRetryReasons())
 	fmt.Fprintf(w, "delay of the tool in sending: p99 %.3f ms, max %.3f ms; its processor time: %.2f s\n",
 		ms(r.Lag.ValueAtQuantile(99)), ms(r.Lag.Max()), r.ToolCPU.Seconds())
 	for _, p := range r.CPU {
@@ -97,12 +97,28 @@
 func (r *Result) noRetry() uint64 {
 	var n uint64
 	for i := range r.Rows {
-		c := r.Rows[i].Class
-		if c.Kind == outcome.NotRun && c.Reason != reasonConnect && c.Reason != reasonUnsent {
-			n += r.Rows[i].NoRetry
-		}
+		n += r.Rows[i].noRetry()
 	}
 	return n
 }
 
+// noRetryReasons lists the operations and reasons that noRetry counts.
+func (r *Result) noRetryReasons() string {
+	s := ""
+	for i := range r.Rows {
+		if n := r.Rows[i].noRetry(); n > 0 {
+			s += fmt.Sprintf(", %s %s %d", r.Rows[i].Op, r.Rows[i].Class.Reason, n)
+		}
+	}
+	return s
+}
+
+func (r *Row) noRetry() uint64 {
+	c := r.Class
+	if c.Kind != outcome.NotRun || c.Reason == reasonConnect || c.Reason == reasonUnsent {
+		return 0
+	}
+	return r.NoRetry
+}
+
 func ms(ns int64) float64 { return float64(ns) / float64(time.Millisecond) }
--- a/faultreport/report.go
+++ b/faultreport/report.go
@@ -22,6 +22,7 @@
 	Publishes  Publishes
 	Measures   []Measures
 	Outages    []Outage
+	Causes     []Cause
 	Violations []Violation
 }
 
@@ -37,6 +38,7 @@
 		r.Measures = append(r.Measures, measure(in, s))
 		if s.Name == probed {
 			r.Outages = outages(in.Probes, twosOf(r.Faults, s))
+			r.Causes = causes(r.Outages, r.Faults, s.Instances)
 		}
 	}
 	r.Violations = drainViolations(in, r.Faults)
--- a/faultreport/report_test.go
+++ b/faultreport/report_test.go
@@ -87,6 +87,9 @@
 	if u := sum(r.Outages, true); u.Outages != 1 || u.Total != 2*time.Second {
 		t.Errorf("two at a time: %+v", u)
 	}
+	if c := r.Causes; len(c) != 2 || c[0].Kind != noFault && c[1].Kind != noFault || c[0].Sum.Outages != 1 {
+		t.Errorf("causes are %+v", c)
+	}
 }
 
 func TestDrainsThatCutRequestsAreViolations(t *testing.T) {
--- a/faultreport/text.go
+++ b/faultreport/text.go
@@ -54,6 +54,9 @@
 		}
 		fmt.Fprintf(w, "  %s\t%d\t%.1f\t%.2f\n", name, u.Outages, u.Total.Seconds(), u.Longest.Seconds())
 	}
+	for _, c := range r.Causes {
+		fmt.Fprintf(w, "  in %s\t%d\t%.1f\t%.2f\n", c.Kind, c.Sum.Outages, c.Sum.Total.Seconds(), c.Sum.Longest.Seconds())
+	}
 	if o := r.worstOutage(); o != nil {
 		fmt.Fprintf(w, "worst with one at a time: key %s at %.1f s for %.2f s\n", o.Key, o.From.Sub(r.Input.Start).Seconds(), o.To.Sub(o.From).Seconds())
 	}
--- a/faultreport/unavailable.go
+++ b/faultreport/unavailable.go
@@ -85,16 +85,19 @@
 	Longest time.Duration
 }
 
+func (u *Unavailable) add(o Outage) {
+	length := o.To.Sub(o.From)
+	u.Outages++
+	u.Total += length
+	u.Longest = max(u.Longest, length)
+}
+
 func sum(all []Outage, two bool) Unavailable {
 	var u Unavailable
 	for _, o := range all {
-		if o.Two != two {
-			continue
+		if o.Two == two {
+			u.add(o)
 		}
-		length := o.To.Sub(o.From)
-		u.Outages++
-		u.Total += length
-		u.Longest = max(u.Longest, length)
 	}
 	return u
 }
--- a/standin/target/handler.go
+++ b/standin/target/handler.go
@@ -39,9 +39,9 @@
 	if !t.acquireSlot(ctx, r, control) {
 		return
 	}
-	if i := r.interrupted(); i != notInterrupted { // as after a freeze
+	if r.abandoned() { // as after a freeze
 		<-t.slots
-		t.turnAway(ctx, i)
+		closeUnanswered(ctx, nil)
 		return
 	}
 	end := t.execute(r, control)
@@ -89,20 +89,15 @@
 			return false
 		}
 	}
-	if i := r.acquire(t.slots); i != notInterrupted {
-		t.turnAway(ctx, i)
-		return false
-	}
-	return true
-}
-
-// turnAway ends a request that was interrupted before its work began.
-func (t *Target) turnAway(ctx *fasthttp.RequestCtx, i interruption) {
-	if i == interruptedByPeer {
+	switch r.acquire(t.slots) {
+	case notInterrupted:
+		return true
+	case interruptedByPeer:
 		closeUnanswered(ctx, nil)
-		return
+	case interruptedByDeadline:
+		t.refuse(ctx, shedding)
 	}
-	t.refuse(ctx, shedding)
+	return false
 }
 
 // execute does the work of a request that holds a slot and records it.
--- a/standin/target/request.go
+++ b/standin/target/request.go
@@ -81,12 +81,15 @@
 	if !r.deadline.IsZero() && !time.Now().Before(r.deadline) {
 		return interruptedByDeadline
 	}
-	if r.conn != nil && r.conn.peerClosed() {
+	if r.abandoned() {
 		return interruptedByPeer
 	}
 	return notInterrupted
 }
 
+// abandoned reports whether the peer has closed the connection.
+func (r *request) abandoned() bool { return r.conn != nil && r.conn.peerClosed() }
+
 // work takes d of time unless it is interrupted.
 func (r *request) work(d time.Duration) interruption {
 	end := time.Now().Add(d)
