--- a/scripts/faultactions.sh
+++ b/scripts/faultactions.sh
@@ -86,7 +86,7 @@
   local name
   for name in ${PROBES[$1]}; do
     "$BIN/parsley-probe" watch --entry "$(setting "$RUN_DIR/$1/daemons/$name.yaml" callers)" \
-      --service "${PROBED[$1]}" --keys 24 --pause 100ms --least 200ms \
+      --service "${PROBED[$1]}" --keys 16 --pause 200ms --least 350ms \
       --out "$RUN_DIR/$1/gaps-$name.csv" >"$RUN_DIR/$1/probe-$name.out" 2>&1 &
     PROBE_PID[$name]=$!
   done
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -60,6 +60,7 @@
   start_load "$dep"
   start_probes "$dep"
 done
+load_before="$(cut -d' ' -f1-3 /proc/loadavg)"
 carry_out "$RUN_DIR/plan"
 
 verdict=0
@@ -76,5 +77,7 @@
   "$BIN/parsley-faultreport" --dir "$RUN_DIR" --deployment "$dep" --probed "${PROBED[$dep]}" \
     --length "${LENGTH}s" --plot "$RUN_DIR/$dep/plot.svg" | tee "$RUN_DIR/$dep/report.txt" || verdict=1
 done
+echo
+echo "machine: $(nproc) processors, load average $load_before before and $(cut -d' ' -f1-3 /proc/loadavg) after"
 [ "$verdict" -eq 0 ] || fail "a promise was broken; see $RUN_DIR (seed $SEED, $MINUTES minutes)"
 echo "faults: every promise was kept (seed $SEED, $MINUTES minutes)"
