Say for each promise what proves it, and check the names on that page

docs/PROMISES.md holds each promise and each figure of the target size with its test or command, the failure, the figure and what is not proved. Figures without a run are marked as not measured.

scripts/check-promises.sh, now part of make lint, checks that each test, benchmark, program, option, make target and script named on the page exists; with "run" it runs the tests.

--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,7 @@
 	if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+	GO="$(GO)" ./scripts/check-promises.sh
 
 test: lint
 	GO="$(GO)" ./scripts/test.sh
