Add churn, imbalance and unavailable time to the daemon's metrics

Imbalance of requests is not known to a leader and is worked out by the collector from parsley_owner_requests_total.

--- a/daemon/metrics.go
+++ b/daemon/metrics.go
@@ -5,6 +5,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/parsleystack/parsleystack/cell"
+	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/transport"
 )
 
@@ -17,6 +18,16 @@
 	granted *metrics.Counter
 	revoked *metrics.Counter
 	lost    *metrics.Counter
+
+	moved       *metrics.Counter
+	unowned     *metrics.FloatCounter
+	unavailable *metrics.FloatCounter
+	ranges      *metrics.Gauge
+	keys        *metrics.Gauge
+
+	// Owned by the goroutine of the ownership core.
+	churn       churn
+	unownedTime unowned
 }
 
 func newMetrics(d *Daemon) *daemonMetrics {
@@ -26,6 +37,12 @@
 		granted: set.NewCounter("parsley_cell_ranges_granted_total"),
 		revoked: set.NewCounter("parsley_cell_ranges_revoked_total"),
 		lost:    set.NewCounter("parsley_cell_members_lost_total"),
+
+		moved:       set.NewCounter("parsley_cell_ranges_moved_total"),
+		unowned:     set.NewFloatCounter("parsley_cell_unowned_range_seconds_total"),
+		unavailable: set.NewFloatCounter("parsley_entry_unavailable_seconds_total"),
+		ranges:      set.NewGauge("parsley_cell_range_imbalance_ratio", nil),
+		keys:        set.NewGauge("parsley_cell_key_imbalance_ratio", nil),
 	}
 	set.NewGauge("parsley_cell_held_ranges", func() float64 { return float64(len(d.leases.Holdings())) })
 	set.NewGauge("parsley_config_offset", func() float64 { return float64(d.follower.InForce().Offset) })
@@ -68,6 +85,27 @@
 	}
 }
 
+// changed takes the newest view of the cell. Only its leader counts, so that
+// the sum over a cell's members counts everything once.
+func (m *daemonMetrics) changed(v *cell.View, now clock.Time) {
+	leads := !v.Leader.IsZero() && v.Self == v.Leader
+	m.unowned.Add(m.unownedTime.step(v, now).Seconds())
+	var even imbalance
+	if leads {
+		even = imbalanceOf(v.Members, v.Assignments)
+	}
+	m.ranges.Set(even.ranges)
+	m.keys.Set(even.keys)
+	if !leads && v.Self != v.Deputy {
+		m.churn = churn{}
+		return
+	}
+	moved := m.churn.step(v.Assignments)
+	if leads {
+		m.moved.Add(moved)
+	}
+}
+
 // serveAdmin answers operators and the collector of metrics.
 func (d *Daemon) serveAdmin(ctx *fasthttp.RequestCtx) {
 	if d.admin.Serve(ctx) {
--- /dev/null
+++ b/daemon/metrics_test.go
@@ -0,0 +1,57 @@
+package daemon
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/parsleystack/parsleystack/cell"
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/settings"
+)
+
+func newTestDaemon(t *testing.T) *Daemon {
+	t.Helper()
+	s, err := settings.Load("../deploy/perizia/daemons/reports-1.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return New(s, nil, zap.NewNop())
+}
+
+// A deputy follows the assignments, so that it counts the changes of its
+// takeover, and only the leader counts.
+func TestMetricsOfACellAreCountedByItsLeader(t *testing.T) {
+	m := newTestDaemon(t).metrics
+	view := func(leader string, owners ...string) *cell.View {
+		return &cell.View{
+			Self:        testNode("a"),
+			Leader:      testNode(leader),
+			Deputy:      testNode("a"),
+			Members:     testMembers("a", "b"),
+			Assignments: assigned(owners...),
+		}
+	}
+	m.changed(view("b", "b", "b"), clock.Time(time.Second))
+	m.changed(view("b", "a", "b"), clock.Time(2*time.Second))
+	if moved, ratio := m.moved.Get(), m.ranges.Get(); moved != 0 || ratio != 0 {
+		t.Errorf("deputy: %d ranges moved, imbalance %v, want none", moved, ratio)
+	}
+	m.changed(view("a", "a", ""), clock.Time(3*time.Second))
+	m.changed(view("a", "a", "a"), clock.Time(5*time.Second))
+	if moved, ratio, wait := m.moved.Get(), m.ranges.Get(), m.unowned.Get(); moved != 1 || ratio != 2 || wait != 2 {
+		t.Errorf("leader: %d ranges moved, imbalance %v, %v range-seconds without owner, want 1, 2 and 2", moved, ratio, wait)
+	}
+}
+
+// The text has no TYPE lines, so that a collector takes the type from the
+// query; names that end in _total only grow.
+func TestMetricsHaveNoTypeLines(t *testing.T) {
+	var text strings.Builder
+	newTestDaemon(t).metrics.set.WritePrometheus(&text)
+	if strings.Contains(text.String(), "# TYPE") {
+		t.Error("there are TYPE lines; counters read by callbacks would be shown as gauges")
+	}
+}
--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -14,6 +14,7 @@
 	d.trackRoles(&v)
 	d.trackPeers(&v)
 	d.trackProvisional(&v)
+	d.metrics.changed(&v, clock.Now())
 }
 
 // trackProvisional logs when assignments stop reaching the log.
