--- a/daemon/metrics_test.go
+++ b/daemon/metrics_test.go
@@ -1,6 +1,9 @@
 package daemon
 
 import (
+	"os"
+	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -55,3 +58,32 @@
 		t.Error("there are TYPE lines; counters read by callbacks would be shown as gauges")
 	}
 }
+
+var metricName = regexp.MustCompile(`parsley_[a-z_]+`)
+
+// The page for operators and the daemon name the same metrics.
+func TestPageListsEveryMetric(t *testing.T) {
+	page, err := os.ReadFile("../docs/operators/metrics.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	newTestDaemon(t).metrics.set.WritePrometheus(&text)
+	exposed, listed := metricNames(text.String()), metricNames(string(page))
+	for _, name := range exposed {
+		if !slices.Contains(listed, name) {
+			t.Errorf("docs/operators/metrics.md does not list %s", name)
+		}
+	}
+	for _, name := range listed {
+		if !slices.Contains(exposed, name) {
+			t.Errorf("docs/operators/metrics.md lists %s, which no daemon has", name)
+		}
+	}
+}
+
+func metricNames(text string) []string {
+	names := metricName.FindAllString(text, -1)
+	slices.Sort(names)
+	return slices.Compact(names)
+}
