--- a/Makefile
+++ b/Makefile
@@ -5,11 +5,14 @@
 SEED ?= 1
 STEPS ?= 1000000
 
-.PHONY: build generate run test lint soak
+.PHONY: build generate run test lint soak measure
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
 
+run: build
+	./scripts/run.sh
+
 generate:
 	$(GO) generate ./...
 
@@ -20,7 +23,11 @@
 	$(GO) tool staticcheck ./...
 
 test: lint
-	$(GO) test -race ./...
+	GO="$(GO)" ./scripts/test.sh
+
+# Writes docs/capacity/series and docs/CAPACITY.md.
+measure: build
+	BIN=$(BIN) scripts/measure.sh
 
 soak:
 	$(GO) run ./cmd/parsley-soak --seed $(SEED) --steps $(STEPS)
--- a/config/follower_io.go
+++ b/config/follower_io.go
@@ -52,45 +52,8 @@
 	offset, err := f.cfg.Log.Append(appendCtx, Stream, payload)
 	if err == nil {
 		logevent.Log(f.cfg.Logger, logevent.ConfigSnapshot, zap.Uint64("offset", uint64(offset)), zap.Int("bytes", len(payload)))
+	} else if ctx.Err() == nil {
+		logevent.Log(f.cfg.Logger, logevent.ConfigSnapshotFailed, zap.Error(err), zap.Int("bytes", len(payload)))
 	}
 	f.send(ctx, SnapshotDone{Err: err})
 }
-
-// report logs what a step has changed.
-func (f *Follower) report(eff Effects) {
-	for i := range eff.Verdicts {
-		f.reportVerdict(&eff.Verdicts[i])
-	}
-	before := f.Status().Fault
-	if eff.Fault == nil || before != nil && before.Error() == eff.Fault.Error() {
-		return
-	}
-	logevent.Log(f.cfg.Logger, logevent.ConfigGap, zap.Error(eff.Fault))
-}
-
-func (f *Follower) reportVerdict(v *Verdict) {
-	fields := []zap.Field{zap.Uint64("offset", uint64(v.Offset))}
-	if v.Change != nil {
-		fields = append(fields, zap.String("service", string(v.Change.Service)), zap.String("author", v.Change.Author))
-	}
-	if v.Err != nil {
-		fields = append(fields, zap.Error(v.Err))
-	}
-	if e := eventOf(v); e != nil {
-		logevent.Log(f.cfg.Logger, e, fields...)
-	}
-}
-
-func eventOf(v *Verdict) *logevent.Event {
-	switch {
-	case v.Outcome == Undecodable:
-		return logevent.ConfigUndecodable
-	case v.Outcome == Accepted && v.Err != nil:
-		return logevent.ServiceBlocked
-	case v.Outcome == Accepted:
-		return logevent.ConfigInForce
-	case v.Outcome == Void:
-		return logevent.ChangeVoid
-	}
-	return nil
-}
--- a/entry/holder.go
+++ b/entry/holder.go
@@ -19,6 +19,15 @@
 	recheckAfter = 100 * time.Millisecond
 	// maxRefreshPoints is the number of points asked for in one round.
 	maxRefreshPoints = 8
+	// releaseBatch is the number of held requests that are sent on at once, and
+	// releasePause the time between batches: all at once would overrun the queue
+	// of the new owner.
+	releaseBatch = 8
+	releasePause = 5 * time.Millisecond
+	// minSuspectPause and maxSuspectPause bound the time between questions for
+	// the owner of a point whose owner is silent.
+	minSuspectPause = time.Second
+	maxSuspectPause = 8 * time.Second
 )
 
 // holder holds the requests of one service that wait for a new owner, and asks
@@ -32,6 +41,10 @@
 	nextID  uint64
 	held    map[uint64]*heldFlight
 	running bool
+
+	suspected    bool // a suspicion is being looked into
+	nextSuspect  clock.Time
+	suspectPause time.Duration
 }
 
 // heldFlight is one request in the queue.
@@ -101,19 +114,33 @@
 			return
 		}
 		h.refresh(points)
-		if h.release() {
+		woken := h.recheck()
+		moved, more := h.release()
+		for more && h.sleep(releasePause) {
+			_, more = h.release()
+		}
+		woken += moved
+		if woken > 0 {
 			pause = minRefreshPause
 		}
-		select {
-		case <-h.gateway.ctx.Done():
+		if !h.sleep(pause/2 + rand.N(pause/2)) {
 			h.stop()
 			return
-		case <-time.After(pause/2 + rand.N(pause/2)):
 		}
 		pause = min(pause*2, maxRefreshPause)
 	}
 }
 
+// sleep reports false if the gateway is closed meanwhile.
+func (h *holder) sleep(d time.Duration) bool {
+	select {
+	case <-h.gateway.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // points returns the points of the requests with the earliest deadlines. It
 // reports false, and ends the run, if none is held.
 func (h *holder) points() ([]keyspace.Point, bool) {
@@ -133,11 +160,13 @@
 	return points, true
 }
 
-func (h *holder) refresh(points []keyspace.Point) {
+// refresh asks for the owners of points and reports whether any has changed.
+func (h *holder) refresh(points []keyspace.Point) bool {
 	source := h.gateway.cfg.Source
 	if source == nil {
-		return
+		return false
 	}
+	changed := false
 	for _, p := range points {
 		entries, err := source.Refresh(h.gateway.ctx, h.service, p)
 		if err != nil {
@@ -145,30 +174,45 @@
 			continue
 		}
 		h.gateway.stats.refreshes.Add(1)
-		h.gateway.cfg.Router.Learn(h.service, entries...)
+		changed = h.gateway.cfg.Router.Learn(h.service, entries...) || changed
 	}
+	return changed
 }
 
-// release wakes the requests whose owner has changed and those that have
-// waited for long, by deadline. It reports whether any was woken.
-func (h *holder) release() bool {
+// recheck wakes a batch of the requests that have waited for long, by deadline.
+func (h *holder) recheck() (woken int) {
 	now := h.gateway.cfg.Now()
+	woken, _ = h.wakeBatch(func(w *heldFlight) bool { return now.Sub(w.since) >= recheckAfter })
+	return woken
+}
+
+// release wakes a batch of the requests whose owner has changed, by deadline.
+// more reports that there are others.
+func (h *holder) release() (woken int, more bool) {
+	return h.wakeBatch(func(w *heldFlight) bool { return w.flight.moved() })
+}
+
+func (h *holder) wakeBatch(due func(*heldFlight) bool) (woken int, more bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	woken := false
 	for _, x := range h.queue.Take() {
 		w := h.held[x.ID]
 		if w == nil {
 			continue
 		}
-		if w.flight.moved() || now.Sub(w.since) >= recheckAfter {
-			h.wakeLocked(x.ID, dispatch.Refreshed)
-			woken = true
+		if !due(w) {
+			h.queue.Add(x)
+			continue
+		}
+		if woken == releaseBatch {
+			more = true
+			h.queue.Add(x)
 			continue
 		}
-		h.queue.Add(x)
+		h.wakeLocked(x.ID, dispatch.Refreshed)
+		woken++
 	}
-	return woken
+	return woken, more
 }
 
 // stop wakes all requests; their contexts have ended.
@@ -180,3 +224,27 @@
 	}
 	h.running = false
 }
+
+// suspect asks for the owner of a point once, unless that was done shortly
+// before. Answers that change nothing make the next question later.
+func (h *holder) suspect(p keyspace.Point, now clock.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.suspected || h.running || now.Before(h.nextSuspect) {
+		return
+	}
+	h.suspected = true
+	go h.lookInto(p)
+}
+
+func (h *holder) lookInto(p keyspace.Point) {
+	changed := h.refresh([]keyspace.Point{p})
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.suspected = false
+	h.suspectPause = min(max(h.suspectPause*2, minSuspectPause), maxSuspectPause)
+	if changed {
+		h.suspectPause = minSuspectPause
+	}
+	h.nextSuspect = h.gateway.cfg.Now().Add(h.suspectPause)
+}
--- a/entry/moving_test.go
+++ b/entry/moving_test.go
@@ -16,6 +16,9 @@
 	"github.com/parsleystack/parsleystack/wire"
 )
 
+// unreachable is an address that nothing listens on.
+const unreachable = "127.0.0.1:1"
+
 // sourceFunc is a route.Source.
 type sourceFunc func() []route.Entry
 
@@ -76,22 +79,79 @@
 
 func TestUnreachableOwnerIsReplaced(t *testing.T) {
 	tgt := newFakeTarget(t)
-	a := newDaemon(t, "a", reports(), tgt.addr, nil)
+	a := &daemon{node: ident.Node{Instance: "a", Incarnation: 1}, addr: unreachable}
 	b := newDaemon(t, "b", reports(), tgt.addr, nil)
-	a.server.Close()
 	b.hold(keyspace.Full(), 2, false)
 	e := newDoor(t, sourceFunc(func() []route.Entry { return []route.Entry{b.route(keyspace.Full(), 2)} }), reports())
 	e.router.Learn("reports", a.route(keyspace.Full(), 1))
 	e.do(t, "POST", "/reports/k", nil).want(t, 200, "done", "")
 }
 
+// TestHeldRequestsDoNotOverrunTheNewOwner holds far more than the new owner
+// runs and queues; all are served.
+func TestHeldRequestsDoNotOverrunTheNewOwner(t *testing.T) {
+	const held = 600
+	spec := reports()
+	spec.QueueLimit = 120
+	spec.Methods[1].Timeout = 30 * time.Second
+	tgt := newFakeTarget(t)
+	tgt.setRun(func(ctx *fasthttp.RequestCtx) { time.Sleep(time.Millisecond) })
+	a := newDaemon(t, "a", spec, tgt.addr, nil)
+	b := newDaemon(t, "b", spec, tgt.addr, nil)
+	a.hold(keyspace.Full(), 1, true)
+	var moved atomic.Bool
+	e := newDoor(t, sourceFunc(func() []route.Entry {
+		if moved.Load() {
+			return []route.Entry{b.route(keyspace.Full(), 2)}
+		}
+		return nil
+	}), spec)
+	e.router.Learn("reports", a.route(keyspace.Full(), 1))
+	replies := make(chan reply, held)
+	for range held {
+		go func() { replies <- e.do(t, "POST", "/reports/k", nil) }()
+	}
+	for e.gateway.Stats().Held() < held {
+		time.Sleep(time.Millisecond)
+	}
+	b.hold(keyspace.Full(), 2, false)
+	moved.Store(true)
+	for range held {
+		(<-replies).want(t, 200, "done", "")
+	}
+}
+
+// TestReadLeavesAFrozenOwner: an owner that is silent is replaced while it
+// holds a read; the read goes to the new owner, a booking does not.
+func TestReadLeavesAFrozenOwner(t *testing.T) {
+	frozen, healthy := newFakeTarget(t), newFakeTarget(t)
+	release := make(chan struct{})
+	defer close(release)
+	frozen.setRun(func(ctx *fasthttp.RequestCtx) { <-release })
+	a := newDaemon(t, "a", reports(), frozen.addr, nil)
+	b := newDaemon(t, "b", reports(), healthy.addr, nil)
+	a.hold(keyspace.Full(), 1, false)
+	b.hold(keyspace.Full(), 2, false)
+	e := newDoor(t, sourceFunc(func() []route.Entry { return []route.Entry{b.route(keyspace.Full(), 2)} }), reports())
+	e.router.Learn("reports", a.route(keyspace.Full(), 1))
+	booking := make(chan reply, 1)
+	go func() { booking <- e.do(t, "POST", "/reports/k", nil) }()
+	for frozen.ran("POST /k") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	e.do(t, "GET", "/reports/k", nil).want(t, 200, "done", "")
+	(<-booking).want(t, 504, "unknown", "deadline-exceeded")
+	if n := healthy.ran("POST /k"); n != 0 {
+		t.Errorf("the booking ran %d times at the new owner", n)
+	}
+}
+
 func TestUndividedServiceAvoidsALostDaemon(t *testing.T) {
 	tgt := newFakeTarget(t)
 	halves := keyspace.Divide(2)
-	a := newDaemon(t, "a", bookings(), tgt.addr, nil)
+	a := &daemon{node: ident.Node{Instance: "a", Incarnation: 1}, addr: unreachable}
 	b := newDaemon(t, "b", bookings(), tgt.addr, nil)
 	b.hold(halves[1], 2, false)
-	a.server.Close()
 	e := newDoor(t, nil, bookings())
 	e.router.Learn("bookings", a.route(halves[0], 1), b.route(halves[1], 2))
 	for range 10 {
--- a/entry/path_test.go
+++ b/entry/path_test.go
@@ -39,6 +39,21 @@
 	}
 }
 
+func TestPathBelowThePrefixReachesTheTarget(t *testing.T) {
+	tgt := newFakeTarget(t)
+	d := newDaemon(t, "a", bookings(), tgt.addr, nil)
+	d.hold(keyspace.Full(), 1, false)
+	e := newDoor(t, nil, bookings())
+	e.router.Learn("bookings", d.route(keyspace.Full(), 1))
+	for uri, want := range map[string]string{
+		"/bookings": "/", "/bookings?a=b": "/?a=b", "/bookings/": "/", "/bookings/x%2Fy?a=b": "/x%2Fy?a=b",
+	} {
+		if got := e.do(t, "GET", uri, nil); got.body != "ok "+want {
+			t.Errorf("%s: target answered %q, want it to see %s", uri, got.body, want)
+		}
+	}
+}
+
 func TestUndividedServiceUsesAllDaemons(t *testing.T) {
 	tgt := newFakeTarget(t)
 	e := newDoor(t, nil, bookings())
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -19,7 +20,6 @@
 	gate     *gate
 	memory   *memory
 	spec     atomic.Pointer[specVersion]
-	draining atomic.Bool
 	inFlight atomic.Int64
 	stats    Stats
 }
@@ -33,7 +33,7 @@
 // New returns an Owner that refuses requests until SetSpec is called.
 func New(cfg Config) *Owner {
 	cfg = cfg.withDefaults()
-	return &Owner{cfg: cfg, gate: newGate(cfg.Admission, cfg.Now), memory: newMemory(cfg.Memory)}
+	return &Owner{cfg: cfg, gate: newGate(cfg.Admission, cfg.Fast), memory: newMemory(cfg.Memory)}
 }
 
 // SetSpec puts a configuration of the service in force. One older than the
@@ -45,6 +45,9 @@
 	o.spec.Store(&specVersion{spec: spec, offset: offset})
 	cfg := o.cfg.Admission
 	cfg.Slots, cfg.QueueLimit = spec.Slots, spec.QueueLimit
+	if o.cfg.NoAdmission {
+		cfg.Slots, cfg.QueueLimit, cfg.FixedLimit = math.MaxInt32, 0, true
+	}
 	o.gate.step(admission.Event{Kind: admission.Configure, Config: &cfg})
 }
 
@@ -57,10 +60,9 @@
 	r.free()
 }
 
-// Drain refuses all requests that wait and all that arrive from now on.
-// Requests at the target go on.
+// Drain refuses all requests that wait and all that arrive from now on, but
+// for repeats whose answer is remembered. Requests at the target go on.
 func (o *Owner) Drain() {
-	o.draining.Store(true)
 	o.gate.step(admission.Event{Kind: admission.Close})
 }
 
--- a/target/client.go
+++ b/target/client.go
@@ -73,6 +73,9 @@
 // finish keeps the connection if the target can read the next request on it.
 func (c *Client) finish(conn *conn, call *Call, err error) {
 	if err == nil && !call.Response.ConnectionClose() && conn.reader.Buffered() == 0 {
+		if len(call.Request.Body()) > socketBuffer {
+			_ = conn.SetWriteDeadline(time.Time{})
+		}
 		c.pool.put(conn)
 		return
 	}
--- a/transport/clientconn.go
+++ b/transport/clientconn.go
@@ -7,6 +7,7 @@
 
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/wire"
 )
 
@@ -15,11 +16,15 @@
 type clientConn struct {
 	addr   string
 	class  Class
+	node   ident.Node // the peer as it named itself
 	conn   net.Conn
 	reader *wire.Reader
 	writer *writer
 	count  *Counters
 
+	// message takes one-way messages of the peer; they are dropped if nil.
+	message func(from ident.Node, body []byte)
+
 	mu      sync.Mutex
 	nextID  uint64
 	waiting map[uint64]*waiter
@@ -61,6 +66,11 @@
 
 // register writes the question under a new id.
 func (c *clientConn) register(w *waiter, kind wire.Kind, m msgp.Marshaler) (uint64, error) {
+	s := newScratch()
+	defer s.free()
+	if err := s.encode(kind, 0, m, c.writer.limit); err != nil {
+		return 0, err
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.err != nil {
@@ -70,7 +80,8 @@
 		return 0, ErrGoaway
 	}
 	c.nextID++
-	position, err := c.writer.frame(kind, c.nextID, m)
+	wire.SetID(s.b, c.nextID)
+	position, err := c.writer.encoded(s.b)
 	if err != nil {
 		return 0, err
 	}
@@ -128,6 +139,12 @@
 	switch f.Kind {
 	case wire.KindResponse, wire.KindReply:
 		return c.deliver(f)
+	case wire.KindCellMessage:
+		if c.message != nil {
+			c.message(c.node, f.Body)
+		}
+		f.Release()
+		return nil
 	case wire.KindGoaway:
 		f.Release()
 		c.leave()
--- a/transport/handshake.go
+++ b/transport/handshake.go
@@ -39,21 +39,25 @@
 }
 
 // clientHandshake opens the protocol on a dialed connection.
-func clientHandshake(conn net.Conn, class Class, cfg *Config) (*wire.Reader, error) {
+func clientHandshake(conn net.Conn, class Class, cfg *Config) (*wire.Reader, wire.Hello, error) {
 	if err := conn.SetDeadline(time.Now().Add(cfg.HandshakeTimeout)); err != nil {
-		return nil, err
+		return nil, wire.Hello{}, err
 	}
 	hello := cfg.Hello
 	hello.Class = uint8(class)
 	if err := writeHello(conn, &hello); err != nil {
-		return nil, err
+		return nil, wire.Hello{}, err
 	}
 	reader := wire.NewReader(conn, wire.MaxHello)
-	if _, err := readHello(reader, &hello); err != nil {
-		return nil, err
+	peer, err := readHello(reader, &hello)
+	if err != nil {
+		return nil, wire.Hello{}, err
+	}
+	if err := checkIdentity(conn, &peer); err != nil {
+		return nil, wire.Hello{}, err
 	}
 	reader.SetLimit(cfg.MaxFrame)
-	return reader, conn.SetDeadline(time.Time{})
+	return reader, peer, conn.SetDeadline(time.Time{})
 }
 
 // serverHandshake answers the protocol's opening on an accepted connection.
@@ -74,6 +78,9 @@
 	if helloErr != nil {
 		return nil, peer, helloErr
 	}
+	if err := checkIdentity(conn, &peer); err != nil {
+		return nil, peer, err
+	}
 	if !Class(peer.Class).valid() {
 		return nil, peer, &wire.GarbageError{What: "unknown traffic class"}
 	}
@@ -85,10 +92,18 @@
 func dial(ctx context.Context, addr string, cfg *Config) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, cfg.HandshakeTimeout)
 	defer cancel()
-	if cfg.TLS == nil {
+	config := cfg.clientTLS()
+	if config == nil {
 		var d net.Dialer
 		return d.DialContext(ctx, "tcp", addr)
 	}
-	d := tls.Dialer{Config: cfg.TLS}
+	d := tls.Dialer{Config: config}
 	return d.DialContext(ctx, "tcp", addr)
 }
+
+func (c *Config) clientTLS() *tls.Config {
+	if c.ClientTLS != nil {
+		return c.ClientTLS()
+	}
+	return c.TLS
+}
--- a/transport/serverconn.go
+++ b/transport/serverconn.go
@@ -26,9 +26,8 @@
 	lastID    uint64
 }
 
-// run reads frames until the connection ends, and cancels what is in flight.
+// run reads frames until the connection ends. The caller closes c.
 func (c *serverConn) run() error {
-	defer c.close()
 	go func() {
 		_ = c.writer.run(func(n int) { c.server.count.BytesOut[c.class].Add(uint64(n)) })
 		_ = c.conn.Close()
@@ -110,8 +109,8 @@
 		if err != nil {
 			reply = wire.Reply{Error: err.Error()}
 		}
-		if _, err := c.writer.frame(wire.KindReply, id, &reply); err != nil {
-			_, _ = c.writer.frame(wire.KindReply, id, &wire.Reply{Error: err.Error()})
+		if err := c.writer.frame(wire.KindReply, id, &reply); err != nil {
+			_ = c.writer.frame(wire.KindReply, id, &wire.Reply{Error: err.Error()})
 		}
 		c.server.count.FramesOut[c.class].Add(1)
 	})
@@ -130,7 +129,7 @@
 // respond writes an answer and forgets its exchange. Only an oversize answer
 // is reported; one for a peer that has left is dropped.
 func (c *serverConn) respond(id uint64, resp *wire.Response) error {
-	_, err := c.writer.frame(wire.KindResponse, id, resp)
+	err := c.writer.frame(wire.KindResponse, id, resp)
 	var oversize *wire.OversizeError
 	if errors.As(err, &oversize) {
 		return err
@@ -144,6 +143,7 @@
 
 func (c *serverConn) goaway() { _, _ = c.writer.raw(wire.KindGoaway, 0, nil) }
 
+// close ends the connection and cancels what is in flight.
 func (c *serverConn) close() {
 	c.cancel()
 	c.writer.fail(net.ErrClosed)
--- a/transport/writer.go
+++ b/transport/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"runtime"
 	"sync"
 	"time"
 
@@ -10,7 +11,10 @@
 	"github.com/parsleystack/parsleystack/wire"
 )
 
-const keptBuffer = 256 << 10 // bytes of a write buffer kept for reuse
+const keptBuffer = 64 << 10 // bytes of a write buffer that is kept in any case
+
+// maxHardlyUsed is the number of batches after which a large buffer is given up.
+const maxHardlyUsed = 256
 
 // writer collects frames and writes all that wait with one system call.
 type writer struct {
@@ -32,18 +36,29 @@
 	return &writer{conn: conn, timeout: cfg.WriteTimeout, maxSize: cfg.MaxBacklog, limit: cfg.MaxFrame, wake: make(chan struct{}, 1)}
 }
 
-// frame appends a frame and returns its position in the stream. If it returns
-// an error, no byte of the frame was or will be written.
-func (w *writer) frame(kind wire.Kind, id uint64, m msgp.Marshaler) (uint64, error) {
+// frame encodes and appends a frame. If it returns an error, no byte of the
+// frame was or will be written.
+func (w *writer) frame(kind wire.Kind, id uint64, m msgp.Marshaler) error {
+	s := newScratch()
+	defer s.free()
+	if err := s.encode(kind, id, m, w.limit); err != nil {
+		return err
+	}
+	_, err := w.encoded(s.b)
+	return err
+}
+
+// encoded appends a whole frame and returns its position in the stream, with
+// the same error as frame.
+func (w *writer) encoded(frame []byte) (uint64, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.ready(); err != nil {
 		return 0, err
 	}
 	before := len(w.pending)
-	pending, err := wire.Append(w.pending, kind, id, m, w.limit)
-	w.pending = pending
-	return w.appended(before, err)
+	w.pending = append(w.pending, frame...)
+	return w.appended(before, nil)
 }
 
 // raw is frame for a body that is encoded already.
@@ -123,7 +138,9 @@
 // error.
 func (w *writer) run(count func(bytes int)) error {
 	var spare []byte
+	var keeper bufferKeeper
 	for range w.wake {
+		runtime.Gosched() // lets frames that are being made join the batch
 		batch, err := w.take(spare)
 		if err != nil {
 			return err
@@ -136,11 +153,27 @@
 			return err
 		}
 		count(len(batch))
-		spare = batch
-		if cap(spare) > keptBuffer {
-			spare = nil
-		}
+		spare = keeper.keep(batch)
+	}
+	return nil
+}
+
+// bufferKeeper decides which write buffers are reused: a large one that was
+// hardly used several times in a row is given up.
+type bufferKeeper struct {
+	hardlyUsed int
+}
+
+func (k *bufferKeeper) keep(batch []byte) []byte {
+	if cap(batch) <= keptBuffer || len(batch) >= cap(batch)/4 {
+		k.hardlyUsed = 0
+		return batch
+	}
+	k.hardlyUsed++
+	if k.hardlyUsed < maxHardlyUsed {
+		return batch
 	}
+	k.hardlyUsed = 0
 	return nil
 }
 
