Break a rule for each invariant, and show that the checker notices

Cause: no rule that could be broken violated no-lapse, same-prefix or inside-lease; only the fake machine did. Three faults join package cell: stop without the log, accept claims of any base, hold a lease twice its duration. A trace that a change of the core has made harmless falls back to a search of 2 million steps.

--- a/cell/celltest/rules.go
+++ b/cell/celltest/rules.go
@@ -26,6 +26,9 @@
 	{"ignore-drift", cell.FaultIgnoreDrift},
 	{"release-early", cell.FaultReleaseEarly},
 	{"keep-role-after-restart", cell.FaultKeepRoleAfterRestart},
+	{"stop-without-log", cell.FaultStopWithoutLog},
+	{"accept-any-base", cell.FaultAcceptAnyBase},
+	{"overlong-lease", cell.FaultOverlongLease},
 }
 
 // faultOf returns the fault that breaks the rule with a name.
--- /dev/null
+++ b/cell/celltest/rules_test.go
@@ -0,0 +1,57 @@
+package celltest
+
+import (
+	"path/filepath"
+	"testing"
+)
+
+// searchSteps bounds the search for a violation of a broken rule whose trace
+// does not show it any more.
+const searchSteps = 2_000_000
+
+// TestBrokenRulesAreNoticed replays a trace for each rule of the protocol that
+// can be broken. The schedule must violate an invariant with the rule broken,
+// and none with the rule in force.
+func TestBrokenRulesAreNoticed(t *testing.T) {
+	for _, rule := range BrokenRules {
+		t.Run(rule.Name, func(t *testing.T) {
+			s := readTraceFile(t, filepath.Join("testdata", "rules", rule.Name+".trace"))
+			if s.Rule != rule.Name {
+				t.Fatalf("the trace breaks %q", s.Rule)
+			}
+			if r := Run(CellOptions(), s); r.Violation == nil {
+				searchViolation(t, rule.Name)
+			}
+			sound := *s
+			sound.Rule = ""
+			if r := Run(CellOptions(), &sound); r.Violation != nil {
+				t.Fatalf("with the rule in force: %v", r.Violation)
+			}
+		})
+	}
+}
+
+// searchViolation fails unless some world notices the broken rule.
+func searchViolation(t *testing.T, rule string) {
+	soak := Soak{Options: CellOptions(), Seed: 1, Steps: searchSteps, Profile: Corner, Rule: rule, Workers: 4}
+	if _, failure := soak.Run(); failure == nil {
+		t.Errorf("no violation in %d steps", searchSteps)
+	}
+}
+
+// TestInvariantsCanFail checks that the broken rules between them violate every
+// invariant but NoPanic, which a fake machine violates in TestCheckerNoticesFlaws.
+func TestInvariantsCanFail(t *testing.T) {
+	violated := make(map[Invariant]bool)
+	for _, rule := range BrokenRules {
+		s := readTraceFile(t, filepath.Join("testdata", "rules", rule.Name+".trace"))
+		if r := Run(CellOptions(), s); r.Violation != nil {
+			violated[r.Violation.Invariant] = true
+		}
+	}
+	for _, inv := range []Invariant{OneHolder, TokensGrow, AcknowledgedStays, InsideLease, SamePrefix, NoCutWork, ServedAgain, NoLapse} {
+		if !violated[inv] {
+			t.Errorf("no broken rule violates %s", inv)
+		}
+	}
+}
--- a/cell/celltest/soak_test.go
+++ b/cell/celltest/soak_test.go
@@ -46,15 +46,7 @@
 	}
 	for _, path := range paths {
 		t.Run(filepath.Base(path), func(t *testing.T) {
-			file, err := os.Open(path)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = file.Close() }()
-			s, err := ReadTrace(file)
-			if err != nil {
-				t.Fatal(err)
-			}
+			s := readTraceFile(t, path)
 			if r := Run(CellOptions(), s); r.Violation != nil {
 				t.Fatal(r.Violation)
 			}
@@ -62,6 +54,20 @@
 	}
 }
 
+func readTraceFile(t *testing.T, path string) *Schedule {
+	t.Helper()
+	file, err := os.Open(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	s, err := ReadTrace(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
 // shrunk returns the violation and the shrunk trace of a failing schedule.
 func shrunk(opts Options, s *Schedule, v *Violation) string {
 	small, found := Shrink(opts, s, v, 100)
--- a/cell/fault.go
+++ b/cell/fault.go
@@ -48,4 +48,10 @@
 	// FaultKeepRoleAfterRestart takes up the ranges that an older incarnation
 	// of the instance held as a leader.
 	FaultKeepRoleAfterRestart
+	// FaultStopWithoutLog grants no lease while the log cannot be read.
+	FaultStopWithoutLog
+	// FaultAcceptAnyBase takes claims of any base as valid.
+	FaultAcceptAnyBase
+	// FaultOverlongLease holds a lease for twice its duration.
+	FaultOverlongLease
 )
--- a/cell/follower.go
+++ b/cell/follower.go
@@ -179,6 +179,9 @@
 	}
 	f.unanswered = 0
 	duration := time.Duration(m.Micros) * time.Microsecond
+	if n.broken(FaultOverlongLease) {
+		duration *= 2
+	}
 	f.expires = max(f.expires, sent.Add(n.timing.shorter(duration)))
 	left := f.expires.Sub(n.now)
 	f.nextRenew = n.now.Add(min(n.timing.renew, max(left/2, 0)))
--- a/cell/leader.go
+++ b/cell/leader.go
@@ -127,6 +127,9 @@
 	if n.broken(FaultIgnoreBlindLimit) {
 		return l.authority
 	}
+	if n.broken(FaultStopWithoutLog) && !n.logFresh() {
+		return clock.Never
+	}
 	return min(l.authority, n.reader.lastTail.Add(n.timing.shorter(n.timing.blind)))
 }
 
--- a/cell/ledger.go
+++ b/cell/ledger.go
@@ -26,6 +26,9 @@
 	snapshotTime int64
 	lastTime     int64
 	err          error
+
+	// anyBase breaks the rule on the base of claims, see FaultAcceptAnyBase.
+	anyBase bool
 }
 
 // NewLedger returns the ledger of an empty stream of the service's cell that
--- a/cell/ledger_roles.go
+++ b/cell/ledger_roles.go
@@ -8,7 +8,7 @@
 )
 
 func (l *Ledger) applyClaim(offset uint64, c *Claim) Verdict {
-	if c.Base != l.state.Base {
+	if c.Base != l.state.Base && !l.anyBase {
 		return void(fmt.Sprintf("its base %d is not the present one, %d", c.Base, l.state.Base))
 	}
 	if c.Candidate.IsZero() || c.Candidate == c.Deputy {
--- a/cell/ledger_snapshot.go
+++ b/cell/ledger_snapshot.go
@@ -25,6 +25,7 @@
 		state:        state,
 		snapshotTime: time,
 		lastTime:     time,
+		anyBase:      l.anyBase,
 	}
 }
 
--- a/cell/node.go
+++ b/cell/node.go
@@ -50,6 +50,7 @@
 		ledger: NewLedger(cfg.Service, cfg.Span),
 		ready:  true,
 	}
+	n.ledger.anyBase = n.broken(FaultAcceptAnyBase)
 	n.reader.next = 1
 	n.reader.snapshotShare = n.jitter()
 	n.follower.nextRequest = n.rng.Uint32()
