Keep the reason of a hold when the deadline ends it

A request that was held because its range moved was answered with deadline-exceeded if its last attempt met the deadline at the owner, and with the reason of the hold otherwise; a test saw both at a load average of 52.

--- a/dispatch/request.go
+++ b/dispatch/request.go
@@ -94,6 +94,9 @@
 
 // refused handles an attempt that was not run.
 func (r *Request) refused(ev Event, now clock.Time) Action {
+	if ev.Result.Reason == outcome.DeadlineExceeded && r.held() {
+		return r.finish(outcome.NotRun, r.reason, retryAfterHold)
+	}
 	r.reason = ev.Result.Reason
 	switch ev.Result.Reason {
 	case outcome.WrongOwner, outcome.Moving, outcome.LeaseExpired, outcome.NoOwner,
@@ -184,7 +187,7 @@
 
 func (r *Request) attempt(now clock.Time, kind ActionKind) Action {
 	if r.late(now) {
-		return r.finish(outcome.NotRun, outcome.DeadlineExceeded, 0)
+		return r.ended(false, outcome.DeadlineExceeded)
 	}
 	return Action{Kind: kind}
 }
--- a/dispatch/request_test.go
+++ b/dispatch/request_test.go
@@ -96,6 +96,18 @@
 	}
 }
 
+// TestReasonOfAHoldOutlastsTheDeadline: the caller learns why its request
+// waited, not only that time ran out.
+func TestReasonOfAHoldOutlastsTheDeadline(t *testing.T) {
+	for _, last := range []Event{notRun(outcome.DeadlineExceeded, false), {Kind: DeadlinePassed}} {
+		r := Request{Rule: Rule{Keyed: true, Deadline: deadline}}
+		r.Step(notRun(outcome.Moving, false), 1)
+		if got := r.Step(last, 2); got.Kind != Finish || got.Result.Reason != outcome.Moving {
+			t.Errorf("%+v: %+v", last, got)
+		}
+	}
+}
+
 func TestBudgetBoundsRetries(t *testing.T) {
 	var b Budget
 	retries := 0
