--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -1,4 +1,5 @@
-# Starts and stops the processes of a sample deployment. Sourced by run.sh.
+# Starts and stops the processes of a sample deployment. Sourced by run.sh,
+# faults.sh and measure-loss.sh.
 #
 # start_log DIR PORT          start the stand-in of the platform's log
 # start_instance DIR NAME     start the stand-in target and the daemon of an instance
@@ -13,7 +14,7 @@
 spawn() { # LOG-FILE COMMAND...
   local out="$1"
   shift
-  "$@" >"$out" 2>&1 &
+  "$@" >>"$out" 2>&1 &
   SPAWNED=$!
   PIDS+=("$SPAWNED")
 }
@@ -23,17 +24,18 @@
 }
 
 start_log() {
-  spawn "$RUN_DIR/log.out" "$BIN/standin-log" --listen "127.0.0.1:$1"
+  spawn "$RUN_DIR/log-$1.out" "$BIN/standin-log" --listen "127.0.0.1:$1"
 }
 
 start_instance() {
   local file="$1/daemons/$2.yaml"
-  local address slots conns
+  local address slots conns service
   address="$(setting "$file" address)"
   slots="$(setting "$file" slots)"
   conns="$(setting "$file" connections)"
+  service="$(setting "$file" service)"
   spawn "$RUN_DIR/$2.target.out" "$BIN/standin-target" --listen "$address" --slots "$slots" \
-    --connections "$conns" --name "$2" --runs "$RUN_DIR/$2.runs"
+    --connections "$conns" --name "$2" --service "$service" --runs "$RUN_DIR/$2.runs" ${TARGET_FLAGS:-}
   TARGET_PID[$2]=$SPAWNED
   spawn "$RUN_DIR/$2.out" "$BIN/parsleyd" --settings "$file"
   DAEMON_PID[$2]=$SPAWNED
