--- a/owner/gate.go
+++ b/owner/gate.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +30,19 @@
 
 func newTicket() *ticket { return &ticket{decided: make(chan struct{}, 1)} }
 
+// decidedBy reports whether the effects of the request's arrival decide it.
+func (t *ticket) decidedBy(effects admission.Effects) bool {
+	t.admitted = slices.Contains(effects.Start, t.id)
+	if t.admitted {
+		return true
+	}
+	i := slices.IndexFunc(effects.Refuse, func(r admission.Refusal) bool { return r.ID == t.id })
+	if i >= 0 {
+		t.refusal = effects.Refuse[i]
+	}
+	return i >= 0
+}
+
 func newGate(cfg admission.Config, now func() clock.Time) *gate {
 	return &gate{now: now, queue: admission.New(cfg), tickets: make(map[uint64]*ticket)}
 }
@@ -45,19 +59,20 @@
 
 // arrive reports whether the request was decided at once.
 func (g *gate) arrive(t *ticket, item admission.Item) bool {
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.nextID++
 	t.id = g.nextID
 	item.ID = t.id
-	t.admitted = false
-	g.tickets[t.id] = t
-	g.stepLocked(admission.Event{Kind: admission.Arrive, Item: item})
-	_, waits := g.tickets[t.id]
-	if !waits {
-		<-t.decided
+	effects := g.queue.Step(admission.Event{Kind: admission.Arrive, Item: item}, now)
+	if t.decidedBy(effects) {
+		g.carryOutLocked(effects)
+		return true
 	}
-	return !waits
+	g.tickets[t.id] = t
+	g.carryOutLocked(effects)
+	return false
 }
 
 // wait blocks until the request is decided; its deadline decides at the latest.
@@ -90,9 +105,10 @@
 
 // finish ends an admitted request and returns the load that is left.
 func (g *gate) finish(t *ticket, ending admission.Ending, took time.Duration) (inFlight, capacity int) {
+	now := g.now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.stepLocked(admission.Event{Kind: admission.Finish, Item: admission.Item{ID: t.id}, Ending: ending, Took: took})
+	g.carryOutLocked(g.queue.Step(admission.Event{Kind: admission.Finish, Item: admission.Item{ID: t.id}, Ending: ending, Took: took}, now))
 	return g.loadLocked()
 }
 
@@ -114,7 +130,11 @@
 }
 
 func (g *gate) stepLocked(ev admission.Event) {
-	effects := g.queue.Step(ev, g.now())
+	g.carryOutLocked(g.queue.Step(ev, g.now()))
+}
+
+// carryOutLocked wakes the requests that have waited and are decided now.
+func (g *gate) carryOutLocked(effects admission.Effects) {
 	for _, id := range effects.Start {
 		g.decideLocked(id, true, admission.Refusal{})
 	}
--- a/transport/clientconn.go
+++ b/transport/clientconn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/tinylib/msgp/msgp"
 
@@ -25,6 +26,8 @@
 	// message takes one-way messages of the peer; they are dropped if nil.
 	message func(from ident.Node, body []byte)
 
+	unusable atomic.Bool // err or goaway is set
+
 	mu      sync.Mutex
 	nextID  uint64
 	waiting map[uint64]*waiter
@@ -40,11 +43,7 @@
 }
 
 // usable reports whether new questions can be sent.
-func (c *clientConn) usable() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.err == nil && !c.goaway
-}
+func (c *clientConn) usable() bool { return !c.unusable.Load() }
 
 // ask sends a question and waits for its answer. sent is false only if no byte
 // of the question was written.
@@ -159,6 +158,7 @@
 func (c *clientConn) leave() {
 	c.mu.Lock()
 	c.goaway = true
+	c.unusable.Store(true)
 	c.mu.Unlock()
 	c.closeIfDone()
 }
@@ -206,6 +206,7 @@
 		return
 	}
 	c.err = err
+	c.unusable.Store(true)
 	waiting := c.waiting
 	c.waiting = nil
 	c.mu.Unlock()
--- a/transport/peer.go
+++ b/transport/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/parsleystack/parsleystack/ident"
@@ -19,6 +20,8 @@
 	addr  string
 	class Class
 
+	live atomic.Pointer[clientConn] // conn, for traffic
+
 	mu       sync.Mutex
 	conn     *clientConn
 	attempt  *attempt  // dial in progress
@@ -37,6 +40,9 @@
 
 // get returns a usable connection. While the backoff lasts it fails at once.
 func (p *peer) get(ctx context.Context) (*clientConn, error) {
+	if conn := p.live.Load(); conn != nil && conn.usable() {
+		return conn, nil
+	}
 	p.mu.Lock()
 	if p.conn != nil && p.conn.usable() {
 		conn := p.conn
@@ -80,6 +86,7 @@
 		a.err = &PeerError{Addr: p.addr, Err: err}
 	} else {
 		p.conn, a.conn = conn, conn
+		p.live.Store(conn)
 		p.failures = 0
 		p.flushLocked()
 	}
