Close idle connections between daemons

An entry daemon kept a connection, its buffers and two goroutines for every daemon that it had ever sent a request to. One that carried no request for 30 to 60 s is closed now, by the same steps as when a peer drains, so that no request is cut off.

--- a/transport/clientconn.go
+++ b/transport/clientconn.go
@@ -27,6 +27,7 @@
 	message func(from ident.Node, body []byte)
 
 	unusable atomic.Bool // err or goaway is set
+	used     atomic.Bool // a question was sent since idle connections were looked for
 
 	mu      sync.Mutex
 	nextID  uint64
@@ -85,6 +86,9 @@
 		return 0, err
 	}
 	w.position = position
+	if !c.used.Load() {
+		c.used.Store(true)
+	}
 	c.waiting[c.nextID] = w
 	c.count.FramesOut[c.class].Add(1)
 	return c.nextID, nil
--- a/transport/config.go
+++ b/transport/config.go
@@ -33,6 +33,9 @@
 	// DefaultMinBackoff and DefaultMaxBackoff if 0.
 	MinBackoff time.Duration
 	MaxBackoff time.Duration
+	// IdleTimeout is the time after which a connection that carries requests is
+	// closed if none was sent on it, at the earliest; DefaultIdleTimeout if 0.
+	IdleTimeout time.Duration
 }
 
 const (
@@ -46,6 +49,8 @@
 	DefaultMinBackoff = 20 * time.Millisecond
 	// DefaultMaxBackoff is the default of Config.MaxBackoff.
 	DefaultMaxBackoff = time.Second
+	// DefaultIdleTimeout is the default of Config.IdleTimeout.
+	DefaultIdleTimeout = 30 * time.Second
 )
 
 func (c Config) withDefaults() Config {
@@ -55,6 +60,7 @@
 	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&c.MinBackoff, DefaultMinBackoff)
 	setDefault(&c.MaxBackoff, DefaultMaxBackoff)
+	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
 	return c
 }
 
--- a/transport/peer.go
+++ b/transport/peer.go
@@ -62,6 +62,16 @@
 	}
 }
 
+// forget drops a connection that has ended, with its buffers.
+func (p *peer) forget(c *clientConn) {
+	p.live.CompareAndSwap(c, nil)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn == c {
+		p.conn = nil
+	}
+}
+
 // startLocked returns the dial in progress, or a new one.
 func (p *peer) startLocked() (*attempt, error) {
 	if p.attempt != nil {
@@ -108,7 +118,7 @@
 	}
 	conn := newClientConn(p.addr, p.class, raw, reader, cfg, &p.pool.count)
 	conn.node, conn.message = hello.Node, p.pool.message
-	if !p.pool.track(conn) {
+	if !p.pool.track(p, conn) {
 		_ = raw.Close()
 		return nil, ErrClosed
 	}
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 
 	"github.com/parsleystack/parsleystack/ident"
@@ -35,7 +36,9 @@
 // NewPool returns a pool without connections.
 func NewPool(cfg Config) *Pool {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	return &Pool{cfg: cfg.withDefaults(), ctx: ctx, cancel: cancel, conns: make(map[*clientConn]struct{})}
+	p := &Pool{cfg: cfg.withDefaults(), ctx: ctx, cancel: cancel, conns: make(map[*clientConn]struct{})}
+	p.done.Go(p.closeIdle)
+	return p
 }
 
 // Counters returns the pool's traffic counters.
@@ -80,6 +83,12 @@
 		return false, err
 	}
 	f, sent, err := conn.ask(ctx, wire.KindRequest, wire.KindResponse, req)
+	if errors.Is(err, ErrGoaway) && !sent { // closed since get; there is a new one, or the peer drains
+		if conn, err = p.peer(addr, classOf(req.Body)).get(ctx); err != nil {
+			return false, err
+		}
+		f, sent, err = conn.ask(ctx, wire.KindRequest, wire.KindResponse, req)
+	}
 	if err != nil {
 		return sent, err
 	}
@@ -115,8 +124,9 @@
 	return v.(*peer)
 }
 
-// track starts the connection's reader. It reports false if the pool is closed.
-func (p *Pool) track(c *clientConn) bool {
+// track starts the reader of a peer's connection. It reports false if the pool
+// is closed.
+func (p *Pool) track(owner *peer, c *clientConn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -125,6 +135,7 @@
 	p.conns[c] = struct{}{}
 	p.done.Go(func() {
 		c.run()
+		owner.forget(c)
 		p.mu.Lock()
 		delete(p.conns, c)
 		p.mu.Unlock()
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -247,6 +247,33 @@
 	}
 }
 
+func TestIdleConnectionsAreClosed(t *testing.T) {
+	h := &echo{gate: make(chan struct{})}
+	s, addr := start(t, h)
+	p := newTestPool(t, func(c *Config) { c.IdleTimeout = 20 * time.Millisecond })
+	slow := make(chan error, 1)
+	go func() {
+		var resp wire.Response
+		_, err := p.Do(ctxFor(t, 20*time.Second), addr, &wire.Request{URI: []byte("/wait")}, &resp)
+		slow <- err
+	}()
+	for s.Counters().FramesIn[ClassRequest].Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(100 * time.Millisecond) // the connection counts as idle, but an answer is due
+	close(h.gate)
+	if err := <-slow; err != nil {
+		t.Errorf("request in flight: %v", err)
+	}
+	for s.requestConns() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	var resp wire.Response
+	if _, err := p.Do(ctxFor(t, 20*time.Second), addr, &wire.Request{Body: []byte("x")}, &resp); err != nil || string(resp.Body) != "x" {
+		t.Errorf("after the connection was closed: %q, %v", resp.Body, err)
+	}
+}
+
 func TestShutdownCutsNothing(t *testing.T) {
 	h := &echo{gate: make(chan struct{})}
 	s, addr := start(t, h)
--- a/wire/reader.go
+++ b/wire/reader.go
@@ -7,7 +7,7 @@
 	"io"
 )
 
-const readBufferSize = 32 << 10 // bytes
+const readBufferSize = 16 << 10 // bytes
 
 // growStep bounds how much memory a frame's length prefix alone can claim;
 // longer bodies are allocated as their bytes arrive.
