--- a/transport/peer.go
+++ b/transport/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/parsleystack/parsleystack/ident"
@@ -19,6 +20,8 @@
 	addr  string
 	class Class
 
+	live atomic.Pointer[clientConn] // conn, for traffic
+
 	mu       sync.Mutex
 	conn     *clientConn
 	attempt  *attempt  // dial in progress
@@ -37,6 +40,9 @@
 
 // get returns a usable connection. While the backoff lasts it fails at once.
 func (p *peer) get(ctx context.Context) (*clientConn, error) {
+	if conn := p.live.Load(); conn != nil && conn.usable() {
+		return conn, nil
+	}
 	p.mu.Lock()
 	if p.conn != nil && p.conn.usable() {
 		conn := p.conn
@@ -56,6 +62,16 @@
 	}
 }
 
+// forget drops a connection that has ended, with its buffers.
+func (p *peer) forget(c *clientConn) {
+	p.live.CompareAndSwap(c, nil)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn == c {
+		p.conn = nil
+	}
+}
+
 // startLocked returns the dial in progress, or a new one.
 func (p *peer) startLocked() (*attempt, error) {
 	if p.attempt != nil {
@@ -80,6 +96,7 @@
 		a.err = &PeerError{Addr: p.addr, Err: err}
 	} else {
 		p.conn, a.conn = conn, conn
+		p.live.Store(conn)
 		p.failures = 0
 		p.flushLocked()
 	}
@@ -101,7 +118,7 @@
 	}
 	conn := newClientConn(p.addr, p.class, raw, reader, cfg, &p.pool.count)
 	conn.node, conn.message = hello.Node, p.pool.message
-	if !p.pool.track(conn) {
+	if !p.pool.track(p, conn) {
 		_ = raw.Close()
 		return nil, ErrClosed
 	}
