Start the processes of a failure run in sessions of their own

Two paused daemons ended by SIGHUP in a run: the kernel sends it to stopped processes whose process group becomes orphaned, as when the shell that started the script ends. In a session of its own a process has no such group.

--- a/scripts/deployment.sh
+++ b/scripts/deployment.sh
@@ -14,7 +14,7 @@
 spawn() { # LOG-FILE COMMAND...
   local out="$1"
   shift
-  "$@" >>"$out" 2>&1 &
+  ${SPAWN_WITH:-} "$@" >>"$out" 2>&1 &
   SPAWNED=$!
   PIDS+=("$SPAWNED")
 }
--- a/scripts/faults.sh
+++ b/scripts/faults.sh
@@ -6,6 +6,7 @@
 set -uo pipefail
 cd "$(dirname "$0")/.."
 RUN_DIR="${RUN_DIR:-run/faults}"
+SPAWN_WITH=setsid # a stopped process gets SIGHUP when its group loses its last parent in the session
 . scripts/deployment.sh
 . scripts/faultactions.sh
 
