--- a/standin/target/handler.go
+++ b/standin/target/handler.go
@@ -39,6 +39,11 @@
 	if !t.acquireSlot(ctx, r, control) {
 		return
 	}
+	if r.abandoned() { // as after a freeze
+		<-t.slots
+		closeUnanswered(ctx, nil)
+		return
+	}
 	end := t.execute(r, control)
 	<-t.slots
 	t.answer(ctx, r, control, end)
