Look for another deputy only when its answers are late; sleep while no request is in flight

Cause 1: with the default settings the leader began to look for another deputy after 250 ms of silence, but heartbeats are 375 ms apart, so that it asked every member at each heartbeat: 61 frames a second in a cell of 8. It now begins after a heartbeat and half a retry interval.

--- a/cell/leader_deputy.go
+++ b/cell/leader_deputy.go
@@ -64,7 +64,7 @@
 // not make its deputy's claim void.
 func (n *Node) probe(silence time.Duration) {
 	l := n.leader
-	start := n.timing.replaceTimeout - 2*n.timing.retry
+	start := n.timing.probeTimeout
 	if silence < start {
 		l.probed = clock.Never
 		n.wake(n.now.Add(start - silence))
--- a/cell/timing.go
+++ b/cell/timing.go
@@ -29,6 +29,7 @@
 	retry           time.Duration // after an unanswered message
 	claimTimeout    time.Duration // silence of the leader after which the deputy claims
 	replaceTimeout  time.Duration // silence of the deputy after which the leader replaces it; shorter, so that a deputy that is cut off alone loses the race
+	probeTimeout    time.Duration // silence of the deputy after which the leader looks for another; longer than the time between two of its answers
 	soloTimeout     time.Duration // silence after which a leader without candidates goes on without a deputy
 	recoveryTimeout time.Duration // silence after which a member intends a recovery
 	objection       time.Duration // between an intent and its claim
@@ -39,13 +40,15 @@
 
 func newTiming(cfg Config) timing {
 	claim := cfg.HeartbeatInterval + cfg.RetryInterval
+	heartbeat := cfg.HeartbeatInterval / 2
 	return timing{
 		lease:           cfg.LeaseDuration,
 		renew:           cfg.HeartbeatInterval,
-		heartbeat:       cfg.HeartbeatInterval / 2,
+		heartbeat:       heartbeat,
 		retry:           cfg.RetryInterval,
 		claimTimeout:    claim,
 		replaceTimeout:  claim - cfg.RetryInterval,
+		probeTimeout:    max(cfg.HeartbeatInterval-2*cfg.RetryInterval, heartbeat+cfg.RetryInterval/2),
 		soloTimeout:     4 * claim,
 		recoveryTimeout: 3 * cfg.LeaseDuration,
 		objection:       2 * cfg.LeaseDuration,
--- a/entry/watcher.go
+++ b/entry/watcher.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -27,6 +28,8 @@
 // is served.
 type watcher struct {
 	shards [watchShards]watchShard
+	active atomic.Int64  // flights in all shards
+	begun  chan struct{} // receives when a first flight begins
 }
 
 type watchShard struct {
@@ -35,7 +38,7 @@
 }
 
 func newWatcher() *watcher {
-	w := &watcher{}
+	w := &watcher{begun: make(chan struct{}, 1)}
 	for i := range w.shards {
 		w.shards[i].flights = make(map[*flight]struct{})
 	}
@@ -51,6 +54,13 @@
 	s.mu.Lock()
 	s.flights[f] = struct{}{}
 	s.mu.Unlock()
+	if w.active.Add(1) > 1 {
+		return
+	}
+	select {
+	case w.begun <- struct{}{}:
+	default:
+	}
 }
 
 func (w *watcher) remove(f *flight) {
@@ -58,9 +68,10 @@
 	s.mu.Lock()
 	delete(s.flights, f)
 	s.mu.Unlock()
+	w.active.Add(-1)
 }
 
-// run sweeps until ctx ends.
+// run sweeps until ctx ends. It sleeps while no request is in flight.
 func (w *watcher) run(ctx context.Context, now func() clock.Time) {
 	ticker := time.NewTicker(watchInterval)
 	defer ticker.Stop()
@@ -73,11 +84,32 @@
 		for i := range w.shards {
 			w.shards[i].sweep(now(), round%probeRounds == 0)
 		}
+		if w.active.Load() > 0 {
+			continue
+		}
+		ticker.Stop()
+		if !w.sleep(ctx) {
+			return
+		}
+		ticker.Reset(watchInterval)
+	}
+}
+
+// sleep waits until a request is in flight. It reports false if ctx ends first.
+func (w *watcher) sleep(ctx context.Context) bool {
+	for w.active.Load() == 0 {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-w.begun:
+		}
 	}
+	return true
 }
 
 // sweep ends the requests whose deadline has passed, the attempts whose owner
-// was replaced and, if probe is set, the requests whose callers have left. Most requests end before the first probe.
+// was replaced and, if probe is set, the requests whose callers have left. Most
+// requests end before the first probe.
 func (s *watchShard) sweep(now clock.Time, probe bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
