--- a/faultreport/report_test.go
+++ b/faultreport/report_test.go
@@ -5,6 +5,7 @@
 	"encoding/xml"
 	"errors"
 	"io"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -176,13 +177,35 @@
 		t.Fatal(err)
 	}
 	d := xml.NewDecoder(&plot)
+	height := 0
 	for {
-		_, err := d.Token()
+		token, err := d.Token()
 		if errors.Is(err, io.EOF) {
 			return
 		}
 		if err != nil {
 			t.Fatal(err)
 		}
+		e, ok := token.(xml.StartElement)
+		if !ok {
+			continue
+		}
+		if e.Name.Local == "svg" {
+			height = number(e, "height")
+		}
+		if y := number(e, "y"); y > height {
+			t.Errorf("<%s> at %d lies below the plot's height of %d", e.Name.Local, y, height)
+		}
+	}
+}
+
+// number returns a whole number of an element's attributes, 0 if it has none.
+func number(e xml.StartElement, name string) int {
+	for _, a := range e.Attr {
+		if a.Name.Local == name {
+			n, _ := strconv.Atoi(a.Value)
+			return n
+		}
 	}
+	return 0
 }
--- a/faultreport/svg.go
+++ b/faultreport/svg.go
@@ -31,7 +31,7 @@
 func (r *Report) WriteSVG(w io.Writer) error {
 	s := &svg{w: bufio.NewWriter(w), report: r, y: panelGap}
 	rows := len(r.Input.instances()) + 1
-	height := 5*panelGap + 4*panelHeight + rows*rowHeight
+	height := 6*panelGap + 4*panelHeight + rows*rowHeight
 	fmt.Fprintf(s.w, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="10">`+"\n", plotWidth, height)
 	fmt.Fprintf(s.w, `<rect width="%d" height="%d" fill="white"/>`+"\n", plotWidth, height)
 	s.text(plotLeft, 16, r.Input.Name+": failure run")
