--- a/faultreport/config.go
+++ b/faultreport/config.go
@@ -6,6 +6,9 @@
 	"github.com/parsleystack/parsleystack/config"
 )
 
+// firstPublish is the race of the publish that the run began with.
+const firstPublish = "0"
+
 // Publishes counts the results of publishes.
 type Publishes struct {
 	Races, Accepted, Lost, Unsettled, Failed int
@@ -15,7 +18,9 @@
 	var p Publishes
 	races := map[string]bool{}
 	for _, pub := range in.Publishes {
-		races[pub.Race] = true
+		if pub.Race != firstPublish {
+			races[pub.Race] = true
+		}
 		if len(pub.Results) == 0 {
 			p.Failed++
 		}
--- a/faultreport/drain.go
+++ b/faultreport/drain.go
@@ -16,16 +16,18 @@
 type Drains struct {
 	Ordered, Refused, Finished int
 	Longest                    time.Duration // from the order to the end of the daemon
+	LastWork                   time.Duration // from the order to the start of the last request at the target
 }
 
-func drains(events []Event) Drains {
+func drains(in *Input) Drains {
 	var d Drains
 	ordered := map[string]time.Time{}
-	for _, e := range events {
+	for i, e := range in.Events {
 		switch e.Kind {
 		case string(faultplan.Drain):
 			d.Ordered++
 			ordered[e.Subject] = e.Time
+			d.LastWork = max(d.LastWork, lastWork(in, i))
 		case KindDrainRefused:
 			d.Refused++
 		case KindDrained:
@@ -36,6 +38,24 @@
 	return d
 }
 
+// lastWork returns the time from a drain's order to the start of the last
+// request at the target, 0 if there is none or the drain did not finish.
+func lastWork(in *Input, order int) time.Duration {
+	e := in.Events[order]
+	end, drained := drainEnd(in.Events[order+1:], e.Subject)
+	if !drained {
+		return 0
+	}
+	var last time.Duration
+	for i := range in.Runs {
+		start := time.Unix(0, in.Runs[i].Start)
+		if in.Runs[i].Target == e.Subject && start.Before(end) {
+			last = max(last, start.Sub(e.Time))
+		}
+	}
+	return last
+}
+
 // drainViolations finds requests that were in flight at a drained target and
 // did not end, where no other fault explains it.
 func drainViolations(in *Input, faults []Span) []Violation {
--- a/faultreport/report.go
+++ b/faultreport/report.go
@@ -32,7 +32,7 @@
 	r := &Report{Input: in}
 	r.Faults = spans(in.Events, in.Start.Add(in.Length))
 	r.Counts = countFaults(in.Events)
-	r.Drains = drains(in.Events)
+	r.Drains = drains(in)
 	r.Publishes = publishes(in)
 	for _, s := range in.Services {
 		r.Measures = append(r.Measures, measure(in, s))
--- a/faultreport/report_test.go
+++ b/faultreport/report_test.go
@@ -117,6 +117,19 @@
 	}
 }
 
+func TestLastWorkOfALeavingTarget(t *testing.T) {
+	in := input()
+	in.Events = []Event{event(5, "drain", "reports-1", "one"), event(7, KindDrained, "reports-1", "-")}
+	in.Runs = []target.Run{
+		run("a", "reports-1", 6.5, 6.6, true),
+		run("b", "reports-2", 6.8, 6.9, true),
+		run("a", "reports-1", 15, 15.1, true),
+	}
+	if d := New(in, "reports").Drains; d.LastWork != 1500*time.Millisecond || d.Longest != 2*time.Second {
+		t.Errorf("drains are %+v", d)
+	}
+}
+
 func published(race, operator string, kind config.ResultKind, version platformlog.Offset) Publish {
 	r := config.Result{Service: "reports", Kind: kind, Version: version}
 	return Publish{Race: race, Operator: operator, Results: []config.Result{r}}
--- a/faultreport/text.go
+++ b/faultreport/text.go
@@ -28,7 +28,8 @@
 		fmt.Fprintf(w, "  %s\t%d\t%d\n", c.Kind, c.One, c.Two)
 	}
 	d, p := r.Drains, r.Publishes
-	fmt.Fprintf(w, "drains: %d ordered, %d refused, %d finished, longest %.1f s\n", d.Ordered, d.Refused, d.Finished, d.Longest.Seconds())
+	fmt.Fprintf(w, "drains: %d ordered, %d refused, %d finished, longest %.1f s, last new work %.1f s after the order\n",
+		d.Ordered, d.Refused, d.Finished, d.Longest.Seconds(), d.LastWork.Seconds())
 	fmt.Fprintf(w, "publishes: %d races, %d accepted, %d lost, %d unsettled, %d failed\n", p.Races, p.Accepted, p.Lost, p.Unsettled, p.Failed)
 }
 
