--- a/faultreport/report_test.go
+++ b/faultreport/report_test.go
@@ -5,6 +5,7 @@
 	"encoding/xml"
 	"errors"
 	"io"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -116,6 +117,19 @@
 	}
 }
 
+func TestLastWorkOfALeavingTarget(t *testing.T) {
+	in := input()
+	in.Events = []Event{event(5, "drain", "reports-1", "one"), event(7, KindDrained, "reports-1", "-")}
+	in.Runs = []target.Run{
+		run("a", "reports-1", 6.5, 6.6, true),
+		run("b", "reports-2", 6.8, 6.9, true),
+		run("a", "reports-1", 15, 15.1, true),
+	}
+	if d := New(in, "reports").Drains; d.LastWork != 1500*time.Millisecond || d.Longest != 2*time.Second {
+		t.Errorf("drains are %+v", d)
+	}
+}
+
 func published(race, operator string, kind config.ResultKind, version platformlog.Offset) Publish {
 	r := config.Result{Service: "reports", Kind: kind, Version: version}
 	return Publish{Race: race, Operator: operator, Results: []config.Result{r}}
@@ -176,13 +190,35 @@
 		t.Fatal(err)
 	}
 	d := xml.NewDecoder(&plot)
+	height := 0
 	for {
-		_, err := d.Token()
+		token, err := d.Token()
 		if errors.Is(err, io.EOF) {
 			return
 		}
 		if err != nil {
 			t.Fatal(err)
 		}
+		e, ok := token.(xml.StartElement)
+		if !ok {
+			continue
+		}
+		if e.Name.Local == "svg" {
+			height = number(e, "height")
+		}
+		if y := number(e, "y"); y > height {
+			t.Errorf("<%s> at %d lies below the plot's height of %d", e.Name.Local, y, height)
+		}
+	}
+}
+
+// number returns a whole number of an element's attributes, 0 if it has none.
+func number(e xml.StartElement, name string) int {
+	for _, a := range e.Attr {
+		if a.Name.Local == name {
+			n, _ := strconv.Atoi(a.Value)
+			return n
+		}
 	}
+	return 0
 }
