--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 BIN := bin
 SEED ?= 1
 STEPS ?= 1000000
+MINUTES ?= 3
 
-.PHONY: build generate run test lint soak measure
+.PHONY: build generate run test lint soak measure faults
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -21,6 +22,7 @@
 	if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+	GO="$(GO)" ./scripts/check-promises.sh
 
 test: lint
 	GO="$(GO)" ./scripts/test.sh
@@ -29,5 +31,9 @@
 measure: build
 	BIN=$(BIN) scripts/measure.sh
 
+# Kills, pauses, log faults, races and drains on real processes, drawn from SEED.
+faults: build
+	BIN=$(BIN) SEED=$(SEED) MINUTES=$(MINUTES) ./scripts/faults.sh
+
 soak:
 	$(GO) run ./cmd/parsley-soak --seed $(SEED) --steps $(STEPS)
--- a/settings/load_test.go
+++ b/settings/load_test.go
@@ -14,7 +14,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if d.Lease.Duration != 3*time.Second || d.Lease.HeartbeatInterval != 750*time.Millisecond {
+	if d.Lease.Duration != 3*time.Second || d.Lease.HeartbeatInterval != 850*time.Millisecond {
 		t.Fatalf("lease settings are %+v", d.Lease)
 	}
 	if d.Zone != "lombardy-a" || d.Target.Conns != 130 || !d.TLS.Insecure || d.LogLevel != LogInfo {
@@ -35,3 +35,14 @@
 		return err
 	})
 }
+
+func TestDaemonsAnnounceTheirListenerUnlessToldOtherwise(t *testing.T) {
+	l := Listen{Daemons: "127.0.0.1:21100"}
+	if got := l.Announced(); got != l.Daemons {
+		t.Fatalf("announced is %s", got)
+	}
+	l.Announce = "127.0.0.1:21400"
+	if got := l.Announced(); got != l.Announce {
+		t.Fatalf("announced is %s", got)
+	}
+}
