--- a/cell/celltest/doc.go
+++ b/cell/celltest/doc.go
@@ -5,4 +5,9 @@
 // invariants of docs/design/0001-ownership.md at every step. Everything that
 // happens follows from the schedule and its seed, so that a failure can be
 // repeated and shrunk.
+//
+// "make soak SEED=n STEPS=m" runs worlds for as long as asked. A failure is
+// printed as a shrunk trace; "parsley-soak --replay file" runs it again, and a
+// trace put into testdata is replayed by the tests from then on. The traces in
+// testdata/rules break one rule of the protocol each and must fail.
 package celltest
