Report the load of ranges to the cell's leader

Cause: the leader decides on moves, splits and merges by load, but no daemon told it any, so that only the number of ranges per member counted.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/parsleystack/parsleystack/lease"
 	"github.com/parsleystack/parsleystack/owner"
 	"github.com/parsleystack/parsleystack/platformlog"
+	"github.com/parsleystack/parsleystack/rangeload"
 	"github.com/parsleystack/parsleystack/route"
 	"github.com/parsleystack/parsleystack/settings"
 	"github.com/parsleystack/parsleystack/target"
@@ -52,6 +53,9 @@
 
 	peerOffsets offsetTable
 
+	load         rangeload.Recorder
+	loadReporter rangeload.Reporter // owned by the goroutine of reportLoad
+
 	member   atomic.Pointer[driver.Driver] // nil until the own service is configured
 	specs    chan *config.InForce          // newest configuration for the control goroutine
 	leave    chan struct{}                 // closed when a planned stop begins
@@ -114,6 +118,7 @@
 		Leases:      d.leases,
 		Target:      d.target,
 		Hints:       d.hint,
+		Observe:     d.load.Observe,
 		LeaseMargin: d.settings.Lease.TargetMargin,
 		Log:         d.log,
 	})
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -69,6 +69,7 @@
 		return d.applyConfig(gctx, func(m *driver.Driver) { g.Go(func() error { return m.Run(gctx) }) })
 	})
 	g.Go(func() error { return d.watchTarget(gctx) })
+	g.Go(func() error { return d.reportLoad(gctx) })
 	g.Go(func() error { return d.watchUnavailable(gctx) })
 	g.Go(func() error { return ignoreCanceled(d.target.Run(gctx)) })
 	g.Go(func() error {
--- a/owner/config.go
+++ b/owner/config.go
@@ -24,6 +24,10 @@
 	// knows it. It must not block.
 	Hints func(p keyspace.Point) (wire.Hint, bool)
 
+	// Observe is told of each request that is admitted to a held range by its
+	// key; it may be nil. It must not block.
+	Observe func(p keyspace.Point)
+
 	// Now reads the clock that leases are measured on; clock.Now if nil.
 	Now func() clock.Time
 	// Fast reads the clock that deadlines and durations are measured on;
@@ -60,6 +64,9 @@
 	if c.Log == nil {
 		c.Log = zap.NewNop()
 	}
+	if c.Observe == nil {
+		c.Observe = func(keyspace.Point) {}
+	}
 	if c.Hints == nil {
 		c.Hints = func(keyspace.Point) (wire.Hint, bool) { return wire.Hint{}, false }
 	}
--- a/owner/run.go
+++ b/owner/run.go
@@ -110,6 +110,9 @@
 	} else {
 		r.use, verdict = r.owner.cfg.Leases.AcquireAny(now)
 	}
+	if verdict == lease.Held && r.req.Keyed {
+		r.owner.cfg.Observe(r.req.Point)
+	}
 	return r.accept(verdict)
 }
 
