--- a/measure/cost/cell.go
+++ b/measure/cost/cell.go
@@ -24,7 +24,7 @@
 )
 
 var (
-	cellMembers  = []int{3, 4, 5, 6, 7, 8}
+	cellMembers  = []int{3, 4, 5, 6, cell.MaxMembers}
 	memberRanges = []int{4, 16, 64, 128, 256}
 )
 
