--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -185,3 +185,17 @@
 		t.Errorf("%s: output is\n%s\nwant\n%s", path, got, want)
 	}
 }
+
+func TestOrdersReachTheirDaemonWhileAnotherOneIsPaused(t *testing.T) {
+	d := newDeployment(t)
+	d.nodes[0].paused = make(chan struct{})
+	defer close(d.nodes[0].paused)
+	mustRun(t, d, "--timeout 1s drain --operator anna --daemons "+d.dir+" reports-2")
+	if d.nodes[1].drained == nil {
+		t.Error("the drain did not reach its daemon")
+	}
+	mustRun(t, d, "--timeout 1s confirm-loss --operator anna --daemons "+d.dir+" --service reports reports-9#7")
+	if d.nodes[1].confirmed == nil && d.nodes[2].confirmed == nil {
+		t.Error("the confirmation reached no daemon")
+	}
+}
--- a/cli/confirm_loss.go
+++ b/cli/confirm_loss.go
@@ -40,10 +40,10 @@
 // confirmAt tells a daemon of the service, other than the lost one. The
 // process must not answer, since its ranges are about to be given away.
 func (c *call) confirmAt(ctx context.Context, clients []daemonClient, a *ConfirmLossArgs, node ident.Node) (*admin.ConfirmLossAnswer, error) {
+	answers, errs := statuses(ctx, clients, c.args.Timeout/2) // the rest is for the order
 	var peer *daemonClient
-	for i := range clients {
-		st, err := clients[i].Status(ctx)
-		if err != nil {
+	for i, st := range answers {
+		if errs[i] != nil {
 			continue
 		}
 		if st.Instance == node.Instance && st.Incarnation == node.Incarnation {
--- a/cli/drain.go
+++ b/cli/drain.go
@@ -41,12 +41,12 @@
 
 // findInstance returns the client of the daemon that runs on the instance.
 func (c *call) findInstance(ctx context.Context, clients []daemonClient, instance string) (*daemonClient, error) {
+	answers, errs := statuses(ctx, clients, c.args.Timeout/2) // the rest is for the order
 	var names []string
 	var last error
-	for i := range clients {
-		st, err := clients[i].Status(ctx)
-		if err != nil {
-			last = err
+	for i, st := range answers {
+		if errs[i] != nil {
+			last = errs[i]
 			continue
 		}
 		if string(st.Instance) == instance {
--- a/cli/status.go
+++ b/cli/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -42,28 +43,35 @@
 	return ExitOK, nil
 }
 
-// askAll asks all daemons at once; the answers stand in the order of clients.
-func (c *call) askAll(ctx context.Context, clients []daemonClient) *statusOutput {
-	ctx, cancel := context.WithTimeout(ctx, c.args.Timeout)
+// statuses asks all daemons at once, so that one that does not answer delays
+// nothing but itself. Answers and errors stand in the order of clients.
+func statuses(ctx context.Context, clients []daemonClient, timeout time.Duration) ([]*admin.Status, []error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	statuses := make([]*admin.Status, len(clients))
+	answers := make([]*admin.Status, len(clients))
 	errs := make([]error, len(clients))
 	var g errgroup.Group
 	g.SetLimit(maxConcurrentCalls)
 	for i, client := range clients {
 		g.Go(func() error {
-			statuses[i], errs[i] = client.Status(ctx)
+			answers[i], errs[i] = client.Status(ctx)
 			return nil
 		})
 	}
 	_ = g.Wait()
+	return answers, errs
+}
+
+// askAll returns the answers of all daemons in the order of clients.
+func (c *call) askAll(ctx context.Context, clients []daemonClient) *statusOutput {
+	answers, errs := statuses(ctx, clients, c.args.Timeout)
 	out := &statusOutput{Daemons: []*admin.Status{}, Unreachable: []unreachableDaemon{}, Findings: []string{}}
 	for i, err := range errs {
 		if err != nil {
 			out.Unreachable = append(out.Unreachable, unreachableDaemon{Addr: clients[i].addr, Error: err.Error()})
 			continue
 		}
-		out.Daemons = append(out.Daemons, statuses[i])
+		out.Daemons = append(out.Daemons, answers[i])
 	}
 	return out
 }
