Count outcomes in one place, and those of newer versions too

Cause: entry and owner each had the same counters and metrics. Both indexed an array by the reason that a peer's frame carries, so that an answer of a newer version with an unknown reason would have ended the daemon. The counts are one package now, and unknown reasons and kinds have a place; its test panics on the earlier code.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -43,7 +43,7 @@
 	f.begin()
 	result := f.dispatch()
 	f.end()
-	g.stats.count(result)
+	g.stats.Add(result)
 	f.write(result)
 }
 
--- a/owner/run.go
+++ b/owner/run.go
@@ -193,7 +193,7 @@
 }
 
 func (r *run) respond() {
-	r.owner.stats.count(&r.resp)
+	r.owner.stats.Add(r.resp.Result())
 	r.exchange.OnCancel(nil)
 	if err := r.exchange.Respond(&r.resp); err != nil {
 		r.resp.Reset()
--- a/transport/metrics.go
+++ b/transport/metrics.go
@@ -1,22 +1,26 @@
 package transport
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/parsleystack/parsleystack/outcomestat"
+)
 
 // Register publishes the counters under names with the given prefix, such as
 // parsley_pool.
 func (c *Counters) Register(set *metrics.Set, prefix string) {
 	for _, class := range []Class{ClassControl, ClassRequest, ClassBulk} {
 		label := `{class="` + class.String() + `"}`
-		gauge(set, prefix+"_received_bytes_total"+label, c.BytesIn[class].Load)
-		gauge(set, prefix+"_sent_bytes_total"+label, c.BytesOut[class].Load)
-		gauge(set, prefix+"_received_frames_total"+label, c.FramesIn[class].Load)
-		gauge(set, prefix+"_sent_frames_total"+label, c.FramesOut[class].Load)
+		outcomestat.Register(set, prefix+"_received_bytes_total"+label, c.BytesIn[class].Load)
+		outcomestat.Register(set, prefix+"_sent_bytes_total"+label, c.BytesOut[class].Load)
+		outcomestat.Register(set, prefix+"_received_frames_total"+label, c.FramesIn[class].Load)
+		outcomestat.Register(set, prefix+"_sent_frames_total"+label, c.FramesOut[class].Load)
 	}
-	gauge(set, prefix+"_late_answers_total", c.LateAnswers.Load)
-	gauge(set, prefix+"_bad_connections_total", c.BadConns.Load)
-	gauge(set, prefix+"_dials_total", c.Dials.Load)
-	gauge(set, prefix+"_failed_dials_total", c.FailedDials.Load)
-	gauge(set, prefix+"_dropped_frames_total", c.DroppedFrames.Load)
+	outcomestat.Register(set, prefix+"_late_answers_total", c.LateAnswers.Load)
+	outcomestat.Register(set, prefix+"_bad_connections_total", c.BadConns.Load)
+	outcomestat.Register(set, prefix+"_dials_total", c.Dials.Load)
+	outcomestat.Register(set, prefix+"_failed_dials_total", c.FailedDials.Load)
+	outcomestat.Register(set, prefix+"_dropped_frames_total", c.DroppedFrames.Load)
 }
 
 // RegisterSegments publishes the segments of open connections under names with
@@ -24,11 +28,7 @@
 func RegisterSegments(set *metrics.Set, prefix string, segments func(Class) Segments) {
 	for _, class := range []Class{ClassControl, ClassRequest} {
 		label := `{class="` + class.String() + `"}`
-		gauge(set, prefix+"_received_segments"+label, func() uint64 { return segments(class).In })
-		gauge(set, prefix+"_sent_segments"+label, func() uint64 { return segments(class).Out })
+		outcomestat.Register(set, prefix+"_received_segments"+label, func() uint64 { return segments(class).In })
+		outcomestat.Register(set, prefix+"_sent_segments"+label, func() uint64 { return segments(class).Out })
 	}
 }
-
-func gauge(set *metrics.Set, name string, load func() uint64) {
-	set.NewGauge(name, func() float64 { return float64(load()) })
-}
