Read the log at once when a recovery or a first deputy needs its end

Cause: a member begins a recovery only after a read that has reached the end of the log within the last lease. The random runs read all the time and could not see it.

The core now asks for a read when it needs one (Effects.ReadLog), and the driver ends a long poll for it. The new test of the driver fails before.

Ruled out: shorter long polls, which cost every member bytes at rest.

--- a/cell/driver/config.go
+++ b/cell/driver/config.go
@@ -22,8 +22,8 @@
 	AppendTimeout time.Duration
 	// ReadTimeout bounds one read of the log, its long poll included.
 	ReadTimeout time.Duration
-	// FirstReadTimeout bounds a read before the end of the stream was reached.
-	FirstReadTimeout time.Duration
+	// QuickReadTimeout bounds a read that does not wait for a record.
+	QuickReadTimeout time.Duration
 	// ReadBackoff is the pause after a failed read.
 	ReadBackoff time.Duration
 	// OrderTimeout bounds one order to the target.
@@ -34,7 +34,7 @@
 const (
 	DefaultAppendTimeout    = 1 * time.Second
 	DefaultReadTimeout      = 7 * time.Second
-	DefaultFirstReadTimeout = 250 * time.Millisecond
+	DefaultQuickReadTimeout = 250 * time.Millisecond
 	DefaultReadBackoff      = 100 * time.Millisecond
 	DefaultOrderTimeout     = 500 * time.Millisecond
 )
@@ -52,8 +52,8 @@
 	if c.ReadTimeout == 0 {
 		c.ReadTimeout = DefaultReadTimeout
 	}
-	if c.FirstReadTimeout == 0 {
-		c.FirstReadTimeout = DefaultFirstReadTimeout
+	if c.QuickReadTimeout == 0 {
+		c.QuickReadTimeout = DefaultQuickReadTimeout
 	}
 	if c.ReadBackoff == 0 {
 		c.ReadBackoff = DefaultReadBackoff
--- a/cell/driver/driver_test.go
+++ b/cell/driver/driver_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -167,12 +168,12 @@
 
 // waitServed waits until the drivers that are left hold the whole hash space
 // without overlap.
-func (g *group) waitServed(without int) {
+func (g *group) waitServed(without ...int) {
 	g.t.Helper()
 	g.wait("every range is held", func() bool {
 		var total uint64
 		for i, h := range g.holders {
-			if i == without {
+			if slices.Contains(without, i) {
 				continue
 			}
 			for _, r := range h.held() {
@@ -183,9 +184,9 @@
 	})
 }
 
-func (g *group) anyHeld(without int) bool {
+func (g *group) anyHeld(without []int) bool {
 	for i, h := range g.holders {
-		if i != without && len(h.held()) > 0 {
+		if !slices.Contains(without, i) && len(h.held()) > 0 {
 			return true
 		}
 	}
@@ -220,7 +221,7 @@
 
 func TestLossOfTheLeaderIsServedAgain(t *testing.T) {
 	g := startGroup(t, 3)
-	g.waitServed(-1)
+	g.waitServed()
 	lost := g.leader()
 	g.kill(lost)
 	g.waitServed(lost)
@@ -228,7 +229,7 @@
 
 func TestLossWhileTheLogIsDownIsServedAgain(t *testing.T) {
 	g := startGroup(t, 4)
-	g.waitServed(-1)
+	g.waitServed()
 	lost := -1
 	for i, d := range g.drivers {
 		if v := d.View(); v.Self != v.Leader && v.Self != v.Deputy {
@@ -245,7 +246,7 @@
 
 func TestPlannedStopWaitsForWorkInFlight(t *testing.T) {
 	g := startGroup(t, 3)
-	g.waitServed(-1)
+	g.waitServed()
 	leaving := g.leader()
 	busy := make(chan struct{})
 	g.holders[leaving].busy = busy
@@ -260,3 +261,27 @@
 	<-g.drivers[leaving].Left()
 	g.waitServed(leaving)
 }
+
+func TestLossOfLeaderAndDeputyIsRecovered(t *testing.T) {
+	g := startGroup(t, 4)
+	g.waitServed()
+	leader := g.leader()
+	deputy := -1
+	g.wait("a deputy is known", func() bool {
+		for i, d := range g.drivers {
+			if d.View().Self == g.drivers[leader].View().Deputy {
+				deputy = i
+			}
+		}
+		return deputy >= 0
+	})
+	g.kill(leader)
+	g.kill(deputy)
+	lost := g.drivers[leader].View().Self
+	for i, d := range g.drivers {
+		if i != leader && i != deputy {
+			_ = d.Post(context.Background(), cell.ConfirmLoss{Node: lost, Operator: "anna"})
+		}
+	}
+	g.waitServed(leader, deputy)
+}
--- a/cell/driver/reader.go
+++ b/cell/driver/reader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,10 @@
 	kick chan struct{}
 
 	caughtUp bool // the end of the stream was reached once
+
+	mu     sync.Mutex
+	quick  bool               // the next read must not wait for a record
+	cancel context.CancelFunc // ends the long poll in progress; nil if there is none
 }
 
 func newReader(cfg Config, post func(context.Context, cell.Event)) *reader {
@@ -35,8 +40,17 @@
 	}
 }
 
-// wake ends a pause after a failed read.
+// wake asks for a read that does not wait for a record. It ends a long poll in
+// progress, since that proves nothing of the end of the stream before it
+// returns, and a pause after a failed read.
 func (r *reader) wake() {
+	r.mu.Lock()
+	r.quick = true
+	if r.cancel != nil {
+		r.cancel()
+		r.cancel = nil
+	}
+	r.mu.Unlock()
 	select {
 	case r.kick <- struct{}{}:
 	default:
@@ -51,6 +65,9 @@
 			from = lastRead
 		}
 		next, err := r.readOnce(ctx, from)
+		if errors.Is(err, context.Canceled) {
+			continue
+		}
 		if err != nil {
 			r.pause(ctx)
 			continue
@@ -62,7 +79,7 @@
 
 // readOnce performs one read and returns the offset to go on from.
 func (r *reader) readOnce(ctx context.Context, from platformlog.Offset) (platformlog.Offset, error) {
-	rctx, cancel := context.WithTimeout(ctx, r.timeout())
+	rctx, cancel := r.begin(ctx)
 	defer cancel()
 	started := clock.Now()
 	batch, err := r.cfg.Log.Read(rctx, r.cfg.Stream, from, readLimit)
@@ -81,14 +98,21 @@
 	return from, nil
 }
 
-// timeout bounds a read with its long poll. Until the end of the stream was
-// reached once it is short: a process must know that there is nothing more to
-// read before it announces itself, even in an empty stream.
-func (r *reader) timeout() time.Duration {
-	if r.caughtUp {
-		return r.cfg.ReadTimeout
+// begin returns the context of the next read. Until the end of the stream was
+// reached once, and when wake has asked for it, the read is short: a process
+// must know that there is nothing more to read before it announces itself or
+// begins a recovery, even in a stream that gets no record. Any other read is a
+// long poll that wake ends.
+func (r *reader) begin(ctx context.Context) (context.Context, context.CancelFunc) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.quick || !r.caughtUp {
+		r.quick, r.cancel = false, nil
+		return context.WithTimeout(ctx, r.cfg.QuickReadTimeout)
 	}
-	return r.cfg.FirstReadTimeout
+	rctx, cancel := context.WithTimeout(ctx, r.cfg.ReadTimeout)
+	r.cancel = cancel
+	return rctx, cancel
 }
 
 func (r *reader) pause(ctx context.Context) {
--- a/cell/leader_deputy.go
+++ b/cell/leader_deputy.go
@@ -39,6 +39,7 @@
 	}
 	if current.IsZero() {
 		next := n.bestDeputy(0)
+		n.out.ReadLog = n.out.ReadLog || !next.IsZero() && !n.logFresh()
 		return next, !next.IsZero() && n.logFresh()
 	}
 	silence := n.deputySilence()
--- a/cell/recovery.go
+++ b/cell/recovery.go
@@ -38,7 +38,7 @@
 // silent while the log works.
 func (n *Node) runRecovery() {
 	r := &n.recovery
-	if n.ledger.state.Base == 0 || n.leader != nil || n.ledger.announced(n.self()) == nil || !n.logFresh() {
+	if n.ledger.state.Base == 0 || n.leader != nil || n.ledger.announced(n.self()) == nil {
 		return
 	}
 	if n.follower.heard == clock.Never {
@@ -47,6 +47,10 @@
 	if n.now.Sub(n.follower.heard) < n.recoveryTimeout() || n.now < r.heldOff || n.leaving {
 		return
 	}
+	if !n.logFresh() {
+		n.out.ReadLog = true
+		return
+	}
 	if !slices.Contains(n.ledger.state.Intents, n.self()) {
 		n.intend()
 		return
