Do not say in the audit trail that a lost member still takes part

Cause: a member counts as part of the cell until it has been silent for a minute, so that ranges of a killed instance were shown as moved for balance or a planned stop. Assign records hold no reason; the entry names the three that it may have.

--- a/audit/cell.go
+++ b/audit/cell.go
@@ -107,7 +107,7 @@
 	}
 	for _, m := range members {
 		if m.Node == from {
-			return fmt.Sprintf("moved from %v, which still takes part: balance or planned stop", from)
+			return fmt.Sprintf("moved from %v: its lease has lapsed, or for balance or a planned stop", from)
 		}
 	}
 	return fmt.Sprintf("moved from %v, which left, was lost or was restarted", from)
