Use the standard library and the view where logic stood twice

The same defaults were set by five ifs in the driver and by one generic function in each of entry and transport: cmp.Or does it. equalNodes was slices.Equal, the daemon's member version a copy of cell.Version. Whether a view covers its cell, and which member a process is, are asked of cell.View now in place of a loop or comparison at each caller.

--- a/cell/driver/config.go
+++ b/cell/driver/config.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/parsleystack/parsleystack/cell"
@@ -46,19 +47,9 @@
 const maxTickInterval = 100 * time.Millisecond
 
 func (c *Config) setDefaults() {
-	if c.AppendTimeout == 0 {
-		c.AppendTimeout = DefaultAppendTimeout
-	}
-	if c.ReadTimeout == 0 {
-		c.ReadTimeout = DefaultReadTimeout
-	}
-	if c.QuickReadTimeout == 0 {
-		c.QuickReadTimeout = DefaultQuickReadTimeout
-	}
-	if c.ReadBackoff == 0 {
-		c.ReadBackoff = DefaultReadBackoff
-	}
-	if c.OrderTimeout == 0 {
-		c.OrderTimeout = DefaultOrderTimeout
-	}
+	c.AppendTimeout = cmp.Or(c.AppendTimeout, DefaultAppendTimeout)
+	c.ReadTimeout = cmp.Or(c.ReadTimeout, DefaultReadTimeout)
+	c.QuickReadTimeout = cmp.Or(c.QuickReadTimeout, DefaultQuickReadTimeout)
+	c.ReadBackoff = cmp.Or(c.ReadBackoff, DefaultReadBackoff)
+	c.OrderTimeout = cmp.Or(c.OrderTimeout, DefaultOrderTimeout)
 }
--- a/cell/view.go
+++ b/cell/view.go
@@ -25,3 +25,17 @@
 	// from Assignments until then.
 	Waiting bool
 }
+
+// Complete reports whether Assignments covers the whole cell, as on its leader
+// and its deputy.
+func (v *View) Complete() bool { return v.Self == v.Leader || v.Self == v.Deputy }
+
+// Member returns the member that the process is.
+func (v *View) Member(node ident.Node) (Member, bool) {
+	for _, m := range v.Members {
+		if m.Node == node {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
--- a/daemon/admin.go
+++ b/daemon/admin.go
@@ -81,7 +81,7 @@
 		Term:        v.Term,
 		Leader:      v.Leader.String(),
 		Deputy:      v.Deputy.String(),
-		Complete:    v.Self == v.Leader || v.Self == v.Deputy,
+		Complete:    v.Complete(),
 		Provisional: v.Provisional,
 	}
 	for _, m := range v.Members {
--- a/daemon/cellconfig.go
+++ b/daemon/cellconfig.go
@@ -6,10 +6,6 @@
 	"github.com/parsleystack/parsleystack/service"
 )
 
-// memberVersion is the newest version of cell records and messages that this
-// program understands.
-const memberVersion = 1
-
 // cellConfig returns the parameters of the local cell. Parameters that the
 // service's configuration holds are read when the daemon joins its cell.
 func (d *Daemon) cellConfig(spec *service.Spec) cell.Config {
@@ -52,6 +48,6 @@
 		Zone:     d.settings.Zone,
 		Addr:     d.settings.Listen.Announced(),
 		Capacity: d.settings.Target.Slots,
-		Version:  memberVersion,
+		Version:  cell.Version,
 	}
 }
--- a/daemon/hint.go
+++ b/daemon/hint.go
@@ -17,12 +17,11 @@
 	if !ok || g.Owner == d.node {
 		return wire.Hint{}, false
 	}
-	for _, m := range v.Members {
-		if m.Node == g.Owner {
-			return wire.Hint{Range: g.Range, Owner: g.Owner, Addr: m.Addr, Zone: m.Zone, Token: g.Token}, true
-		}
+	m, ok := v.Member(g.Owner)
+	if !ok {
+		return wire.Hint{}, false
 	}
-	return wire.Hint{}, false
+	return wire.Hint{Range: g.Range, Owner: g.Owner, Addr: m.Addr, Zone: m.Zone, Token: g.Token}, true
 }
 
 func grantAt(grants []cell.Grant, p keyspace.Point) (cell.Grant, bool) {
--- a/daemon/observer.go
+++ b/daemon/observer.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"slices"
+
 	"go.uber.org/zap"
 
 	"github.com/parsleystack/parsleystack/cell"
@@ -46,25 +48,13 @@
 			nodes = append(nodes, m.Node)
 		}
 	}
-	if equalNodes(nodes, d.peerNodes) {
+	if slices.Equal(nodes, d.peerNodes) {
 		return
 	}
 	d.peerNodes = nodes
 	d.follower.SetPeers(nodes)
 }
 
-func equalNodes(a, b []ident.Node) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i] != b[i] {
-			return false
-		}
-	}
-	return true
-}
-
 // auditEvents maps the kinds of audit entries to log events.
 var auditEvents = map[cell.AuditKind]*logevent.Event{
 	cell.AuditLeader:    logevent.LeaderChanged,
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -59,12 +59,8 @@
 	if member == nil {
 		return "", false
 	}
-	for _, m := range member.View().Members {
-		if m.Node == node {
-			return m.Addr, true
-		}
-	}
-	return "", false
+	m, ok := member.View().Member(node)
+	return m.Addr, ok
 }
 
 // cellAddrs returns the addresses of the other members of the local cell.
--- a/directory/query.go
+++ b/directory/query.go
@@ -28,7 +28,7 @@
 		Term:     v.Term,
 		Leader:   v.Leader,
 		Deputy:   v.Deputy,
-		Complete: v.Self == v.Leader || v.Self == v.Deputy,
+		Complete: v.Complete(),
 		Members:  v.Members,
 		Grants:   v.Assignments,
 	}
--- a/entry/config.go
+++ b/entry/config.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"time"
 
 	"go.uber.org/zap"
@@ -65,13 +66,13 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.MaxBody, DefaultMaxBody)
-	setDefault(&c.MaxHeader, DefaultMaxHeader)
-	setDefault(&c.ReadTimeout, DefaultReadTimeout)
-	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&c.MaxConns, DefaultMaxConns)
-	setDefault(&c.HoldLimit, DefaultHoldLimit)
-	setDefault(&c.DefaultTimeout, DefaultRequestTimeout)
+	c.MaxBody = cmp.Or(c.MaxBody, DefaultMaxBody)
+	c.MaxHeader = cmp.Or(c.MaxHeader, DefaultMaxHeader)
+	c.ReadTimeout = cmp.Or(c.ReadTimeout, DefaultReadTimeout)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
+	c.MaxConns = cmp.Or(c.MaxConns, DefaultMaxConns)
+	c.HoldLimit = cmp.Or(c.HoldLimit, DefaultHoldLimit)
+	c.DefaultTimeout = cmp.Or(c.DefaultTimeout, DefaultRequestTimeout)
 	if c.Now == nil {
 		c.Now = clock.Fast
 	}
@@ -80,10 +81,3 @@
 	}
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/transport/config.go
+++ b/transport/config.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"crypto/tls"
 	"time"
 
@@ -54,19 +55,12 @@
 )
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.MaxFrame, wire.DefaultMaxFrame)
-	setDefault(&c.MaxBacklog, DefaultMaxBacklog)
-	setDefault(&c.HandshakeTimeout, DefaultHandshakeTimeout)
-	setDefault(&c.WriteTimeout, DefaultWriteTimeout)
-	setDefault(&c.MinBackoff, DefaultMinBackoff)
-	setDefault(&c.MaxBackoff, DefaultMaxBackoff)
-	setDefault(&c.IdleTimeout, DefaultIdleTimeout)
+	c.MaxFrame = cmp.Or(c.MaxFrame, wire.DefaultMaxFrame)
+	c.MaxBacklog = cmp.Or(c.MaxBacklog, DefaultMaxBacklog)
+	c.HandshakeTimeout = cmp.Or(c.HandshakeTimeout, DefaultHandshakeTimeout)
+	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
+	c.MinBackoff = cmp.Or(c.MinBackoff, DefaultMinBackoff)
+	c.MaxBackoff = cmp.Or(c.MaxBackoff, DefaultMaxBackoff)
+	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
 	return c
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
