--- /dev/null
+++ b/fleet/directory.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/ident"
+)
+
+const (
+	// SilentAfter is the time without a status after which a daemon counts as
+	// lost. It covers two lost statuses.
+	SilentAfter = 1200 * time.Millisecond
+	// ForgetAfter is the silence after which a daemon that owns nothing is
+	// removed from the directory.
+	ForgetAfter = 20 * time.Second
+)
+
+// Peer is another daemon as this one knows it.
+type Peer struct {
+	Member   Member
+	Stored   bool       // the record stands in the store
+	Load     Load       // of the newest status
+	LoadAt   clock.Time // when it came
+	Heard    clock.Time // when the newest status came, or the record was learnt
+	Config   uint64
+	Offset   int64
+	LastSeq  uint64 // newest Seq of its present process
+	Answered bool   // it has sent a status since its record was learnt
+}
+
+// Silent reports whether the peer has not been heard for too long.
+func (p *Peer) Silent(now clock.Time) bool { return now.Sub(p.Heard) > SilentAfter }
+
+// Directory holds all daemons but this one. It belongs to the control state.
+type Directory struct {
+	peers map[ident.Instance]*Peer
+}
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory { return &Directory{peers: make(map[ident.Instance]*Peer)} }
+
+// Learn takes a record, and reports whether it is news. stored says that it
+// was read from the store.
+func (d *Directory) Learn(m *Member, stored bool, now clock.Time) bool {
+	name := ident.Instance(m.Instance)
+	p := d.peers[name]
+	if p == nil {
+		d.peers[name] = &Peer{Member: *m, Stored: stored, Heard: now}
+		return true
+	}
+	p.Stored = p.Stored || stored
+	if !m.Newer(&p.Member) {
+		return false
+	}
+	if m.Incarnation != p.Member.Incarnation {
+		p.LastSeq, p.Answered = 0, false
+		p.Heard = now
+	}
+	p.Member = *m
+	return true
+}
+
+// Hear takes a status. It reports whether the sender's record was news, and
+// returns nil for a status older than one that was heard.
+func (d *Directory) Hear(s *Status, now clock.Time) (p *Peer, news bool) {
+	news = d.Learn(&s.Member, false, now)
+	p = d.peers[ident.Instance(s.Member.Instance)]
+	if s.Member.Incarnation != p.Member.Incarnation || s.Seq <= p.LastSeq {
+		return nil, news
+	}
+	p.LastSeq, p.Heard, p.Answered = s.Seq, now, true
+	p.Load, p.LoadAt = s.Load, now
+	p.Config, p.Offset = s.Config, s.Offset
+	return p, news
+}
+
+// Remove forgets a daemon.
+func (d *Directory) Remove(name ident.Instance) { delete(d.peers, name) }
+
+// Peer returns one daemon, or nil.
+func (d *Directory) Peer(name ident.Instance) *Peer { return d.peers[name] }
+
+// Peers returns all daemons in the order of their names.
+func (d *Directory) Peers() []*Peer {
+	all := make([]*Peer, 0, len(d.peers))
+	for _, name := range slices.Sorted(maps.Keys(d.peers)) {
+		all = append(all, d.peers[name])
+	}
+	return all
+}
--- /dev/null
+++ b/ownertable/keeper.go
@@ -0,0 +1,147 @@
+package ownertable
+
+import (
+	"time"
+
+	"github.com/parsleystack/parsleystack/clock"
+)
+
+// Keeper tracks what one life of a target holds: what it was granted, until
+// when, and what it has let go. It belongs to the daemon beside the target.
+type Keeper struct {
+	// unknownEnds bounds grants of an earlier process of the daemon.
+	unknownEnds clock.Time
+	granted     map[RowID]*granted
+	handovers   []Released // released ranges of rows that were not freed yet
+}
+
+type granted struct {
+	ends    clock.Time // the target has surely let go after it
+	omitted uint64     // seq of the first heartbeat answered without the row
+}
+
+// NewKeeper returns the Keeper of a daemon process that started at started.
+func NewKeeper(started clock.Time) *Keeper {
+	return &Keeper{unknownEnds: started.Add(HoldEnds(LeaseTime)), granted: make(map[RowID]*granted)}
+}
+
+// Report is what a heartbeat says of keys.
+type Report struct {
+	Seq      uint64
+	Held     []Held
+	Released []Released
+}
+
+// Answer is what a heartbeat is answered.
+type Answer struct {
+	Grants []Grant
+	Hold   time.Duration // 0 renews nothing
+	// Freed holds the rows that the target has let go, with their handover.
+	Freed map[RowID]string
+}
+
+// Heartbeat answers a heartbeat. rows are all rows that the newest table names
+// as the target's, left is how long the lease lasts, and longest the longest
+// hold that the target takes.
+func (k *Keeper) Heartbeat(rows []Row, report *Report, left, longest time.Duration, now clock.Time) Answer {
+	k.handovers = append(k.handovers, report.Released...)
+	var a Answer
+	a.Hold = HoldTime(left, longest)
+	for i := range rows {
+		r := &rows[i]
+		if r.Revoked == NotRevoked {
+			k.grant(&a, r, now)
+			continue
+		}
+		k.release(&a, r, report, now)
+	}
+	k.forget(rows)
+	return a
+}
+
+func (k *Keeper) grant(a *Answer, r *Row, now clock.Time) {
+	if a.Hold == 0 {
+		return
+	}
+	a.Grants = append(a.Grants, Grant{Range: r.Range, Token: r.Token, Handover: r.Handover})
+	g := k.of(r.ID())
+	g.ends = max(g.ends, now.Add(HoldEnds(a.Hold)))
+	g.omitted = 0
+}
+
+// release frees a revoked row once a heartbeat that follows an answer without
+// the row does not list it any more, or once its hold has run out.
+func (k *Keeper) release(a *Answer, r *Row, report *Report, now clock.Time) {
+	g := k.of(r.ID())
+	switch {
+	case g.omitted > 0 && report.Seq > g.omitted && !holds(report, r.Range), !now.Before(g.ends):
+		if a.Freed == nil {
+			a.Freed = make(map[RowID]string)
+		}
+		a.Freed[r.ID()] = k.handover(r.Range)
+	case g.omitted == 0 && a.Hold > 0:
+		g.omitted = report.Seq
+	}
+}
+
+// Lapsed returns the rows among those given whose holds have run out.
+func (k *Keeper) Lapsed(rows []Row, now clock.Time) map[RowID]string {
+	var freed map[RowID]string
+	for i := range rows {
+		if r := &rows[i]; !now.Before(k.of(r.ID()).ends) {
+			if freed == nil {
+				freed = make(map[RowID]string)
+			}
+			freed[r.ID()] = k.handover(r.Range)
+		}
+	}
+	return freed
+}
+
+func (k *Keeper) of(id RowID) *granted {
+	g := k.granted[id]
+	if g == nil {
+		g = &granted{ends: k.unknownEnds}
+		k.granted[id] = g
+	}
+	return g
+}
+
+func holds(report *Report, r Range) bool {
+	for i := range report.Held {
+		if report.Held[i].Overlaps(r) {
+			return true
+		}
+	}
+	return false
+}
+
+// handover returns what the target has left for the next holder of a range.
+func (k *Keeper) handover(r Range) string {
+	for i := len(k.handovers) - 1; i >= 0; i-- {
+		if k.handovers[i].Covers(r) {
+			return k.handovers[i].Handover
+		}
+	}
+	return ""
+}
+
+// maxHandovers bounds what is kept of released ranges.
+const maxHandovers = 4 * MaxRows
+
+// forget drops what rows of earlier tables left behind.
+func (k *Keeper) forget(rows []Row) {
+	if n := len(k.handovers) - maxHandovers; n > 0 {
+		k.handovers = append(k.handovers[:0], k.handovers[n:]...)
+	}
+	if len(k.granted) <= 2*len(rows)+MaxRows {
+		return
+	}
+	live := make(map[RowID]*granted, len(rows))
+	for i := range rows {
+		if g, ok := k.granted[rows[i].ID()]; ok {
+			live[rows[i].ID()] = g
+		}
+	}
+	k.granted = live
+}
--- /dev/null
+++ b/ownertable/range.go
@@ -0,0 +1,46 @@
+package ownertable
+
+import "fmt"
+
+// MaxKey is the largest key.
+const MaxKey = 1<<16 - 1
+
+// Range is a span of keys, both ends included.
+type Range struct {
+	From, To uint32
+}
+
+// Contains reports whether the range contains the key.
+func (r Range) Contains(key uint32) bool { return r.From <= key && key <= r.To }
+
+// Overlaps reports whether the ranges have a key in common.
+func (r Range) Overlaps(s Range) bool { return r.From <= s.To && s.From <= r.To }
+
+// Covers reports whether all keys of s lie in r.
+func (r Range) Covers(s Range) bool { return r.From <= s.From && s.To <= r.To }
+
+// Len returns the number of keys.
+func (r Range) Len() int { return int(r.To) - int(r.From) + 1 }
+
+// String formats the range as from-to.
+func (r Range) String() string { return fmt.Sprintf("%d-%d", r.From, r.To) }
+
+// Held is a range that a target says it holds or still works on.
+type Held struct {
+	Range
+	Token uint64
+}
+
+// Released is a range that a target says it has released. Handover warms the
+// keys at their next holder.
+type Released struct {
+	Range
+	Handover string
+}
+
+// Grant is a range that a target is to hold.
+type Grant struct {
+	Range
+	Token    uint64
+	Handover string // of the last holder; empty if there is none
+}
--- /dev/null
+++ b/routetable/table.go
@@ -0,0 +1,81 @@
+package routetable
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/parsleystack/parsleystack/ident"
+)
+
+// Table finds the route of a request. It is immutable.
+type Table struct {
+	cfg   Configuration
+	hosts map[string][]Route // longest prefix first
+}
+
+// New returns the table of a configuration.
+func New(cfg Configuration) *Table {
+	t := &Table{cfg: cfg, hosts: make(map[string][]Route)}
+	for _, r := range cfg.Routes {
+		host := strings.ToLower(r.Host)
+		t.hosts[host] = append(t.hosts[host], r)
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+	}
+	return t
+}
+
+// Version returns the version of the configuration.
+func (t *Table) Version() Version { return t.cfg.Version }
+
+// Limits returns the limits on callers.
+func (t *Table) Limits() Limits { return t.cfg.Limits }
+
+// Service returns a service by its name.
+func (t *Table) Service(name ident.Service) (Service, bool) {
+	s, ok := t.cfg.Services[name]
+	return s, ok
+}
+
+// Services returns all services in the order of their names.
+func (t *Table) Services() []Service {
+	all := make([]Service, 0, len(t.cfg.Services))
+	for _, s := range t.cfg.Services {
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b Service) int { return cmp.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Lookup returns the route with the longest prefix of the path among those of
+// the host. A port in host and a query in uri are ignored.
+func (t *Table) Lookup(host, uri string) (*Route, bool) {
+	path, _, _ := strings.Cut(uri, "?")
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	routes := t.hosts[strings.ToLower(host)]
+	for i := range routes {
+		if strings.HasPrefix(path, routes[i].PathPrefix) {
+			return &routes[i], true
+		}
+	}
+	return nil, false
+}
+
+// Cluster picks the service of one request; draw is uniform in [0, 1).
+func (r *Route) Cluster(draw float64) ident.Service {
+	total := 0
+	for _, c := range r.Clusters {
+		total += c.Weight
+	}
+	at := int(draw * float64(total))
+	for _, c := range r.Clusters {
+		if at -= c.Weight; at < 0 {
+			return c.Service
+		}
+	}
+	return r.Clusters[len(r.Clusters)-1].Service
+}
--- /dev/null
+++ b/sidecar/control_beat.go
@@ -0,0 +1,183 @@
+package sidecar
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/fleet"
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/logevent"
+	"github.com/parsleystack/parsleystack/ownertable"
+	"github.com/parsleystack/parsleystack/platform"
+)
+
+const (
+	// keyedSilence is the time without a heartbeat after which the rows of a
+	// target are given to others; its holds have nearly run out by then.
+	keyedSilence = 3200 * time.Millisecond
+	// restartSilence is the time after a restart of the daemon in which the
+	// target that an earlier process knew must send a heartbeat.
+	restartSilence = 4 * time.Second
+	// refusedAfter is how long after its last heartbeat a target that refuses
+	// connections counts as ended.
+	refusedAfter = 100 * time.Millisecond
+)
+
+// beatState is what the daemon knows of its target's heartbeats.
+type beatState struct {
+	seq     uint64
+	at      clock.Time // of the newest heartbeat, or when the target was inherited
+	leaving clock.Time // when the target's leaving was acknowledged
+}
+
+func (b *beatState) inherited(now clock.Time) { b.at = now }
+
+// heartbeatAnswer is what the target is answered.
+type heartbeatAnswer struct {
+	status int
+	body   []byte
+}
+
+// takeHeartbeat answers a heartbeat of the target.
+func (c *control) takeHeartbeat(hb *platform.Heartbeat) heartbeatAnswer {
+	now := clock.Now()
+	if hb.Addr != c.d.settings.TargetAddr {
+		logevent.Log(c.log, logevent.HeartbeatBad, zap.String("target", hb.Target.ID), zap.String("address", hb.Addr), zap.String("want", c.d.settings.TargetAddr))
+		return heartbeatAnswer{status: 400}
+	}
+	if c.routes != nil {
+		if _, ok := c.routes.Service(hb.Service); !ok {
+			logevent.Log(c.log, logevent.HeartbeatBad, zap.String("target", hb.Target.ID), zap.String("service", string(hb.Service)))
+			return heartbeatAnswer{status: 400}
+		}
+	}
+	if !c.inOrder(hb) {
+		logevent.Log(c.log, logevent.HeartbeatOld, zap.String("target", hb.Target.ID), zap.Int64("born", hb.Target.Born), zap.Uint64("seq", hb.Seq))
+		return heartbeatAnswer{status: 200, body: platform.AppendAcknowledgement(nil)}
+	}
+	c.noteTarget(hb, now)
+	return c.answerHeartbeat(hb, now)
+}
+
+func (c *control) inOrder(hb *platform.Heartbeat) bool {
+	current := c.target()
+	if hb.Target.Born != current.Born {
+		return hb.Target.Born > current.Born
+	}
+	return hb.Target.ID == current.ID && hb.Seq > c.beats.seq
+}
+
+func (c *control) target() ownertable.Target {
+	return ownertable.Target{ID: c.self.TargetID, Born: c.self.TargetBorn}
+}
+
+// noteTarget takes what a heartbeat says of the target's state.
+func (c *control) noteTarget(hb *platform.Heartbeat, now clock.Time) {
+	state := fleet.TargetReady
+	if hb.Draining {
+		state = fleet.TargetLeaving
+	}
+	if hb.Target != c.target() {
+		c.keeper = ownertable.NewKeeper(now.Add(-ownertable.HoldEnds(ownertable.LeaseTime)))
+		c.beats.leaving = clock.Never
+	} else if c.beats.leaving != clock.Never {
+		state = fleet.TargetLeaving
+	}
+	if state == fleet.TargetLeaving && c.beats.leaving == clock.Never {
+		c.beats.leaving = now
+	}
+	c.beats.seq, c.beats.at = hb.Seq, now
+	m := c.self
+	m.Service, m.TargetID, m.TargetBorn, m.Slots, m.State = string(hb.Service), hb.Target.ID, hb.Target.Born, hb.Slots, state
+	if m != c.self {
+		c.setTarget(m, "heartbeat")
+	}
+}
+
+func (c *control) setTarget(m fleet.Member, cause string) {
+	if m.Service != c.self.Service {
+		m.JoinedMS = time.Now().UnixMilli()
+	}
+	c.self = m
+	c.changeSelf()
+	c.d.backend.setTarget(&c.self, c.beats.leaving)
+	logevent.Log(c.log, logevent.TargetChanged, zap.String("cause", cause), zap.String("service", m.Service), zap.String("target", m.TargetID),
+		zap.Int64("born", m.TargetBorn), zap.Stringer("state", m.State), zap.Int("slots", m.Slots))
+}
+
+// answerHeartbeat grants the rows of the newest table while the lease lasts.
+func (c *control) answerHeartbeat(hb *platform.Heartbeat, now clock.Time) heartbeatAnswer {
+	t := c.owners[ident.Service(c.self.Service)]
+	if t == nil || !c.keyed() {
+		return heartbeatAnswer{status: 200, body: platform.AppendAcknowledgement(nil)}
+	}
+	rows := t.Owned(c.owner())
+	report := ownertable.Report{Seq: hb.Seq, Held: hb.Held, Released: hb.Released}
+	left := c.leaseLeft(now)
+	a := c.keeper.Heartbeat(rows, &report, left, c.d.settings.MaxHold, now)
+	if len(a.Freed) > 0 {
+		c.planner.free(a.Freed)
+		logevent.Log(c.log, logevent.RowsReleased, zap.Int("rows", len(a.Freed)), zap.Uint64("seq", hb.Seq))
+		c.plan(now)
+	}
+	if a.Hold == 0 {
+		logevent.Log(c.log, logevent.HeartbeatLapsed, zap.Duration("lease_left", left), zap.Duration("since_store", now.Sub(c.lease.LastRead())), zap.Int("rows", len(rows)))
+		return heartbeatAnswer{status: 200, body: platform.AppendAcknowledgement(nil)}
+	}
+	c.d.backend.setHeld(a.Grants, now.Add(a.Hold))
+	return heartbeatAnswer{status: 200, body: platform.AppendGrants(nil, a.Grants, a.Hold)}
+}
+
+// keyed reports whether the own target's service is divided by key.
+func (c *control) keyed() bool {
+	if c.routes == nil {
+		return false
+	}
+	s, ok := c.routes.Service(ident.Service(c.self.Service))
+	return ok && s.Keyed
+}
+
+func (c *control) owner() ownertable.Owner {
+	return ownertable.Owner{Instance: ident.Instance(c.self.Instance), Target: c.target()}
+}
+
+// takeLeave notes that the target goes away. Older lives change nothing.
+func (c *control) takeLeave(id string) heartbeatAnswer {
+	if id != c.self.TargetID {
+		return heartbeatAnswer{status: 200, body: platform.AppendAcknowledgement(nil)}
+	}
+	if c.beats.leaving == clock.Never {
+		c.beats.leaving = clock.Now()
+	}
+	if c.self.State == fleet.TargetReady {
+		m := c.self
+		m.State = fleet.TargetLeaving
+		c.setTarget(m, "departure")
+	}
+	return heartbeatAnswer{status: 200, body: platform.AppendAcknowledgement(nil)}
+}
+
+// targetRefused notes that nothing listens at the target's address.
+func (c *control) targetRefused(id string) {
+	now := clock.Now()
+	if id != c.self.TargetID || c.self.State == fleet.TargetEnded || now.Sub(c.beats.at) < refusedAfter {
+		return
+	}
+	m := c.self
+	m.State = fleet.TargetEnded
+	c.setTarget(m, "connection refused")
+}
+
+// watchTarget notes a target whose heartbeats stay away.
+func (c *control) watchTarget(now clock.Time) {
+	if c.self.State != fleet.TargetReady || !c.keyed() {
+		return
+	}
+	if now.Sub(c.beats.at) > max(keyedSilence, 2*c.d.settings.HeartbeatInterval) {
+		m := c.self
+		m.State = fleet.TargetLeaving
+		c.setTarget(m, "no heartbeat")
+	}
+}
--- /dev/null
+++ b/sidecar/control_status.go
@@ -0,0 +1,215 @@
+package sidecar
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/fleet"
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/logevent"
+	"github.com/parsleystack/parsleystack/metastore"
+	"github.com/parsleystack/parsleystack/ownertable"
+)
+
+const (
+	// statusInterval is the time between statuses to one daemon in a small
+	// fleet; SilentAfter allows for two lost ones.
+	statusInterval = 400 * time.Millisecond
+	// statusesPerS bounds the statuses that a daemon sends in a large fleet.
+	statusesPerS = 60
+	// soonInterval is the shortest time between statuses that carry news.
+	soonInterval = 20 * time.Millisecond
+	// sentKept is the number of own statuses whose send times are kept; an echo
+	// is at most some seconds old.
+	sentKept = 256
+	// catchUpAfter is how long another daemon may be ahead before its news is
+	// fetched from it.
+	catchUpAfter = 150 * time.Millisecond
+	// fetchTimeout bounds the fetching of news from another daemon.
+	fetchTimeout = time.Second
+)
+
+// statusState is what the exchange of statuses needs.
+type statusState struct {
+	seq      uint64
+	sentAt   [sentKept]clock.Time // by seq modulo sentKept
+	next     clock.Time
+	last     clock.Time
+	soon     bool       // there is news
+	behind   clock.Time // since when another daemon is ahead
+	fetching bool
+}
+
+func newStatusState() statusState { return statusState{} }
+
+// sendStatuses sends a status to every other daemon when it is due.
+func (c *control) sendStatuses(now clock.Time) {
+	st := &c.status
+	due := !now.Before(st.next) || st.soon && now.Sub(st.last) >= soonInterval
+	if !due || !c.loaded {
+		return
+	}
+	peers := c.dir.Peers()
+	interval := max(statusInterval, time.Duration(len(peers))*time.Second/statusesPerS)
+	st.soon, st.last, st.next = false, now, now.Add(jittered(interval/5)+interval*9/10)
+	st.seq++
+	st.sentAt[st.seq%sentKept] = now
+	s := fleet.Status{Seq: st.seq, Offset: int64(c.read), Load: c.d.backend.load(), Member: c.self}
+	if c.routes != nil {
+		s.Config = uint64(c.routes.Version())
+	}
+	for _, p := range peers {
+		s.Echo, s.EchoOf = p.LastSeq, p.Member.Incarnation
+		s.Promise = c.promises(p)
+		c.d.links.Send(p.Member.Addr, s.Encode())
+	}
+}
+
+// promises reports whether this daemon can promise a peer that it proposes
+// nothing that takes rows from it.
+func (c *control) promises(p *fleet.Peer) bool {
+	if c.joinedAt == clock.Never || !c.sameService(p) {
+		return false
+	}
+	name := ident.Instance(p.Member.Instance)
+	return c.planner.proposal.takesFrom(name) == false && p.Offset >= c.planner.revokedAt[name]
+}
+
+func (c *control) sameService(p *fleet.Peer) bool { return p.Member.Service == c.self.Service }
+
+// takeStatus takes a status of another daemon.
+func (c *control) takeStatus(s *fleet.Status) {
+	if s.Member.Instance == c.self.Instance || s.Member.Instance == "" {
+		return
+	}
+	now := clock.Now()
+	known := c.dir.Peer(ident.Instance(s.Member.Instance)) != nil
+	p, news := c.dir.Hear(s, now)
+	if news {
+		c.planner.lastNews = now
+		c.stale = true
+		logevent.Log(c.log, logevent.PeerJoined, zap.String("daemon", s.Member.Instance), zap.Uint64("incarnation", s.Member.Incarnation),
+			zap.Uint64("revision", s.Member.Revision), zap.String("service", s.Member.Service), zap.String("target", s.Member.TargetID),
+			zap.Stringer("state", s.Member.State), zap.Bool("stored", false))
+	}
+	if !known {
+		c.status.soon = true
+	}
+	if p == nil {
+		return
+	}
+	name := ident.Instance(s.Member.Instance)
+	c.load(name, s.Member.Slots).report(&s.Load)
+	c.newest = max(c.newest, s.Config)
+	if s.Promise && s.EchoOf == c.self.Incarnation && c.status.seq-s.Echo < sentKept && s.Echo > 0 {
+		c.lease.ConfirmPromise(name, c.status.sentAt[s.Echo%sentKept])
+	}
+	if c.silent[name] {
+		delete(c.silent, name)
+		c.stale = true
+		logevent.Log(c.log, logevent.PeerHeard, zap.String("daemon", s.Member.Instance))
+	}
+}
+
+// watchSilence notes daemons that are not heard any more.
+func (c *control) watchSilence(now clock.Time) {
+	for _, p := range c.dir.Peers() {
+		name := ident.Instance(p.Member.Instance)
+		if p.Silent(now) && !c.silent[name] {
+			c.silent[name] = true
+			c.stale = true
+			logevent.Log(c.log, logevent.PeerSilent, zap.String("daemon", p.Member.Instance), zap.Duration("for", now.Sub(p.Heard)))
+		}
+	}
+}
+
+// others returns the other members of the own service.
+func (c *control) others() []ident.Instance {
+	var names []ident.Instance
+	for _, p := range c.dir.Peers() {
+		if c.sameService(p) {
+			names = append(names, ident.Instance(p.Member.Instance))
+		}
+	}
+	return names
+}
+
+// leaseLeft returns how long the own lease lasts.
+func (c *control) leaseLeft(now clock.Time) time.Duration {
+	end := c.lease.End(c.others())
+	if end == clock.Never {
+		return 0
+	}
+	return end.Sub(now)
+}
+
+// promisesComplete reports whether the lease is kept by promises alone, so that
+// the store may be read seldom.
+func (c *control) promisesComplete(now clock.Time) bool {
+	return c.lease.End(c.others()).Sub(now) > ownertable.LeaseTime/2 && now.Sub(c.lease.LastRead()) < ownertable.MaxUnconfirmed/2
+}
+
+// catchUp fetches news that another daemon has and that the store has not
+// brought.
+func (c *control) catchUp(now clock.Time) {
+	st := &c.status
+	from, config := c.ahead()
+	if from == "" {
+		st.behind = clock.Never
+		return
+	}
+	if st.behind == clock.Never {
+		st.behind = now
+	}
+	if st.fetching || now.Sub(st.behind) < catchUpAfter {
+		return
+	}
+	st.fetching, st.behind = true, clock.Never
+	go c.d.fetch(from, config)
+}
+
+// ahead returns the address of a daemon with newer news, and whether it is the
+// configuration.
+func (c *control) ahead() (addr string, config bool) {
+	version := uint64(0)
+	if c.routes != nil {
+		version = uint64(c.routes.Version())
+	}
+	for _, p := range c.dir.Peers() {
+		if c.silent[ident.Instance(p.Member.Instance)] {
+			continue
+		}
+		if p.Config > version {
+			return p.Member.Addr, true
+		}
+		if p.Offset > int64(c.read) {
+			addr = p.Member.Addr
+		}
+	}
+	return addr, false
+}
+
+// fetch brings news from another daemon: its configuration, or what the store
+// holds, read through it.
+func (d *Daemon) fetch(addr string, config bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	defer d.control.do(func() { d.control.status.fetching = false })
+	if config {
+		if value, err := d.links.Call(ctx, addr, callConfig, nil); err == nil {
+			d.control.do(func() { d.control.takeConfiguration(value) })
+		}
+		return
+	}
+	var from metastore.Offset
+	if !d.control.ask(ctx, func() { from = d.control.read }) {
+		return
+	}
+	sent := clock.Now()
+	if b, err := d.store.Read(ctx, d.directory, from, 0); err == nil {
+		d.control.do(func() { d.control.takeDirectory(b, sent, false) })
+	}
+}
--- /dev/null
+++ b/sidecar/flight.go
@@ -0,0 +1,376 @@
+package sidecar
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/httpfield"
+	"github.com/parsleystack/parsleystack/keyspace"
+	"github.com/parsleystack/parsleystack/logevent"
+	"github.com/parsleystack/parsleystack/outcome"
+	"github.com/parsleystack/parsleystack/placement"
+	"github.com/parsleystack/parsleystack/platform"
+	"github.com/parsleystack/parsleystack/resend"
+	"github.com/parsleystack/parsleystack/routetable"
+	"github.com/parsleystack/parsleystack/wire"
+)
+
+const (
+	// defaultPatience is assumed of callers that state no deadline.
+	defaultPatience = 10 * time.Second
+	// retryNotReady is when callers of a daemon without a configuration may come
+	// back.
+	retryNotReady = 300 * time.Millisecond
+	// maxUrgency is the wire priority of the operator's priority 0.
+	maxUrgency = 255
+)
+
+// flight is one request of a caller.
+type flight struct {
+	in       *ingress
+	http     *fasthttp.RequestCtx
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+	arrived  clock.Time
+	deadline clock.Time
+	envelope platform.Envelope
+	route    *routetable.Route
+	version  routetable.Version
+	service  routetable.Service
+	state    resend.Request
+	req      wire.Request
+	resp     wire.Response
+	tried    []*targetView
+	last     *targetView
+}
+
+func newFlight(in *ingress, ctx *fasthttp.RequestCtx) *flight {
+	return &flight{in: in, http: ctx, arrived: clock.Now()}
+}
+
+// end stops the request. It may be called at any time.
+func (f *flight) end(cause error) { f.cancel(cause) }
+
+// read finds the route and what the headers say. It answers and reports false
+// if the request can't be served.
+func (f *flight) read() bool {
+	h := &f.http.Request.Header
+	v := f.in.d.control.view.Load()
+	envelope, ok := platform.ReadEnvelope(h)
+	f.envelope = envelope
+	if !ok {
+		return f.reject(fasthttp.StatusBadRequest, outcome.BadRequest)
+	}
+	if v.routes == nil {
+		return f.unready()
+	}
+	f.version = v.routes.Version()
+	f.route, ok = v.routes.Lookup(string(h.Host()), string(h.RequestURI()))
+	if !ok {
+		if v.behind {
+			return f.unready()
+		}
+		return f.reject(fasthttp.StatusNotFound, outcome.UnknownService)
+	}
+	limits := v.routes.Limits()
+	if limits.BodyBytes > 0 && len(f.http.Request.Body()) > limits.BodyBytes {
+		return f.reject(fasthttp.StatusRequestEntityTooLarge, outcome.BadRequest)
+	}
+	if f.service, ok = v.routes.Service(f.route.Cluster(random())); !ok {
+		return f.unready()
+	}
+	if f.service.Keyed && !f.envelope.HasKey {
+		return f.reject(fasthttp.StatusBadRequest, outcome.BadRequest)
+	}
+	f.fill()
+	return true
+}
+
+func (f *flight) reject(status int, reason outcome.Reason) bool {
+	f.http.SetStatusCode(status)
+	platform.SetRequestID(&f.http.Response.Header, f.envelope.RequestID)
+	f.log(logevent.RequestRefused, outcome.Result{Kind: outcome.NotRun, Reason: reason}, status)
+	return false
+}
+
+func (f *flight) unready() bool {
+	f.write(outcome.Result{Kind: outcome.NotRun, Reason: outcome.NotReady, RetryAfter: retryNotReady})
+	return false
+}
+
+// fill makes the request as it goes to the target's daemon.
+func (f *flight) fill() {
+	h := &f.http.Request.Header
+	patience := f.envelope.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	f.deadline = f.arrived.Add(min(patience, f.route.Timeout))
+	f.state.Rule = resend.Rule{
+		Keyed: f.service.Keyed, Idempotent: f.route.Idempotent, MaxAttempts: f.route.MaxAttempts,
+		Arrived: f.arrived, Deadline: f.deadline,
+	}
+	f.req = wire.Request{
+		Service: f.service.Name, Keyed: f.service.Keyed, Point: keyspace.Point(f.envelope.Key),
+		Priority: uint8(maxUrgency - min(max(f.route.Priority, 0), maxUrgency)), Nested: f.nested(),
+		Idempotent: f.route.Idempotent, Method: h.Method(), URI: h.RequestURI(), RequestID: []byte(f.envelope.RequestID),
+		Class: []byte(f.route.Name), Caller: f.in.d.settings.Service, Body: f.http.Request.Body(),
+	}
+	named := h.Peek(fasthttp.HeaderConnection)
+	for name, value := range h.All() {
+		if singleHop(name) || namedBy(named, name) || platform.SetByDaemon(string(name)) {
+			continue
+		}
+		f.req.Headers = append(f.req.Headers, wire.Header{Name: name, Value: value})
+	}
+}
+
+// nested reports whether the own target makes the request.
+func (f *flight) nested() bool {
+	return f.http.RemoteIP().String() == f.in.d.settings.IP.String()
+}
+
+// singleHop reports whether a field concerns one connection only.
+func singleHop(name []byte) bool {
+	return httpfield.HopByHop(name) || httpfield.Length(name) || bytes.EqualFold(name, []byte(fasthttp.HeaderExpect))
+}
+
+// namedBy reports whether a Connection field names the field.
+func namedBy(connection, name []byte) bool {
+	for token := range bytes.SplitSeq(connection, []byte{','}) {
+		if len(connection) > 0 && bytes.EqualFold(bytes.TrimSpace(token), name) {
+			return true
+		}
+	}
+	return false
+}
+
+// serve has the request run and answers it.
+func (f *flight) serve() {
+	f.ctx, f.cancel = context.WithCancelCause(context.Background())
+	timer := time.AfterFunc(f.deadline.Sub(clock.Now()), func() { f.end(errTimeout) })
+	defer timer.Stop()
+	defer f.cancel(nil)
+	f.in.countRequest(f.service.Name)
+	action := f.attempt()
+	for action.Kind != resend.Finish {
+		action = f.next(action)
+	}
+	f.write(action.Result)
+	f.resp.Release()
+}
+
+// next carries out a decision and decides again.
+func (f *flight) next(a resend.Action) resend.Action {
+	if a.Resend && !f.in.spend(f.service.Name, f.in.d.control.view.Load().daemons) {
+		return f.state.OutOfBudget()
+	}
+	if a.Resend {
+		logevent.Log(f.in.d.log, logevent.RequestResent, zap.String("request", f.envelope.RequestID), zap.Int("reached", f.state.Reached()))
+	}
+	if a.Kind == resend.AwaitOwner && a.Pause > 0 {
+		f.await(a.Pause)
+	}
+	if cause := context.Cause(f.ctx); cause != nil {
+		return f.state.Next(resend.Attempt{Result: f.ended(cause, false)}, f.deadline)
+	}
+	return f.attempt()
+}
+
+// await waits for a pause, a new view or the end of the request.
+func (f *flight) await(pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-f.in.d.nextView():
+	case <-f.ctx.Done():
+	}
+}
+
+// attempt sends the request once and decides what follows.
+func (f *flight) attempt() resend.Action {
+	t := f.choose()
+	if t == nil {
+		return f.state.Unplaced(clock.Now())
+	}
+	f.last = t
+	f.tried = append(f.tried, t)
+	now := clock.Now()
+	f.req.Timeout = f.deadline.Sub(now)
+	f.req.Objective = f.arrived.Add(f.route.Objective).Sub(now)
+	f.resp.Release()
+	f.resp.Reset()
+	a := f.send(t)
+	if a.Result.Kind != outcome.Done {
+		logevent.Log(f.in.d.log, logevent.AttemptRefused, zap.String("request", f.envelope.RequestID), zap.String("daemon", string(t.instance)),
+			zap.Stringer("outcome", a.Result.Kind), zap.Stringer("reason", a.Result.Reason), zap.Bool("reached", a.Reached))
+	}
+	return f.state.Next(a, clock.Now())
+}
+
+// choose returns the target for the next attempt, or nil.
+func (f *flight) choose() *targetView {
+	v := f.in.d.control.view.Load()
+	s := v.services[f.service.Name]
+	if s == nil {
+		return nil
+	}
+	if f.service.Keyed {
+		if t := s.owner(f.envelope.Key); t != nil && !t.silent {
+			return t
+		}
+		return nil
+	}
+	var candidates [64]placement.Candidate
+	n := min(len(s.targets), len(candidates))
+	for i, t := range s.targets[:n] {
+		candidates[i] = placement.Candidate{
+			InFlight: int(t.load.inFlight.Load()), Limit: int(t.load.limit.Load()),
+			Pace: float64(t.load.pace.Load()) / thousand, Failing: float64(t.load.failing.Load()) / thousand,
+			SameZone: t.zone == f.in.d.settings.Zone, SameHost: t.local, Unwatched: t.silent,
+			Excluded: !t.ready || f.hasTried(t),
+		}
+	}
+	if i := placement.Choose(candidates[:n], random); i >= 0 {
+		return s.targets[i]
+	}
+	return nil
+}
+
+func (f *flight) hasTried(t *targetView) bool {
+	for _, x := range f.tried {
+		if x.instance == t.instance && x.target == t.target {
+			return true
+		}
+	}
+	return false
+}
+
+// send has one target's daemon run the request.
+func (f *flight) send(t *targetView) resend.Attempt {
+	t.load.inFlight.Add(1)
+	if t.local {
+		c := new(canceler)
+		stop := context.AfterFunc(f.ctx, c.Cancel)
+		f.in.d.backend.serve(&f.req, &f.resp, c)
+		stop()
+		t.load.inFlight.Store(int64(f.resp.InFlight))
+		return f.result()
+	}
+	sent, err := f.in.d.links.Do(f.ctx, t.addr, &f.req, &f.resp)
+	if err != nil {
+		t.load.inFlight.Add(-1)
+		if cause := context.Cause(f.ctx); cause != nil {
+			return resend.Attempt{Result: f.ended(cause, sent), Reached: sent}
+		}
+		kind := outcome.NotRun
+		if sent {
+			kind = outcome.Unknown
+		}
+		return resend.Attempt{Result: outcome.Result{Kind: kind, Reason: outcome.ConnectionLost, RetryAfter: retryMoved}, Reached: sent}
+	}
+	t.load.inFlight.Store(int64(f.resp.InFlight))
+	t.load.limit.Store(int64(f.resp.Capacity))
+	return f.result()
+}
+
+// ended is the result of a request that its caller or its deadline ended.
+func (f *flight) ended(cause error, sent bool) outcome.Result {
+	r := outcome.Result{Kind: outcome.NotRun, Reason: outcome.DeadlineExceeded, RetryAfter: retryMoved}
+	if errors.Is(cause, errCallerLeft) {
+		r.Reason = outcome.Canceled
+	}
+	if sent {
+		r.Kind = outcome.Unknown
+	}
+	return r
+}
+
+// result reads the answer of a daemon.
+func (f *flight) result() resend.Attempt {
+	a := resend.Attempt{Result: f.resp.Result(), Late: f.resp.Reason == outcome.DeadlineExceeded}
+	if cause := context.Cause(f.ctx); cause != nil && a.Result.Kind == outcome.Unknown {
+		a.Result = f.ended(cause, true)
+	}
+	switch {
+	case a.Result.Kind != outcome.NotRun:
+		a.Reached = true
+	case a.Result.Reason == outcome.TargetShed, a.Result.Reason == outcome.LeaseExpired:
+		a.Reached = true
+	}
+	return a
+}
+
+// write answers the caller.
+func (f *flight) write(result outcome.Result) {
+	out := &f.http.Response
+	status := statusOf(result)
+	if result.Kind == outcome.Done {
+		status = int(f.resp.Status)
+		out.SetStatusCode(status)
+		for i := range f.resp.Headers {
+			out.Header.AddBytesKV(f.resp.Headers[i].Name, f.resp.Headers[i].Value)
+		}
+		out.SetBody(f.resp.Body)
+	} else {
+		out.SetStatusCode(status)
+		platform.SetRequestID(&out.Header, f.envelope.RequestID)
+		if result.Kind == outcome.NotRun && result.RetryAfter > 0 {
+			platform.SetRetryAfter(&out.Header, result.RetryAfter)
+		}
+	}
+	switch {
+	case result.Kind == outcome.Unknown:
+		f.log(logevent.RequestFailed, result, status)
+	case result.Kind == outcome.NotRun:
+		f.log(logevent.RequestRefused, result, status)
+	case clock.Now().Sub(f.arrived) > f.route.Objective:
+		f.log(logevent.RequestLate, result, status)
+	default:
+		f.log(logevent.RequestDone, result, status)
+	}
+}
+
+func statusOf(r outcome.Result) int {
+	switch {
+	case r.Kind == outcome.NotRun:
+		return fasthttp.StatusServiceUnavailable
+	case r.Reason == outcome.DeadlineExceeded:
+		return fasthttp.StatusGatewayTimeout
+	}
+	return fasthttp.StatusBadGateway
+}
+
+func (f *flight) log(e *logevent.Event, r outcome.Result, status int) {
+	d := f.in.d
+	took := clock.Now().Sub(f.arrived)
+	name := ""
+	if f.route != nil {
+		name = f.route.Name
+	}
+	d.metrics.request(name, r.Kind.String(), r.Reason.String(), took)
+	if e.Level < d.logLevel {
+		return
+	}
+	fields := []zap.Field{
+		zap.String("request", f.envelope.RequestID), zap.String("route", name), zap.Uint64("config", uint64(f.version)),
+		zap.Int("status", status), zap.Stringer("reason", r.Reason), zap.Duration("took", took), zap.Int("attempts", len(f.tried)),
+	}
+	if f.last != nil {
+		fields = append(fields, zap.String("daemon", string(f.last.instance)), zap.String("target", f.last.target.ID), zap.Int64("load", f.last.load.inFlight.Load()))
+	}
+	if f.service.Keyed {
+		fields = append(fields, zap.Uint32("key", f.envelope.Key))
+	}
+	if r.RetryAfter > 0 {
+		fields = append(fields, zap.Duration("retry_after", r.RetryAfter))
+	}
+	logevent.Log(d.log, e, fields...)
+}
--- /dev/null
+++ b/sidecar/follower.go
@@ -0,0 +1,94 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/logevent"
+	"github.com/parsleystack/parsleystack/metastore"
+)
+
+const (
+	// minPause and maxPause bound the pause after a failed read of the store.
+	minPause = 100 * time.Millisecond
+	maxPause = 800 * time.Millisecond
+)
+
+// follower reads one partition for as long as the daemon lives: the newest
+// record of each key first, then records as they come.
+type follower struct {
+	store     metastore.Store
+	partition metastore.Partition
+	log       *zap.Logger
+	// wait is how long a read may wait for a record.
+	wait func() time.Duration
+	// take gets what was read, and when the read was sent. whole is set for the
+	// newest record of each key.
+	take func(b metastore.Batch, sent clock.Time, whole bool)
+
+	next   metastore.Offset
+	loaded bool
+}
+
+// run reads until ctx ends.
+func (f *follower) run(ctx context.Context) error {
+	failures := 0
+	for ctx.Err() == nil {
+		if err := f.step(ctx); err != nil {
+			var gone *metastore.GoneError
+			if errors.As(err, &gone) {
+				logevent.Log(f.log, logevent.HistoryGone, zap.String("topic", f.partition.Topic), zap.Int64("first", int64(gone.First)))
+				f.loaded = false
+				continue
+			}
+			failures++
+			sleep(ctx, jittered(min(minPause<<min(failures-1, 4), maxPause)))
+			continue
+		}
+		failures = 0
+	}
+	return nil
+}
+
+func (f *follower) step(ctx context.Context) error {
+	sent := clock.Now()
+	if !f.loaded {
+		b, err := f.store.Newest(ctx, f.partition)
+		if err != nil {
+			return err
+		}
+		f.next, f.loaded = b.End, true
+		f.take(b, sent, true)
+		return nil
+	}
+	b, err := f.store.Read(ctx, f.partition, f.next, f.wait())
+	if err != nil {
+		return err
+	}
+	if b.End < f.next {
+		f.loaded = false // another history
+		return nil
+	}
+	if n := len(b.Records); n > 0 {
+		f.next = b.Records[n-1].Offset + 1
+	}
+	f.take(b, sent, false)
+	return nil
+}
+
+func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/sidecar/relay.go
@@ -0,0 +1,19 @@
+package sidecar
+
+//msgp:tuple relayCall relayAnswer
+
+import "time"
+
+// relayCall asks another daemon to make one call to the store.
+type relayCall struct {
+	Method string        `msg:"m"`
+	URI    string        `msg:"u"`
+	Body   []byte        `msg:"b"`
+	Wait   time.Duration `msg:"w"`
+}
+
+// relayAnswer is the store's answer to a relayCall.
+type relayAnswer struct {
+	Status int    `msg:"s"`
+	Body   []byte `msg:"b"`
+}
--- a/target/call.go
+++ b/target/call.go
@@ -19,6 +19,9 @@
 	// Confirm is called at the last step before bytes go to the socket; an
 	// error stops the call.
 	Confirm func() error
+	// Accept reports whether an answer is that to the request; others are read
+	// past. A nil Accept takes the first answer.
+	Accept func(*fasthttp.Response) bool
 
 	mu       sync.Mutex
 	canceled bool
@@ -32,7 +35,7 @@
 	defer c.mu.Unlock()
 	c.canceled = true
 	if c.conn != nil {
-		_ = c.conn.SetDeadline(time.Unix(1, 0))
+		_ = c.conn.SetDeadline(past)
 	}
 }
 
@@ -41,7 +44,7 @@
 	c.mu.Lock()
 	c.canceled, c.conn = false, nil
 	c.mu.Unlock()
-	c.Request, c.Response, c.Confirm = nil, nil, nil
+	c.Request, c.Response, c.Confirm, c.Accept = nil, nil, nil, nil
 	c.Deadline = time.Time{}
 }
 
--- a/target/client.go
+++ b/target/client.go
@@ -13,6 +13,12 @@
 // answer may have.
 const maxInterim = 8
 
+// maxForeign bounds the answers to other requests that are read past.
+const maxForeign = 4
+
+// past is a deadline that ends reads and writes in progress.
+var past = time.Unix(1, 0)
+
 // Content lengths that stand for the other ways to mark the end of a body.
 const (
 	lengthChunked = -1
@@ -61,7 +67,7 @@
 			return false, err
 		}
 	}
-	sent, err = roundTrip(conn, call, c.cfg.MaxBody)
+	sent, err = c.roundTrip(conn, call)
 	call.detach()
 	c.finish(conn, call, err)
 	if err != nil && call.isCanceled() {
@@ -72,10 +78,11 @@
 
 // finish keeps the connection if the target can read the next request on it.
 func (c *Client) finish(conn *conn, call *Call, err error) {
-	if err == nil && !call.Response.ConnectionClose() && conn.reader.Buffered() == 0 {
+	if err == nil && !call.Response.ConnectionClose() && !conn.writing && conn.reader.Buffered() == 0 {
 		if len(call.Request.Body()) > socketBuffer {
 			_ = conn.SetWriteDeadline(time.Time{})
 		}
+		conn.limitIdle(c.cfg.MaxIdle, call.Response)
 		c.pool.put(conn)
 		return
 	}
@@ -83,18 +90,53 @@
 }
 
 // roundTrip writes the request and reads the whole answer.
-func roundTrip(conn *conn, call *Call, maxBody int) (sent bool, err error) {
-	conn.wrote = false
-	if err := call.Request.Write(conn.writer); err != nil {
-		return conn.wrote, err
+func (c *Client) roundTrip(conn *conn, call *Call) (sent bool, err error) {
+	conn.wrote.Store(false)
+	if len(call.Request.Body()) > socketBuffer {
+		return c.overlapped(conn, call)
+	}
+	if err := conn.write(call.Request); err != nil {
+		return conn.wrote.Load(), err
+	}
+	return true, c.readAnswer(conn, call)
+}
+
+// overlapped reads while it writes, since a target may answer a long request
+// before it has read it. A connection whose request was not written to its end
+// is not used again.
+func (c *Client) overlapped(conn *conn, call *Call) (sent bool, err error) {
+	written := make(chan error, 1)
+	go func() { written <- conn.write(call.Request) }()
+	if err := c.readAnswer(conn, call); err != nil {
+		_ = conn.SetWriteDeadline(past)
+		<-written
+		return conn.wrote.Load(), err
+	}
+	select {
+	case err := <-written:
+		conn.writing = err != nil
+	default:
+		conn.writing = true
+		_ = conn.SetWriteDeadline(past)
+		<-written
 	}
-	if err := conn.writer.Flush(); err != nil {
-		return conn.wrote, err
+	return true, nil
+}
+
+// readAnswer reads answers up to the one that the call accepts.
+func (c *Client) readAnswer(conn *conn, call *Call) error {
+	for range maxForeign {
+		if err := c.readOne(conn, call); err != nil {
+			return err
+		}
+		if call.Accept == nil || call.Accept(call.Response) {
+			return nil
+		}
 	}
-	return true, readAnswer(conn, call, maxBody)
+	return ErrForeign
 }
 
-func readAnswer(conn *conn, call *Call, maxBody int) error {
+func (c *Client) readOne(conn *conn, call *Call) error {
 	resp := call.Response
 	resp.Reset()
 	resp.Header.SetNoDefaultContentType(true)
@@ -105,10 +147,10 @@
 		return nil
 	}
 	length := resp.Header.ContentLength()
-	if length == lengthUnknown {
+	if length == lengthUnknown && !c.cfg.Unframed {
 		return ErrUnframed
 	}
-	if err := resp.ReadBody(conn.reader, maxBody); err != nil {
+	if err := resp.ReadBody(conn.reader, c.cfg.MaxBody); err != nil {
 		return err
 	}
 	if length == lengthChunked {
--- a/target/config.go
+++ b/target/config.go
@@ -14,6 +14,13 @@
 	WarmConns int
 	// MaxBody is the largest body of an answer in bytes; DefaultMaxBody if 0.
 	MaxBody int
+	// Unframed takes answers that end with their connection. Otherwise they are
+	// an error, since a torn one can't be told from a whole one if the target's
+	// host fails.
+	Unframed bool
+	// MaxIdle is the time after which an idle connection is not used again,
+	// unless an answer's Keep-Alive field states a shorter one; no bound if 0.
+	MaxIdle time.Duration
 	// DialTimeout bounds the opening of a connection; DefaultDialTimeout if 0.
 	DialTimeout time.Duration
 	// OrderTimeout bounds an order; DefaultOrderTimeout if 0.
--- a/target/errors.go
+++ b/target/errors.go
@@ -13,6 +13,8 @@
 	// ErrUnframed reports an answer whose end is not marked, so that a torn one
 	// could not be told from a whole one.
 	ErrUnframed = errors.New("target: answer has neither a length nor chunks; let the target send Content-Length")
+	// ErrForeign reports answers to other requests only.
+	ErrForeign = errors.New("target: answers belong to other requests; check the target")
 	// ErrInterim reports an answer of interim responses only.
 	ErrInterim = errors.New("target: too many interim responses; check the target")
 	// ErrClosed reports use of a closed client.
--- a/transport/peer.go
+++ b/transport/peer.go
@@ -110,7 +110,7 @@
 	if err != nil {
 		return nil, err
 	}
-	limitSilence(raw, p.class)
+	limitSilence(raw)
 	reader, hello, err := clientHandshake(raw, p.class, cfg)
 	if err != nil {
 		_ = raw.Close()
--- a/transport/server.go
+++ b/transport/server.go
@@ -94,7 +94,7 @@
 	}
 	c := &serverConn{server: s, conn: conn, peer: peer, class: Class(peer.Class), reader: reader, exchanges: make(map[uint64]*Exchange)}
 	c.writer = newWriter(conn, &s.cfg)
-	limitSilence(conn, c.class)
+	limitSilence(conn)
 	c.ctx, c.cancel = context.WithCancel(s.ctx)
 	if !s.track(c) {
 		c.close()
--- a/transport/silence.go
+++ b/transport/silence.go
@@ -9,20 +9,17 @@
 	"golang.org/x/sys/unix"
 )
 
-// controlSilence is the time for which data on a connection for control
-// messages may stay unacknowledged. The connection is closed after it and a
-// new one is dialed: after a partition a retransmission would come far later
-// than a new handshake.
-const controlSilence = 1500 * time.Millisecond
+// maxSilence is the time for which data on a connection may stay
+// unacknowledged. The connection is closed after it and a new one is dialed:
+// after a partition a retransmission would come far later than a new
+// handshake, and a connection that has gone silent for good shows only so.
+const maxSilence = 1500 * time.Millisecond
 
 // limitSilence sets the time after which the kernel gives up an unreachable
-// peer of a connection for control messages.
-func limitSilence(conn net.Conn, class Class) {
-	if class != ClassControl {
-		return
-	}
+// peer.
+func limitSilence(conn net.Conn) {
 	withSocket(conn, func(fd int) {
-		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(controlSilence.Milliseconds()))
+		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(maxSilence.Milliseconds()))
 	})
 }
 
--- a/wire/request.go
+++ b/wire/request.go
@@ -22,13 +22,17 @@
 	Token          cell.Token         `msg:"t"` // token that the sender routed by; zero if unknown
 	ConfigOffset   platformlog.Offset `msg:"o"` // configuration that the sender acts on
 	Timeout        time.Duration      `msg:"d"` // time left to the deadline when the frame was written
+	Objective      time.Duration      `msg:"j"` // time left to when the answer loses worth; 0 if there is no such time
 	Priority       uint8              `msg:"q"`
+	Nested         bool               `msg:"n"` // a target makes the request while it runs another
 	Idempotent     bool               `msg:"i"`
 	Repeat         bool               `msg:"e"` // the caller says that it sent the request before
 	Method         []byte             `msg:"m,zerocopy"`
 	URI            []byte             `msg:"u,zerocopy"` // path and query below the service's prefix
 	RequestID      []byte             `msg:"r,zerocopy"`
 	IdempotencyKey []byte             `msg:"y,zerocopy"`
+	Class          []byte             `msg:"c,zerocopy"` // requests of one class take about as long as each other
+	Caller         ident.Service      `msg:"l"`          // service of the instance where the request began
 	Headers        []Header           `msg:"h,limit=128"`
 	Body           []byte             `msg:"b,zerocopy"`
 }
--- a/wire/request_gen.go
+++ b/wire/request_gen.go
@@ -10,8 +10,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Request) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 15
-	o = append(o, 0x9f)
+	// array header, size 19
+	o = append(o, 0xdc, 0x0, 0x13)
 	o, err = z.Service.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Service")
@@ -30,13 +30,21 @@
 	}
 	o = msgp.AppendUint64(o, uint64(z.ConfigOffset))
 	o = msgp.AppendDuration(o, z.Timeout)
+	o = msgp.AppendDuration(o, z.Objective)
 	o = msgp.AppendUint8(o, z.Priority)
+	o = msgp.AppendBool(o, z.Nested)
 	o = msgp.AppendBool(o, z.Idempotent)
 	o = msgp.AppendBool(o, z.Repeat)
 	o = msgp.AppendBytes(o, z.Method)
 	o = msgp.AppendBytes(o, z.URI)
 	o = msgp.AppendBytes(o, z.RequestID)
 	o = msgp.AppendBytes(o, z.IdempotencyKey)
+	o = msgp.AppendBytes(o, z.Class)
+	o, err = z.Caller.MarshalMsg(o)
+	if err != nil {
+		err = msgp.WrapError(err, "Caller")
+		return
+	}
 	o = msgp.AppendArrayHeader(o, uint32(len(z.Headers)))
 	for za0001 := range z.Headers {
 		o, err = z.Headers[za0001].MarshalMsg(o)
@@ -57,8 +65,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 15 {
-		err = msgp.ArrayError{Wanted: 15, Got: zb0001}
+	if zb0001 != 19 {
+		err = msgp.ArrayError{Wanted: 19, Got: zb0001}
 		return
 	}
 	bts, err = z.Service.UnmarshalMsg(bts)
@@ -95,11 +103,21 @@
 		err = msgp.WrapError(err, "Timeout")
 		return
 	}
+	z.Objective, bts, err = msgp.ReadDurationBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Objective")
+		return
+	}
 	z.Priority, bts, err = msgp.ReadUint8Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Priority")
 		return
 	}
+	z.Nested, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Nested")
+		return
+	}
 	z.Idempotent, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Idempotent")
@@ -130,6 +148,16 @@
 		err = msgp.WrapError(err, "IdempotencyKey")
 		return
 	}
+	z.Class, bts, err = msgp.ReadBytesZC(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Class")
+		return
+	}
+	bts, err = z.Caller.UnmarshalMsg(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Caller")
+		return
+	}
 	var zb0003 uint32
 	zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
 	if err != nil {
@@ -163,7 +191,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Request) Msgsize() (s int) {
-	s = 1 + z.Service.Msgsize() + msgp.BoolSize + z.Point.Msgsize() + z.Token.Msgsize() + msgp.Uint64Size + msgp.DurationSize + msgp.Uint8Size + msgp.BoolSize + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Method) + msgp.BytesPrefixSize + len(z.URI) + msgp.BytesPrefixSize + len(z.RequestID) + msgp.BytesPrefixSize + len(z.IdempotencyKey) + msgp.ArrayHeaderSize
+	s = 3 + z.Service.Msgsize() + msgp.BoolSize + z.Point.Msgsize() + z.Token.Msgsize() + msgp.Uint64Size + msgp.DurationSize + msgp.DurationSize + msgp.Uint8Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Method) + msgp.BytesPrefixSize + len(z.URI) + msgp.BytesPrefixSize + len(z.RequestID) + msgp.BytesPrefixSize + len(z.IdempotencyKey) + msgp.BytesPrefixSize + len(z.Class) + z.Caller.Msgsize() + msgp.ArrayHeaderSize
 	for za0001 := range z.Headers {
 		s += z.Headers[za0001].Msgsize()
 	}
--- /dev/null
+++ b/workqueue/pace.go
@@ -0,0 +1,131 @@
+package workqueue
+
+import (
+	"time"
+
+	"github.com/parsleystack/parsleystack/clock"
+)
+
+const (
+	// classWeight is the weight of one request in the mean time of its class.
+	classWeight = 0.08
+	// paceWeight is the same for the target's pace and failures, which follow
+	// faster, since a target that turns slow or fails is to be avoided.
+	paceWeight = 0.06
+	// firstGuess is the share of the objective that a request of an unknown
+	// class is expected to take.
+	firstGuess = 0.3
+	// slowAge is the ratio of the running requests' mean age to their usual
+	// time above which the target has slowed down. Steady work has 0.5 to 0.7.
+	slowAge = 1.2
+	// loadWindow is the span over which the arriving work is averaged.
+	loadWindow = 500 * time.Millisecond
+	// maxCrowding bounds how much urgent arrivals stretch a wait.
+	maxCrowding = 4.0
+	maxUrgency  = 255
+)
+
+// pace learns how fast a target is.
+type pace struct {
+	classes  map[string]float64 // mean seconds at the target
+	relative float64            // mean time as a share of the objective
+	failing  float64            // share of requests that failed
+	work     [maxUrgency + 2]arriving
+	used     []int // indexes of work in use
+}
+
+// arriving is the work that arrives at one urgency, in target seconds a second.
+type arriving struct {
+	rate float64
+	at   clock.Time
+}
+
+func newPace() pace { return pace{classes: make(map[string]float64), relative: firstGuess} }
+
+func urgency(item *Item) int {
+	if item.Nested {
+		return maxUrgency + 1
+	}
+	return int(item.Priority)
+}
+
+func (p *pace) arrived(item *Item, now clock.Time) {
+	u := urgency(item)
+	a := &p.work[u]
+	if a.at == clock.Never {
+		a.at = now
+		p.used = append(p.used, u)
+	}
+	a.decay(now)
+	a.rate += p.usual(item).Seconds() / loadWindow.Seconds()
+}
+
+func (a *arriving) decay(now clock.Time) {
+	gone := now.Sub(a.at).Seconds() / loadWindow.Seconds()
+	a.rate *= max(1-gone, 0)
+	if gone > 0 {
+		a.at = now
+	}
+}
+
+// crowding is the factor by which more urgent requests, which go first, stretch
+// the wait of an item at a target that runs limit requests at once.
+func (p *pace) crowding(item *Item, limit int) float64 {
+	urgent := 0.0
+	for _, u := range p.used {
+		if u > urgency(item) {
+			urgent += p.work[u].rate
+		}
+	}
+	free := 1 - urgent/float64(limit)
+	return min(1/max(free, 1/maxCrowding), maxCrowding)
+}
+
+// usual returns how long an item is expected to take from what ended lately.
+func (p *pace) usual(item *Item) time.Duration {
+	if mean, ok := p.classes[item.Class]; ok {
+		return time.Duration(mean * float64(time.Second))
+	}
+	return time.Duration(float64(item.Objective.Sub(item.Arrived)) * firstGuess)
+}
+
+// expect returns the same, longer if those that run now are older than usual.
+func (p *pace) expect(item *Item, now []running, at clock.Time) time.Duration {
+	usual := p.usual(item)
+	if ratio := p.slowdown(now, at); ratio > slowAge {
+		return time.Duration(float64(usual) * ratio)
+	}
+	return usual
+}
+
+// slowdown compares the ages of what runs with the usual times.
+func (p *pace) slowdown(now []running, at clock.Time) float64 {
+	var age, usual time.Duration
+	for i := range now {
+		age += at.Sub(now[i].since)
+		usual += p.usual(&now[i].item)
+	}
+	if usual <= 0 {
+		return 0
+	}
+	return float64(age) / float64(usual)
+}
+
+func (p *pace) finished(item *Item, ending Ending, took time.Duration) {
+	switch ending {
+	case NotSent, Left:
+		return
+	case Shed, Failed:
+		p.failing += paceWeight * (1 - p.failing)
+		return
+	}
+	p.failing -= paceWeight * p.failing
+	mean, ok := p.classes[item.Class]
+	if !ok {
+		mean = took.Seconds()
+	}
+	p.classes[item.Class] = mean + classWeight*(took.Seconds()-mean)
+	if objective := item.Objective.Sub(item.Arrived); objective > 0 {
+		p.relative += paceWeight * (float64(took)/float64(objective) - p.relative)
+	}
+}
