--- a/workqueue/queue.go
+++ b/workqueue/queue.go
@@ -174,10 +174,11 @@
 	})
 }
 
-// next returns the index of the waiting item to start.
+// next returns the index of the waiting item to start: the first one, and at
+// times the first of the least urgent kind.
 func (q *Queue) next() int {
-	last := len(q.waiting) - 1
-	if q.waiting[last].Priority == q.waiting[0].Priority {
+	last := &q.waiting[len(q.waiting)-1]
+	if last.Nested || last.Priority == q.waiting[0].Priority && !q.waiting[0].Nested {
 		q.starts = 0
 		return 0
 	}
@@ -185,9 +186,7 @@
 		return 0
 	}
 	q.starts = 0
-	return slices.IndexFunc(q.waiting, func(x Item) bool {
-		return x.Priority == q.waiting[last].Priority && !x.Nested
-	})
+	return slices.IndexFunc(q.waiting, func(x Item) bool { return !x.Nested && x.Priority == last.Priority })
 }
 
 func (q *Queue) start(item Item, now clock.Time) {
--- /dev/null
+++ b/workqueue/queue_test.go
@@ -0,0 +1,121 @@
+package workqueue
+
+import (
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"github.com/parsleystack/parsleystack/clock"
+)
+
+const testSlots = 4
+
+// drawnItem returns an item whose fields are drawn from x.
+func drawnItem(id uint64, x uint32, now clock.Time) Item {
+	return Item{
+		ID: id, Class: string('a' + rune(x>>4%3)), Priority: uint8(x >> 8 % 3), Nested: x>>12%4 == 0, Arrived: now,
+		Objective: now.Add(time.Duration(20+x>>16%80) * time.Millisecond), Deadline: now.Add(time.Duration(40+x>>16%300) * time.Millisecond),
+	}
+}
+
+// TestInvariants drives a queue by random events: the limit is never exceeded
+// and each item is decided exactly once.
+func TestInvariants(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	parameters.MinSuccessfulTests = 500
+	properties := gopter.NewProperties(parameters)
+	properties.Property("limit and decisions", prop.ForAll(func(raw []uint32) bool {
+		return followsInvariants(raw)
+	}, gen.SliceOfN(300, gen.UInt32())))
+	properties.TestingRun(t)
+}
+
+func followsInvariants(raw []uint32) bool {
+	q := New(testSlots)
+	waiting, running := make(map[uint64]bool), make(map[uint64]bool)
+	now := clock.Time(1)
+	decide := func(started []uint64, refused []Refusal) bool {
+		for _, id := range started {
+			if !waiting[id] {
+				return false
+			}
+			delete(waiting, id)
+			running[id] = true
+		}
+		for _, r := range refused {
+			if !waiting[r.ID] || r.RetryAfter <= 0 {
+				return false
+			}
+			delete(waiting, r.ID)
+		}
+		return true
+	}
+	for i, x := range raw {
+		now = now.Add(time.Duration(x%5) * time.Millisecond)
+		id := uint64(i + 1)
+		switch {
+		case x%4 == 0 && len(running) > 0:
+			for id = range running {
+				break
+			}
+			delete(running, id)
+			if !decide(q.Finish(id, Ending(1+x>>8%5), time.Duration(x>>8%90)*time.Millisecond, now)) {
+				return false
+			}
+		case x%32 == 1 && len(waiting) > 0:
+			for id = range waiting {
+				break
+			}
+			delete(waiting, id)
+			if !q.Leave(id) {
+				return false
+			}
+		default:
+			verdict, refusal := q.Arrive(drawnItem(id, x, now), now)
+			switch verdict {
+			case Start:
+				running[id] = true
+			case Wait:
+				waiting[id] = true
+			case Refuse:
+				if refusal.ID != id || refusal.RetryAfter <= 0 {
+					return false
+				}
+			}
+		}
+		n, w, limit := q.Load()
+		if n != len(running) || w != len(waiting) || limit > testSlots || limit < 1 {
+			return false
+		}
+	}
+	return true
+}
+
+// TestLeastUrgentAreAllNested replays the load of a day's first second: calls
+// of other targets of several priorities wait, and nothing else does.
+func TestLeastUrgentAreAllNested(t *testing.T) {
+	q := New(1)
+	now := clock.Time(1)
+	id := uint64(0)
+	arrive := func(priority uint8) Verdict {
+		id++
+		v, _ := q.Arrive(Item{ID: id, Class: "call", Priority: priority, Nested: true, Arrived: now, Objective: now.Add(time.Second), Deadline: now.Add(2 * time.Second)}, now)
+		return v
+	}
+	arrive(1)
+	for range 2 * turnEvery {
+		q.waiting = append(q.waiting, Item{ID: 100 + id, Priority: 1, Nested: true, Deadline: now.Add(time.Hour)}, Item{ID: 200 + id, Priority: 0, Nested: true, Deadline: now.Add(time.Hour)})
+		id++
+	}
+	running := uint64(1)
+	for range 2 * turnEvery {
+		started, _ := q.Finish(running, Answered, time.Millisecond, now)
+		if len(started) != 1 {
+			t.Fatalf("started %v, want one", started)
+		}
+		running = started[0]
+	}
+}
