Stop without new work for the target; keep rows through restarts

Cause: a stopping daemon went on taking work until its grace time ended, and the end waited for long polls of the store (3 s). A restarted daemon's rows were counted twice, so that others joined in moving them; a new daemon took a silent one for returned since it had never heard it. Ruled out: the target (its calls ended as 'cut' by our close).

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -13,6 +13,9 @@
 	// SilentAfter is the time without a status after which a daemon counts as
 	// lost. It covers two lost statuses.
 	SilentAfter = 1200 * time.Millisecond
+	// SilentAtFirst is the same for a daemon that was never heard, since it may
+	// just be starting.
+	SilentAtFirst = 2500 * time.Millisecond
 	// ForgetAfter is the silence after which a daemon that owns nothing is
 	// removed from the directory.
 	ForgetAfter = 20 * time.Second
@@ -28,11 +31,17 @@
 	Config   uint64
 	Offset   int64
 	LastSeq  uint64 // newest Seq of its present process
+	Stopping bool   // its process is about to stop
 	Answered bool   // it has sent a status since its record was learnt
 }
 
 // Silent reports whether the peer has not been heard for too long.
-func (p *Peer) Silent(now clock.Time) bool { return now.Sub(p.Heard) > SilentAfter }
+func (p *Peer) Silent(now clock.Time) bool {
+	if !p.Answered {
+		return now.Sub(p.Heard) > SilentAtFirst
+	}
+	return now.Sub(p.Heard) > SilentAfter
+}
 
 // Directory holds all daemons but this one. It belongs to the control state.
 type Directory struct {
@@ -56,7 +65,7 @@
 		return false
 	}
 	if m.Incarnation != p.Member.Incarnation {
-		p.LastSeq, p.Answered = 0, false
+		p.LastSeq, p.Answered, p.Stopping = 0, false, false
 		p.Heard = now
 	}
 	p.Member = *m
@@ -74,6 +83,8 @@
 	p.LastSeq, p.Heard, p.Answered = s.Seq, now, true
 	p.Load, p.LoadAt = s.Load, now
 	p.Config, p.Offset = s.Config, s.Offset
+	news = news || p.Stopping != s.Stop
+	p.Stopping = s.Stop
 	return p, news
 }
 
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -4,11 +4,11 @@
 
 // Load is how busy a target is, as its daemon counts it.
 type Load struct {
-	Running int           `msg:"r"`
-	Waiting int           `msg:"w"`
-	Limit   int           `msg:"l"` // requests that the daemon lets it run at once
-	Pace    float64       `msg:"p"` // mean time of requests as a share of their objectives
-	Failing float64       `msg:"f"` // share of requests that fail at the target
+	Running int     `msg:"r"`
+	Waiting int     `msg:"w"`
+	Limit   int     `msg:"l"` // requests that the daemon lets it run at once
+	Pace    float64 `msg:"p"` // mean time of requests as a share of their objectives
+	Failing float64 `msg:"f"` // share of requests that fail at the target
 }
 
 // Status is sent to every other daemon at short intervals and at changes.
@@ -17,6 +17,7 @@
 	Echo    uint64 `msg:"e"` // newest Seq received from the receiver
 	EchoOf  uint64 `msg:"i"` // incarnation of the receiver that sent Echo
 	Promise bool   `msg:"p"` // the sender proposes nothing that takes rows from the receiver
+	Stop    bool   `msg:"s"` // the sender's process is about to stop, its target is not
 	Config  uint64 `msg:"c"` // version of the configuration that the sender has
 	Offset  int64  `msg:"o"` // end of the directory as the sender has read it
 	Load    Load   `msg:"l"`
--- a/fleet/status_gen.go
+++ b/fleet/status_gen.go
@@ -69,12 +69,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Status) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 8
-	o = append(o, 0x98)
+	// array header, size 9
+	o = append(o, 0x99)
 	o = msgp.AppendUint64(o, z.Seq)
 	o = msgp.AppendUint64(o, z.Echo)
 	o = msgp.AppendUint64(o, z.EchoOf)
 	o = msgp.AppendBool(o, z.Promise)
+	o = msgp.AppendBool(o, z.Stop)
 	o = msgp.AppendUint64(o, z.Config)
 	o = msgp.AppendInt64(o, z.Offset)
 	o, err = z.Load.MarshalMsg(o)
@@ -98,8 +99,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 8 {
-		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+	if zb0001 != 9 {
+		err = msgp.ArrayError{Wanted: 9, Got: zb0001}
 		return
 	}
 	z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
@@ -122,6 +123,11 @@
 		err = msgp.WrapError(err, "Promise")
 		return
 	}
+	z.Stop, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Stop")
+		return
+	}
 	z.Config, bts, err = msgp.ReadUint64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Config")
@@ -148,6 +154,6 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Status) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.Uint64Size + msgp.Int64Size + z.Load.Msgsize() + z.Member.Msgsize()
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.BoolSize + msgp.Uint64Size + msgp.Int64Size + z.Load.Msgsize() + z.Member.Msgsize()
 	return
 }
--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -10,6 +10,7 @@
 	SidecarReady     = define(7002, "sidecar ready", info, "The daemon has a configuration and a directory and takes callers.", "")
 	SidecarStopping  = define(7003, "sidecar stopping", info, "SIGTERM came; the daemon is not ready any more and ends what it has read.", "")
 	SidecarStopped   = define(7004, "sidecar stopped", info, "All requests are answered and the process ends.", "")
+	StopIncomplete   = define(7008, "stop incomplete", warning, "The grace time ended before all connections of callers did.", "Look for requests with long timeouts.")
 	SettingsReloaded = define(7005, "settings read again", info, "The settings file has changed; the fields that can change in a running process are in force.", "")
 	SettingsRejected = define(7006, "settings rejected", failure, "The changed settings file can't be used; the earlier settings stay.", "Correct the field that the error names.")
 	LinesDropped     = define(7007, "log lines dropped", warning, "Standard output did not take lines as fast as they came; routine ones were dropped first.", "Let the collector read faster; the count tells how much is missing.")
--- a/ownertable/plan.go
+++ b/ownertable/plan.go
@@ -33,6 +33,8 @@
 	Ended bool
 	// Silent is set while the daemon beside it does not answer.
 	Silent bool
+	// Heard is set if that daemon has answered since this one knows it.
+	Heard bool
 }
 
 // World is what a plan is made from, besides the table.
@@ -150,7 +152,7 @@
 	for i := range p.rows {
 		r := &p.rows[i]
 		o := r.Owner
-		if r.Revoked != NotRevoked {
+		if r.Revoked != NotRevoked && !p.returned(r) {
 			o = r.Next
 		}
 		if _, ok := p.keys[o]; ok {
@@ -178,7 +180,7 @@
 }
 
 func (p *planner) stepRevoked(r *Row) {
-	if _, lost := p.lost(r); r.Revoked == RevokedSilent && !lost {
+	if p.returned(r) {
 		p.assign(r, r.Owner, "", ReasonReturned)
 		return
 	}
@@ -187,6 +189,13 @@
 	}
 }
 
+// returned reports whether a daemon whose silence has cost it a row answers
+// again. One that was never heard here is not taken for returned.
+func (p *planner) returned(r *Row) bool {
+	c := p.known[r.Owner]
+	return r.Revoked == RevokedSilent && c != nil && c.Ready && !c.Silent && c.Heard
+}
+
 // ended reports whether the owner of a row holds nothing any more: the daemon
 // beside it says so, or names a later life of a target at the same instance.
 func (p *planner) ended(r *Row) bool {
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -57,6 +57,8 @@
 	d    *Daemon
 	life atomic.Pointer[life]
 	held atomic.Pointer[held]
+	// closing is set once the process takes no more requests for the target.
+	closing atomic.Bool
 
 	mu      sync.Mutex
 	queue   *workqueue.Queue
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -296,20 +296,25 @@
 	logevent.Log(c.log, logevent.ConfigurationInForce, zap.Uint64("version", uint64(cfg.Version)), zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)))
 }
 
+// beginStop tells callers and other daemons that this process is about to stop.
+func (c *control) beginStop() {
+	c.stopping, c.stale, c.status.soon = true, true, true
+}
+
 // publish builds the view anew.
 func (c *control) publish() {
 	c.stale = false
 	v := &view{routes: c.routes, services: make(map[ident.Service]*serviceView), daemons: 1, stopping: c.stopping}
 	v.behind = c.routes != nil && c.newest > uint64(c.routes.Version())
 	if c.self.State != fleet.TargetUnknown {
-		v.add(c.targetView(&c.self, true, false))
+		v.add(c.targetView(&c.self, true, false, c.stopping))
 	}
 	for _, p := range c.dir.Peers() {
 		if !c.silent[ident.Instance(p.Member.Instance)] {
 			v.daemons++
 		}
 		if p.Member.State != fleet.TargetUnknown {
-			v.add(c.targetView(&p.Member, false, c.silent[ident.Instance(p.Member.Instance)]))
+			v.add(c.targetView(&p.Member, false, c.silent[ident.Instance(p.Member.Instance)], p.Stopping))
 		}
 	}
 	for name, t := range c.owners {
@@ -334,7 +339,7 @@
 	s.byName[t.instance] = t
 }
 
-func (c *control) targetView(m *fleet.Member, local, silent bool) (*targetView, ident.Service) {
+func (c *control) targetView(m *fleet.Member, local, silent, stopping bool) (*targetView, ident.Service) {
 	name := ident.Instance(m.Instance)
 	return &targetView{
 		instance: name,
@@ -342,7 +347,7 @@
 		addr:     m.Addr,
 		zone:     ident.Zone(m.Zone),
 		local:    local,
-		ready:    m.State == fleet.TargetReady,
+		ready:    m.State == fleet.TargetReady && !stopping,
 		silent:   silent,
 		load:     c.load(name, m.Slots),
 	}, ident.Service(m.Service)
--- a/sidecar/control_plan.go
+++ b/sidecar/control_plan.go
@@ -27,6 +27,10 @@
 	appendTimeout = 2 * time.Second
 	// proposePause is the pause after a proposal that failed.
 	proposePause = 100 * time.Millisecond
+	// resumeTime is how long after its start a daemon relies on what an earlier
+	// process granted: a restart takes about a second, a heartbeat comes after
+	// one more, and a hold lasts for four.
+	resumeTime = 1500 * time.Millisecond
 	// establishedSlack covers differences between the wall clocks of instances.
 	establishedSlack = 10 * time.Second
 )
@@ -91,25 +95,43 @@
 		revoked[r.ID()] = since
 	}
 	p.revoked, p.freed = revoked, freed
+	c.resumeHeld(now)
 	p.wanted = clock.Never
 	c.status.soon = true
 }
 
+// resumeHeld lets a restarted daemon serve the rows that its target got from
+// the earlier process, before the target's first heartbeat. Where a hold has
+// lapsed meanwhile, the target refuses.
+func (c *control) resumeHeld(now clock.Time) {
+	until := c.d.started.Add(resumeTime)
+	if c.beats.seq != 0 || !now.Before(until) || c.self.State != fleet.TargetReady {
+		return
+	}
+	var rows []ownertable.Grant
+	for _, r := range c.owners[ident.Service(c.self.Service)].Owned(c.owner()) {
+		if r.Revoked == ownertable.NotRevoked {
+			rows = append(rows, ownertable.Grant{Range: r.Range, Token: r.Token})
+		}
+	}
+	c.d.backend.setHeld(rows, until)
+}
+
 // candidates returns all targets of the own service.
 func (c *control) candidates() []ownertable.Candidate {
-	list := []ownertable.Candidate{candidate(&c.self, false)}
+	list := []ownertable.Candidate{candidate(&c.self, false, true)}
 	for _, p := range c.dir.Peers() {
 		if c.sameService(p) {
-			list = append(list, candidate(&p.Member, c.silent[ident.Instance(p.Member.Instance)]))
+			list = append(list, candidate(&p.Member, c.silent[ident.Instance(p.Member.Instance)], p.Answered))
 		}
 	}
 	return list
 }
 
-func candidate(m *fleet.Member, silent bool) ownertable.Candidate {
+func candidate(m *fleet.Member, silent, heard bool) ownertable.Candidate {
 	return ownertable.Candidate{
 		Owner: ownertable.Owner{Instance: ident.Instance(m.Instance), Target: ownertable.Target{ID: m.TargetID, Born: m.TargetBorn}},
-		Slots: m.Slots, Ready: m.State == fleet.TargetReady, Ended: m.State == fleet.TargetEnded, Silent: silent,
+		Slots: m.Slots, Ready: m.State == fleet.TargetReady, Ended: m.State == fleet.TargetEnded, Silent: silent, Heard: heard,
 	}
 }
 
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -57,7 +57,7 @@
 	st.soon, st.last, st.next = false, now, now.Add(jittered(interval/5)+interval*9/10)
 	st.seq++
 	st.sentAt[st.seq%sentKept] = now
-	s := fleet.Status{Seq: st.seq, Offset: int64(c.read), Load: c.d.backend.load(), Member: c.self}
+	s := fleet.Status{Seq: st.seq, Offset: int64(c.read), Stop: c.stopping, Load: c.d.backend.load(), Member: c.self}
 	if c.routes != nil {
 		s.Config = uint64(c.routes.Version())
 	}
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -138,7 +138,7 @@
 	g.Go(func() error { return d.configurationFollower().run(work) })
 	select {
 	case <-ctx.Done():
-		d.stop(listeners)
+		d.stop()
 	case <-work.Done():
 	}
 	end()
@@ -157,18 +157,27 @@
 	return err
 }
 
-// stop makes the daemon not ready, ends what it has read and returns.
-func (d *Daemon) stop(l *listeners) {
+// stop makes the daemon not ready, ends what it has read and returns. While the
+// callers of this instance go elsewhere, the target still gets work; then it
+// gets no more, and when it has ended its calls and all others, the sockets are
+// closed.
+func (d *Daemon) stop() {
 	begun := clock.Now()
 	logevent.Log(d.log, logevent.SidecarStopping, zap.Int("in_flight", d.ingress.inFlight()))
-	d.control.do(func() { d.control.stopping = true; d.control.stale = true })
+	d.control.do(func() { d.control.beginStop() })
 	d.ingress.closing.Store(true)
 	time.Sleep(readyNotice)
-	_ = l.callers.Close() // the process ends
-	limit := d.settings.GraceTime - stopMargin
-	for clock.Now().Sub(begun) < limit && (d.ingress.inFlight() > 0 || d.backend.busy()) {
+	d.backend.closing.Store(true)
+	d.ingress.refusing.Store(true)
+	limit := begun.Add(d.settings.GraceTime - stopMargin)
+	for clock.Now().Before(limit) && (d.ingress.inFlight() > 0 || d.backend.busy()) {
 		time.Sleep(stopPoll)
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), max(limit.Sub(clock.Now()), stopPoll))
+	defer cancel()
+	if err := d.ingress.server.ShutdownWithContext(ctx); err != nil {
+		logevent.Log(d.log, logevent.StopIncomplete, zap.Int("in_flight", d.ingress.inFlight()), zap.Error(err))
+	}
 }
 
 // listeners are the sockets of the daemon.
--- a/sidecar/flight.go
+++ b/sidecar/flight.go
@@ -27,6 +27,9 @@
 	// retryNotReady is when callers of a daemon without a configuration may come
 	// back.
 	retryNotReady = 300 * time.Millisecond
+	// retryStopping is when callers of a stopping daemon may come back, to any
+	// daemon.
+	retryStopping = 20 * time.Millisecond
 	// maxUrgency is the wire priority of the operator's priority 0.
 	maxUrgency = 255
 )
@@ -67,6 +70,10 @@
 	if !ok {
 		return f.reject(fasthttp.StatusBadRequest, outcome.BadRequest)
 	}
+	if f.in.refusing.Load() && !f.nested() {
+		f.write(outcome.Result{Kind: outcome.NotRun, Reason: outcome.Draining, RetryAfter: retryStopping})
+		return false
+	}
 	if v.routes == nil {
 		return f.unready()
 	}
--- a/sidecar/ingress.go
+++ b/sidecar/ingress.go
@@ -45,7 +45,10 @@
 	mu      sync.Mutex
 	flights map[*flight]struct{}
 	budgets map[ident.Service]*resend.Budget
-	closing atomic.Bool
+	closing atomic.Bool // connections end with their next answer
+	// refusing is set when only calls of the own target are taken, which has
+	// requests to end.
+	refusing atomic.Bool
 }
 
 func newIngress(d *Daemon) *ingress {
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -42,7 +42,7 @@
 }
 
 func (r *run) serve() {
-	if !r.acceptable() {
+	if !r.acceptable(r.b.closing.Load()) {
 		return
 	}
 	t := r.b.enter(&r.item, r.cancel)
@@ -56,14 +56,15 @@
 	}
 	started := clock.Now()
 	ending := workqueue.NotSent
-	if r.acceptable() {
+	if r.acceptable(false) {
 		ending = r.execute()
 	}
 	r.b.finish(r.item.ID, ending, clock.Now().Sub(started))
 }
 
-// acceptable refuses a request that the target must not get.
-func (r *run) acceptable() bool {
+// acceptable refuses a request that the target must not get. closing is set if
+// it came too late to this process.
+func (r *run) acceptable(closing bool) bool {
 	now := clock.Now()
 	l := r.b.life.Load()
 	switch {
@@ -71,7 +72,7 @@
 		return r.refuse(outcome.NotReady, retryMoved)
 	case l.service != r.req.Service:
 		return r.refuse(outcome.UnknownService, retryMoved)
-	case l.state == fleet.TargetEnded, l.noneFrom != clock.Never && !now.Before(l.noneFrom):
+	case closing, l.state == fleet.TargetEnded, l.noneFrom != clock.Never && !now.Before(l.noneFrom):
 		return r.refuse(outcome.Draining, retryMoved)
 	case r.req.Keyed && !r.held(now):
 		return r.refuse(outcome.WrongOwner, retryMoved)
