--- a/cmd/parsley-sidecar/main.go
+++ b/cmd/parsley-sidecar/main.go
@@ -8,14 +8,25 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alexflint/go-arg"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
+	"github.com/parsleystack/parsleystack/logevent"
+	"github.com/parsleystack/parsleystack/logsink"
 	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/sidecar"
 )
 
+// lookAtFile is the time between looks at the settings file, which may change
+// without a signal.
+const lookAtFile = 2 * time.Second
+
+// lastLines is how long the end of the process waits for the last log lines.
+const lastLines = 200 * time.Millisecond
+
 type args struct {
 	Settings string `arg:"--settings,env:PARSLEYSTACK_SETTINGS" placeholder:"FILE" help:"settings file that the platform writes"`
 	LogLevel string `arg:"--log-level" default:"info" help:"debug, info, warn or error; debug adds a line for each request"`
@@ -40,18 +51,53 @@
 	if err != nil {
 		return err
 	}
-	cfg := zap.NewProductionConfig()
-	if cfg.Level, err = zap.ParseAtomicLevel(a.LogLevel); err != nil {
-		return fmt.Errorf("--log-level: %w", err)
-	}
-	cfg.DisableCaller, cfg.DisableStacktrace, cfg.Sampling = true, true, nil
-	cfg.OutputPaths = []string{"stdout"}
-	log, err := cfg.Build(zap.Fields(zap.String("instance", string(s.Instance))))
+	level, err := zapcore.ParseLevel(a.LogLevel)
 	if err != nil {
-		return err
+		return fmt.Errorf("--log-level: %w", err)
 	}
-	defer func() { _ = log.Sync() }() // standard output can't always be synced
+	core := logsink.New(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), os.Stdout, level)
+	defer core.Close(lastLines)
+	log := zap.New(core, zap.Fields(zap.String("instance", string(s.Instance))))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return sidecar.New(s, log).Run(ctx)
+	d := sidecar.New(s, log, core.TakeDropped)
+	go reload(ctx, a.Settings, d, log)
+	return d.Run(ctx)
+}
+
+// reload puts the settings file in force again on SIGHUP and when it changes.
+func reload(ctx context.Context, path string, d *sidecar.Daemon, log *zap.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	look := time.NewTicker(lookAtFile)
+	defer look.Stop()
+	last := modified(path)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		case <-look.C:
+			if modified(path).Equal(last) {
+				continue
+			}
+		}
+		last = modified(path)
+		s, err := platform.LoadSettings(path)
+		if err != nil {
+			logevent.Log(log, logevent.SettingsRejected, zap.Error(err))
+			continue
+		}
+		d.Reload(s)
+	}
+}
+
+// modified returns when the file was last changed; zero if it can't be read,
+// which LoadSettings reports once that differs from the time before.
+func modified(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
 }
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -11,8 +11,8 @@
 
 const (
 	// SilentAfter is the time without a status after which a daemon counts as
-	// lost. It covers two lost statuses.
-	SilentAfter = 1200 * time.Millisecond
+	// lost. It covers one lost status.
+	SilentAfter = 1000 * time.Millisecond
 	// SilentAtFirst is the same for a daemon that was never heard, since it may
 	// just be starting.
 	SilentAtFirst = 2500 * time.Millisecond
--- a/ownertable/keeper.go
+++ b/ownertable/keeper.go
@@ -84,6 +84,12 @@
 	}
 }
 
+// Granted reports whether a row was granted to the target by this process.
+func (k *Keeper) Granted(id RowID) bool {
+	g := k.granted[id]
+	return g != nil && g.omitted == 0
+}
+
 // Lapsed returns the rows among those given whose holds have run out.
 func (k *Keeper) Lapsed(rows []Row, now clock.Time) map[RowID]string {
 	var freed map[RowID]string
--- a/ownertable/timing.go
+++ b/ownertable/timing.go
@@ -4,9 +4,10 @@
 
 const (
 	// LeaseTime is how long a daemon may grant after its lease was confirmed.
-	// It spans two heartbeats of a target and one that comes late, and with the
-	// detection of a silent daemon it bounds how long keys of a lost one wait.
-	LeaseTime = 4 * time.Second
+	// It spans the time between two heartbeats of a target, 0.9 to 1.5 s, with
+	// the age of the newest confirmation and one that is late. With the detection
+	// of a silent daemon it bounds how long keys of a lost one wait.
+	LeaseTime = 3 * time.Second
 	// MaxUnconfirmed is the longest time without the store in which the
 	// promises of the other members keep a lease. Outages of the store last
 	// about 9 s.
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -82,13 +82,13 @@
 func (b *backend) setTarget(m *fleet.Member, leaving clock.Time) {
 	l := &life{service: ident.Service(m.Service), target: ownertable.Target{ID: m.TargetID, Born: m.TargetBorn}, state: m.State}
 	if leaving != clock.Never {
-		l.noneFrom = leaving.Add(time.Duration(leavingShare * float64(b.d.settings.DrainTime)))
+		l.noneFrom = leaving.Add(time.Duration(leavingShare * float64(b.d.settings().DrainTime)))
 	}
 	old := b.life.Load()
 	fresh := old == nil || old.target != l.target
 	if fresh {
 		l.client = target.New(target.Config{
-			Addr: b.d.settings.TargetAddr, MaxConns: m.Slots + spareConns, WarmConns: 1, MaxBody: maxTargetBody,
+			Addr: b.d.settings().TargetAddr, MaxConns: m.Slots + spareConns, WarmConns: 1, MaxBody: maxTargetBody,
 			DialTimeout: targetDialTimeout, Unframed: true, MaxIdle: targetMaxIdle,
 		})
 	} else {
@@ -169,7 +169,7 @@
 	r := run{
 		b: b, req: req, resp: resp, cancel: c, life: b.life.Load(),
 		item: workqueue.Item{
-			Class: string(req.Class), Priority: req.Priority, Nested: req.Nested, Arrived: now,
+			Class: string(req.Class), Priority: req.Priority, Arrived: now,
 			Objective: now.Add(req.Objective), Deadline: now.Add(req.Timeout),
 		},
 	}
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -52,28 +52,25 @@
 	rawCfg []byte // the configuration as the operator wrote it
 	newest uint64 // newest version that any daemon is known to have
 
-	owners  map[ident.Service]*ownertable.Table
-	lease   *ownertable.Lease
-	keeper  *ownertable.Keeper
-	beats   beatState
-	planner plannerState
-	status  statusState
+	owners map[ident.Service]*ownertable.Table
+	agent  *ownertable.Agent
+	beats  beatState
+	status statusState
 
 	stopping bool
 }
 
 func newControl(d *Daemon) *control {
-	s := d.settings
+	s := d.settings()
 	c := &control{
 		d: d, log: d.log, events: make(chan func(), eventBuffer),
 		dir: fleet.NewDirectory(), silent: make(map[ident.Instance]bool), loads: make(map[ident.Instance]*targetLoad),
 		keyRead: make(map[string]metastore.Offset), owners: make(map[ident.Service]*ownertable.Table),
-		lease: ownertable.NewLease(), keeper: ownertable.NewKeeper(d.started),
+		agent: ownertable.NewAgent(s.Instance, d.started),
 		self: fleet.Member{
 			Instance: string(s.Instance), Incarnation: uint64(time.Now().UnixNano()), Revision: 1,
 			Addr: s.LinkAddr, Zone: string(s.Zone), JoinedMS: time.Now().UnixMilli(), Service: string(s.Service),
 		},
-		planner: newPlannerState(), status: newStatusState(),
 	}
 	c.view.Store(&view{services: make(map[ident.Service]*serviceView)})
 	return c
@@ -135,6 +132,7 @@
 	now := clock.Now()
 	c.watchSilence(now)
 	c.watchTarget(now)
+	c.watchWait(now)
 	c.sendStatuses(now)
 	c.catchUp(now)
 	c.plan(now)
@@ -154,9 +152,7 @@
 		c.loaded = true
 		c.resumeSelf()
 	}
-	if next >= b.End && c.joinedAt != clock.Never {
-		c.lease.ConfirmRead(sent)
-	}
+	c.agent.Applied(uint64(c.read), sent, next >= b.End)
 	c.plan(clock.Now())
 }
 
@@ -204,7 +200,7 @@
 	if !c.dir.Learn(m, stored, now) {
 		return
 	}
-	c.planner.lastNews = now
+	c.agent.Changed(now)
 	c.stale = true
 	logevent.Log(c.log, logevent.PeerJoined, zap.String("daemon", m.Instance), zap.Uint64("incarnation", m.Incarnation),
 		zap.Uint64("revision", m.Revision), zap.String("service", m.Service), zap.String("target", m.TargetID),
@@ -237,12 +233,14 @@
 	switch {
 	case m.Gone:
 		c.joinedAt = clock.Never
+		c.agent.Left()
 		c.self.JoinedMS = time.Now().UnixMilli()
 		c.changeSelf()
 	case m.Incarnation == c.self.Incarnation:
 		c.stored = max(c.stored, m.Revision)
 		if c.joinedAt == clock.Never {
 			c.joinedAt = clock.Now()
+			c.agent.Joined(c.joinedAt)
 			logevent.Log(c.log, logevent.MemberRecorded, zap.Uint64("incarnation", m.Incarnation), zap.Uint64("revision", m.Revision))
 		}
 	case m.Newer(&c.self):
@@ -273,7 +271,7 @@
 func (c *control) changeSelf() {
 	c.self.Revision++
 	c.stale = true
-	c.planner.lastNews = clock.Now()
+	c.agent.Changed(clock.Now())
 	if c.loaded {
 		c.d.members.request(c.self)
 	}
--- a/sidecar/control_beat.go
+++ b/sidecar/control_beat.go
@@ -14,9 +14,14 @@
 )
 
 const (
-	// keyedSilence is the time without a heartbeat after which the rows of a
-	// target are given to others; its holds have nearly run out by then.
-	keyedSilence = 3200 * time.Millisecond
+	// missedIntervals is the time without a heartbeat, in intervals, after which
+	// the rows of a target are revoked. They move when its holds have run out.
+	missedIntervals = 1.7
+	// deferTime is how long the answer to a heartbeat waits for rows that are on
+	// their way to the target. The target takes an answer within a second.
+	deferTime = 650 * time.Millisecond
+	// deferMargin is kept of the holds that the target has while it waits.
+	deferMargin = 200 * time.Millisecond
 	// restartSilence is the time after a restart of the daemon in which the
 	// target that an earlier process knew must send a heartbeat.
 	restartSilence = 4 * time.Second
@@ -30,6 +35,16 @@
 	seq     uint64
 	at      clock.Time // of the newest heartbeat, or when the target was inherited
 	leaving clock.Time // when the target's leaving was acknowledged
+	lapse   clock.Time // when the holds granted last end
+	waiting *waitingBeat
+}
+
+// waitingBeat is a heartbeat whose answer waits for rows.
+type waitingBeat struct {
+	heartbeat *platform.Heartbeat
+	received  clock.Time
+	until     clock.Time
+	reply     func(heartbeatAnswer)
 }
 
 func (b *beatState) inherited(now clock.Time) { b.at = now }
@@ -40,25 +55,63 @@
 	body   []byte
 }
 
-// takeHeartbeat answers a heartbeat of the target.
-func (c *control) takeHeartbeat(hb *platform.Heartbeat) heartbeatAnswer {
+// takeHeartbeat answers a heartbeat of the target by reply, at once or when
+// rows that are on their way to the target have come.
+func (c *control) takeHeartbeat(hb *platform.Heartbeat, reply func(heartbeatAnswer)) {
 	now := clock.Now()
-	if hb.Addr != c.d.settings.TargetAddr {
-		logevent.Log(c.log, logevent.HeartbeatBad, zap.String("target", hb.Target.ID), zap.String("address", hb.Addr), zap.String("want", c.d.settings.TargetAddr))
-		return heartbeatAnswer{status: 400}
+	if answer, ok := c.refuseHeartbeat(hb); ok {
+		reply(answer)
+		return
+	}
+	c.endWait(now)
+	c.noteTarget(hb, now)
+	w := &waitingBeat{heartbeat: hb, received: now, until: min(now.Add(deferTime), c.beats.lapse.Add(-deferMargin)), reply: reply}
+	if c.rowsComing() && now.Before(w.until) {
+		c.beats.waiting = w
+		return
+	}
+	reply(c.answerHeartbeat(hb, now, now))
+}
+
+// refuseHeartbeat answers heartbeats that change nothing.
+func (c *control) refuseHeartbeat(hb *platform.Heartbeat) (heartbeatAnswer, bool) {
+	if hb.Addr != c.d.settings().TargetAddr {
+		logevent.Log(c.log, logevent.HeartbeatBad, zap.String("target", hb.Target.ID), zap.String("address", hb.Addr), zap.String("want", c.d.settings().TargetAddr))
+		return heartbeatAnswer{status: 400}, true
 	}
 	if c.routes != nil {
 		if _, ok := c.routes.Service(hb.Service); !ok {
 			logevent.Log(c.log, logevent.HeartbeatBad, zap.String("target", hb.Target.ID), zap.String("service", string(hb.Service)))
-			return heartbeatAnswer{status: 400}
+			return heartbeatAnswer{status: 400}, true
 		}
 	}
 	if !c.inOrder(hb) {
 		logevent.Log(c.log, logevent.HeartbeatOld, zap.String("target", hb.Target.ID), zap.Int64("born", hb.Target.Born), zap.Uint64("seq", hb.Seq))
-		return heartbeatAnswer{status: 200, body: platform.AppendAcknowledgement(nil)}
+		return heartbeatAnswer{status: 200, body: platform.AppendAcknowledgement(nil)}, true
+	}
+	return heartbeatAnswer{}, false
+}
+
+// rowsComing reports whether rows are on their way to the own target and none
+// of its own is to be let go.
+func (c *control) rowsComing() bool {
+	return c.keyed() && c.self.State == fleet.TargetReady && c.agent.RowsComing(c.owner())
+}
+
+// endWait answers a waiting heartbeat.
+func (c *control) endWait(now clock.Time) {
+	if w := c.beats.waiting; w != nil {
+		c.beats.waiting = nil
+		w.reply(c.answerHeartbeat(w.heartbeat, w.received, now))
+	}
+}
+
+// watchWait answers a waiting heartbeat when there is something to grant or to
+// take, or when it has waited long enough.
+func (c *control) watchWait(now clock.Time) {
+	if w := c.beats.waiting; w != nil && (!now.Before(w.until) || !c.rowsComing()) {
+		c.endWait(now)
 	}
-	c.noteTarget(hb, now)
-	return c.answerHeartbeat(hb, now)
 }
 
 func (c *control) inOrder(hb *platform.Heartbeat) bool {
@@ -80,7 +133,7 @@
 		state = fleet.TargetLeaving
 	}
 	if hb.Target != c.target() {
-		c.keeper = ownertable.NewKeeper(now.Add(-ownertable.HoldEnds(ownertable.LeaseTime)))
+		c.agent.TargetReplaced()
 		c.beats.leaving = clock.Never
 	} else if c.beats.leaving != clock.Never {
 		state = fleet.TargetLeaving
@@ -98,7 +151,7 @@
 
 func (c *control) setTarget(m fleet.Member, cause string) {
 	if m.Service != c.self.Service {
-		m.JoinedMS = time.Now().UnixMilli()
+		c.changeService(&m)
 	}
 	c.self = m
 	c.changeSelf()
@@ -107,26 +160,35 @@
 		zap.Int64("born", m.TargetBorn), zap.Stringer("state", m.State), zap.Int("slots", m.Slots))
 }
 
+// changeService makes this daemon a new member of another service.
+func (c *control) changeService(m *fleet.Member) {
+	m.JoinedMS = time.Now().UnixMilli()
+	c.joinedAt = clock.Never
+	c.agent = ownertable.NewAgent(ident.Instance(m.Instance), c.d.started)
+	if t := c.owners[ident.Service(m.Service)]; t != nil && c.read > 0 {
+		c.agent.TableRead(t, uint64(c.read-1), clock.Now())
+	}
+}
+
 // answerHeartbeat grants the rows of the newest table while the lease lasts.
-func (c *control) answerHeartbeat(hb *platform.Heartbeat, now clock.Time) heartbeatAnswer {
-	t := c.owners[ident.Service(c.self.Service)]
-	if t == nil || !c.keyed() {
+// The target counts a hold from when it sent the heartbeat, so it may last until
+// the end of the lease as seen from received.
+func (c *control) answerHeartbeat(hb *platform.Heartbeat, received, now clock.Time) heartbeatAnswer {
+	if !c.keyed() || c.agent.Table() == nil {
 		return heartbeatAnswer{status: 200, body: platform.AppendAcknowledgement(nil)}
 	}
-	rows := t.Owned(c.owner())
 	report := ownertable.Report{Seq: hb.Seq, Held: hb.Held, Released: hb.Released}
-	left := c.leaseLeft(now)
-	a := c.keeper.Heartbeat(rows, &report, left, c.d.settings.MaxHold, now)
+	a := c.agent.Heartbeat(c.owner(), &report, c.others(), c.d.settings().MaxHold, received, now)
 	if len(a.Freed) > 0 {
-		c.planner.free(a.Freed)
 		logevent.Log(c.log, logevent.RowsReleased, zap.Int("rows", len(a.Freed)), zap.Uint64("seq", hb.Seq))
 		c.plan(now)
 	}
 	if a.Hold == 0 {
-		logevent.Log(c.log, logevent.HeartbeatLapsed, zap.Duration("lease_left", left), zap.Duration("since_store", now.Sub(c.lease.LastRead())), zap.Int("rows", len(rows)))
+		logevent.Log(c.log, logevent.HeartbeatLapsed, zap.Duration("lease_left", c.agent.LeaseLeft(c.others(), now)), zap.Duration("since_store", now.Sub(c.agent.LastRead())))
 		return heartbeatAnswer{status: 200, body: platform.AppendAcknowledgement(nil)}
 	}
-	c.d.backend.setHeld(a.Grants, now.Add(a.Hold))
+	c.beats.lapse = received.Add(a.Hold)
+	c.d.backend.setHeld(a.Grants, c.beats.lapse)
 	return heartbeatAnswer{status: 200, body: platform.AppendGrants(nil, a.Grants, a.Hold)}
 }
 
@@ -175,7 +237,7 @@
 	if c.self.State != fleet.TargetReady || !c.keyed() {
 		return
 	}
-	if now.Sub(c.beats.at) > max(keyedSilence, 2*c.d.settings.HeartbeatInterval) {
+	if now.Sub(c.beats.at) > time.Duration(missedIntervals*float64(c.d.settings().HeartbeatInterval)) {
 		m := c.self
 		m.State = fleet.TargetLeaving
 		c.setTarget(m, "no heartbeat")
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -43,8 +43,6 @@
 	fetching bool
 }
 
-func newStatusState() statusState { return statusState{} }
-
 // sendStatuses sends a status to every other daemon when it is due.
 func (c *control) sendStatuses(now clock.Time) {
 	st := &c.status
@@ -71,11 +69,10 @@
 // promises reports whether this daemon can promise a peer that it proposes
 // nothing that takes rows from it.
 func (c *control) promises(p *fleet.Peer) bool {
-	if c.joinedAt == clock.Never || !c.sameService(p) {
+	if !c.sameService(p) {
 		return false
 	}
-	name := ident.Instance(p.Member.Instance)
-	return c.planner.proposal.takesFrom(name) == false && p.Offset >= c.planner.revokedAt[name]
+	return c.agent.Promises(ident.Instance(p.Member.Instance), uint64(max(p.Offset, 0)))
 }
 
 func (c *control) sameService(p *fleet.Peer) bool { return p.Member.Service == c.self.Service }
@@ -89,7 +86,7 @@
 	known := c.dir.Peer(ident.Instance(s.Member.Instance)) != nil
 	p, news := c.dir.Hear(s, now)
 	if news {
-		c.planner.lastNews = now
+		c.agent.Changed(now)
 		c.stale = true
 		logevent.Log(c.log, logevent.PeerJoined, zap.String("daemon", s.Member.Instance), zap.Uint64("incarnation", s.Member.Incarnation),
 			zap.Uint64("revision", s.Member.Revision), zap.String("service", s.Member.Service), zap.String("target", s.Member.TargetID),
@@ -105,7 +102,7 @@
 	c.load(name, s.Member.Slots).report(&s.Load)
 	c.newest = max(c.newest, s.Config)
 	if s.Promise && s.EchoOf == c.self.Incarnation && c.status.seq-s.Echo < sentKept && s.Echo > 0 {
-		c.lease.ConfirmPromise(name, c.status.sentAt[s.Echo%sentKept])
+		c.agent.Promised(name, c.status.sentAt[s.Echo%sentKept])
 	}
 	if c.silent[name] {
 		delete(c.silent, name)
@@ -137,19 +134,10 @@
 	return names
 }
 
-// leaseLeft returns how long the own lease lasts.
-func (c *control) leaseLeft(now clock.Time) time.Duration {
-	end := c.lease.End(c.others())
-	if end == clock.Never {
-		return 0
-	}
-	return end.Sub(now)
-}
-
 // promisesComplete reports whether the lease is kept by promises alone, so that
 // the store may be read seldom.
 func (c *control) promisesComplete(now clock.Time) bool {
-	return c.lease.End(c.others()).Sub(now) > ownertable.LeaseTime/2 && now.Sub(c.lease.LastRead()) < ownertable.MaxUnconfirmed/2
+	return c.agent.LeaseLeft(c.others(), now) > ownertable.LeaseTime/2 && now.Sub(c.agent.LastRead()) < ownertable.MaxUnconfirmed/2
 }
 
 // catchUp fetches news that another daemon has and that the store has not
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -39,16 +40,22 @@
 	// readyNotice is how long a stopping daemon goes on taking callers, so that
 	// two readiness checks have failed.
 	readyNotice = 2300 * time.Millisecond
+	// targetNotice is how long the target may take to end its requests after
+	// that, with calls of its own.
+	targetNotice = 1400 * time.Millisecond
 	// stopMargin is kept of the grace time for the end of the process.
 	stopMargin = 700 * time.Millisecond
 	stopPoll   = 10 * time.Millisecond
+	// dropReport is the time between counts of lost log lines.
+	dropReport = 2 * time.Second
 )
 
 // Daemon is one process beside a target.
 type Daemon struct {
-	settings *platform.Settings
+	current  atomic.Pointer[platform.Settings]
 	log      *zap.Logger
 	logLevel zapcore.Level
+	dropped  func() uint64
 	started  clock.Time
 	metrics  *metricSet
 
@@ -66,12 +73,14 @@
 	viewNew chan struct{} // closed when the next view is published
 }
 
-// New returns a daemon that Run starts.
-func New(s *platform.Settings, log *zap.Logger) *Daemon {
+// New returns a daemon that Run starts. dropped returns the number of log lines
+// lost since it was last called.
+func New(s *platform.Settings, log *zap.Logger, dropped func() uint64) *Daemon {
 	d := &Daemon{
-		settings: s, log: log, logLevel: zapcore.LevelOf(log.Core()), started: clock.Now(), metrics: newMetricSet(),
+		log: log, dropped: dropped, logLevel: zapcore.LevelOf(log.Core()), started: clock.Now(), metrics: newMetricSet(),
 		directory: metastore.Partition{Topic: platform.KeyedTopic(directoryTopic)}, viewNew: make(chan struct{}),
 	}
+	d.current.Store(s)
 	d.link = &storeLink{direct: platform.NewStoreTransport(s.Store.Addr), log: log, metrics: d.metrics, peers: d.relays}
 	d.store = platform.NewStoreClient(d.link.carry)
 	d.members = newMemberWriter(d)
@@ -85,6 +94,23 @@
 	return d
 }
 
+// settings returns the settings in force.
+func (d *Daemon) settings() *platform.Settings { return d.current.Load() }
+
+// Reload puts changed settings in force. Addresses and the instance stay as
+// they were at the start of the process.
+func (d *Daemon) Reload(s *platform.Settings) {
+	old := d.settings()
+	s.Instance, s.IP, s.Zone = old.Instance, old.IP, old.Zone
+	s.CallerAddr, s.ReadyAddr, s.ControlAddr = old.CallerAddr, old.ReadyAddr, old.ControlAddr
+	s.LinkAddr, s.MetricsAddr, s.TargetAddr, s.Store.Addr = old.LinkAddr, old.MetricsAddr, old.TargetAddr, old.Store.Addr
+	if *s == *old {
+		return
+	}
+	d.current.Store(s)
+	logevent.Log(d.log, logevent.SettingsReloaded, zap.String("service", string(s.Service)))
+}
+
 // viewChanged wakes those that wait for a new view.
 func (d *Daemon) viewChanged() {
 	d.viewMu.Lock()
@@ -117,8 +143,8 @@
 
 // Run serves until ctx ends, and then stops as planned.
 func (d *Daemon) Run(ctx context.Context) error {
-	logevent.Log(d.log, logevent.SidecarStarted, zap.String("service", string(d.settings.Service)), zap.String("zone", string(d.settings.Zone)),
-		zap.String("link", d.settings.LinkAddr), zap.Uint64("incarnation", d.control.self.Incarnation))
+	logevent.Log(d.log, logevent.SidecarStarted, zap.String("service", string(d.settings().Service)), zap.String("zone", string(d.settings().Zone)),
+		zap.String("link", d.settings().LinkAddr), zap.Uint64("incarnation", d.control.self.Incarnation))
 	work, end := context.WithCancel(context.Background())
 	defer end()
 	g, work := errgroup.WithContext(work)
@@ -134,6 +160,7 @@
 	g.Go(func() error { return d.control.run(work) })
 	g.Go(func() error { return d.members.run(work) })
 	g.Go(func() error { return d.ingress.watch(work) })
+	g.Go(func() error { return d.reportDropped(work) })
 	g.Go(func() error { return d.directoryFollower().run(work) })
 	g.Go(func() error { return d.configurationFollower().run(work) })
 	select {
@@ -150,6 +177,22 @@
 	return err
 }
 
+// reportDropped logs how many lines were lost, while there are any.
+func (d *Daemon) reportDropped(ctx context.Context) error {
+	ticker := time.NewTicker(dropReport)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		if n := d.dropped(); n > 0 {
+			logevent.Log(d.log, logevent.LinesDropped, zap.Uint64("lines", n))
+		}
+	}
+}
+
 func ignoreClosed(err error) error {
 	if errors.Is(err, net.ErrClosed) || errors.Is(err, transport.ErrClosed) {
 		return nil
@@ -158,9 +201,9 @@
 }
 
 // stop makes the daemon not ready, ends what it has read and returns. While the
-// callers of this instance go elsewhere, the target still gets work; then it
-// gets no more, and when it has ended its calls and all others, the sockets are
-// closed.
+// callers of this instance go elsewhere, the target still gets work. Then it
+// gets no more; its calls are served until it has ended its requests. At last
+// nothing new is taken.
 func (d *Daemon) stop() {
 	begun := clock.Now()
 	logevent.Log(d.log, logevent.SidecarStopping, zap.Int("in_flight", d.ingress.inFlight()))
@@ -168,11 +211,10 @@
 	d.ingress.closing.Store(true)
 	time.Sleep(readyNotice)
 	d.backend.closing.Store(true)
+	waitUntil(begun.Add(readyNotice+targetNotice), func() bool { return !d.backend.busy() })
 	d.ingress.refusing.Store(true)
-	limit := begun.Add(d.settings.GraceTime - stopMargin)
-	for clock.Now().Before(limit) && (d.ingress.inFlight() > 0 || d.backend.busy()) {
-		time.Sleep(stopPoll)
-	}
+	limit := begun.Add(d.settings().GraceTime - stopMargin)
+	waitUntil(limit, func() bool { return d.ingress.inFlight() == 0 && !d.backend.busy() })
 	ctx, cancel := context.WithTimeout(context.Background(), max(limit.Sub(clock.Now()), stopPoll))
 	defer cancel()
 	if err := d.ingress.server.ShutdownWithContext(ctx); err != nil {
@@ -180,6 +222,13 @@
 	}
 }
 
+// waitUntil waits for a condition, until a time at the latest.
+func waitUntil(end clock.Time, done func() bool) {
+	for clock.Now().Before(end) && !done() {
+		time.Sleep(stopPoll)
+	}
+}
+
 // listeners are the sockets of the daemon.
 type listeners struct {
 	links, callers, control, ready, metrics net.Listener
@@ -195,7 +244,7 @@
 
 func (d *Daemon) listen() (*listeners, error) {
 	l := new(listeners)
-	s := d.settings
+	s := d.settings()
 	for _, x := range []struct {
 		at   *net.Listener
 		addr string
@@ -294,8 +343,8 @@
 		ctx.SetStatusCode(http.StatusNotFound)
 		return
 	}
-	var answer heartbeatAnswer
-	var work func()
+	answers := make(chan heartbeatAnswer, 1)
+	reply := func(a heartbeatAnswer) { answers <- a }
 	switch string(ctx.Method()) {
 	case http.MethodPut:
 		hb, err := platform.DecodeHeartbeat(id, ctx.PostBody())
@@ -304,22 +353,23 @@
 			ctx.SetStatusCode(http.StatusBadRequest)
 			return
 		}
-		work = func() { answer = d.control.takeHeartbeat(hb) }
+		d.control.do(func() { d.control.takeHeartbeat(hb, reply) })
 	case http.MethodDelete:
-		work = func() { answer = d.control.takeLeave(id) }
+		d.control.do(func() { reply(d.control.takeLeave(id)) })
 	default:
 		ctx.SetStatusCode(http.StatusMethodNotAllowed)
 		return
 	}
-	wait, cancel := context.WithTimeout(ctx, heartbeatTimeout)
-	defer cancel()
-	if !d.control.ask(wait, work) {
+	timer := time.NewTimer(heartbeatTimeout)
+	defer timer.Stop()
+	select {
+	case a := <-answers:
+		ctx.SetStatusCode(a.status)
+		ctx.SetContentType("application/json")
+		ctx.SetBody(a.body)
+	case <-timer.C:
 		ctx.SetStatusCode(http.StatusServiceUnavailable)
-		return
 	}
-	ctx.SetStatusCode(answer.status)
-	ctx.SetContentType("application/json")
-	ctx.SetBody(answer.body)
 }
 
 // handleReady answers readiness checks.
--- a/sidecar/flight.go
+++ b/sidecar/flight.go
@@ -70,7 +70,7 @@
 	if !ok {
 		return f.reject(fasthttp.StatusBadRequest, outcome.BadRequest)
 	}
-	if f.in.refusing.Load() && !f.nested() {
+	if f.in.refusing.Load() {
 		f.write(outcome.Result{Kind: outcome.NotRun, Reason: outcome.Draining, RetryAfter: retryStopping})
 		return false
 	}
@@ -125,9 +125,9 @@
 	}
 	f.req = wire.Request{
 		Service: f.service.Name, Keyed: f.service.Keyed, Point: keyspace.Point(f.envelope.Key),
-		Priority: uint8(maxUrgency - min(max(f.route.Priority, 0), maxUrgency)), Nested: f.nested(),
+		Priority:   uint8(maxUrgency - min(max(f.route.Priority, 0), maxUrgency)),
 		Idempotent: f.route.Idempotent, Method: h.Method(), URI: h.RequestURI(), RequestID: []byte(f.envelope.RequestID),
-		Class: []byte(f.route.Name), Caller: f.in.d.settings.Service, Body: f.http.Request.Body(),
+		Class: []byte(f.route.Name), Caller: f.in.d.settings().Service, Body: f.http.Request.Body(),
 	}
 	named := h.Peek(fasthttp.HeaderConnection)
 	for name, value := range h.All() {
@@ -138,11 +138,6 @@
 	}
 }
 
-// nested reports whether the own target makes the request.
-func (f *flight) nested() bool {
-	return f.http.RemoteIP().String() == f.in.d.settings.IP.String()
-}
-
 // singleHop reports whether a field concerns one connection only.
 func singleHop(name []byte) bool {
 	return httpfield.HopByHop(name) || httpfield.Length(name) || bytes.EqualFold(name, []byte(fasthttp.HeaderExpect))
@@ -241,7 +236,7 @@
 		candidates[i] = placement.Candidate{
 			InFlight: int(t.load.inFlight.Load()), Limit: int(t.load.limit.Load()),
 			Pace: float64(t.load.pace.Load()) / thousand, Failing: float64(t.load.failing.Load()) / thousand,
-			SameZone: t.zone == f.in.d.settings.Zone, SameHost: t.local, Unwatched: t.silent,
+			SameZone: t.zone == f.in.d.settings().Zone, SameHost: t.local, Unwatched: t.silent,
 			Excluded: !t.ready || f.hasTried(t),
 		}
 	}
--- a/sidecar/ingress.go
+++ b/sidecar/ingress.go
@@ -46,8 +46,7 @@
 	flights map[*flight]struct{}
 	budgets map[ident.Service]*resend.Budget
 	closing atomic.Bool // connections end with their next answer
-	// refusing is set when only calls of the own target are taken, which has
-	// requests to end.
+	// refusing is set when no new request is taken.
 	refusing atomic.Bool
 }
 
@@ -173,7 +172,7 @@
 func (in *ingress) budget(service ident.Service) *resend.Budget {
 	b := in.budgets[service]
 	if b == nil {
-		s := in.d.settings
+		s := in.d.settings()
 		b = resend.NewBudget(resend.Limits{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow})
 		in.budgets[service] = b
 	}
--- a/wire/request.go
+++ b/wire/request.go
@@ -24,7 +24,6 @@
 	Timeout        time.Duration      `msg:"d"` // time left to the deadline when the frame was written
 	Objective      time.Duration      `msg:"j"` // time left to when the answer loses worth; 0 if there is no such time
 	Priority       uint8              `msg:"q"`
-	Nested         bool               `msg:"n"` // a target makes the request while it runs another
 	Idempotent     bool               `msg:"i"`
 	Repeat         bool               `msg:"e"` // the caller says that it sent the request before
 	Method         []byte             `msg:"m,zerocopy"`
--- a/wire/request_gen.go
+++ b/wire/request_gen.go
@@ -10,8 +10,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Request) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 19
-	o = append(o, 0xdc, 0x0, 0x13)
+	// array header, size 18
+	o = append(o, 0xdc, 0x0, 0x12)
 	o, err = z.Service.MarshalMsg(o)
 	if err != nil {
 		err = msgp.WrapError(err, "Service")
@@ -32,7 +32,6 @@
 	o = msgp.AppendDuration(o, z.Timeout)
 	o = msgp.AppendDuration(o, z.Objective)
 	o = msgp.AppendUint8(o, z.Priority)
-	o = msgp.AppendBool(o, z.Nested)
 	o = msgp.AppendBool(o, z.Idempotent)
 	o = msgp.AppendBool(o, z.Repeat)
 	o = msgp.AppendBytes(o, z.Method)
@@ -65,8 +64,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 19 {
-		err = msgp.ArrayError{Wanted: 19, Got: zb0001}
+	if zb0001 != 18 {
+		err = msgp.ArrayError{Wanted: 18, Got: zb0001}
 		return
 	}
 	bts, err = z.Service.UnmarshalMsg(bts)
@@ -113,11 +112,6 @@
 		err = msgp.WrapError(err, "Priority")
 		return
 	}
-	z.Nested, bts, err = msgp.ReadBoolBytes(bts)
-	if err != nil {
-		err = msgp.WrapError(err, "Nested")
-		return
-	}
 	z.Idempotent, bts, err = msgp.ReadBoolBytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Idempotent")
@@ -191,7 +185,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Request) Msgsize() (s int) {
-	s = 3 + z.Service.Msgsize() + msgp.BoolSize + z.Point.Msgsize() + z.Token.Msgsize() + msgp.Uint64Size + msgp.DurationSize + msgp.DurationSize + msgp.Uint8Size + msgp.BoolSize + msgp.BoolSize + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Method) + msgp.BytesPrefixSize + len(z.URI) + msgp.BytesPrefixSize + len(z.RequestID) + msgp.BytesPrefixSize + len(z.IdempotencyKey) + msgp.BytesPrefixSize + len(z.Class) + z.Caller.Msgsize() + msgp.ArrayHeaderSize
+	s = 3 + z.Service.Msgsize() + msgp.BoolSize + z.Point.Msgsize() + z.Token.Msgsize() + msgp.Uint64Size + msgp.DurationSize + msgp.DurationSize + msgp.Uint8Size + msgp.BoolSize + msgp.BoolSize + msgp.BytesPrefixSize + len(z.Method) + msgp.BytesPrefixSize + len(z.URI) + msgp.BytesPrefixSize + len(z.RequestID) + msgp.BytesPrefixSize + len(z.IdempotencyKey) + msgp.BytesPrefixSize + len(z.Class) + z.Caller.Msgsize() + msgp.ArrayHeaderSize
 	for za0001 := range z.Headers {
 		s += z.Headers[za0001].Msgsize()
 	}
--- a/workqueue/doc.go
+++ b/workqueue/doc.go
@@ -5,7 +5,7 @@
 // when a new one would be done. A request that would miss its objective behind
 // the work ahead of it is refused when it arrives: in an overload that lasts,
 // a queue longer than that only makes every answer late. Among those that
-// wait, calls of targets that already hold a slot elsewhere go first, then the
-// urgent ones. The queue has no I/O, clock or lock; one goroutine at a time may
+// wait, the urgent ones go first, and of these the one whose objective ends
+// first. The queue has no I/O, clock or lock; one goroutine at a time may
 // call it.
 package workqueue
--- a/workqueue/item.go
+++ b/workqueue/item.go
@@ -8,26 +8,22 @@
 
 // Item is one request.
 type Item struct {
-	ID       uint64
-	Class    string // requests of one class take about as long as each other
-	Priority uint8  // larger values are more urgent
-	// Nested is set for a call that a target makes while it runs a request. The
-	// work that waits for it would be lost with it.
-	Nested    bool
+	ID        uint64
+	Class     string // requests of one class take about as long as each other
+	Priority  uint8  // larger values are more urgent
 	Arrived   clock.Time
 	Objective clock.Time // when the answer loses some of its worth
 	Deadline  clock.Time // when nobody waits any more
 }
 
-// before reports whether x is to run before y.
+// before reports whether x is to run before y. Calls that targets make while
+// they hold a slot elsewhere have short objectives, so they go before the
+// requests of their priority.
 func (x *Item) before(y *Item) bool {
-	if x.Nested != y.Nested {
-		return x.Nested
-	}
 	if x.Priority != y.Priority {
 		return x.Priority > y.Priority
 	}
-	return x.Arrived.Before(y.Arrived)
+	return x.Objective.Before(y.Objective)
 }
 
 // Verdict is the decision on an arriving item.
--- a/workqueue/pace.go
+++ b/workqueue/pace.go
@@ -1,6 +1,7 @@
 package workqueue
 
 import (
+	"math"
 	"time"
 
 	"github.com/parsleystack/parsleystack/clock"
@@ -22,7 +23,6 @@
 	loadWindow = 500 * time.Millisecond
 	// maxCrowding bounds how much urgent arrivals stretch a wait.
 	maxCrowding = 4.0
-	maxUrgency  = 255
 )
 
 // pace learns how fast a target is.
@@ -30,7 +30,7 @@
 	classes  map[string]float64 // mean seconds at the target
 	relative float64            // mean time as a share of the objective
 	failing  float64            // share of requests that failed
-	work     [maxUrgency + 2]arriving
+	work     [math.MaxUint8 + 1]arriving
 	used     []int // indexes of work in use
 }
 
@@ -42,15 +42,8 @@
 
 func newPace() pace { return pace{classes: make(map[string]float64), relative: firstGuess} }
 
-func urgency(item *Item) int {
-	if item.Nested {
-		return maxUrgency + 1
-	}
-	return int(item.Priority)
-}
-
 func (p *pace) arrived(item *Item, now clock.Time) {
-	u := urgency(item)
+	u := int(item.Priority)
 	a := &p.work[u]
 	if a.at == clock.Never {
 		a.at = now
@@ -73,7 +66,7 @@
 func (p *pace) crowding(item *Item, limit int) float64 {
 	urgent := 0.0
 	for _, u := range p.used {
-		if u > urgency(item) {
+		if u > int(item.Priority) {
 			urgent += p.work[u].rate
 		}
 	}
--- a/workqueue/queue.go
+++ b/workqueue/queue.go
@@ -175,10 +175,10 @@
 }
 
 // next returns the index of the waiting item to start: the first one, and at
-// times the first of the least urgent kind.
+// times the first of the least urgent.
 func (q *Queue) next() int {
-	last := &q.waiting[len(q.waiting)-1]
-	if last.Nested || last.Priority == q.waiting[0].Priority && !q.waiting[0].Nested {
+	least := q.waiting[len(q.waiting)-1].Priority
+	if least == q.waiting[0].Priority {
 		q.starts = 0
 		return 0
 	}
@@ -186,7 +186,7 @@
 		return 0
 	}
 	q.starts = 0
-	return slices.IndexFunc(q.waiting, func(x Item) bool { return !x.Nested && x.Priority == last.Priority })
+	return slices.IndexFunc(q.waiting, func(x Item) bool { return x.Priority == least })
 }
 
 func (q *Queue) start(item Item, now clock.Time) {
