--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -17,8 +17,9 @@
 	// just be starting.
 	SilentAtFirst = 2500 * time.Millisecond
 	// ForgetAfter is the silence after which a daemon that owns nothing is
-	// removed from the directory.
-	ForgetAfter = 20 * time.Second
+	// removed from the directory: a restart takes about a second, and until the
+	// removal leases of its service need the store.
+	ForgetAfter = 5 * time.Second
 )
 
 // Peer is another daemon as this one knows it.
--- a/ownertable/agent.go
+++ b/ownertable/agent.go
@@ -136,6 +136,12 @@
 	return a.lease.End(others).Sub(now)
 }
 
+// KeptByPromises reports whether promises alone keep the lease for most of its
+// length, so that the store may be read seldom.
+func (a *Agent) KeptByPromises(others []ident.Instance, now clock.Time) bool {
+	return a.lease.PromisedUntil(others).Sub(now) > LeaseTime/2 && now.Sub(a.lease.LastRead()) < MaxUnconfirmed/2
+}
+
 // LastRead returns when the last complete read of the directory was sent.
 func (a *Agent) LastRead() clock.Time { return a.lease.LastRead() }
 
--- a/ownertable/lease.go
+++ b/ownertable/lease.go
@@ -41,10 +41,14 @@
 	if l.read == clock.Never {
 		return clock.Never
 	}
-	byRead := l.read.Add(LeaseTime)
+	return max(l.read.Add(LeaseTime), l.PromisedUntil(others))
+}
+
+// PromisedUntil returns until when promises keep the lease.
+func (l *Lease) PromisedUntil(others []ident.Instance) clock.Time {
 	oldest := l.read.Add(MaxUnconfirmed - LeaseTime)
 	for _, m := range others {
 		oldest = min(oldest, l.promises[m])
 	}
-	return max(byRead, oldest.Add(LeaseTime))
+	return oldest.Add(LeaseTime)
 }
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -135,6 +135,8 @@
 	c.watchWait(now)
 	c.sendStatuses(now)
 	c.catchUp(now)
+	c.confirmLease(now)
+	c.forgetGone(now)
 	c.plan(now)
 }
 
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,6 +29,11 @@
 	// catchUpAfter is how long another daemon may be ahead before its news is
 	// fetched from it.
 	catchUpAfter = 150 * time.Millisecond
+	// confirmInterval is the time between reads that confirm a low lease.
+	confirmInterval = 400 * time.Millisecond
+	// forgetInterval is the time between looks for daemons to forget, longer
+	// than the store takes to show a removal.
+	forgetInterval = 2 * time.Second
 	// fetchTimeout bounds the fetching of news from another daemon.
 	fetchTimeout = time.Second
 )
@@ -41,6 +47,9 @@
 	soon     bool       // there is news
 	behind   clock.Time // since when another daemon is ahead
 	fetching bool
+
+	nextConfirm clock.Time
+	nextForget  clock.Time
 }
 
 // sendStatuses sends a status to every other daemon when it is due.
@@ -134,10 +143,39 @@
 	return names
 }
 
-// promisesComplete reports whether the lease is kept by promises alone, so that
-// the store may be read seldom.
-func (c *control) promisesComplete(now clock.Time) bool {
-	return c.agent.LeaseLeft(c.others(), now) > ownertable.LeaseTime/2 && now.Sub(c.agent.LastRead()) < ownertable.MaxUnconfirmed/2
+// confirmLease reads the store at once when the lease runs low, since a read
+// that waits for news was begun while promises kept the lease.
+func (c *control) confirmLease(now clock.Time) {
+	st := &c.status
+	if !c.keyed() || st.fetching || now.Before(st.nextConfirm) || c.agent.LeaseLeft(c.others(), now) > ownertable.LeaseTime/2 {
+		return
+	}
+	st.fetching, st.nextConfirm = true, now.Add(confirmInterval)
+	go c.d.fetch("", false)
+}
+
+// forgetGone takes daemons out of the directory that stay silent and own
+// nothing. One that lives sees it and joins again.
+func (c *control) forgetGone(now clock.Time) {
+	if !c.agent.IsMember() || c.rank() > 0 || c.stopping || now.Before(c.status.nextForget) {
+		return
+	}
+	c.status.nextForget = now.Add(forgetInterval)
+	for _, p := range c.dir.Peers() {
+		if !c.sameService(p) || now.Sub(p.Heard) < fleet.ForgetAfter || c.ownsRows(ident.Instance(p.Member.Instance)) {
+			continue
+		}
+		m := p.Member
+		m.Gone = true
+		m.Revision++
+		logevent.Log(c.log, logevent.PeerForgotten, zap.String("daemon", m.Instance), zap.Duration("silent_for", now.Sub(p.Heard)))
+		go c.d.forget(m)
+	}
+}
+
+func (c *control) ownsRows(name ident.Instance) bool {
+	t := c.agent.Table()
+	return t != nil && slices.Contains(t.Owners(), name)
 }
 
 // catchUp fetches news that another daemon has and that the store has not
@@ -201,3 +239,13 @@
 		d.control.do(func() { d.control.takeDirectory(b, sent, false) })
 	}
 }
+
+// forget writes the removal of a daemon. Another try follows if it fails.
+func (d *Daemon) forget(m fleet.Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	defer cancel()
+	record := metastore.Record{Key: memberPrefix + m.Instance, Value: m.Encode()}
+	if err := d.store.Append(ctx, d.directory, []metastore.Record{record}); err != nil {
+		logevent.Log(d.log, logevent.TableVoid, zap.String("daemon", m.Instance), zap.Error(err))
+	}
+}
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -293,7 +293,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	calm := false
-	if d.control.ask(ctx, func() { calm = !d.control.keyed() || d.control.promisesComplete(clock.Now()) }) && calm {
+	if d.control.ask(ctx, func() { calm = !d.control.keyed() || d.control.agent.KeptByPromises(d.control.others(), clock.Now()) }) && calm {
 		return d.quietWait()
 	}
 	return anxiousPoll
