--- a/ownertable/lease_test.go
+++ b/ownertable/lease_test.go
@@ -77,7 +77,7 @@
 		t.Error("a promise was given while the proposal may land late")
 	}
 	a.Applied(2, at(7*time.Second), true)
-	a.Plan(&Situation{Now: at(7 * time.Second), Self: own, Candidates: []Candidate{own}, Rank: 1})
+	a.Plan(&Situation{Now: at(7 * time.Second), Self: own, Candidates: []Candidate{own, {Owner: lost, Slots: 1, Ready: true, Heard: true}}, Established: true})
 	if !a.Promises("b", 2) {
 		t.Error("no promise although the proposal is void")
 	}
