Move rows of keys from loaded targets to idle ones

Ruled out: placement of the other services; their refusals follow lost targets. Change: the daemon of a target whose offered load is over 0.9 of its slots, and 0.4 more than the least loaded one's, gives away its busiest rows or a part of one, at most every 3.5 s. Answers to heartbeats are kept under 4 KiB.

--- a/fleet/status.go
+++ b/fleet/status.go
@@ -8,6 +8,7 @@
 	Waiting int     `msg:"w"`
 	Limit   int     `msg:"l"` // requests that the daemon lets it run at once
 	Pace    float64 `msg:"p"` // mean time of requests as a share of their objectives
+	Offered float64 `msg:"o"` // work that arrives, as a share of what the slots can run
 	Failing float64 `msg:"f"` // share of requests that fail at the target
 }
 
--- a/fleet/status_gen.go
+++ b/fleet/status_gen.go
@@ -9,12 +9,13 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Load) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 5
-	o = append(o, 0x95)
+	// array header, size 6
+	o = append(o, 0x96)
 	o = msgp.AppendInt(o, z.Running)
 	o = msgp.AppendInt(o, z.Waiting)
 	o = msgp.AppendInt(o, z.Limit)
 	o = msgp.AppendFloat64(o, z.Pace)
+	o = msgp.AppendFloat64(o, z.Offered)
 	o = msgp.AppendFloat64(o, z.Failing)
 	return
 }
@@ -27,8 +28,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 5 {
-		err = msgp.ArrayError{Wanted: 5, Got: zb0001}
+	if zb0001 != 6 {
+		err = msgp.ArrayError{Wanted: 6, Got: zb0001}
 		return
 	}
 	z.Running, bts, err = msgp.ReadIntBytes(bts)
@@ -51,6 +52,11 @@
 		err = msgp.WrapError(err, "Pace")
 		return
 	}
+	z.Offered, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Offered")
+		return
+	}
 	z.Failing, bts, err = msgp.ReadFloat64Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "Failing")
@@ -62,7 +68,7 @@
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *Load) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.Float64Size + msgp.Float64Size
+	s = 1 + msgp.IntSize + msgp.IntSize + msgp.IntSize + msgp.Float64Size + msgp.Float64Size + msgp.Float64Size
 	return
 }
 
--- a/ownertable/agent.go
+++ b/ownertable/agent.go
@@ -37,6 +37,7 @@
 	changedAt clock.Time // when a daemon or a target last changed
 	wantedAt  clock.Time // since when a change of the table is wanted
 	notBefore clock.Time
+	shedAt    clock.Time // when rows were last given away for load
 	proposal  proposal
 	freed     map[RowID]string
 	revoked   map[RowID]clock.Time // when revocations were read
@@ -223,6 +224,7 @@
 	Self       Candidate
 	Candidates []Candidate // all of the service, this daemon's included
 	Rank       int         // of this daemon among those that answer
+	KeyLoad    KeyLoad
 	// Established says that all others have surely known this member for
 	// MaxUnconfirmed.
 	Established bool
@@ -244,10 +246,14 @@
 	if !s.Self.Ready {
 		a.noteLapsed(t, s.Self.Owner, now)
 	}
-	next, changes := Plan(t, a.read, &World{
-		Now: now, Candidates: s.Candidates, Freed: a.freed, RevokedAt: a.revoked,
+	w := World{
+		Now: now, Candidates: s.Candidates, Freed: a.freed, RevokedAt: a.revoked, Self: s.Self.Owner,
 		Wait: TakeoverWait(s.Established), Settled: now.Sub(a.changedAt) > settleTime,
-	})
+	}
+	if now.Sub(a.shedAt) > shedPause {
+		w.KeyLoad = s.KeyLoad
+	}
+	next, changes := Plan(t, a.read, &w)
 	if next == nil {
 		a.wantedAt = clock.Never
 		return nil
@@ -255,9 +261,13 @@
 	if a.wantedAt == clock.Never {
 		a.wantedAt = now
 	}
-	if len(a.freed) == 0 && now.Sub(a.wantedAt) < time.Duration(s.Rank)*proposeStep {
+	shedding := slices.ContainsFunc(changes, func(c Change) bool { return c.Reason == ReasonLoad })
+	if len(a.freed) == 0 && !shedding && now.Sub(a.wantedAt) < time.Duration(s.Rank)*proposeStep {
 		return nil
 	}
+	if shedding {
+		a.shedAt = now
+	}
 	a.propose(changes)
 	return &Proposal{At: a.read, Table: next, Changes: changes}
 }
--- a/ownertable/keeper.go
+++ b/ownertable/keeper.go
@@ -18,6 +18,7 @@
 type granted struct {
 	ends    clock.Time // the target has surely let go after it
 	omitted uint64     // seq of the first heartbeat answered without the row
+	known   bool       // a heartbeat has listed the row under its token
 }
 
 // NewKeeper returns the Keeper of a daemon process that started at started.
@@ -47,6 +48,12 @@
 	k.handovers = append(k.handovers, report.Released...)
 	var a Answer
 	a.Hold = HoldTime(left, longest)
+	for i := range report.Held {
+		h := &report.Held[i]
+		if g := k.granted[RowID{From: h.From, Token: h.Token}]; g != nil {
+			g.known = true
+		}
+	}
 	for i := range rows {
 		r := &rows[i]
 		if r.Revoked == NotRevoked {
@@ -56,15 +63,43 @@
 		k.release(&a, r, report, now)
 	}
 	k.forget(rows)
+	a.fit()
 	return a
 }
 
+const (
+	// maxGrantBytes is the room for grants in the answer to a heartbeat.
+	maxGrantBytes = 3800
+	// grantBytes and handoverBytes are the most that a grant and its handover
+	// take as text.
+	grantBytes    = 22
+	handoverBytes = 16
+)
+
+// fit drops handovers for which the answer has no room. Their keys are slow at
+// first, which is better than an answer that does not count.
+func (a *Answer) fit() {
+	room := maxGrantBytes - grantBytes*len(a.Grants)
+	for i := range a.Grants {
+		if a.Grants[i].Handover == "" {
+			continue
+		}
+		if room -= handoverBytes; room < 0 {
+			a.Grants[i].Handover = ""
+		}
+	}
+}
+
 func (k *Keeper) grant(a *Answer, r *Row, now clock.Time) {
 	if a.Hold == 0 {
 		return
 	}
-	a.Grants = append(a.Grants, Grant{Range: r.Range, Token: r.Token, Handover: r.Handover})
 	g := k.of(r.ID())
+	grant := Grant{Range: r.Range, Token: r.Token, Handover: r.Handover}
+	if g.known { // the target has what the handover brings
+		grant.Handover = ""
+	}
+	a.Grants = append(a.Grants, grant)
 	g.ends = max(g.ends, now.Add(HoldEnds(a.Hold)))
 	g.omitted = 0
 }
--- a/ownertable/plan.go
+++ b/ownertable/plan.go
@@ -13,7 +13,7 @@
 const (
 	// MaxRows bounds a table, so that a target's share of it fits in the answer
 	// to a heartbeat (4 KiB, some 30 bytes a row) with room for a failed peer's.
-	MaxRows = 320
+	MaxRows = 240
 	// rowsPerTarget is the number of rows that a target gets at first. Busy keys
 	// are neighbours, so many short rows spread them.
 	rowsPerTarget = 48
@@ -26,6 +26,8 @@
 type Candidate struct {
 	Owner
 	Slots int
+	Load  float64 // work that arrives, as a share of what the slots can run
+	Pace  float64 // time of its requests as a share of their objectives
 	// Ready is false for a target that is leaving or has ended.
 	Ready bool
 	// Ended is set when the daemon beside it knows that the target holds
@@ -48,6 +50,10 @@
 	RevokedAt map[RowID]clock.Time
 	// Wait is how long after that the row is free; see TakeoverWait.
 	Wait time.Duration
+	// Self is the own target, and KeyLoad the load of its keys; nil if the load
+	// is not to move anything now.
+	Self    Owner
+	KeyLoad KeyLoad
 	// Settled is set when no target has joined for a while, so that the first
 	// table has all of them.
 	Settled bool
@@ -83,6 +89,8 @@
 	ReasonJoined   Reason = "target-joined"
 	ReasonReturned Reason = "daemon-returned"
 	ReasonFree     Reason = "was-free"
+	ReasonLoad     Reason = "load"
+	ReasonJoin     Reason = "too-many-rows"
 )
 
 // planner builds the next table.
@@ -128,6 +136,8 @@
 		p.step(&p.rows[i])
 	}
 	p.fillJoined()
+	p.shed()
+	p.join()
 	if len(p.changes) == 0 {
 		return nil, nil
 	}
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -60,6 +60,8 @@
 	// closing is set once the process takes no more requests for the target.
 	closing atomic.Bool
 
+	keys keyLoads
+
 	mu      sync.Mutex
 	queue   *workqueue.Queue
 	nextID  uint64
@@ -134,7 +136,7 @@
 	defer b.mu.Unlock()
 	running, waiting, limit := b.queue.Load()
 	pace, failing := b.queue.Pace()
-	return fleet.Load{Running: running, Waiting: waiting, Limit: limit, Pace: pace, Failing: failing}
+	return fleet.Load{Running: running, Waiting: waiting, Limit: limit, Pace: pace, Failing: failing, Offered: b.queue.Offered(clock.Now())}
 }
 
 // canceler ends a request whose caller has left. It may be told at any time.
@@ -166,6 +168,9 @@
 // serve runs a request at the target and fills resp.
 func (b *backend) serve(req *wire.Request, resp *wire.Response, c *canceler) {
 	now := clock.Now()
+	if req.Keyed {
+		b.keys.count(uint32(req.Point), now)
+	}
 	r := run{
 		b: b, req: req, resp: resp, cancel: c, life: b.life.Load(),
 		item: workqueue.Item{
--- a/sidecar/control_plan.go
+++ b/sidecar/control_plan.go
@@ -47,19 +47,20 @@
 
 // candidates returns all targets of the own service.
 func (c *control) candidates() []ownertable.Candidate {
-	list := []ownertable.Candidate{candidate(&c.self, false, true)}
+	load := c.d.backend.load()
+	list := []ownertable.Candidate{candidate(&c.self, &load, false, true)}
 	for _, p := range c.dir.Peers() {
 		if c.sameService(p) {
-			list = append(list, candidate(&p.Member, c.silent[ident.Instance(p.Member.Instance)], p.Answered))
+			list = append(list, candidate(&p.Member, &p.Load, c.silent[ident.Instance(p.Member.Instance)], p.Answered))
 		}
 	}
 	return list
 }
 
-func candidate(m *fleet.Member, silent, heard bool) ownertable.Candidate {
+func candidate(m *fleet.Member, load *fleet.Load, silent, heard bool) ownertable.Candidate {
 	return ownertable.Candidate{
 		Owner: ownertable.Owner{Instance: ident.Instance(m.Instance), Target: ownertable.Target{ID: m.TargetID, Born: m.TargetBorn}},
-		Slots: m.Slots, Ready: m.State == fleet.TargetReady, Ended: m.State == fleet.TargetEnded, Silent: silent, Heard: heard,
+		Slots: m.Slots, Load: load.Offered, Pace: load.Pace, Ready: m.State == fleet.TargetReady, Ended: m.State == fleet.TargetEnded, Silent: silent, Heard: heard,
 	}
 }
 
@@ -69,7 +70,7 @@
 		return
 	}
 	list := c.candidates()
-	p := c.agent.Plan(&ownertable.Situation{Now: now, Self: list[0], Candidates: list, Rank: c.rank(), Established: c.established(now)})
+	p := c.agent.Plan(&ownertable.Situation{Now: now, Self: list[0], Candidates: list, Rank: c.rank(), Established: c.established(now), KeyLoad: c.d.backend.keys.load})
 	if p == nil {
 		return
 	}
--- a/workqueue/pace.go
+++ b/workqueue/pace.go
@@ -19,8 +19,9 @@
 	// slowAge is the ratio of the running requests' mean age to their usual
 	// time above which the target has slowed down. Steady work has 0.5 to 0.7.
 	slowAge = 1.2
-	// loadWindow is the span over which the arriving work is averaged.
-	loadWindow = 500 * time.Millisecond
+	// loadHalf is the half-life of arrivals in the average of the arriving work:
+	// about the time in which a burst shows.
+	loadHalf = 350 * time.Millisecond
 	// maxCrowding bounds how much urgent arrivals stretch a wait.
 	maxCrowding = 4.0
 )
@@ -34,7 +35,8 @@
 	used     []int // indexes of work in use
 }
 
-// arriving is the work that arrives at one urgency, in target seconds a second.
+// arriving is the work that arrives at one urgency, in target seconds a second:
+// an average whose weights fall by half in loadHalf.
 type arriving struct {
 	rate float64
 	at   clock.Time
@@ -50,17 +52,26 @@
 		p.used = append(p.used, u)
 	}
 	a.decay(now)
-	a.rate += p.usual(item).Seconds() / loadWindow.Seconds()
+	a.rate += p.usual(item).Seconds() * math.Ln2 / loadHalf.Seconds()
 }
 
 func (a *arriving) decay(now clock.Time) {
-	gone := now.Sub(a.at).Seconds() / loadWindow.Seconds()
-	a.rate *= max(1-gone, 0)
-	if gone > 0 {
+	if gone := now.Sub(a.at); gone > 0 {
+		a.rate *= math.Exp2(-gone.Seconds() / loadHalf.Seconds())
 		a.at = now
 	}
 }
 
+// offered returns the work that arrives, in target seconds a second.
+func (p *pace) offered(now clock.Time) float64 {
+	sum := 0.0
+	for _, u := range p.used {
+		p.work[u].decay(now)
+		sum += p.work[u].rate
+	}
+	return sum
+}
+
 // crowding is the factor by which more urgent requests, which go first, stretch
 // the wait of an item at a target that runs limit requests at once.
 func (p *pace) crowding(item *Item, limit int) float64 {
--- a/workqueue/queue.go
+++ b/workqueue/queue.go
@@ -63,6 +63,9 @@
 // the share of requests that failed there.
 func (q *Queue) Pace() (pace, failing float64) { return q.pace.relative, q.pace.failing }
 
+// Offered returns the work that arrives as a share of what the slots can run.
+func (q *Queue) Offered(now clock.Time) float64 { return q.pace.offered(now) / float64(q.slots) }
+
 // Arrive decides on a new item. An item that starts displaces nothing.
 func (q *Queue) Arrive(item Item, now clock.Time) (Verdict, Refusal) {
 	q.pace.arrived(&item, now)
