--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -46,6 +46,8 @@
 	// stopMargin is kept of the grace time for the end of the process.
 	stopMargin = 700 * time.Millisecond
 	stopPoll   = 10 * time.Millisecond
+	// closeTimeout bounds the end of connections after the last answer.
+	closeTimeout = 300 * time.Millisecond
 	// dropReport is the time between counts of lost log lines.
 	dropReport = 2 * time.Second
 )
@@ -69,6 +71,9 @@
 	backend   *backend
 	ingress   *ingress
 
+	serversMu sync.Mutex
+	servers   []*fasthttp.Server // all but that of callers
+
 	viewMu  sync.Mutex
 	viewNew chan struct{} // closed when the next view is published
 }
@@ -170,6 +175,7 @@
 	}
 	end()
 	listeners.close()
+	d.closeServers()
 	d.server.Close()
 	d.links.Close()
 	err = g.Wait()
@@ -330,9 +336,25 @@
 
 func (d *Daemon) serveHTTP(l net.Listener, h fasthttp.RequestHandler) error {
 	s := &fasthttp.Server{Handler: h, Name: "parsley", NoDefaultServerHeader: true, Logger: quiet{}, MaxRequestBodySize: maxHeartbeat}
+	d.serversMu.Lock()
+	d.servers = append(d.servers, s)
+	d.serversMu.Unlock()
 	return s.Serve(l)
 }
 
+// closeServers ends the connections of targets, checks and collectors.
+func (d *Daemon) closeServers() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	d.serversMu.Lock()
+	defer d.serversMu.Unlock()
+	for _, s := range d.servers {
+		if err := s.ShutdownWithContext(ctx); err != nil {
+			logevent.Log(d.log, logevent.StopIncomplete, zap.Error(err))
+		}
+	}
+}
+
 // maxHeartbeat is far above a heartbeat with all rows of a table.
 const maxHeartbeat = 1 << 20
 
--- /dev/null
+++ b/sidecar/daemon_test.go
@@ -0,0 +1,243 @@
+package sidecar
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/parsleystack/parsleystack/platform/platformtest"
+)
+
+// TestServesAllKinds sends keyed and other requests through every daemon. Each
+// runs once, as it was sent, and its answer is whole.
+func TestServesAllKinds(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, keyedService, keyedService, plainService)
+	d.serving()
+	for _, n := range d.nodes {
+		for key := 77; key <= 65535; key += 9000 {
+			id := newID()
+			a := n.call(http.MethodGet, "/view/x?y=%2F", id, key)
+			if a.status != http.StatusOK || a.body != "body of "+id || a.header.Get("Response-Stamp") == "" {
+				t.Fatalf("%s key %d: %+v", n.settings.Instance, key, a)
+			}
+		}
+		id := newID()
+		if a := n.call(http.MethodPost, "/book/x//y", id, -1); a.status != http.StatusOK {
+			t.Fatalf("booking: %+v", a)
+		}
+		runs := d.records.Of(id)
+		if len(runs) != 1 || runs[0].URI != "/book/x//y" || runs[0].Body != "payload" || runs[0].Caller != string(n.settings.Service) {
+			t.Errorf("runs %+v", runs)
+		}
+	}
+	if a := d.nodes[0].call(http.MethodGet, "/none/", newID(), -1); a.status != http.StatusNotFound {
+		t.Errorf("a path without a route is answered with %d", a.status)
+	}
+}
+
+// load sends bookings through some nodes until it is stopped.
+type load struct {
+	stop   atomic.Bool
+	done   sync.WaitGroup
+	sent   atomic.Int64
+	served atomic.Int64
+	mu     sync.Mutex
+	wrong  []string
+}
+
+func (d *deployment) startLoad(callers int, nodes ...*testNode) *load {
+	l := new(load)
+	for i := range callers {
+		l.done.Go(func() {
+			for n := nodes[i%len(nodes)]; !l.stop.Load(); {
+				id := newID()
+				a := n.call(http.MethodPost, "/book/load", id, -1)
+				l.sent.Add(1)
+				l.judge(d, id, a)
+			}
+		})
+	}
+	return l
+}
+
+// judge checks an answer against what the targets ran.
+func (l *load) judge(d *deployment, id string, a answer) {
+	runs := len(d.records.Of(id))
+	problem := ""
+	switch {
+	case a.err != nil && runs > 0:
+		problem = "ran, but got no answer: " + a.err.Error()
+	case runs > 1:
+		problem = "ran more than once"
+	case a.status == http.StatusServiceUnavailable && runs > 0:
+		problem = "refused, but ran"
+	case a.status == http.StatusOK && (runs != 1 || a.body != "body of "+id):
+		problem = "answered without having run whole"
+	case a.status == http.StatusOK:
+		l.served.Add(1)
+	}
+	if problem != "" {
+		l.mu.Lock()
+		l.wrong = append(l.wrong, id+": "+problem)
+		l.mu.Unlock()
+	}
+}
+
+func (l *load) end(t *testing.T) {
+	t.Helper()
+	l.stop.Store(true)
+	l.done.Wait()
+	if len(l.wrong) > 0 {
+		t.Errorf("%d of %d requests, the first: %s", len(l.wrong), l.sent.Load(), l.wrong[0])
+	}
+	if l.served.Load() == 0 {
+		t.Error("no request was served")
+	}
+}
+
+// TestStopUnderLoad stops daemons beside targets and beside callers under load,
+// as when machines of a service are stopped in turn, and starts them again.
+// Callers keep coming until the end. Nothing that was read is cut.
+func TestStopUnderLoad(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, plainService, plainService, keyedService)
+	d.serving()
+	l := d.startLoad(12, d.nodes...)
+	for _, n := range []*testNode{d.nodes[0], d.nodes[2]} {
+		began := time.Now()
+		n.stop()
+		if err := <-n.done; err != nil {
+			t.Errorf("stop of %s: %v", n.settings.Instance, err)
+		}
+		if took := time.Since(began); took > n.settings.GraceTime {
+			t.Errorf("the stop of %s took %v of %v", n.settings.Instance, took, n.settings.GraceTime)
+		}
+		n.start(t)
+	}
+	l.end(t)
+	d.serving()
+}
+
+// TestStoreTurnsOneDaemonAway refuses one daemon's calls to the store. It still
+// learns configurations, and its target keeps its keys, by the other daemons.
+func TestStoreTurnsOneDaemonAway(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]platformtest.Fault{"refuses": platformtest.Refuses, "silent": platformtest.Silent} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t, keyedService, keyedService, plainService)
+			d.serving()
+			cut := d.nodes[0]
+			d.store.SetFault(fault, cut.settings.Store.Addr)
+			d.configure("/late/")
+			eventually(t, "the new route is served", func() bool {
+				return cut.call(http.MethodPost, "/late/a", newID(), -1).status == http.StatusOK
+			})
+			for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+				for key := 100; key <= 65535; key += 8192 {
+					if a := cut.call(http.MethodGet, "/view/a", newID(), key); a.status != http.StatusOK {
+						t.Fatalf("key %d: %+v", key, a)
+					}
+				}
+			}
+		})
+	}
+}
+
+// TestStoreAway takes the store away from all for longer than a lease. All keys
+// stay served.
+func TestStoreAway(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, keyedService, keyedService, plainService)
+	d.serving()
+	d.store.SetFault(platformtest.Refuses)
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for key := 100; key <= 65535; key += 8192 {
+			if a := d.nodes[2].call(http.MethodGet, "/view/a", newID(), key); a.status != http.StatusOK {
+				t.Fatalf("key %d: %+v", key, a)
+			}
+		}
+	}
+}
+
+// TestLostDaemonsKeysMove ends a daemon and its target without a word. Its keys
+// are served by others, and no key is held twice meanwhile.
+func TestLostDaemonsKeysMove(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, keyedService, keyedService, plainService)
+	d.serving()
+	lost := d.nodes[0]
+	lost.target.Stop()
+	lost.daemon.server.Close() // its links end; the process says nothing more
+	d.nodes = d.nodes[1:]
+	t.Cleanup(func() { lost.stop(); <-lost.done })
+	d.serving()
+	for key := int64(0); key <= 65535; key += 512 {
+		if lost.target.Holds(key) && d.nodes[0].target.Holds(key) {
+			t.Fatalf("key %d is held twice", key)
+		}
+	}
+}
+
+// TestForgedHeartbeats sends heartbeats of other writers. They are refused and
+// change nothing.
+func TestForgedHeartbeats(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, keyedService, plainService)
+	d.serving()
+	n := d.nodes[1]
+	for name, body := range map[string]string{
+		"not JSON":      `{"address":`,
+		"no address":    `{"born":99999999999999,"info":{"service":"bookings","slots":8},"status":{"state":"ready","seq":9}}`,
+		"slots as text": `{"address":"` + n.target.Addr + `","born":99999999999999,"info":{"service":"bookings","slots":"8"},"status":{"state":"ready","seq":9}}`,
+		"state unknown": `{"address":"` + n.target.Addr + `","born":99999999999999,"info":{"service":"bookings","slots":8},"status":{"state":"gone","seq":9}}`,
+		"service":       `{"address":"` + n.target.Addr + `","born":99999999999999,"info":{"service":"else","slots":8},"status":{"state":"ready","seq":9}}`,
+		"other address": `{"address":"127.0.0.1:1","born":99999999999999,"info":{"service":"bookings","slots":8},"status":{"state":"ready","seq":9}}`,
+	} {
+		req, err := http.NewRequest(http.MethodPut, "http://"+n.settings.ControlAddr+"/api/instances/t-forged", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close() // empty
+		if resp.StatusCode != http.StatusBadRequest {
+			t.Errorf("%s: answered with %d", name, resp.StatusCode)
+		}
+	}
+	if a := n.call(http.MethodPost, "/book/a", newID(), -1); a.status != http.StatusOK {
+		t.Errorf("after forged heartbeats: %+v", a)
+	}
+}
+
+// TestDrainedTargetGetsNoNewWork lets a target say that it leaves. Its keys move
+// and nothing is sent to it later than the drain time after the
+// acknowledgement.
+func TestDrainedTargetGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, keyedService, keyedService, plainService, plainService)
+	d.serving()
+	l := d.startLoad(6, d.nodes[2:]...)
+	leaving := d.nodes[2]
+	leaving.target.Drain()
+	if err := leaving.target.Beat(); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(leaving.settings.DrainTime)
+	before := l.sent.Load()
+	eventually(t, "more requests are sent", func() bool { return l.sent.Load() > before+50 })
+	l.end(t)
+	id := newID()
+	if a := leaving.call(http.MethodPost, "/book/late", id, -1); a.status != http.StatusOK {
+		t.Errorf("beside a drained target: %+v", a)
+	}
+	if runs := d.records.Of(id); len(runs) != 1 || runs[0].Target == leaving.target.ID {
+		t.Errorf("runs %+v", runs)
+	}
+}
--- /dev/null
+++ b/sidecar/harness_test.go
@@ -0,0 +1,199 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/platform"
+	"github.com/parsleystack/parsleystack/platform/platformtest"
+)
+
+const (
+	keyedService = "reports"
+	plainService = "bookings"
+	host         = "shop.example"
+	patience     = 20 * time.Second // for what must come about at last
+)
+
+// deployment is a few daemons and targets in this process.
+type deployment struct {
+	t       *testing.T
+	store   *platformtest.Store
+	records *platformtest.Records
+	nodes   []*testNode
+	version int
+}
+
+// testNode is one instance: a daemon and the target beside it.
+type testNode struct {
+	settings *platform.Settings
+	target   *platformtest.Target
+	daemon   *Daemon
+	stop     context.CancelFunc
+	done     chan error
+}
+
+// lastHost numbers the loopback addresses in use. Each node has one of its own,
+// so that its ports are never those of outgoing connections or other tests.
+var lastHost atomic.Uint32
+
+// newHost returns a loopback address that no other node of the tests has.
+func newHost() string {
+	n := lastHost.Add(1)
+	return fmt.Sprintf("127.77.%d.%d", n>>8, n&0xff)
+}
+
+// deploy starts a daemon and a target for each named service.
+func deploy(t *testing.T, services ...string) *deployment {
+	t.Helper()
+	d := &deployment{t: t, store: platformtest.NewStore(), records: new(platformtest.Records)}
+	t.Cleanup(d.close)
+	d.configure("")
+	for i, service := range services {
+		d.nodes = append(d.nodes, d.newNode(i, service))
+	}
+	for _, n := range d.nodes {
+		n.start(t)
+		if err := n.target.Start(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return d
+}
+
+func (d *deployment) close() {
+	for _, n := range d.nodes {
+		n.target.Stop()
+	}
+	d.store.Close()
+	for _, n := range d.nodes {
+		n.stop()
+		<-n.done
+	}
+}
+
+func (d *deployment) newNode(i int, service string) *testNode {
+	addr, err := d.store.Listen()
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	ip := newHost()
+	addrOf := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+	s := &platform.Settings{
+		Instance: ident.Instance(fmt.Sprintf("node-%d", i)), IP: netip.MustParseAddr(ip), Zone: "z", Service: ident.Service(service),
+		CallerAddr: addrOf(7001), ReadyAddr: addrOf(7002), ControlAddr: addrOf(7003), LinkAddr: addrOf(7004), MetricsAddr: addrOf(7005), TargetAddr: addrOf(7006),
+		HeartbeatInterval: 300 * time.Millisecond, DrainTime: 2 * time.Second, GraceTime: 6 * time.Second, MaxHold: 10 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second,
+		Store: platform.StoreSettings{Addr: addr, Partitions: 32, WritesPerS: 400, ReadsPerS: 2000, MaxRecordBytes: 1 << 18},
+	}
+	target := &platformtest.Target{
+		ID: fmt.Sprintf("t-%d", i), Service: service, Addr: s.TargetAddr, Control: s.ControlAddr, Keyed: service == keyedService,
+		Slots: 8, Work: 5 * time.Millisecond, Every: s.HeartbeatInterval, Records: d.records,
+	}
+	return &testNode{settings: s, target: target}
+}
+
+func (n *testNode) start(t *testing.T) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.daemon, n.stop, n.done = New(n.settings, zap.NewNop(), func() uint64 { return 0 }), cancel, make(chan error, 1)
+	daemon, done := n.daemon, n.done
+	go func() { done <- daemon.Run(ctx) }()
+}
+
+// configure writes a configuration with one route to each service, and one more
+// for the extra path.
+func (d *deployment) configure(extra string) {
+	d.version++
+	rows := []string{
+		fmt.Sprintf(`["view","%s","/view/","safe",2000,1000,2,null,2,"%s"]`, host, keyedService),
+		fmt.Sprintf(`["book","%s","/book/","unsafe",2000,1000,1,null,2,"%s"]`, host, plainService),
+	}
+	if extra != "" {
+		rows = append(rows, fmt.Sprintf(`["extra","%s","%s","unsafe",2000,1000,1,null,2,"%s"]`, host, extra, plainService))
+	}
+	d.store.Put("keyed.op", "config", fmt.Appendf(nil, `{"version":"r%d","routes":{"columns":["name","host","pathPrefix","kind","timeoutMs","targetLatencyMs","priority","weightedClusters","maxAttempts","service"],"rows":[%s]},
+		"services":{"columns":["name","healthPath","maxConnections","protocol","tls","sharded","warmS","grants"],"rows":[["%s","/healthz",130,"h1",false,true,2.0,"heartbeat"],["%s","/healthz",130,"h1",false,null,null,null]]},
+		"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`, d.version, strings.Join(rows, ","), keyedService, plainService))
+}
+
+// answer is what a caller got.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	err    error
+}
+
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}, Timeout: 10 * time.Second}
+
+// call sends a request through a daemon. A key below 0 is not sent.
+func (n *testNode) call(method, path, id string, key int) answer {
+	req, err := http.NewRequest(method, "http://"+n.settings.CallerAddr+path, strings.NewReader("payload"))
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Host = host
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Request-Deadline-Ms", "2000")
+	if key >= 0 {
+		req.Header.Set("Shard-Key", fmt.Sprint(key))
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = resp.Body.Close() }() // read below
+	b, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, body: string(b), header: resp.Header, err: err}
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("after %v still not: %s", patience, what)
+}
+
+var (
+	idMu   sync.Mutex
+	lastID int
+)
+
+// newID returns a request id that no other request of the tests has.
+func newID() string {
+	idMu.Lock()
+	defer idMu.Unlock()
+	lastID++
+	return fmt.Sprintf("req-%d", lastID)
+}
+
+// serving waits until all nodes serve requests of both kinds.
+func (d *deployment) serving() {
+	d.t.Helper()
+	for _, n := range d.nodes {
+		eventually(d.t, "all keys and routes are served", func() bool {
+			for key := 0; key <= 65535; key += 4096 {
+				if n.call(http.MethodGet, "/view/a", newID(), key).status != http.StatusOK {
+					return false
+				}
+			}
+			return n.call(http.MethodPost, "/book/a", newID(), -1).status == http.StatusOK
+		})
+	}
+}
--- a/sidecar/storelink.go
+++ b/sidecar/storelink.go
@@ -81,6 +81,8 @@
 	sent := clock.Now()
 	answer, err := l.direct(ctx, call)
 	switch {
+	case ctx.Err() != nil:
+		l.metrics.storeCall("given-up")
 	case err != nil:
 		l.metrics.storeCall("no-answer")
 		l.lastBad.Store(int64(clock.Now()))
