Tests of the decisions and decoders; ties in the queue by arrival

Cause of the change in workqueue: requests with the same objective did not count as ahead of each other, so that an example refused none of six. Found by the package's Example, which fails before.

--- /dev/null
+++ b/fleet/directory_test.go
@@ -0,0 +1,63 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/parsleystack/parsleystack/clock"
+)
+
+func member(incarnation, revision uint64) Member {
+	return Member{Instance: "a", Addr: "127.0.0.1:1", Incarnation: incarnation, Revision: revision}
+}
+
+// TestOlderRecordsChangeNothing feeds records and statuses out of order.
+func TestOlderRecordsChangeNothing(t *testing.T) {
+	d := NewDirectory()
+	now := clock.Time(time.Hour)
+	m := member(2, 5)
+	d.Learn(&m, true, now)
+	for _, old := range []Member{member(1, 9), member(2, 4), member(2, 5)} {
+		if d.Learn(&old, true, now) {
+			t.Errorf("%d.%d counts as news after 2.5", old.Incarnation, old.Revision)
+		}
+	}
+	if p, _ := d.Hear(&Status{Seq: 7, Member: member(1, 9)}, now); p != nil {
+		t.Error("a status of an earlier process was taken")
+	}
+	if p, _ := d.Hear(&Status{Seq: 7, Member: m}, now); p == nil {
+		t.Fatal("the first status was not taken")
+	}
+	if p, _ := d.Hear(&Status{Seq: 6, Member: m}, now); p != nil {
+		t.Error("a status that was overtaken was taken")
+	}
+	next := member(3, 1)
+	if p, news := d.Hear(&Status{Seq: 1, Member: next}, now); p == nil || !news {
+		t.Error("the first status of the next process was not taken")
+	}
+}
+
+// TestRecordsAreReadBack encodes and decodes, and rejects what is no record.
+func TestRecordsAreReadBack(t *testing.T) {
+	m := Member{Instance: "a", Addr: "127.0.0.1:1", Incarnation: 3, Revision: 4, Zone: "z", JoinedMS: 5, Service: "s", TargetID: "t", TargetBorn: 6, State: TargetLeaving, Slots: 7}
+	got, err := DecodeMember(m.Encode())
+	m.Schema = memberSchema
+	if err != nil || *got != m {
+		t.Errorf("got %+v, %v", got, err)
+	}
+	for name, b := range map[string][]byte{"empty": nil, "torn": m.Encode()[:9], "text": []byte("hello")} {
+		if _, err := DecodeMember(b); err == nil {
+			t.Errorf("%s is taken for a record", name)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	m := member(1, 1)
+	f.Add(m.Encode())
+	f.Add((&Status{Seq: 1, Member: m}).Encode())
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		_, _ = DecodeMember(b) // must not panic
+		_, _ = DecodeStatus(b)
+	})
+}
--- /dev/null
+++ b/routetable/table_test.go
@@ -0,0 +1,18 @@
+package routetable
+
+import "testing"
+
+// TestClusterShares checks that weights give shares of the requests.
+func TestClusterShares(t *testing.T) {
+	r := Route{Clusters: []Cluster{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	const draws = 1000
+	n := 0
+	for i := range draws {
+		if r.Cluster(float64(i)/draws) == "b" {
+			n++
+		}
+	}
+	if n != draws/10 {
+		t.Errorf("%d of %d go to b, want a tenth", n, draws)
+	}
+}
--- /dev/null
+++ b/target/accept_test.go
@@ -0,0 +1,111 @@
+package target
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// script answers each request on each connection with the next text.
+func script(t *testing.T, answers ...string) (addr string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for next := 0; ; {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			r := bufio.NewReader(c)
+			for next < len(answers) {
+				if _, err := http.ReadRequest(r); err != nil {
+					break
+				}
+				_, _ = c.Write([]byte(answers[next])) // the test reads what arrives
+				next++
+				if strings.Contains(answers[next-1], "Connection: close") {
+					break
+				}
+			}
+			_ = c.Close()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func response(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nRequest-Id: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+// ask sends a request with an id and returns the body of its answer.
+func ask(c *Client, id string) (string, error) {
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	req.Header.SetHost("h")
+	req.SetRequestURI("/")
+	call := Call{Request: &req, Response: &resp, Deadline: time.Now().Add(5 * time.Second), Accept: func(r *fasthttp.Response) bool {
+		return string(r.Header.Peek("Request-Id")) == id
+	}}
+	_, err := c.Do(&call)
+	return string(resp.Body()), err
+}
+
+// TestLateAnswerIsReadPast lets an answer to an earlier request come where the
+// next one is due.
+func TestLateAnswerIsReadPast(t *testing.T) {
+	c := New(Config{Addr: script(t, response("a", "one"), response("a", "more")+response("b", "two")), MaxConns: 1})
+	defer c.Close()
+	for _, want := range [][2]string{{"a", "one"}, {"b", "two"}} {
+		if got, err := ask(c, want[0]); err != nil || got != want[1] {
+			t.Errorf("request %s: got %q, %v", want[0], got, err)
+		}
+	}
+}
+
+// TestExtraBytesEndTheConnection follows a whole answer with bytes of no answer;
+// the next request goes over a new connection.
+func TestExtraBytesEndTheConnection(t *testing.T) {
+	c := New(Config{Addr: script(t, response("a", "one")+"garbage", response("b", "two")), MaxConns: 1})
+	defer c.Close()
+	for _, want := range [][2]string{{"a", "one"}, {"b", "two"}} {
+		if got, err := ask(c, want[0]); err != nil || got != want[1] {
+			t.Errorf("request %s: got %q, %v", want[0], got, err)
+		}
+	}
+}
+
+// TestUnframedAnswers takes one that ends with its connection only where the
+// client is told to, and a torn one never.
+func TestUnframedAnswers(t *testing.T) {
+	const unframed = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nConnection: close\r\n\r\nwhole"
+	const torn = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nContent-Length: 9\r\nConnection: close\r\n\r\nwhole"
+	for _, c := range []struct {
+		text string
+		take bool
+		ok   bool
+	}{{unframed, true, true}, {unframed, false, false}, {torn, true, false}} {
+		client := New(Config{Addr: script(t, c.text), MaxConns: 1, Unframed: c.take})
+		if got, err := ask(client, "a"); (err == nil) != c.ok || c.ok && got != "whole" {
+			t.Errorf("unframed %v, %q: got %q, %v", c.take, c.text, got, err)
+		}
+		client.Close()
+	}
+}
+
+// TestKeepAliveOfTheTarget reads how long a target keeps connections.
+func TestKeepAliveOfTheTarget(t *testing.T) {
+	for field, want := range map[string]time.Duration{"timeout=5": 5 * time.Second, "max=3, timeout=7": 7 * time.Second, "": 0, "timeout=x": 0} {
+		if got, _ := keepAliveTimeout(field); got != want {
+			t.Errorf("%q: %v, want %v", field, got, want)
+		}
+	}
+}
--- a/workqueue/item.go
+++ b/workqueue/item.go
@@ -23,7 +23,10 @@
 	if x.Priority != y.Priority {
 		return x.Priority > y.Priority
 	}
-	return x.Objective.Before(y.Objective)
+	if x.Objective != y.Objective {
+		return x.Objective.Before(y.Objective)
+	}
+	return x.ID < y.ID
 }
 
 // Verdict is the decision on an arriving item.
