--- a/cli/args.go
+++ b/cli/args.go
@@ -16,6 +16,7 @@
 	Audit       *AuditArgs       `arg:"subcommand:audit" help:"show who changed what, and what moved and why"`
 	Drain       *DrainArgs       `arg:"subcommand:drain" help:"start the planned stop of an instance"`
 	ConfirmLoss *ConfirmLossArgs `arg:"subcommand:confirm-loss" help:"confirm that a process is gone for good"`
+	Trace       *TraceArgs       `arg:"subcommand:trace" help:"show a request's way in collected log lines, and its cause"`
 	Bench       *bench.Args      `arg:"subcommand:bench" help:"send load to a deployment and judge its answers"`
 
 	JSON    bool          `arg:"--json" help:"print JSON for programs"`
@@ -57,6 +58,12 @@
 	Reason   string `arg:"--reason" placeholder:"TEXT" help:"why, for the audit trail"`
 }
 
+// TraceArgs holds the arguments of trace.
+type TraceArgs struct {
+	ID    string   `arg:"positional,required" placeholder:"ID" help:"id of the request"`
+	Files []string `arg:"positional,required" placeholder:"FILE" help:"files with the log lines of all daemons"`
+}
+
 // CheckArgs holds the arguments of check.
 type CheckArgs struct {
 	Paths []string `arg:"positional,required" placeholder:"PATH" help:"service files, or directories that hold them"`
--- a/cli/help.go
+++ b/cli/help.go
@@ -33,13 +33,16 @@
 	"confirm-loss": {
 		"parsley confirm-loss --daemons deploy/perizia/daemons --operator anna --service reports reports-2#1700000000000000000",
 	},
+	"trace": {
+		"parsley trace 09aaa6ac9f9dca7c docs/operations/day.log",
+	},
 	"bench": {
 		"parsley bench --entry 127.0.0.1:21000,127.0.0.1:21004 --phases 200x10s --target 127.0.0.1:21300",
 	},
 }
 
 // commandOrder is the order of the examples in the general help.
-var commandOrder = []string{"check", "plan", "publish", "status", "explain", "audit", "drain", "confirm-loss", "bench"}
+var commandOrder = []string{"check", "plan", "publish", "status", "explain", "audit", "drain", "confirm-loss", "trace", "bench"}
 
 func helpFor(command string) string {
 	text := "Examples:\n"
--- a/resend/policy.go
+++ b/resend/policy.go
@@ -15,7 +15,8 @@
 	// again. A new owner's target takes its keys at its next heartbeat.
 	ownerPoll = 40 * time.Millisecond
 	// maxOwnerWait is the longest wait for the owner of a key, as a share of the
-	// time that the request has. Refused earlier, the caller can come back.
+	// request's objective: served after it, an answer has lost most of its worth,
+	// and refused before, the caller can come back.
 	maxOwnerWait = 0.5
 	// minTimeLeft is the time to the deadline below which nothing is sent.
 	minTimeLeft = 5 * time.Millisecond
@@ -29,6 +30,7 @@
 	Idempotent  bool
 	MaxAttempts int // targets that it may be sent to
 	Arrived     clock.Time
+	Objective   time.Duration // time within which an answer has its full worth
 	Deadline    clock.Time
 }
 
@@ -77,9 +79,10 @@
 // Reached returns how many targets have received the request.
 func (r *Request) Reached() int { return r.reached }
 
-// Unplaced decides when there is no daemon to ask.
-func (r *Request) Unplaced(now clock.Time) Action {
-	if r.Rule.Keyed {
+// Unplaced decides when there is no daemon to ask. coming says that the key has
+// an owner that is about to serve it; an owner that is lost is not waited for.
+func (r *Request) Unplaced(coming bool, now clock.Time) Action {
+	if r.Rule.Keyed && coming {
 		return r.awaitOwner(outcome.Result{Kind: outcome.NotRun, Reason: outcome.NoOwner, RetryAfter: retryUnowned}, now)
 	}
 	if r.refusal.Kind == 0 {
@@ -142,8 +145,7 @@
 
 func (r *Request) awaitOwner(refusal outcome.Result, now clock.Time) Action {
 	r.note(refusal)
-	span := r.Rule.Deadline.Sub(r.Rule.Arrived)
-	if float64(now.Sub(r.Rule.Arrived)) > maxOwnerWait*float64(span) || r.Rule.Deadline.Sub(now) < ownerPoll {
+	if float64(now.Sub(r.Rule.Arrived)) > maxOwnerWait*float64(r.Rule.Objective) || r.Rule.Deadline.Sub(now) < ownerPoll {
 		return r.finish(r.refusal)
 	}
 	return Action{Kind: AwaitOwner, Pause: ownerPoll, Resend: r.reached > 0}
--- a/sidecar/flight.go
+++ b/sidecar/flight.go
@@ -11,6 +11,7 @@
 
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/httpfield"
+	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/keyspace"
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/outcome"
@@ -50,6 +51,8 @@
 	req      wire.Request
 	resp     wire.Response
 	tried    []*targetView
+	owner    ident.Instance // of the key, as of the last attempt
+	paid     int            // targets reached for which the budget was asked
 	last     *targetView
 }
 
@@ -121,7 +124,7 @@
 	f.deadline = f.arrived.Add(min(patience, f.route.Timeout))
 	f.state.Rule = resend.Rule{
 		Keyed: f.service.Keyed, Idempotent: f.route.Idempotent, MaxAttempts: f.route.MaxAttempts,
-		Arrived: f.arrived, Deadline: f.deadline,
+		Arrived: f.arrived, Objective: f.route.Objective, Deadline: f.deadline,
 	}
 	f.req = wire.Request{
 		Service: f.service.Name, Keyed: f.service.Keyed, Point: keyspace.Point(f.envelope.Key),
@@ -170,10 +173,12 @@
 
 // next carries out a decision and decides again.
 func (f *flight) next(a resend.Action) resend.Action {
-	if a.Resend && !f.in.spend(f.service.Name, f.in.d.control.view.Load().daemons) {
+	again := a.Resend && f.paid < f.state.Reached() // asked once for each target reached
+	if again && !f.in.spend(f.service.Name, f.in.d.control.view.Load().daemons) {
 		return f.state.OutOfBudget()
 	}
-	if a.Resend {
+	if again {
+		f.paid = f.state.Reached()
 		logevent.Log(f.in.d.log, logevent.RequestResent, zap.String("request", f.envelope.RequestID), zap.Int("reached", f.state.Reached()))
 	}
 	if a.Kind == resend.AwaitOwner && a.Pause > 0 {
@@ -198,9 +203,9 @@
 
 // attempt sends the request once and decides what follows.
 func (f *flight) attempt() resend.Action {
-	t := f.choose()
+	t, coming := f.choose()
 	if t == nil {
-		return f.state.Unplaced(clock.Now())
+		return f.state.Unplaced(coming, clock.Now())
 	}
 	f.last = t
 	f.tried = append(f.tried, t)
@@ -217,19 +222,36 @@
 	return f.state.Next(a, clock.Now())
 }
 
-// choose returns the target for the next attempt, or nil.
-func (f *flight) choose() *targetView {
+// choose returns the target for the next attempt, or nil. coming reports whether
+// the key's owner is about to serve it.
+func (f *flight) choose() (t *targetView, coming bool) {
 	v := f.in.d.control.view.Load()
 	s := v.services[f.service.Name]
-	if s == nil {
-		return nil
-	}
-	if f.service.Keyed {
-		if t := s.owner(f.envelope.Key); t != nil && !t.silent {
-			return t
-		}
-		return nil
+	switch {
+	case s == nil:
+		return nil, false
+	case f.service.Keyed:
+		return f.chooseOwner(s)
 	}
+	return f.choosePlace(s), false
+}
+
+// chooseOwner returns the target that owns the key, if its daemon answers.
+func (f *flight) chooseOwner(s *serviceView) (t *targetView, coming bool) {
+	if s.owners == nil {
+		return nil, false
+	}
+	row := s.owners.Find(f.envelope.Key)
+	f.owner = row.Owner.Instance
+	t = s.owner(f.envelope.Key)
+	if t == nil || t.silent {
+		return nil, t == nil && !row.Free()
+	}
+	return t, true
+}
+
+// choosePlace returns the best target that was not tried.
+func (f *flight) choosePlace(s *serviceView) *targetView {
 	var candidates [64]placement.Candidate
 	n := min(len(s.targets), len(candidates))
 	for i, t := range s.targets[:n] {
@@ -369,7 +391,7 @@
 		fields = append(fields, zap.String("daemon", string(f.last.instance)), zap.String("target", f.last.target.ID), zap.Int64("load", f.last.load.inFlight.Load()))
 	}
 	if f.service.Keyed {
-		fields = append(fields, zap.Uint32("key", f.envelope.Key))
+		fields = append(fields, zap.Uint32("key", f.envelope.Key), zap.String("owner", string(f.owner)))
 	}
 	if r.RetryAfter > 0 {
 		fields = append(fields, zap.Duration("retry_after", r.RetryAfter))
