--- a/workqueue/example_test.go
+++ b/workqueue/example_test.go
@@ -24,6 +24,5 @@
 	// Output:
 	// 0 true
 	// 1 false
-	// 2 false
-	// 3 refused, may come back: true
+	// 2 refused, may come back: true
 }
--- a/workqueue/queue_test.go
+++ b/workqueue/queue_test.go
@@ -120,3 +120,41 @@
 		t.Errorf("the least urgent item started as number %d, want %d", turn, turnEvery)
 	}
 }
+
+// steady returns a queue whose target has run requests of took for long, and
+// whose slots are all taken by such requests of even ages.
+func steady(slots int, took time.Duration, now clock.Time) *Queue {
+	q := New(slots)
+	item := Item{Class: "long", Arrived: now, Objective: now.Add(time.Second), Deadline: now.Add(3 * time.Second)}
+	for range 200 {
+		q.pace.finished(&item, Answered, took)
+	}
+	for i := range slots {
+		item.ID = uint64(1000 + i)
+		q.running = append(q.running, running{item: item, since: now.Add(-took * time.Duration(i) / time.Duration(slots))})
+	}
+	return q
+}
+
+// TestShortCallsWaitForTheNextSlot replays a full target: with 18 requests of
+// 360 ms in its slots, one ends every 20 ms, so a short call that goes before
+// the others is in time and must not be refused.
+func TestShortCallsWaitForTheNextSlot(t *testing.T) {
+	now := clock.Time(time.Hour)
+	q := steady(18, 360*time.Millisecond, now)
+	call := Item{ID: 1, Class: "call", Priority: 1, Arrived: now, Objective: now.Add(100 * time.Millisecond), Deadline: now.Add(250 * time.Millisecond)}
+	q.pace.classes["call"] = 0.022
+	if v, refusal := q.Arrive(call, now); v != Wait {
+		t.Fatalf("verdict %d, %+v", v, refusal)
+	}
+	refused := 0
+	for id := uint64(2); id < 30 && refused == 0; id++ {
+		call.ID = id
+		if v, _ := q.Arrive(call, now); v == Refuse {
+			refused = int(id)
+		}
+	}
+	if refused < 3 || refused > 8 {
+		t.Errorf("the first refused is number %d; about 4 fit into the objective", refused)
+	}
+}
