--- a/cli/help.go
+++ b/cli/help.go
@@ -34,7 +34,7 @@
 		"parsley confirm-loss --daemons deploy/perizia/daemons --operator anna --service reports reports-2#1700000000000000000",
 	},
 	"trace": {
-		"parsley trace 09aaa6ac9f9dca7c docs/operations/day.log",
+		"parsley trace 9d65ff8e752cd002 docs/operations/day.log",
 	},
 	"bench": {
 		"parsley bench --entry 127.0.0.1:21000,127.0.0.1:21004 --phases 200x10s --target 127.0.0.1:21300",
--- a/logevent/event.go
+++ b/logevent/event.go
@@ -3,7 +3,7 @@
 // docs/LOG-EVENTS.md is generated from the catalogue.
 //
 // Numbers: 1xxx daemon, 2xxx cell, 3xxx request path, 4xxx configuration,
-// 5xxx log service, 6xxx target. To add an event, add a variable to the file of
+// 5xxx log service, 6xxx target, 7xxx the daemon on the users' platform. To add an event, add a variable to the file of
 // its range and run go test ./logevent -update. Numbers are never reused, and a
 // test finds events that nothing logs.
 package logevent
--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -20,7 +20,7 @@
 	HistoryGone   = define(7103, "history gone", info, "The store no longer keeps the records that come next; the newest record of each key is read.", "")
 	RecordIgnored = define(7104, "record ignored", warning, "A record in the store can't be read and changes nothing.", "Find out which program writes to the topic.")
 
-	ConfigurationInForce = define(7201, "configuration in force", info, "Requests are routed by this version from now on.", "")
+	ConfigurationInForce = define(7201, "routes in force", info, "Requests are routed by this version from now on.", "")
 	ConfigurationInvalid = define(7202, "configuration rejected", failure, "The operator's configuration can't be read; the version in force stays.", "Write a configuration that is valid.")
 
 	PeerJoined      = define(7301, "daemon joined", info, "A daemon or a change of its target was learnt.", "")
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -320,6 +320,9 @@
 	for name, t := range c.owners {
 		v.service(name).owners = t
 	}
+	if old := c.view.Load(); old.routes == nil && v.ready() {
+		logevent.Log(c.log, logevent.SidecarReady, zap.Uint64("config", uint64(v.routes.Version())), zap.Duration("after", clock.Now().Sub(c.d.started)))
+	}
 	c.view.Store(v)
 	c.d.viewChanged()
 }
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -401,7 +401,7 @@
 		ctx.SetStatusCode(http.StatusNotFound)
 		return
 	}
-	if v.routes == nil || v.stopping || len(v.services) == 0 {
+	if !v.ready() {
 		ctx.SetStatusCode(http.StatusServiceUnavailable)
 	}
 }
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -45,6 +45,9 @@
 	failing  atomic.Uint64 // thousandths
 }
 
+// ready reports whether callers can be served.
+func (v *view) ready() bool { return v.routes != nil && !v.stopping && len(v.services) > 0 }
+
 const thousand = 1000
 
 func (l *targetLoad) report(load *fleet.Load) {
