Fewer calls to the store at rest and at the start; the own zone counts more; gauges

Cause: each record of a starting daemon made all others read (22 records, 11 readers), and polls of quiet partitions came three a second.

--- a/ownertable/soak_test.go
+++ b/ownertable/soak_test.go
@@ -126,7 +126,6 @@
 	busy   map[Range]time.Duration // work on released rows ends then
 	freed  []Released
 	nextAt time.Duration
-	dueAt  time.Duration
 }
 
 type heldRow struct {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -9,7 +9,7 @@
 	// drawn is the number of candidates drawn among many.
 	drawn = 3
 	// otherZone is the cost of leaving the zone, as a share of an objective.
-	otherZone = 0.04
+	otherZone = 0.07
 	// otherInstance is the cost of leaving the instance.
 	otherInstance = 0.015
 	// crowdedSlope is how much a target that is nearly full is avoided: some
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -263,6 +263,7 @@
 
 // failed notes why the target gave no answer.
 func (b *backend) failed(l *life, id []byte, sent bool, err error) {
+	b.d.metrics.count(metricTargetFailed)
 	logevent.Log(b.d.log, logevent.TargetFailed, zap.ByteString("request", id), zap.String("target", l.target.ID), zap.Bool("sent", sent), zap.Error(err))
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		b.d.control.do(func() { b.d.control.targetRefused(l.target.ID) })
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -25,6 +25,9 @@
 
 	// tickInterval is the time between looks at silence, leases and plans.
 	tickInterval = 50 * time.Millisecond
+	// targetWait is how long a new daemon waits for its target's first heartbeat
+	// before it records itself; targets start within some seconds.
+	targetWait = 2500 * time.Millisecond
 	// eventBuffer holds what comes while the control goroutine is busy.
 	eventBuffer = 256
 )
@@ -40,9 +43,11 @@
 	self     fleet.Member
 	stored   uint64 // revision of the newest own record read from the store
 	joinedAt clock.Time
-	dir      *fleet.Directory
-	silent   map[ident.Instance]bool
-	loads    map[ident.Instance]*targetLoad
+	// registerAt is when the own record is written although there is no target.
+	registerAt clock.Time
+	dir        *fleet.Directory
+	silent     map[ident.Instance]bool
+	loads      map[ident.Instance]*targetLoad
 
 	loaded  bool             // the directory was read once
 	read    metastore.Offset // end of what was applied
@@ -137,6 +142,7 @@
 	c.catchUp(now)
 	c.confirmLease(now)
 	c.forgetGone(now)
+	c.registerLate(now)
 	c.plan(now)
 }
 
@@ -224,9 +230,22 @@
 	return nil
 }
 
-// resumeSelf continues what an earlier process of this instance recorded.
+// resumeSelf continues what an earlier process of this instance recorded. A new
+// daemon waits a while for its target, since each record makes all others read.
 func (c *control) resumeSelf() {
-	c.d.members.request(c.self)
+	if c.self.State != fleet.TargetUnknown {
+		c.d.members.request(c.self)
+		return
+	}
+	c.registerAt = clock.Now().Add(targetWait)
+}
+
+// registerLate records a daemon whose target stays away.
+func (c *control) registerLate(now clock.Time) {
+	if c.registerAt != clock.Never && !now.Before(c.registerAt) {
+		c.registerAt = clock.Never
+		c.d.members.request(c.self)
+	}
 }
 
 // takeOwnMember takes this instance's record from the store: its own, or that
@@ -272,6 +291,7 @@
 // changeSelf publishes a change of the own record.
 func (c *control) changeSelf() {
 	c.self.Revision++
+	c.registerAt = clock.Never
 	c.stale = true
 	c.agent.Changed(clock.Now())
 	if c.loaded {
--- a/sidecar/control_beat.go
+++ b/sidecar/control_beat.go
@@ -22,9 +22,6 @@
 	deferTime = 650 * time.Millisecond
 	// deferMargin is kept of the holds that the target has while it waits.
 	deferMargin = 200 * time.Millisecond
-	// restartSilence is the time after a restart of the daemon in which the
-	// target that an earlier process knew must send a heartbeat.
-	restartSilence = 4 * time.Second
 	// refusedAfter is how long after its last heartbeat a target that refuses
 	// connections counts as ended.
 	refusedAfter = 100 * time.Millisecond
@@ -184,6 +181,7 @@
 		c.plan(now)
 	}
 	if a.Hold == 0 {
+		c.d.metrics.count(metricLapsed)
 		logevent.Log(c.log, logevent.HeartbeatLapsed, zap.Duration("lease_left", c.agent.LeaseLeft(c.others(), now)), zap.Duration("since_store", now.Sub(c.agent.LastRead())))
 		return heartbeatAnswer{status: 200, body: platform.AppendAcknowledgement(nil)}
 	}
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -28,7 +28,7 @@
 const (
 	// pollRate is the number of reads a second that all daemons together make
 	// of one quiet partition.
-	pollRate = 3
+	pollRate = 1.5
 	// minPoll and maxPoll bound how long one read waits.
 	minPoll = time.Second
 	maxPoll = 8 * time.Second
@@ -96,6 +96,7 @@
 	d.links = transport.NewPool(transport.Config{Hello: hello, MaxFrame: maxCallerBody + maxCallerHeader})
 	d.server = transport.NewServer(transport.Config{Hello: hello, MaxFrame: maxCallerBody + maxCallerHeader}, d, log)
 	d.link.links = d.links
+	d.metrics.observe(d)
 	return d
 }
 
@@ -194,6 +195,7 @@
 		case <-ticker.C:
 		}
 		if n := d.dropped(); n > 0 {
+			d.metrics.set.GetOrCreateCounter(metricLinesDropped).Add(int(n))
 			logevent.Log(d.log, logevent.LinesDropped, zap.Uint64("lines", n))
 		}
 	}
@@ -292,7 +294,7 @@
 // the longer, since each tells the others what it reads.
 func (d *Daemon) quietWait() time.Duration {
 	n := d.control.view.Load().daemons
-	return min(max(time.Duration(n)*time.Second/pollRate, minPoll), maxPoll)
+	return min(max(time.Duration(float64(n)/pollRate*float64(time.Second)), minPoll), maxPoll)
 }
 
 func (d *Daemon) directoryWait() time.Duration {
--- a/sidecar/daemon_test.go
+++ b/sidecar/daemon_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -33,6 +34,11 @@
 			t.Errorf("runs %+v", runs)
 		}
 	}
+	for _, name := range []string{"parsley_requests_total{", "parsley_configuration_version 1", "parsley_store_calls_total{"} {
+		if text := d.nodes[0].metrics(t); !strings.Contains(text, name) {
+			t.Errorf("no %s among the metrics", name)
+		}
+	}
 	if a := d.nodes[0].call(http.MethodGet, "/none/", newID(), platformtest.NoKey); a.Status != http.StatusNotFound {
 		t.Errorf("a path without a route is answered with %d", a.Status)
 	}
--- a/sidecar/flight.go
+++ b/sidecar/flight.go
@@ -175,10 +175,12 @@
 func (f *flight) next(a resend.Action) resend.Action {
 	again := a.Resend && f.paid < f.state.Reached() // asked once for each target reached
 	if again && !f.in.spend(f.service.Name, f.in.d.control.view.Load().daemons) {
+		f.in.d.metrics.count(metricBudgetDenied)
 		return f.state.OutOfBudget()
 	}
 	if again {
 		f.paid = f.state.Reached()
+		f.in.d.metrics.count(metricResent)
 		logevent.Log(f.in.d.log, logevent.RequestResent, zap.String("request", f.envelope.RequestID), zap.Int("reached", f.state.Reached()))
 	}
 	if a.Kind == resend.AwaitOwner && a.Pause > 0 {
--- a/sidecar/harness_test.go
+++ b/sidecar/harness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -126,6 +127,21 @@
 	return platformtest.Call(n.settings.CallerAddr, host, method, path, id, key)
 }
 
+// metrics returns the text of the daemon's metrics.
+func (n *testNode) metrics(t *testing.T) string {
+	t.Helper()
+	resp, err := http.Get("http://" + n.settings.MetricsAddr + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }() // read below
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(b)
+}
+
 // eventually waits until a condition holds.
 func eventually(t *testing.T, what string, ok func() bool) {
 	t.Helper()
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -32,6 +32,36 @@
 
 func (m *metricSet) count(name string) { m.set.GetOrCreateCounter(name).Inc() }
 
-func (m *metricSet) gauge(name string, f func() float64) { m.set.NewGauge(name, f) }
+// Counters without labels.
+const (
+	metricResent       = "parsley_requests_resent_total"
+	metricBudgetDenied = "parsley_resend_budget_denied_total"
+	metricTargetFailed = "parsley_target_failures_total"
+	metricLapsed       = "parsley_heartbeats_without_grants_total"
+	metricLinesDropped = "parsley_log_lines_dropped_total"
+)
+
+// observe adds gauges of what the daemon believes now.
+func (m *metricSet) observe(d *Daemon) {
+	gauge := func(name string, f func() float64) { m.set.NewGauge(name, f) }
+	gauge("parsley_configuration_version", func() float64 {
+		if v := d.control.view.Load(); v.routes != nil {
+			return float64(v.routes.Version())
+		}
+		return 0
+	})
+	gauge("parsley_daemons", func() float64 { return float64(d.control.view.Load().daemons) })
+	gauge("parsley_callers_in_flight", func() float64 { return float64(d.ingress.inFlight()) })
+	gauge("parsley_target_running", func() float64 { return float64(d.backend.load().Running) })
+	gauge("parsley_target_waiting", func() float64 { return float64(d.backend.load().Waiting) })
+	gauge("parsley_target_limit", func() float64 { return float64(d.backend.load().Limit) })
+	gauge("parsley_target_offered_ratio", func() float64 { return d.backend.load().Offered })
+	gauge("parsley_store_reached", func() float64 {
+		if d.link.fresh() {
+			return 1
+		}
+		return 0
+	})
+}
 
 func (m *metricSet) write(w io.Writer) { m.set.WritePrometheus(w) }
