--- a/entry/flight.go
+++ b/entry/flight.go
@@ -151,7 +151,7 @@
 	named := h.Peek(fasthttp.HeaderConnection)
 	f.req.Headers = f.req.Headers[:0]
 	for name, value := range h.All() {
-		if !forwarded(name) || named != nil && connectionNames(named, name) {
+		if !forwarded(name) || httpfield.NamedBy(named, name) {
 			continue
 		}
 		f.req.Headers = append(f.req.Headers, wire.Header{Name: name, Value: value})
@@ -169,16 +169,6 @@
 	return true
 }
 
-// connectionNames reports whether the Connection field lists name.
-func connectionNames(connection, name []byte) bool {
-	for token := range bytes.SplitSeq(connection, []byte{','}) {
-		if bytes.EqualFold(bytes.TrimSpace(token), name) {
-			return true
-		}
-	}
-	return false
-}
-
 // repeats reports whether the caller counts this as its second attempt or a
 // later one.
 func repeats(attempt []byte) bool {
--- a/entry/watcher.go
+++ b/entry/watcher.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/connprobe"
 )
 
 const (
@@ -117,32 +113,10 @@
 		switch {
 		case !now.Before(f.deadline):
 			f.ctx.end(errDeadline)
-		case probe && hasLeft(f.http.Conn()):
+		case probe && connprobe.HasLeft(f.http.Conn()):
 			f.ctx.end(errCallerLeft)
 		case f.replaced(now):
 			f.ctx.end(errReplaced)
 		}
 	}
 }
-
-// hasLeft reports whether the other end has closed the connection.
-func hasLeft(conn net.Conn) bool {
-	if t, ok := conn.(*tls.Conn); ok {
-		conn = t.NetConn()
-	}
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	left := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		left = err == nil && n == 0 || err == unix.ECONNRESET
-	})
-	return left || err != nil
-}
--- a/httpfield/httpfield.go
+++ b/httpfield/httpfield.go
@@ -28,6 +28,20 @@
 	return len(name) >= len(Prefix) && equal(name[:len(Prefix)], Prefix)
 }
 
+// NamedBy reports whether the value of a Connection field names the field, which
+// then concerns one connection only.
+func NamedBy(connection, name []byte) bool {
+	if len(connection) == 0 {
+		return false
+	}
+	for token := range bytes.SplitSeq(connection, []byte{','}) {
+		if bytes.EqualFold(bytes.TrimSpace(token), name) {
+			return true
+		}
+	}
+	return false
+}
+
 // Length reports whether a field states the length of the body.
 func Length(name []byte) bool { return equal(name, "Content-Length") }
 
--- a/sidecar/flight.go
+++ b/sidecar/flight.go
@@ -15,7 +15,6 @@
 	"github.com/parsleystack/parsleystack/keyspace"
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/outcome"
-	"github.com/parsleystack/parsleystack/placement"
 	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/resend"
 	"github.com/parsleystack/parsleystack/routetable"
@@ -134,7 +133,7 @@
 	}
 	named := h.Peek(fasthttp.HeaderConnection)
 	for name, value := range h.All() {
-		if singleHop(name) || namedBy(named, name) || platform.SetByDaemon(string(name)) {
+		if singleHop(name) || httpfield.NamedBy(named, name) || platform.SetByDaemon(string(name)) {
 			continue
 		}
 		f.req.Headers = append(f.req.Headers, wire.Header{Name: name, Value: value})
@@ -146,16 +145,6 @@
 	return httpfield.HopByHop(name) || httpfield.Length(name) || bytes.EqualFold(name, []byte(fasthttp.HeaderExpect))
 }
 
-// namedBy reports whether a Connection field names the field.
-func namedBy(connection, name []byte) bool {
-	for token := range bytes.SplitSeq(connection, []byte{','}) {
-		if len(connection) > 0 && bytes.EqualFold(bytes.TrimSpace(token), name) {
-			return true
-		}
-	}
-	return false
-}
-
 // serve has the request run and answers it.
 func (f *flight) serve() {
 	f.ctx, f.cancel = context.WithCancelCause(context.Background())
@@ -224,61 +213,6 @@
 	return f.state.Next(a, clock.Now())
 }
 
-// choose returns the target for the next attempt, or nil. coming reports whether
-// the key's owner is about to serve it.
-func (f *flight) choose() (t *targetView, coming bool) {
-	v := f.in.d.control.view.Load()
-	s := v.services[f.service.Name]
-	switch {
-	case s == nil:
-		return nil, false
-	case f.service.Keyed:
-		return f.chooseOwner(s)
-	}
-	return f.choosePlace(s), false
-}
-
-// chooseOwner returns the target that owns the key, if its daemon answers.
-func (f *flight) chooseOwner(s *serviceView) (t *targetView, coming bool) {
-	if s.owners == nil {
-		return nil, false
-	}
-	row := s.owners.Find(f.envelope.Key)
-	f.owner = row.Owner.Instance
-	t = s.owner(f.envelope.Key)
-	if t == nil || t.silent {
-		return nil, t == nil && !row.Free()
-	}
-	return t, true
-}
-
-// choosePlace returns the best target that was not tried.
-func (f *flight) choosePlace(s *serviceView) *targetView {
-	var candidates [64]placement.Candidate
-	n := min(len(s.targets), len(candidates))
-	for i, t := range s.targets[:n] {
-		candidates[i] = placement.Candidate{
-			InFlight: int(t.load.inFlight.Load()), Limit: int(t.load.limit.Load()),
-			Pace: float64(t.load.pace.Load()) / thousand, Failing: float64(t.load.failing.Load()) / thousand,
-			SameZone: t.zone == f.in.d.settings().Zone, SameHost: t.local, Unwatched: t.silent,
-			Excluded: !t.ready || f.hasTried(t),
-		}
-	}
-	if i := placement.Choose(candidates[:n], random); i >= 0 {
-		return s.targets[i]
-	}
-	return nil
-}
-
-func (f *flight) hasTried(t *targetView) bool {
-	for _, x := range f.tried {
-		if x.instance == t.instance && x.target == t.target {
-			return true
-		}
-	}
-	return false
-}
-
 // send has one target's daemon run the request.
 func (f *flight) send(t *targetView) resend.Attempt {
 	t.load.inFlight.Add(1)
@@ -333,70 +267,3 @@
 	}
 	return a
 }
-
-// write answers the caller.
-func (f *flight) write(result outcome.Result) {
-	out := &f.http.Response
-	status := statusOf(result)
-	if result.Kind == outcome.Done {
-		status = int(f.resp.Status)
-		out.SetStatusCode(status)
-		for i := range f.resp.Headers {
-			out.Header.AddBytesKV(f.resp.Headers[i].Name, f.resp.Headers[i].Value)
-		}
-		out.SetBody(f.resp.Body)
-	} else {
-		out.SetStatusCode(status)
-		platform.SetRequestID(&out.Header, f.envelope.RequestID)
-		if result.Kind == outcome.NotRun && result.RetryAfter > 0 {
-			platform.SetRetryAfter(&out.Header, result.RetryAfter)
-		}
-	}
-	switch {
-	case result.Kind == outcome.Unknown:
-		f.log(logevent.RequestFailed, result, status)
-	case result.Kind == outcome.NotRun:
-		f.log(logevent.RequestRefused, result, status)
-	case clock.Now().Sub(f.arrived) > f.route.Objective:
-		f.log(logevent.RequestLate, result, status)
-	default:
-		f.log(logevent.RequestDone, result, status)
-	}
-}
-
-func statusOf(r outcome.Result) int {
-	switch {
-	case r.Kind == outcome.NotRun:
-		return fasthttp.StatusServiceUnavailable
-	case r.Reason == outcome.DeadlineExceeded:
-		return fasthttp.StatusGatewayTimeout
-	}
-	return fasthttp.StatusBadGateway
-}
-
-func (f *flight) log(e *logevent.Event, r outcome.Result, status int) {
-	d := f.in.d
-	took := clock.Now().Sub(f.arrived)
-	name := ""
-	if f.route != nil {
-		name = f.route.Name
-	}
-	d.metrics.request(name, r.Kind.String(), r.Reason.String(), took)
-	if e.Level < d.logLevel {
-		return
-	}
-	fields := []zap.Field{
-		zap.String("request", f.envelope.RequestID), zap.String("route", name), zap.Uint64("config", uint64(f.version)),
-		zap.Int("status", status), zap.Stringer("reason", r.Reason), zap.Duration("took", took), zap.Int("attempts", len(f.tried)),
-	}
-	if f.last != nil {
-		fields = append(fields, zap.String("daemon", string(f.last.instance)), zap.String("target", f.last.target.ID), zap.Int64("load", f.last.load.inFlight.Load()))
-	}
-	if f.service.Keyed {
-		fields = append(fields, zap.Uint32("key", f.envelope.Key), zap.String("owner", string(f.owner)))
-	}
-	if r.RetryAfter > 0 {
-		fields = append(fields, zap.Duration("retry_after", r.RetryAfter))
-	}
-	logevent.Log(d.log, e, fields...)
-}
--- /dev/null
+++ b/sidecar/flight_answer.go
@@ -0,0 +1,78 @@
+package sidecar
+
+import (
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/logevent"
+	"github.com/parsleystack/parsleystack/outcome"
+	"github.com/parsleystack/parsleystack/platform"
+)
+
+// write answers the caller.
+func (f *flight) write(result outcome.Result) {
+	out := &f.http.Response
+	status := statusOf(result)
+	if result.Kind == outcome.Done {
+		status = int(f.resp.Status)
+		out.SetStatusCode(status)
+		for i := range f.resp.Headers {
+			out.Header.AddBytesKV(f.resp.Headers[i].Name, f.resp.Headers[i].Value)
+		}
+		out.SetBody(f.resp.Body)
+	} else {
+		out.SetStatusCode(status)
+		platform.SetRequestID(&out.Header, f.envelope.RequestID)
+		if result.Kind == outcome.NotRun && result.RetryAfter > 0 {
+			platform.SetRetryAfter(&out.Header, result.RetryAfter)
+		}
+	}
+	switch {
+	case result.Kind == outcome.Unknown:
+		f.log(logevent.RequestFailed, result, status)
+	case result.Kind == outcome.NotRun:
+		f.log(logevent.RequestRefused, result, status)
+	case clock.Now().Sub(f.arrived) > f.route.Objective:
+		f.log(logevent.RequestLate, result, status)
+	default:
+		f.log(logevent.RequestDone, result, status)
+	}
+}
+
+func statusOf(r outcome.Result) int {
+	switch {
+	case r.Kind == outcome.NotRun:
+		return fasthttp.StatusServiceUnavailable
+	case r.Reason == outcome.DeadlineExceeded:
+		return fasthttp.StatusGatewayTimeout
+	}
+	return fasthttp.StatusBadGateway
+}
+
+func (f *flight) log(e *logevent.Event, r outcome.Result, status int) {
+	d := f.in.d
+	took := clock.Now().Sub(f.arrived)
+	name := ""
+	if f.route != nil {
+		name = f.route.Name
+	}
+	d.metrics.request(name, r.Kind.String(), r.Reason.String(), took)
+	if e.Level < d.logLevel {
+		return
+	}
+	fields := []zap.Field{
+		zap.String("request", f.envelope.RequestID), zap.String("route", name), zap.Uint64("config", uint64(f.version)),
+		zap.Int("status", status), zap.Stringer("reason", r.Reason), zap.Duration("took", took), zap.Int("attempts", len(f.tried)),
+	}
+	if f.last != nil {
+		fields = append(fields, zap.String("daemon", string(f.last.instance)), zap.String("target", f.last.target.ID), zap.Int64("load", f.last.load.inFlight.Load()))
+	}
+	if f.service.Keyed {
+		fields = append(fields, zap.Uint32("key", f.envelope.Key), zap.String("owner", string(f.owner)))
+	}
+	if r.RetryAfter > 0 {
+		fields = append(fields, zap.Duration("retry_after", r.RetryAfter))
+	}
+	logevent.Log(d.log, e, fields...)
+}
--- a/sidecar/ingress.go
+++ b/sidecar/ingress.go
@@ -7,13 +7,12 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"golang.org/x/sys/unix"
 
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/connprobe"
 	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/resend"
 )
@@ -128,7 +127,7 @@
 		}
 		in.mu.Lock()
 		for f := range in.flights {
-			if hasLeft(f.http.Conn()) {
+			if connprobe.HasLeft(f.http.Conn()) {
 				f.end(errCallerLeft)
 			}
 		}
@@ -136,25 +135,6 @@
 	}
 }
 
-// hasLeft reports whether the caller has closed the connection.
-func hasLeft(conn net.Conn) bool {
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	left := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		left = err == nil && n == 0 || errors.Is(err, unix.ECONNRESET)
-	})
-	return left || err != nil
-}
-
 // countRequest counts a first send to a service.
 func (in *ingress) countRequest(service ident.Service) {
 	in.mu.Lock()
--- /dev/null
+++ b/sidecar/servers.go
@@ -0,0 +1,128 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/parsleystack/parsleystack/logevent"
+	"github.com/parsleystack/parsleystack/platform"
+)
+
+// listeners are the sockets of the daemon.
+type listeners struct {
+	links, callers, control, ready, metrics net.Listener
+}
+
+func (l *listeners) close() {
+	for _, x := range []net.Listener{l.links, l.callers, l.control, l.ready, l.metrics} {
+		if x != nil {
+			_ = x.Close() // the process ends
+		}
+	}
+}
+
+func (d *Daemon) listen() (*listeners, error) {
+	l := new(listeners)
+	s := d.settings()
+	for _, x := range []struct {
+		at   *net.Listener
+		addr string
+	}{{&l.links, s.LinkAddr}, {&l.callers, s.CallerAddr}, {&l.control, s.ControlAddr}, {&l.ready, s.ReadyAddr}, {&l.metrics, s.MetricsAddr}} {
+		ln, err := net.Listen("tcp", x.addr)
+		if err != nil {
+			l.close()
+			return nil, err
+		}
+		*x.at = ln
+	}
+	return l, nil
+}
+
+func (d *Daemon) serveHTTP(l net.Listener, h fasthttp.RequestHandler) error {
+	s := &fasthttp.Server{Handler: h, Name: "parsley", NoDefaultServerHeader: true, Logger: quiet{}, MaxRequestBodySize: maxHeartbeat}
+	d.serversMu.Lock()
+	d.servers = append(d.servers, s)
+	d.serversMu.Unlock()
+	return s.Serve(l)
+}
+
+// closeServers ends the connections of targets, checks and collectors.
+func (d *Daemon) closeServers() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	d.serversMu.Lock()
+	defer d.serversMu.Unlock()
+	for _, s := range d.servers {
+		if err := s.ShutdownWithContext(ctx); err != nil {
+			logevent.Log(d.log, logevent.StopIncomplete, zap.Error(err))
+		}
+	}
+}
+
+// maxHeartbeat is far above a heartbeat with all rows of a table.
+const maxHeartbeat = 1 << 20
+
+// handleControl takes the heartbeats of the own target.
+func (d *Daemon) handleControl(ctx *fasthttp.RequestCtx) {
+	id, ok := platform.TargetOfPath(string(ctx.Path()))
+	if !ok {
+		ctx.SetStatusCode(http.StatusNotFound)
+		return
+	}
+	answers := make(chan heartbeatAnswer, 1)
+	reply := func(a heartbeatAnswer) { answers <- a }
+	switch string(ctx.Method()) {
+	case http.MethodPut:
+		hb, err := platform.DecodeHeartbeat(id, ctx.PostBody())
+		if err != nil {
+			logevent.Log(d.log, logevent.HeartbeatBad, zap.String("target", id), zap.Error(err))
+			ctx.SetStatusCode(http.StatusBadRequest)
+			return
+		}
+		d.control.do(func() { d.control.takeHeartbeat(hb, reply) })
+	case http.MethodDelete:
+		d.control.do(func() { reply(d.control.takeLeave(id)) })
+	default:
+		ctx.SetStatusCode(http.StatusMethodNotAllowed)
+		return
+	}
+	timer := time.NewTimer(heartbeatTimeout)
+	defer timer.Stop()
+	select {
+	case a := <-answers:
+		ctx.SetStatusCode(a.status)
+		ctx.SetContentType("application/json")
+		ctx.SetBody(a.body)
+	case <-timer.C:
+		ctx.SetStatusCode(http.StatusServiceUnavailable)
+	}
+}
+
+// handleReady answers readiness checks.
+func (d *Daemon) handleReady(ctx *fasthttp.RequestCtx) {
+	v := d.control.view.Load()
+	if string(ctx.Path()) != platform.ReadyPath {
+		ctx.SetStatusCode(http.StatusNotFound)
+		return
+	}
+	if !v.ready() {
+		ctx.SetStatusCode(http.StatusServiceUnavailable)
+	}
+}
+
+// handleMetrics writes the metrics in the text format.
+func (d *Daemon) handleMetrics(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType("text/plain; version=0.0.4")
+	d.metrics.write(ctx)
+}
+
+// busy reports whether requests run or wait at the target.
+func (b *backend) busy() bool {
+	l := b.load()
+	return l.Running+l.Waiting > 0
+}
--- a/workqueue/queue.go
+++ b/workqueue/queue.go
@@ -79,7 +79,9 @@
 	}
 	took := q.pace.expect(&item, q.running, now)
 	if len(q.running) < q.limit && len(q.waiting) == 0 {
-		if now.Add(took).Sub(item.Deadline) > 0 && !q.probing(now) {
+		// A target that runs nothing gets the request all the same, so that one
+		// that has recovered is noticed.
+		if now.Add(took).Sub(item.Deadline) > 0 && len(q.running) > 0 {
 			return Refuse, Refusal{ID: item.ID, RetryAfter: q.spread(&item, minRetryAfter), Late: true}
 		}
 		q.start(item, now)
@@ -104,10 +106,6 @@
 	return Wait, Refusal{}
 }
 
-// probing reports whether a request that is expected to fail its deadline is
-// sent all the same, so that a target that has recovered is noticed.
-func (q *Queue) probing(clock.Time) bool { return len(q.running) == 0 }
-
 // Finish reports the end of a started item after took at the target. It
 // returns the items to start and to refuse now, valid until the next call.
 func (q *Queue) Finish(id uint64, ending Ending, took time.Duration, now clock.Time) ([]uint64, []Refusal) {
