Count requests that end at their deadline as load; a request may end before its first attempt

(2) Read in the code, not seen: the watch of left callers could end a request before its context was made, which ends the process.

--- a/sidecar/flight.go
+++ b/sidecar/flight.go
@@ -56,7 +56,9 @@
 }
 
 func newFlight(in *ingress, ctx *fasthttp.RequestCtx) *flight {
-	return &flight{in: in, http: ctx, arrived: clock.Now()}
+	f := &flight{in: in, http: ctx, arrived: clock.Now()}
+	f.ctx, f.cancel = context.WithCancelCause(context.Background())
+	return f
 }
 
 // end stops the request. It may be called at any time.
@@ -147,7 +149,6 @@
 
 // serve has the request run and answers it.
 func (f *flight) serve() {
-	f.ctx, f.cancel = context.WithCancelCause(context.Background())
 	timer := time.AfterFunc(f.deadline.Sub(clock.Now()), func() { f.end(errTimeout) })
 	defer timer.Stop()
 	defer f.cancel(nil)
--- a/workqueue/pace.go
+++ b/workqueue/pace.go
@@ -116,17 +116,21 @@
 }
 
 func (p *pace) finished(item *Item, ending Ending, took time.Duration) {
+	mean, ok := p.classes[item.Class]
+	if !ok {
+		mean = took.Seconds()
+	}
 	switch ending {
 	case NotSent, Left:
 		return
 	case Shed, Failed:
 		p.failing += paceWeight * (1 - p.failing)
-		return
-	}
-	p.failing -= paceWeight * p.failing
-	mean, ok := p.classes[item.Class]
-	if !ok {
-		mean = took.Seconds()
+		if ending == Shed || took.Seconds() < mean {
+			return
+		}
+		// The request would have taken longer still.
+	default:
+		p.failing -= paceWeight * p.failing
 	}
 	p.classes[item.Class] = mean + classWeight*(took.Seconds()-mean)
 	if objective := item.Objective.Sub(item.Arrived); objective > 0 {
--- a/workqueue/queue_test.go
+++ b/workqueue/queue_test.go
@@ -158,3 +158,27 @@
 		t.Errorf("the first refused is number %d; about 4 fit into the objective", refused)
 	}
 }
+
+// TestTimeoutsCountAsLoad replays a target that turns slow so that its requests
+// all end at their deadline: 100 of them a second, each in its slot for 0.5 s,
+// are far more than 18 slots can run.
+func TestTimeoutsCountAsLoad(t *testing.T) {
+	now := clock.Time(time.Hour)
+	q := New(18)
+	item := Item{Class: "view", Arrived: now, Objective: now.Add(200 * time.Millisecond), Deadline: now.Add(500 * time.Millisecond)}
+	for range 200 {
+		q.pace.finished(&item, Answered, 60*time.Millisecond)
+	}
+	const second = 100
+	for i := range 3 * second {
+		now = now.Add(time.Second / second)
+		item.Arrived = now
+		q.pace.arrived(&item, now)
+		if i > second/2 {
+			q.pace.finished(&item, Failed, 500*time.Millisecond)
+		}
+	}
+	if offered := q.Offered(now); offered < 1 {
+		t.Errorf("offered load %.2f of the slots, want more than 1", offered)
+	}
+}
