Daemon closes its addresses when one is taken; tests give daemons open listeners

Cause of the known red test TestStatusAndExplainNameTheOwner: reports-1 had ended at its start with 'address already in use'. The harness chose ports by opening and closing them; another process took one in between. A daemon that failed so left its earlier addresses open, and the harness saw it listen. The sidecar's listen error now names its remedy.

--- a/daemon/harness_test.go
+++ b/daemon/harness_test.go
@@ -46,13 +46,6 @@
 	return l
 }
 
-// freeAddr returns an address that nobody listened on a moment ago.
-func freeAddr(t *testing.T) string {
-	l := listenLoopback(t)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 func startDeployment(t *testing.T, size int) *deployment {
 	d := &deployment{t: t, log: logtest.New(logtest.Options{Seed: 1})}
 	l := listenLoopback(t)
@@ -76,10 +69,13 @@
 	go func() { _ = tgt.Serve(l) }()
 	d.t.Cleanup(func() { _ = tgt.Shutdown(context.Background()) })
 
-	daemon := New(d.settings(i, name, l.Addr().String()), nil, zap.NewNop())
+	// The daemon is given open listeners: another process may take a port
+	// that is chosen first and opened later.
+	ls := &listeners{callers: listenLoopback(d.t), daemons: listenLoopback(d.t), admin: listenLoopback(d.t)}
+	daemon := New(d.settings(i, name, l.Addr().String(), ls), nil, zap.NewNop())
 	ctx, stop := context.WithCancel(context.Background())
 	result := make(chan error, 1)
-	go func() { result <- daemon.Run(ctx) }()
+	go func() { result <- daemon.run(ctx, ls) }()
 	d.daemons = append(d.daemons, daemon)
 	d.targets = append(d.targets, tgt)
 	d.stops = append(d.stops, stop)
@@ -95,10 +91,10 @@
 	return true
 }
 
-func (d *deployment) settings(i int, name, targetAddr string) *settings.Daemon {
+func (d *deployment) settings(i int, name, targetAddr string, ls *listeners) *settings.Daemon {
 	s := settings.Defaults()
 	s.Instance, s.Region, s.Zone, s.Service = ident.Instance(name), "r", ident.Zone(fmt.Sprint("z", i%3)), "reports"
-	s.Listen = settings.Listen{Callers: freeAddr(d.t), Daemons: freeAddr(d.t), Admin: freeAddr(d.t)}
+	s.Listen = settings.Listen{Callers: ls.callers.Addr().String(), Daemons: ls.daemons.Addr().String(), Admin: ls.admin.Addr().String()}
 	s.Target = settings.Target{Addr: targetAddr, Slots: 20, Conns: 130}
 	s.Log.Addr = d.logAddr
 	s.TLS.Insecure = true
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -27,6 +27,17 @@
 	admin   net.Listener
 }
 
+// close closes the addresses that are open.
+func (ls *listeners) close() error {
+	var errs []error
+	for _, l := range []net.Listener{ls.callers, ls.daemons, ls.admin} {
+		if l != nil {
+			errs = append(errs, l.Close())
+		}
+	}
+	return errors.Join(errs...)
+}
+
 func listen(addr string) (net.Listener, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -37,15 +48,19 @@
 
 func (d *Daemon) listen() (*listeners, error) {
 	var ls listeners
-	var err error
-	if ls.callers, err = listen(d.settings.Listen.Callers); err != nil {
-		return nil, err
-	}
-	if ls.daemons, err = listen(d.settings.Listen.Daemons); err != nil {
-		return nil, err
-	}
-	if ls.admin, err = listen(d.settings.Listen.Admin); err != nil {
-		return nil, err
+	for _, l := range []struct {
+		addr string
+		to   *net.Listener
+	}{
+		{d.settings.Listen.Callers, &ls.callers},
+		{d.settings.Listen.Daemons, &ls.daemons},
+		{d.settings.Listen.Admin, &ls.admin},
+	} {
+		listener, err := listen(l.addr)
+		if err != nil {
+			return nil, errors.Join(err, ls.close())
+		}
+		*l.to = listener
 	}
 	return &ls, nil
 }
@@ -57,6 +72,11 @@
 	if err != nil {
 		return err
 	}
+	return d.run(ctx, ls)
+}
+
+// run is Run on addresses that are open already.
+func (d *Daemon) run(ctx context.Context, ls *listeners) error {
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	d.ctx = work
@@ -76,7 +96,7 @@
 		defer cancel()
 		return d.awaitStop(ctx, gctx)
 	})
-	err = g.Wait()
+	err := g.Wait()
 	logevent.Log(d.log, logevent.DaemonStopped, zap.Stringer("node", d.node), zap.Error(err))
 	return err
 }
--- a/sidecar/servers.go
+++ b/sidecar/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -36,7 +37,7 @@
 		ln, err := net.Listen("tcp", x.addr)
 		if err != nil {
 			l.close()
-			return nil, err
+			return nil, fmt.Errorf("can't listen on %s: %w; check that no other process uses the port", x.addr, err)
 		}
 		*x.at = ln
 	}
