Clean-up after the last read: failed store calls, fetches and removals have lines of their own

No change of behaviour. Cause: the last read found fields that nobody read (control.stored, resend.Attempt.Late), a join time kept twice, one line written in two places, and errors without a line: a failed fetch of news, a failed read of the follower, a failed write of the own record, a failed relay; a failed removal was logged as a void table.

--- a/ownertable/agent.go
+++ b/ownertable/agent.go
@@ -99,6 +99,15 @@
 // IsMember reports whether the own record stands in the store.
 func (a *Agent) IsMember() bool { return a.joinedAt != clock.Never }
 
+// MemberFor returns how long the own record has stood in the store, as far as
+// this process knows; 0 if it does not.
+func (a *Agent) MemberFor(now clock.Time) time.Duration {
+	if !a.IsMember() {
+		return 0
+	}
+	return now.Sub(a.joinedAt)
+}
+
 // Changed notes that a daemon or a target of the service has changed.
 func (a *Agent) Changed(now clock.Time) { a.changedAt = now }
 
--- a/ownertable/keeper.go
+++ b/ownertable/keeper.go
@@ -68,8 +68,11 @@
 }
 
 const (
-	// maxGrantBytes is the room for grants in the answer to a heartbeat.
-	maxGrantBytes = 3800
+	// MaxAnswerBytes is the size above which targets don't take the answer to a
+	// heartbeat, from the platform's page on service discovery.
+	MaxAnswerBytes = 4 << 10
+	// maxGrantBytes is the room for grants, beside what surrounds them.
+	maxGrantBytes = MaxAnswerBytes - 296
 	// grantBytes and handoverBytes are the most that a grant and its handover
 	// take as text.
 	grantBytes    = 22
--- a/resend/policy.go
+++ b/resend/policy.go
@@ -40,9 +40,6 @@
 	// Reached is set if the target may have received the request, or has
 	// received and refused it.
 	Reached bool
-	// Late is set for a refusal by a daemon because the request would not be
-	// done in time there.
-	Late bool
 }
 
 // ActionKind says what to do next.
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -40,9 +40,7 @@
 	view   atomic.Pointer[view]
 	stale  bool // the view is to be built anew
 
-	self     fleet.Member
-	stored   uint64 // revision of the newest own record read from the store
-	joinedAt clock.Time
+	self fleet.Member
 	// registerAt is when the own record is written although there is no target.
 	registerAt clock.Time
 	dir        *fleet.Directory
--- a/sidecar/control_beat.go
+++ b/sidecar/control_beat.go
@@ -160,7 +160,6 @@
 // changeService makes this daemon a new member of another service.
 func (c *control) changeService(m *fleet.Member) {
 	m.JoinedMS = time.Now().UnixMilli()
-	c.joinedAt = clock.Never
 	c.agent = ownertable.NewAgent(ident.Instance(m.Instance), c.d.started)
 	if t := c.owners[ident.Service(m.Service)]; t != nil && c.read > 0 {
 		c.agent.TableRead(t, uint64(c.read-1), clock.Now())
--- a/sidecar/control_members.go
+++ b/sidecar/control_members.go
@@ -41,6 +41,10 @@
 	}
 	c.agent.Changed(now)
 	c.stale = true
+	c.logPeer(m, stored)
+}
+
+func (c *control) logPeer(m *fleet.Member, stored bool) {
 	logevent.Log(c.log, logevent.PeerJoined, zap.String("daemon", m.Instance), zap.Uint64("incarnation", m.Incarnation),
 		zap.Uint64("revision", m.Revision), zap.String("service", m.Service), zap.String("target", m.TargetID),
 		zap.Stringer("state", m.State), zap.Bool("stored", stored))
@@ -69,15 +73,12 @@
 func (c *control) takeOwnMember(m *fleet.Member) {
 	switch {
 	case m.Gone:
-		c.joinedAt = clock.Never
 		c.agent.Left()
 		c.self.JoinedMS = time.Now().UnixMilli()
 		c.changeSelf()
 	case m.Incarnation == c.self.Incarnation:
-		c.stored = max(c.stored, m.Revision)
-		if c.joinedAt == clock.Never {
-			c.joinedAt = clock.Now()
-			c.agent.Joined(c.joinedAt)
+		if !c.agent.IsMember() {
+			c.agent.Joined(clock.Now())
 			logevent.Log(c.log, logevent.MemberRecorded, zap.Uint64("incarnation", m.Incarnation), zap.Uint64("revision", m.Revision))
 		}
 	case m.Newer(&c.self):
--- a/sidecar/control_plan.go
+++ b/sidecar/control_plan.go
@@ -85,7 +85,7 @@
 // established reports whether all others have surely known this member for
 // ownertable.MaxUnconfirmed.
 func (c *control) established(now clock.Time) bool {
-	if now.Sub(c.joinedAt) > ownertable.MaxUnconfirmed {
+	if c.agent.MemberFor(now) > ownertable.MaxUnconfirmed {
 		return true
 	}
 	return time.Since(time.UnixMilli(c.self.JoinedMS)) > ownertable.MaxUnconfirmed+establishedSlack
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -97,9 +97,7 @@
 	if news {
 		c.agent.Changed(now)
 		c.stale = true
-		logevent.Log(c.log, logevent.PeerJoined, zap.String("daemon", s.Member.Instance), zap.Uint64("incarnation", s.Member.Incarnation),
-			zap.Uint64("revision", s.Member.Revision), zap.String("service", s.Member.Service), zap.String("target", s.Member.TargetID),
-			zap.Stringer("state", s.Member.State), zap.Bool("stored", false))
+		c.logPeer(&s.Member, false)
 	}
 	if !known {
 		c.status.soon = true
@@ -225,9 +223,12 @@
 	defer cancel()
 	defer d.control.do(func() { d.control.status.fetching = false })
 	if config {
-		if value, err := d.links.Call(ctx, addr, callConfig, nil); err == nil {
-			d.control.do(func() { d.control.takeConfiguration(value) })
+		value, err := d.links.Call(ctx, addr, callConfig, nil)
+		if err != nil {
+			logevent.Log(d.log, logevent.FetchFailed, zap.String("from", addr), zap.Error(err))
+			return
 		}
+		d.control.do(func() { d.control.takeConfiguration(value) })
 		return
 	}
 	var from metastore.Offset
@@ -235,9 +236,12 @@
 		return
 	}
 	sent := clock.Now()
-	if b, err := d.store.Read(ctx, d.directory, from, 0); err == nil {
-		d.control.do(func() { d.control.takeDirectory(b, sent, false) })
+	b, err := d.store.Read(ctx, d.directory, from, 0)
+	if err != nil {
+		logevent.Log(d.log, logevent.FetchFailed, zap.String("from", "store"), zap.Int64("offset", int64(from)), zap.Error(err))
+		return
 	}
+	d.control.do(func() { d.control.takeDirectory(b, sent, false) })
 }
 
 // forget writes the removal of a daemon. Another try follows if it fails.
@@ -246,6 +250,6 @@
 	defer cancel()
 	record := metastore.Record{Key: memberPrefix + m.Instance, Value: m.Encode()}
 	if err := d.store.Append(ctx, d.directory, []metastore.Record{record}); err != nil {
-		logevent.Log(d.log, logevent.TableVoid, zap.String("daemon", m.Instance), zap.Error(err))
+		logevent.Log(d.log, logevent.RemovalFailed, zap.String("daemon", m.Instance), zap.Error(err))
 	}
 }
--- a/sidecar/flight.go
+++ b/sidecar/flight.go
@@ -256,7 +256,7 @@
 
 // result reads the answer of a daemon.
 func (f *flight) result() resend.Attempt {
-	a := resend.Attempt{Result: f.resp.Result(), Late: f.resp.Reason == outcome.DeadlineExceeded}
+	a := resend.Attempt{Result: f.resp.Result()}
 	if cause := context.Cause(f.ctx); cause != nil && a.Result.Kind == outcome.Unknown {
 		a.Result = f.ended(cause, true)
 	}
--- a/sidecar/follower.go
+++ b/sidecar/follower.go
@@ -47,6 +47,9 @@
 				continue
 			}
 			failures++
+			if failures == 1 {
+				logevent.Log(f.log, logevent.StoreCallFailed, zap.String("topic", f.partition.Topic), zap.Int64("offset", int64(f.next)), zap.Error(err))
+			}
 			sleep(ctx, jittered(min(minPause<<min(failures-1, 4), maxPause)))
 			continue
 		}
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/parsleystack/parsleystack/fleet"
+	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/metastore"
 )
 
@@ -48,9 +51,13 @@
 func (w *memberWriter) write(ctx context.Context, m fleet.Member) {
 	record := metastore.Record{Key: memberPrefix + m.Instance, Value: m.Encode()}
 	for failures := 0; ctx.Err() == nil; failures++ {
-		if err := w.d.store.Append(ctx, w.d.directory, []metastore.Record{record}); err == nil {
+		err := w.d.store.Append(ctx, w.d.directory, []metastore.Record{record})
+		if err == nil {
 			return
 		}
+		if failures == 0 {
+			logevent.Log(w.d.log, logevent.StoreCallFailed, zap.String("record", record.Key), zap.Error(err))
+		}
 		select {
 		case newer := <-w.wanted:
 			m = newer
--- a/sidecar/storelink.go
+++ b/sidecar/storelink.go
@@ -56,20 +56,29 @@
 // carry implements platform.RoundTripper.
 func (l *storeLink) carry(ctx context.Context, call *platform.StoreCall) (*platform.StoreAnswer, error) {
 	if l.avoidDirect() {
-		if answer, err := l.relayed(ctx, call); err == nil {
+		answer, err := l.relayed(ctx, call)
+		if err == nil {
 			return answer, nil
 		}
+		l.noteRelayFailed(call, err)
 	}
 	answer, err := l.directly(ctx, call)
 	if err == nil && !answer.TurnedAway() {
 		return answer, nil
 	}
-	if relayed, relayErr := l.relayed(ctx, call); relayErr == nil {
+	relayed, relayErr := l.relayed(ctx, call)
+	if relayErr == nil {
 		return relayed, nil
 	}
+	l.noteRelayFailed(call, relayErr)
 	return answer, err
 }
 
+func (l *storeLink) noteRelayFailed(call *platform.StoreCall, err error) {
+	l.metrics.storeCall("relay-failed")
+	logevent.Log(l.log, logevent.RelayFailed, zap.String("call", call.URI), zap.Error(err))
+}
+
 // avoidDirect reports whether the store turned this daemon away lately. One
 // call in relayAfter still goes to it.
 func (l *storeLink) avoidDirect() bool {
