--- a/admin/status.go
+++ b/admin/status.go
@@ -67,6 +67,9 @@
 	Members     []MemberStatus `json:"members"`
 	Ranges      []RangeStatus  `json:"ranges"`
 	Provisional int            `json:"provisional"` // assignments not yet in the log
+	// Leaderless is set for a cell whose members agree by a table in the store,
+	// without leader and deputy. Term is then how far the store was read.
+	Leaderless bool `json:"leaderless,omitempty"`
 }
 
 // MemberStatus is one member of a cell.
--- a/cli/findings.go
+++ b/cli/findings.go
@@ -81,10 +81,13 @@
 func cellFindings(cell *admin.CellStatus) []string {
 	var list []string
 	name := fmt.Sprintf("cell %d of %s in %s", cell.Index, cell.Service, cell.Region)
-	if cell.Leader == "" || cell.Leader == "-" {
+	if cell.Leaderless {
+		name = string(cell.Service)
+	}
+	if !cell.Leaderless && (cell.Leader == "" || cell.Leader == "-") {
 		list = append(list, name+": there is no leader; see docs/operators on losing leader and deputy")
 	}
-	if len(cell.Members) > 1 && (cell.Deputy == "" || cell.Deputy == "-") {
+	if !cell.Leaderless && len(cell.Members) > 1 && (cell.Deputy == "" || cell.Deputy == "-") {
 		list = append(list, name+": there is no deputy")
 	}
 	if waiting := withoutOwner(cell); waiting > 0 {
--- a/cli/status_text.go
+++ b/cli/status_text.go
@@ -52,8 +52,7 @@
 }
 
 func (c *call) printCell(cell *admin.CellStatus, ranges bool) {
-	c.printf("\nCell %d of %s in %s: term %d, leader %s, deputy %s, %d ranges, %d provisional\n",
-		cell.Index, cell.Service, cell.Region, cell.Term, cell.Leader, cell.Deputy, len(cell.Ranges), cell.Provisional)
+	c.printCellHead(cell)
 	owned := map[string]int{}
 	for _, r := range cell.Ranges {
 		owned[r.Owner]++
@@ -70,6 +69,15 @@
 	}
 }
 
+func (c *call) printCellHead(cell *admin.CellStatus) {
+	if cell.Leaderless {
+		c.printf("\nService %s: store read up to %d, %d ranges\n", cell.Service, cell.Term, len(cell.Ranges))
+		return
+	}
+	c.printf("\nCell %d of %s in %s: term %d, leader %s, deputy %s, %d ranges, %d provisional\n",
+		cell.Index, cell.Service, cell.Region, cell.Term, cell.Leader, cell.Deputy, len(cell.Ranges), cell.Provisional)
+}
+
 func (c *call) printRanges(cell *admin.CellStatus) {
 	t := c.table()
 	fmt.Fprintln(t, "  RANGE\tOWNER\tTOKEN\tLEASE LEFT")
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap/zapcore"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/parsleystack/parsleystack/admin"
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/fleet"
 	"github.com/parsleystack/parsleystack/ident"
@@ -69,6 +70,7 @@
 	members   *memberWriter
 	backend   *backend
 	ingress   *ingress
+	operators *admin.Handler
 
 	serversMu sync.Mutex
 	servers   []*fasthttp.Server // all but that of callers
@@ -95,6 +97,7 @@
 	d.links = transport.NewPool(transport.Config{Hello: hello, MaxFrame: maxCallerBody + maxCallerHeader})
 	d.server = transport.NewServer(transport.Config{Hello: hello, MaxFrame: maxCallerBody + maxCallerHeader}, d, log)
 	d.link.links = d.links
+	d.operators = admin.NewHandler(&operator{d})
 	d.metrics.observe(d)
 	return d
 }
--- a/sidecar/servers.go
+++ b/sidecar/servers.go
@@ -116,8 +116,11 @@
 	}
 }
 
-// handleMetrics writes the metrics in the text format.
+// handleMetrics answers operators and writes the metrics in the text format.
 func (d *Daemon) handleMetrics(ctx *fasthttp.RequestCtx) {
+	if d.operators.Serve(ctx) {
+		return
+	}
 	ctx.SetContentType("text/plain; version=0.0.4")
 	d.metrics.write(ctx)
 }
