A conditional append is sent once; an outage of the store is met with few calls

Cause: a call to the store without an answer was made again by way of another daemon, appends under a condition too. If the first one stood, the second met its own record and looked refused for good, so that the proposer took its table for void. What limits its harm is that the daemons that read the table promise nothing to the one that lost rows. While the store is away from all, each read, append and look went to it directly and by two other daemons: 233 calls in 4 s by three daemons. Now such an append is sent once, a relay says whether it made the call, one that fails itself makes none, and direct calls while they fail come at most every 400 ms. Tests, both failing before: the append without an answer ends as may-be-done (before: a condition error); 36 calls in 4 s at most (before 233; 104 without the relay's own look), and the return is noticed within 2 s.

--- a/sidecar/relay.go
+++ b/sidecar/relay.go
@@ -16,4 +16,6 @@
 type relayAnswer struct {
 	Status int    `msg:"s"`
 	Body   []byte `msg:"b"`
+	// NotSent is set if the daemon did not make the call.
+	NotSent bool `msg:"n"`
 }
--- a/sidecar/relay_gen.go
+++ b/sidecar/relay_gen.go
@@ -9,10 +9,11 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *relayAnswer) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 2
-	o = append(o, 0x92)
+	// array header, size 3
+	o = append(o, 0x93)
 	o = msgp.AppendInt(o, z.Status)
 	o = msgp.AppendBytes(o, z.Body)
+	o = msgp.AppendBool(o, z.NotSent)
 	return
 }
 
@@ -24,8 +25,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 2 {
-		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
 		return
 	}
 	z.Status, bts, err = msgp.ReadIntBytes(bts)
@@ -38,13 +39,18 @@
 		err = msgp.WrapError(err, "Body")
 		return
 	}
+	z.NotSent, bts, err = msgp.ReadBoolBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "NotSent")
+		return
+	}
 	o = bts
 	return
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
 func (z *relayAnswer) Msgsize() (s int) {
-	s = 1 + msgp.IntSize + msgp.BytesPrefixSize + len(z.Body)
+	s = 1 + msgp.IntSize + msgp.BytesPrefixSize + len(z.Body) + msgp.BoolSize
 	return
 }
 
--- a/sidecar/storelink.go
+++ b/sidecar/storelink.go
@@ -27,6 +27,9 @@
 	// relayAfter is the time after a failed call to the store in which calls go
 	// to other daemons first.
 	relayAfter = 2 * time.Second
+	// directGap is the shortest time between direct calls while they fail and no
+	// other daemon reaches the store either. Its return is noticed after as long.
+	directGap = 400 * time.Millisecond
 	// relayFresh is how lately a daemon must have reached the store to relay.
 	relayFresh = 6 * time.Second
 	// relayTries is the number of daemons asked for one call.
@@ -35,7 +38,7 @@
 	relayTimeout = 1500 * time.Millisecond
 )
 
-var errStoreUnreachable = errors.New("the store does not answer this daemon either")
+var errStoreUnreachable = fmt.Errorf("%w: no other daemon reaches the store", platform.ErrNotSent)
 
 // storeLink carries calls to the store, by another daemon while the store
 // turns this one away.
@@ -49,6 +52,7 @@
 
 	lastOK  atomic.Int64 // clock.Time of the last answer to a direct call
 	lastBad atomic.Int64 // clock.Time of the last failed direct call
+	lastTry atomic.Int64 // clock.Time at which the last direct call was sent
 
 	mu   sync.Mutex
 	lost bool // the last direct call failed
@@ -62,16 +66,25 @@
 			return answer, nil
 		}
 		l.noteRelayFailed(call, err)
+		switch {
+		case call.Once && !errors.Is(err, platform.ErrNotSent):
+			return nil, err
+		case clock.Now().Sub(clock.Time(l.lastTry.Load())) < directGap:
+			return nil, fmt.Errorf("%w: %w", platform.ErrNotSent, err)
+		}
 	}
 	answer, err := l.directly(ctx, call)
-	if err == nil && !answer.TurnedAway() {
-		return answer, nil
+	if err == nil && !answer.TurnedAway() || err != nil && call.Once {
+		return answer, err
 	}
 	relayed, relayErr := l.relayed(ctx, call)
 	if relayErr == nil {
 		return relayed, nil
 	}
 	l.noteRelayFailed(call, relayErr)
+	if call.Once && !errors.Is(relayErr, platform.ErrNotSent) {
+		return nil, relayErr
+	}
 	return answer, err
 }
 
@@ -89,6 +102,7 @@
 
 func (l *storeLink) directly(ctx context.Context, call *platform.StoreCall) (*platform.StoreAnswer, error) {
 	sent := clock.Now()
+	l.lastTry.Store(int64(sent))
 	answer, err := l.direct(ctx, call)
 	switch {
 	case ctx.Err() != nil:
@@ -134,26 +148,31 @@
 	return ok != clock.Never && clock.Now().Sub(ok) < relayFresh
 }
 
+// relayed makes a call by way of other daemons. The error is ErrNotSent if none
+// of them made it.
 func (l *storeLink) relayed(ctx context.Context, call *platform.StoreCall) (*platform.StoreAnswer, error) {
 	body, err := (&relayCall{Method: call.Method, URI: call.URI, Body: call.Body, Wait: call.Wait}).MarshalMsg(nil)
 	if err != nil {
 		return nil, err
 	}
-	err = errStoreUnreachable
+	failed := errStoreUnreachable
 	for i, addr := range l.peers() {
 		if i == relayTries {
 			break
 		}
-		var answer *platform.StoreAnswer
-		if answer, err = l.ask(ctx, addr, body, call.Wait); err == nil && !answer.TurnedAway() {
+		answer, err := l.ask(ctx, addr, body, call.Wait)
+		switch {
+		case err == nil && !answer.TurnedAway():
 			l.metrics.storeCall("relayed")
 			return answer, nil
+		case err == nil || errors.Is(err, platform.ErrNotSent):
+		case call.Once:
+			return nil, err
+		default:
+			failed = err
 		}
 	}
-	if err == nil {
-		err = errStoreUnreachable
-	}
-	return nil, err
+	return nil, failed
 }
 
 func (l *storeLink) ask(ctx context.Context, addr string, body []byte, wait time.Duration) (*platform.StoreAnswer, error) {
@@ -167,6 +186,9 @@
 	if _, err := answer.UnmarshalMsg(reply); err != nil {
 		return nil, fmt.Errorf("relayed answer: %w", err)
 	}
+	if answer.NotSent {
+		return nil, errStoreUnreachable
+	}
 	return &platform.StoreAnswer{Status: answer.Status, Body: answer.Body}, nil
 }
 
@@ -176,8 +198,8 @@
 	if _, err := call.UnmarshalMsg(body); err != nil {
 		return nil, fmt.Errorf("relay call: %w", err)
 	}
-	if !l.fresh() {
-		return nil, errStoreUnreachable
+	if !l.fresh() || l.avoidDirect() {
+		return (&relayAnswer{NotSent: true}).MarshalMsg(nil)
 	}
 	answer, err := l.directly(ctx, &platform.StoreCall{Method: call.Method, URI: call.URI, Body: call.Body, Wait: call.Wait})
 	if err != nil {
--- /dev/null
+++ b/sidecar/storelink_test.go
@@ -0,0 +1,81 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/parsleystack/parsleystack/metastore"
+	"github.com/parsleystack/parsleystack/platform/platformtest"
+)
+
+// An append under a condition whose answer is lost has perhaps taken effect.
+// Sent again by way of another daemon, it would meet its own record and look
+// refused for good.
+func TestConditionalAppendIsSentOnce(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, plainService, plainService, keyedService)
+	d.serving()
+	n := d.nodes[0]
+	d.store.SetFault(platformtest.LosesAnswers, n.settings.Store.Addr)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	daemon := n.daemon
+	note := []metastore.Record{{Key: "note/a", Value: []byte("x")}}
+	for tries := 0; ; tries++ {
+		b, err := d.nodes[1].daemon.store.Newest(ctx, daemon.directory)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = daemon.store.AppendAt(ctx, daemon.directory, b.End, note)
+		var condition *metastore.ConditionError
+		if errors.As(err, &condition) && tries < 5 && !d.has(ctx, t, "note/a") {
+			continue // another writer was faster
+		}
+		if !errors.Is(err, metastore.ErrMaybeDone) {
+			t.Fatalf("the append without an answer ends with %v", err)
+		}
+		return
+	}
+}
+
+// has reports whether the directory has a record.
+func (d *deployment) has(ctx context.Context, t *testing.T, key string) bool {
+	t.Helper()
+	b, err := d.nodes[1].daemon.store.Newest(ctx, d.nodes[1].daemon.directory)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range b.Records {
+		if b.Records[i].Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+// While the store is away from all, each daemon tries it a few times a second,
+// whatever it wants of it.
+func TestOutageIsMetWithFewCalls(t *testing.T) {
+	t.Parallel()
+	const outage = 4 * time.Second
+	d := deploy(t, keyedService, keyedService, plainService)
+	d.serving()
+	d.store.SetFault(platformtest.Refuses)
+	time.Sleep(time.Second) // the first failures
+	before := d.store.AllCalls()
+	time.Sleep(outage)
+	calls := d.store.AllCalls() - before
+	if most := len(d.nodes) * int(outage/directGap+2); calls > most {
+		t.Errorf("%d calls in %v by %d daemons, %d wanted at most", calls, outage, len(d.nodes), most)
+	}
+	d.store.SetFault(platformtest.NoFault)
+	back := time.Now()
+	for _, n := range d.nodes {
+		eventually(t, "the daemon reaches the store", func() bool { return !n.daemon.link.avoidDirect() })
+	}
+	if took := time.Since(back); took > 2*time.Second {
+		t.Errorf("the store's return was noticed after %v", took)
+	}
+}
