A stopping daemon begins nothing that it breaks off; brief statuses, compressed tables

Now, while it stops, a daemon starts only what ends in time with twice its usual length, refuses what waits when its target gets no more, takes nothing later than 2.9 s after SIGTERM, and ends waits for an owner then.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -32,6 +32,7 @@
 	Config   uint64
 	Offset   int64
 	LastSeq  uint64        // newest Seq of its present process
+	Echo     uint64        // newest own Seq that it has, 0 if unknown
 	Stopping bool          // its process is about to stop
 	Answered bool          // it has sent a status since its record was learnt
 	Quiet    []string      // daemons of its service that it does not hear
@@ -68,10 +69,17 @@
 }
 
 // Hear takes a status. It reports whether the sender's record was news, and
-// returns nil for a status older than one that was heard.
+// returns nil for a status older than one that was heard, and for a brief one
+// of a record that is not known.
 func (d *Directory) Hear(s *Status, now clock.Time) (p *Peer, news bool) {
-	news = d.Learn(&s.Member, false, now)
 	p = d.peers[ident.Instance(s.Member.Instance)]
+	switch {
+	case !s.Member.isBrief():
+		news = d.Learn(&s.Member, false, now)
+		p = d.peers[ident.Instance(s.Member.Instance)]
+	case p == nil || p.Member.Newer(&s.Member) || s.Member.Newer(&p.Member):
+		return nil, false
+	}
 	if s.Member.Incarnation != p.Member.Incarnation || s.Seq <= p.LastSeq {
 		return nil, news
 	}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -61,6 +61,14 @@
 	return m.Revision > other.Revision
 }
 
+// Brief returns what names m to a daemon that has the whole of it.
+func (m *Member) Brief() Member {
+	return Member{Instance: m.Instance, Incarnation: m.Incarnation, Revision: m.Revision}
+}
+
+// isBrief reports whether m only names a record.
+func (m *Member) isBrief() bool { return m.Addr == "" }
+
 // Encode returns the record of m.
 func (m Member) Encode() []byte {
 	m.Schema = memberSchema
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -22,7 +22,7 @@
 	Config  uint64 `msg:"c"` // version of the configuration that the sender has
 	Offset  int64  `msg:"o"` // end of the directory as the sender has read it
 	Load    Load   `msg:"l"`
-	Member  Member `msg:"m"`
+	Member  Member `msg:"m"` // brief if the receiver has it
 	// Quiet names daemons of the sender's service that it does not hear.
 	Quiet []string `msg:"u"`
 	// EveryMS is the time until the next status to the receiver, in milliseconds.
--- a/fleet/watch_test.go
+++ b/fleet/watch_test.go
@@ -44,7 +44,7 @@
 func (f *testFleet) hear(name string, now clock.Time, quiet ...string) {
 	f.seq++
 	every := f.interval(name)
-	m := Member{Instance: name, Service: serviceOf(name), Incarnation: 1, Revision: 1, State: TargetReady}
+	m := Member{Instance: name, Addr: "127.0.0.1:1", Service: serviceOf(name), Incarnation: 1, Revision: 1, State: TargetReady}
 	f.d.Hear(&Status{Seq: f.seq, Member: m, Quiet: quiet, EveryMS: uint32(every.Milliseconds())}, now)
 }
 
--- a/ownertable/table.go
+++ b/ownertable/table.go
@@ -90,12 +90,16 @@
 	if err != nil {
 		panic("ownertable: a table can always be encoded: " + err.Error())
 	}
-	return b
+	return pack(b)
 }
 
 // Decode decodes the record of a table. It returns a *RecordError for one that
 // is no table of this version or does not hold all keys.
 func Decode(b []byte) (*Table, error) {
+	b, err := unpack(b)
+	if err != nil {
+		return nil, err
+	}
 	var rec tableRecord
 	if _, err := rec.UnmarshalMsg(b); err != nil {
 		return nil, &RecordError{Reason: err.Error()}
--- a/resend/policy.go
+++ b/resend/policy.go
@@ -148,6 +148,11 @@
 	return Action{Kind: AwaitOwner, Pause: ownerPoll, Resend: r.reached > 0}
 }
 
+// Stop decides when the daemon is about to end and the request waits.
+func (r *Request) Stop(retryAfter time.Duration) Action {
+	return r.finish(outcome.Result{Kind: outcome.NotRun, Reason: outcome.Draining, RetryAfter: retryAfter})
+}
+
 // OutOfBudget decides when a second target would be needed and the budget has
 // nothing left.
 func (r *Request) OutOfBudget() Action {
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -59,6 +59,9 @@
 	held atomic.Pointer[held]
 	// closing is set once the process takes no more requests for the target.
 	closing atomic.Bool
+	// endsAt is the clock.Time at which the process breaks off what still runs;
+	// 0 while it is not stopping.
+	endsAt atomic.Int64
 
 	keys keyLoads
 
@@ -261,6 +264,27 @@
 	b.carryOut(b.queue.Finish(id, ending, took, clock.Now()))
 }
 
+// close takes no more requests and refuses those that wait.
+func (b *backend) close() {
+	b.closing.Store(true)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.carryOut(nil, b.queue.Empty())
+}
+
+// endsInTime reports whether a request that starts now is likely to end before
+// the process does.
+func (b *backend) endsInTime(item *workqueue.Item) bool {
+	end := clock.Time(b.endsAt.Load())
+	if end == clock.Never {
+		return true
+	}
+	now := clock.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Add(time.Duration(longRun * float64(b.queue.Expect(item, now)))).Before(end)
+}
+
 // failed notes why the target gave no answer.
 func (b *backend) failed(l *life, id []byte, sent bool, err error) {
 	b.d.metrics.count(metricTargetFailed)
--- a/sidecar/control_members.go
+++ b/sidecar/control_members.go
@@ -108,6 +108,7 @@
 // changeSelf publishes a change of the own record.
 func (c *control) changeSelf() {
 	c.self.Revision++
+	c.status.changedSeq = c.status.seq + 1
 	c.registerAt = clock.Never
 	c.stale = true
 	c.agent.Changed(clock.Now())
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -38,13 +38,15 @@
 
 // statusState is what the exchange of statuses needs.
 type statusState struct {
-	seq      uint64
-	sentAt   [sentKept]clock.Time // by seq modulo sentKept
-	next     [2]clock.Time        // to daemons of other services, and of the own one
-	last     clock.Time
-	soon     bool       // there is news
-	behind   clock.Time // since when another daemon is ahead
-	fetching bool
+	seq    uint64
+	sentAt [sentKept]clock.Time // by seq modulo sentKept
+	next   [2]clock.Time        // to daemons of other services, and of the own one
+	last   clock.Time
+	// changedSeq is the first status with the own record as it is.
+	changedSeq uint64
+	soon       bool       // there is news
+	behind     clock.Time // since when another daemon is ahead
+	fetching   bool
 
 	nextConfirm clock.Time
 	nextForget  clock.Time
@@ -79,6 +81,7 @@
 		s.Echo, s.EchoOf = p.LastSeq, p.Member.Incarnation
 		s.EveryMS = uint32(intervals[kind].Milliseconds())
 		s.Promise = c.promises(p)
+		s.Member = c.selfFor(p)
 		c.d.links.Send(p.Member.Addr, s.Encode())
 	}
 	if news {
@@ -91,6 +94,14 @@
 	}
 }
 
+// selfFor returns the own record, briefly for a daemon that has it.
+func (c *control) selfFor(p *fleet.Peer) fleet.Member {
+	if p.Echo >= c.status.changedSeq && p.Echo > 0 && !c.silent[ident.Instance(p.Member.Instance)] {
+		return c.self.Brief()
+	}
+	return c.self
+}
+
 func (c *control) kindOf(p *fleet.Peer) int {
 	if c.sameService(p) {
 		return ownService
@@ -109,7 +120,7 @@
 
 // ownStatus returns what this daemon tells all others.
 func (c *control) ownStatus() *fleet.Status {
-	s := &fleet.Status{Seq: c.status.seq, Offset: int64(c.read), Stop: c.stopping, Load: c.d.backend.load(), Member: c.self, Config: c.configVersion()}
+	s := &fleet.Status{Seq: c.status.seq, Offset: int64(c.read), Stop: c.stopping, Load: c.d.backend.load(), Config: c.configVersion()}
 	for _, p := range c.dir.Peers() {
 		if c.sameService(p) && c.silent[ident.Instance(p.Member.Instance)] {
 			s.Quiet = append(s.Quiet, p.Member.Instance)
@@ -149,7 +160,11 @@
 		return
 	}
 	name := ident.Instance(s.Member.Instance)
-	c.load(name, s.Member.Slots).report(&s.Load)
+	p.Echo = 0
+	if s.EchoOf == c.self.Incarnation {
+		p.Echo = s.Echo
+	}
+	c.load(name, p.Member.Slots).report(&s.Load)
 	c.newest = max(c.newest, s.Config)
 	if s.Promise && s.EchoOf == c.self.Incarnation && c.status.seq-s.Echo < sentKept && s.Echo > 0 {
 		c.agent.Promised(name, c.status.sentAt[s.Echo%sentKept])
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -51,8 +51,9 @@
 	// two readiness checks have failed.
 	readyNotice = 2300 * time.Millisecond
 	// targetNotice is how long the target may take to end its requests after
-	// that, with calls of its own.
-	targetNotice = 1400 * time.Millisecond
+	// that, with calls of its own. The platform lets a daemon break off, at the
+	// end of its grace, what it has read within 3 s of SIGTERM, and nothing later.
+	targetNotice = 600 * time.Millisecond
 	// stopMargin is kept of the grace time for the end of the process.
 	stopMargin = 700 * time.Millisecond
 	stopPoll   = 10 * time.Millisecond
--- a/sidecar/flight.go
+++ b/sidecar/flight.go
@@ -175,6 +175,9 @@
 	}
 	if a.Kind == resend.AwaitOwner && a.Pause > 0 {
 		f.await(a.Pause)
+		if f.in.refusing.Load() {
+			return f.state.Stop(retryStopping)
+		}
 	}
 	if cause := context.Cause(f.ctx); cause != nil {
 		return f.state.Next(resend.Attempt{Result: f.ended(cause, false)}, f.deadline)
--- a/sidecar/harness_test.go
+++ b/sidecar/harness_test.go
@@ -55,12 +55,20 @@
 
 // deploy starts a daemon and a target for each named service.
 func deploy(t *testing.T, services ...string) *deployment {
+	t.Helper()
+	return deployTuned(t, func(*testNode) {}, services...)
+}
+
+// deployTuned is deploy with changed instances.
+func deployTuned(t *testing.T, tune func(*testNode), services ...string) *deployment {
 	t.Helper()
 	d := &deployment{t: t, store: platformtest.NewStore(), records: new(platformtest.Records)}
 	t.Cleanup(d.close)
 	d.configure("")
 	for i, service := range services {
-		d.nodes = append(d.nodes, d.newNode(i, service))
+		n := d.newNode(i, service)
+		tune(n)
+		d.nodes = append(d.nodes, n)
 	}
 	for _, n := range d.nodes {
 		n.start(t)
--- a/sidecar/ingress.go
+++ b/sidecar/ingress.go
@@ -45,7 +45,7 @@
 	flights map[*flight]struct{}
 	budgets map[ident.Service]*resend.Budget
 	closing atomic.Bool // connections end with their next answer
-	// refusing is set when no new request is taken.
+	// refusing is set when no new request is taken, and none waits any more.
 	refusing atomic.Bool
 }
 
--- a/sidecar/news_test.go
+++ b/sidecar/news_test.go
@@ -52,6 +52,25 @@
 	}
 }
 
+// Daemons whose reader is lost see that others are ahead, and read.
+func TestNewsReachesAllWithoutTheirReader(t *testing.T) {
+	t.Parallel()
+	const size = 20
+	d := fleetOf(t, size)
+	d.nodes[0].serves(t)
+	time.Sleep(startTime)
+	lost := d.nodes[0] // the first names read
+	lost.daemon.server.Close()
+	lost.daemon.links.Close()
+	end := d.nodes[1].read()
+	for i := range 3 {
+		d.store.Put(platform.KeyedTopic(directoryTopic), fmt.Sprint("note/", i), []byte("x"))
+	}
+	for _, n := range d.nodes[1:] {
+		eventually(t, "the records are known", func() bool { return n.read() >= end+3 })
+	}
+}
+
 // News that doesn't follow what a daemon has read is left to a read of its own:
 // the records between would never come.
 func TestNewsWithAGapIsNotTaken(t *testing.T) {
--- a/sidecar/run.go
+++ b/sidecar/run.go
@@ -20,6 +20,9 @@
 	// retryMoved is when a caller whose target does not take the request may
 	// come back.
 	retryMoved = 100 * time.Millisecond
+	// longRun is the ratio of a long run of a request to the usual one: nine in
+	// ten take no longer.
+	longRun = 2.0
 	// answerMargin is taken off the time that the target is told, for the way
 	// of its answer back.
 	answerMargin = 4 * time.Millisecond
@@ -42,13 +45,16 @@
 }
 
 func (r *run) serve() {
-	if !r.acceptable(r.b.closing.Load()) {
+	if !r.acceptable(r.b.closing.Load() || !r.b.endsInTime(&r.item)) {
 		return
 	}
 	t := r.b.enter(&r.item, r.cancel)
 	if !t.started {
 		reason := outcome.Overloaded
-		if t.refusal.Late {
+		switch {
+		case r.b.closing.Load():
+			reason = outcome.Draining
+		case t.refusal.Late:
 			reason = outcome.DeadlineExceeded
 		}
 		r.refuse(reason, t.refusal.RetryAfter)
@@ -56,7 +62,7 @@
 	}
 	started := clock.Now()
 	ending := workqueue.NotSent
-	if r.acceptable(false) {
+	if r.acceptable(!r.b.endsInTime(&r.item)) {
 		ending = r.execute()
 	}
 	r.b.finish(r.item.ID, ending, clock.Now().Sub(started))
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -11,19 +11,20 @@
 )
 
 // stop makes the daemon not ready, ends what it has read and returns. While the
-// callers of this instance go elsewhere, the target still gets work. Then it
-// gets no more; its calls are served until it has ended its requests. At last
-// nothing new is taken.
+// callers of this instance go elsewhere, the target still gets work that ends in
+// time. Then it gets no more; its calls are served until it has ended its requests, for a while.
+// At last nothing new is taken, and what waits for an owner is refused.
 func (d *Daemon) stop() {
 	begun := clock.Now()
+	limit := begun.Add(d.settings().GraceTime - stopMargin)
+	d.backend.endsAt.Store(int64(limit))
 	logevent.Log(d.log, logevent.SidecarStopping, zap.Int("in_flight", d.ingress.inFlight()))
 	d.control.do(func() { d.control.beginStop() })
 	d.ingress.closing.Store(true)
 	time.Sleep(readyNotice)
-	d.backend.closing.Store(true)
+	d.backend.close()
 	waitUntil(begun.Add(readyNotice+targetNotice), func() bool { return !d.backend.busy() })
 	d.ingress.refusing.Store(true)
-	limit := begun.Add(d.settings().GraceTime - stopMargin)
 	waitUntil(limit, func() bool { return d.ingress.inFlight() == 0 && !d.backend.busy() })
 	ctx, cancel := context.WithTimeout(context.Background(), max(limit.Sub(clock.Now()), stopPoll))
 	defer cancel()
--- /dev/null
+++ b/sidecar/stop_test.go
@@ -0,0 +1,76 @@
+package sidecar
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/parsleystack/parsleystack/platform/platformtest"
+)
+
+// The daemon of a key's owner stops while long requests of the key come. What
+// can't end before the process does is refused, not begun and broken off.
+func TestStopBeginsNothingThatItBreaksOff(t *testing.T) {
+	t.Parallel()
+	d := deployTuned(t, func(n *testNode) {
+		n.settings.GraceTime = 3400 * time.Millisecond
+		if n.target.Service == keyedService {
+			n.target.Slots, n.target.Work = 3, 1100*time.Millisecond
+		}
+	}, keyedService, plainService)
+	n, entry := d.nodes[0], d.nodes[1]
+	view := func() platformtest.Answer { return entry.call(http.MethodGet, "/view/a", newID(), 40000) }
+	eventually(t, "the key is served", func() bool { return view().Status == http.StatusOK })
+	for range 3 { // the daemon learns how long requests take
+		view()
+	}
+	begun := time.Now()
+	n.stop()
+	var done sync.WaitGroup
+	for range 30 {
+		done.Go(func() {
+			sent := time.Since(begun)
+			a := view()
+			if a.Err != nil || a.Status != http.StatusOK && a.Status != http.StatusServiceUnavailable {
+				t.Errorf("a request of %v after the stop ends %v after it with status %d, error %v", sent, time.Since(begun), a.Status, a.Err)
+			}
+		})
+		time.Sleep(100 * time.Millisecond)
+	}
+	done.Wait()
+	<-n.done
+	n.start(t)
+}
+
+// A caller's request that waits for the owner of its key is answered before the
+// daemon ends, and one that comes late is refused at once.
+func TestStopAnswersWhatWaitsForAnOwner(t *testing.T) {
+	t.Parallel()
+	d := deployTuned(t, func(n *testNode) {
+		if n.target.Service == keyedService {
+			n.target.Work = 1200 * time.Millisecond
+		}
+	}, keyedService, plainService)
+	n := d.nodes[0]
+	view := func(id string) platformtest.Answer { return n.call(http.MethodGet, "/view/a", id, 40000) }
+	eventually(t, "the key is served", func() bool { return view(newID()).Status == http.StatusOK })
+	n.stop()
+	begun := time.Now()
+	time.AfterFunc(readyNotice-200*time.Millisecond, func() { view(newID()) }) // keeps the target busy
+	for time.Since(begun) < readyNotice+targetNotice+time.Second {
+		sent := time.Now()
+		a := view(newID())
+		if after := sent.Sub(begun); after > readyNotice+targetNotice+100*time.Millisecond {
+			if a.Err == nil && a.Status == http.StatusOK {
+				t.Errorf("a request %v after the stop was taken", after)
+			}
+			if took := time.Since(sent); took > 100*time.Millisecond {
+				t.Errorf("a request %v after the stop was held for %v", after, took)
+			}
+		}
+		time.Sleep(40 * time.Millisecond)
+	}
+	<-n.done
+	n.start(t)
+}
--- a/workqueue/queue.go
+++ b/workqueue/queue.go
@@ -68,6 +68,21 @@
 // the share of requests that failed there.
 func (q *Queue) Pace() (pace, failing float64) { return q.pace.relative, q.pace.failing }
 
+// Expect returns how long an item is expected to take at the target.
+func (q *Queue) Expect(item *Item, now clock.Time) time.Duration {
+	return q.pace.expect(item, q.running, now)
+}
+
+// Empty refuses all waiting items.
+func (q *Queue) Empty() []Refusal {
+	q.refused = q.refused[:0]
+	for i := range q.waiting {
+		q.refused = append(q.refused, Refusal{ID: q.waiting[i].ID, RetryAfter: minRetryAfter})
+	}
+	q.waiting = q.waiting[:0]
+	return q.refused
+}
+
 // Offered returns the work that arrives as a share of what the slots can run.
 func (q *Queue) Offered(now clock.Time) float64 { return q.pace.offered(now) / float64(q.slots) }
 
@@ -145,12 +160,7 @@
 // Close refuses all waiting items and all that arrive from now on.
 func (q *Queue) Close() []Refusal {
 	q.closed = true
-	q.refused = q.refused[:0]
-	for i := range q.waiting {
-		q.refused = append(q.refused, Refusal{ID: q.waiting[i].ID, RetryAfter: minRetryAfter})
-	}
-	q.waiting = q.waiting[:0]
-	return q.refused
+	return q.Empty()
 }
 
 // Open takes items again after Close.
