A row that was split off is held for as long as the row it was part of

Trace: the holder's row 59801-60073 was granted at 19.478 s, split for load at 19.499 s (table 291), and the rest, 59901-60073, revoked for a target that had joined (table 296), all before the holder's next heartbeat at 20.829 s. The rest has an identity under which it was never granted, so its hold counted as ended long ago and that heartbeat freed it at once. Ruled out: news by other daemons, and late answers: the holder's daemon had all tables in time and its heartbeats in order. Now a row of unknown identity is held for as long as any granted row that it overlaps, looked up before a grant narrows one of them. Tests: split, joined, and narrowed rows, by heartbeats and by lapse; all fail before.

--- a/ownertable/keeper.go
+++ b/ownertable/keeper.go
@@ -16,6 +16,7 @@
 }
 
 type granted struct {
+	Range              // as it was granted, or as the newest table has it
 	ends    clock.Time // the target has surely let go after it
 	omitted uint64     // seq of the first heartbeat answered without the row
 	known   bool       // a heartbeat has listed the row under its token
@@ -54,6 +55,9 @@
 			g.known = true
 		}
 	}
+	for i := range rows {
+		k.of(&rows[i]) // before a grant narrows the row that others were part of
+	}
 	for i := range rows {
 		r := &rows[i]
 		if r.Revoked == NotRevoked {
@@ -62,7 +66,7 @@
 		}
 		k.release(&a, r, report, now)
 	}
-	k.forget(rows)
+	k.forget(rows, now)
 	a.fit()
 	return a
 }
@@ -97,20 +101,20 @@
 	if a.Hold == 0 {
 		return
 	}
-	g := k.of(r.ID())
+	g := k.of(r)
 	grant := Grant{Range: r.Range, Token: r.Token, Handover: r.Handover}
 	if g.known { // the target has what the handover brings
 		grant.Handover = ""
 	}
 	a.Grants = append(a.Grants, grant)
-	g.ends = max(g.ends, now.Add(HoldEnds(a.Hold)))
+	g.Range, g.ends = r.Range, max(g.ends, now.Add(HoldEnds(a.Hold)))
 	g.omitted = 0
 }
 
 // release frees a revoked row once a heartbeat that follows an answer without
 // the row does not list it any more, or once its hold has run out.
 func (k *Keeper) release(a *Answer, r *Row, report *Report, now clock.Time) {
-	g := k.of(r.ID())
+	g := k.of(r)
 	switch {
 	case g.omitted > 0 && report.Seq > g.omitted && !holds(report, r.Range), !now.Before(g.ends):
 		if a.Freed == nil {
@@ -132,7 +136,7 @@
 func (k *Keeper) Lapsed(rows []Row, now clock.Time) map[RowID]string {
 	var freed map[RowID]string
 	for i := range rows {
-		if r := &rows[i]; !now.Before(k.of(r.ID()).ends) {
+		if r := &rows[i]; !now.Before(k.of(r).ends) {
 			if freed == nil {
 				freed = make(map[RowID]string)
 			}
@@ -142,11 +146,19 @@
 	return freed
 }
 
-func (k *Keeper) of(id RowID) *granted {
-	g := k.granted[id]
+// of returns what is known of a row. One that was split off or joined since the
+// target was last answered is held for as long as the rows that it was part of.
+func (k *Keeper) of(r *Row) *granted {
+	g := k.granted[r.ID()]
 	if g == nil {
 		g = &granted{ends: k.unknownEnds}
-		k.granted[id] = g
+		for _, other := range k.granted {
+			if other.Overlaps(r.Range) {
+				g.ends = max(g.ends, other.ends)
+			}
+		}
+		k.granted[r.ID()] = g
+		g.Range = r.Range
 	}
 	return g
 }
@@ -174,7 +186,7 @@
 const maxHandovers = 4 * MaxRows
 
 // forget drops what rows of earlier tables left behind.
-func (k *Keeper) forget(rows []Row) {
+func (k *Keeper) forget(rows []Row, now clock.Time) {
 	if n := len(k.handovers) - maxHandovers; n > 0 {
 		k.handovers = append(k.handovers[:0], k.handovers[n:]...)
 	}
@@ -187,5 +199,10 @@
 			live[rows[i].ID()] = g
 		}
 	}
+	for id, g := range k.granted {
+		if now.Before(g.ends) {
+			live[id] = g
+		}
+	}
 	k.granted = live
 }
--- a/ownertable/soak_test.go
+++ b/ownertable/soak_test.go
@@ -64,6 +64,8 @@
 	statusTime = 400 * time.Millisecond
 	silentTime = time.Second
 	planEvery  = 50 * time.Millisecond
+	hotSpan    = 500
+	soakPace   = 0.3
 )
 
 // world is a fleet of one service in virtual time.
@@ -78,6 +80,7 @@
 	seen   map[uint32]uint64 // newest token that any target had, by sampled key
 	holder map[uint32]Owner
 	lines  []string
+	hot    uint32 // first of the busy keys
 }
 
 // delivery is something that happens later.
@@ -101,6 +104,7 @@
 	seq      uint64
 	sentAt   map[uint64]clock.Time
 	target   *fakeTarget
+	load     float64   // offered, as a share of the target's slots
 	known    Candidate // the target as the daemon knows it
 	beatSeq  uint64
 	reading  bool
@@ -190,6 +194,10 @@
 
 // fault draws a fault now and then.
 func (w *world) fault() {
+	if w.rng.IntN(60) == 0 {
+		w.nodes[w.rng.IntN(len(w.nodes))].load = w.rng.Float64() * 1.8
+		w.hot = w.rng.Uint32N(MaxKey)
+	}
 	if w.rng.IntN(120) != 0 {
 		return
 	}
@@ -416,14 +424,25 @@
 	return names
 }
 
+// keyLoad makes keys near the hot one busy, so that rows are split.
+func (w *world) keyLoad(key uint32) float64 {
+	if key-w.hot < hotSpan {
+		return 100
+	}
+	return 1
+}
+
 func (n *node) plan() {
-	s := Situation{Now: n.clock(), Self: n.known, Candidates: []Candidate{n.known}, Established: true}
+	self := n.known
+	self.Load, self.Pace = n.load, soakPace
+	s := Situation{Now: n.clock(), Self: self, Candidates: []Candidate{self}, Established: true, KeyLoad: n.w.keyLoad}
 	for _, m := range n.w.nodes {
 		if m == n {
 			continue
 		}
 		h := n.heard[m.name]
 		c := h.target
+		c.Load, c.Pace = m.load, soakPace
 		c.Heard, c.Silent = h.answered, n.clock().Sub(h.at) > silentTime
 		s.Candidates = append(s.Candidates, c)
 		if !c.Silent && m.name < n.name {
