--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -12,8 +12,8 @@
 
 // stop makes the daemon not ready, ends what it has read and returns. While the
 // callers of this instance go elsewhere, the target still gets work that ends in
-// time. Then it gets no more; its calls are served until it has ended its requests, for a while.
-// At last nothing new is taken, and what waits for an owner is refused.
+// time. Then it gets no more, and for a while its calls are served. At last
+// nothing new is taken, and what waits for an owner is refused.
 func (d *Daemon) stop() {
 	begun := clock.Now()
 	limit := begun.Add(d.settings().GraceTime - stopMargin)
