A relayed call that may be done is not reported as not sent

While direct calls are held back, the error of a relay that may have made the call was wrapped as not sent. The list of silent daemons in a status is bounded when it is decoded. Tests of sidecar and fleet pass.

--- a/fleet/status.go
+++ b/fleet/status.go
@@ -24,7 +24,7 @@
 	Load    Load   `msg:"l"`
 	Member  Member `msg:"m"` // brief if the receiver has it
 	// Quiet names daemons of the sender's service that it does not hear.
-	Quiet []string `msg:"u"`
+	Quiet []string `msg:"u,limit=4096"`
 	// EveryMS is the time until the next status to the receiver, in milliseconds.
 	EveryMS uint32 `msg:"v"`
 }
--- a/fleet/status_gen.go
+++ b/fleet/status_gen.go
@@ -165,6 +165,10 @@
 		err = msgp.WrapError(err, "Quiet")
 		return
 	}
+	if zb0002 > 4096 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
 	if cap(z.Quiet) >= int(zb0002) {
 		z.Quiet = (z.Quiet)[:zb0002]
 	} else {
--- a/sidecar/storelink.go
+++ b/sidecar/storelink.go
@@ -66,11 +66,9 @@
 			return answer, nil
 		}
 		l.noteRelayFailed(call, err)
-		switch {
-		case call.Once && !errors.Is(err, platform.ErrNotSent):
+		mayBeDone := call.Once && !errors.Is(err, platform.ErrNotSent)
+		if mayBeDone || clock.Now().Sub(clock.Time(l.lastTry.Load())) < directGap {
 			return nil, err
-		case clock.Now().Sub(clock.Time(l.lastTry.Load())) < directGap:
-			return nil, fmt.Errorf("%w: %w", platform.ErrNotSent, err)
 		}
 	}
 	answer, err := l.directly(ctx, call)
