Clean-up after reading the change: one opening of addresses, no work done twice

Behaviour stays as it is. - daemon and sidecar opened and closed lists of addresses by loops of their own; both call listen.All now. - The stop emptied the queue by a function beside Queue.Close; it calls Close, and Open, which nobody called, is gone. - The slowdown of a target was worked out anew for each running item of each arrival; once an arrival now. - The directory sorted all daemons at each look, about seven times a tick; it keeps the order until a daemon comes or goes. Peer.Stored and LoadAt were never read, and with them goes an argument that was always true. - fetch did one of two things by a flag and asked the control goroutine for what a copy holds; there are two functions now. - The pause after a failed call stood twice; relays were shuffled by a comparison that contradicts itself. Tests keep their assertions; calls of Learn lose the argument.

--- a/daemon/run.go
+++ b/daemon/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/parsleystack/parsleystack/cell"
 	"github.com/parsleystack/parsleystack/cell/driver"
+	"github.com/parsleystack/parsleystack/listen"
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/transport"
 )
@@ -27,42 +28,13 @@
 	admin   net.Listener
 }
 
-// close closes the addresses that are open.
-func (ls *listeners) close() error {
-	var errs []error
-	for _, l := range []net.Listener{ls.callers, ls.daemons, ls.admin} {
-		if l != nil {
-			errs = append(errs, l.Close())
-		}
-	}
-	return errors.Join(errs...)
-}
-
-func listen(addr string) (net.Listener, error) {
-	l, err := net.Listen("tcp", addr)
-	if err != nil {
-		return nil, fmt.Errorf("daemon: can't listen on %s: %w; check that no other process uses the port and that the address belongs to the instance", addr, err)
-	}
-	return l, nil
-}
-
 func (d *Daemon) listen() (*listeners, error) {
-	var ls listeners
-	for _, l := range []struct {
-		addr string
-		to   *net.Listener
-	}{
-		{d.settings.Listen.Callers, &ls.callers},
-		{d.settings.Listen.Daemons, &ls.daemons},
-		{d.settings.Listen.Admin, &ls.admin},
-	} {
-		listener, err := listen(l.addr)
-		if err != nil {
-			return nil, errors.Join(err, ls.close())
-		}
-		*l.to = listener
+	at := d.settings.Listen
+	ls, err := listen.All(at.Callers, at.Daemons, at.Admin)
+	if err != nil {
+		return nil, fmt.Errorf("daemon: %w", err)
 	}
-	return &ls, nil
+	return &listeners{callers: ls[0], daemons: ls[1], admin: ls[2]}, nil
 }
 
 // Run serves until ctx ends, then makes a planned stop. A second planned stop
--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -25,9 +25,7 @@
 // Peer is another daemon as this one knows it.
 type Peer struct {
 	Member   Member
-	Stored   bool       // the record stands in the store
 	Load     Load       // of the newest status
-	LoadAt   clock.Time // when it came
 	Heard    clock.Time // when the newest status came, or the record was learnt
 	Config   uint64
 	Offset   int64
@@ -41,22 +39,22 @@
 
 // Directory holds all daemons but this one. It belongs to the control state.
 type Directory struct {
-	peers map[ident.Instance]*Peer
+	peers  map[ident.Instance]*Peer
+	sorted []*Peer // by name; nil after a change
 }
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory { return &Directory{peers: make(map[ident.Instance]*Peer)} }
 
-// Learn takes a record, and reports whether it is news. stored says that it
-// was read from the store.
-func (d *Directory) Learn(m *Member, stored bool, now clock.Time) bool {
+// Learn takes a record, and reports whether it is news.
+func (d *Directory) Learn(m *Member, now clock.Time) bool {
 	name := ident.Instance(m.Instance)
 	p := d.peers[name]
 	if p == nil {
-		d.peers[name] = &Peer{Member: *m, Stored: stored, Heard: now}
+		d.peers[name] = &Peer{Member: *m, Heard: now}
+		d.sorted = nil
 		return true
 	}
-	p.Stored = p.Stored || stored
 	if !m.Newer(&p.Member) {
 		return false
 	}
@@ -75,17 +73,16 @@
 	p = d.peers[ident.Instance(s.Member.Instance)]
 	switch {
 	case !s.Member.isBrief():
-		news = d.Learn(&s.Member, false, now)
+		news = d.Learn(&s.Member, now)
 		p = d.peers[ident.Instance(s.Member.Instance)]
-	case p == nil || p.Member.Newer(&s.Member) || s.Member.Newer(&p.Member):
+	case p == nil || p.Member.Brief() != s.Member:
 		return nil, false
 	}
 	if s.Member.Incarnation != p.Member.Incarnation || s.Seq <= p.LastSeq {
 		return nil, news
 	}
 	p.LastSeq, p.Heard, p.Answered = s.Seq, now, true
-	p.Load, p.LoadAt = s.Load, now
-	p.Config, p.Offset, p.Quiet = s.Config, s.Offset, s.Quiet
+	p.Load, p.Config, p.Offset, p.Quiet = s.Load, s.Config, s.Offset, s.Quiet
 	p.Every = time.Duration(s.EveryMS) * time.Millisecond
 	news = news || p.Stopping != s.Stop
 	p.Stopping = s.Stop
@@ -93,16 +90,22 @@
 }
 
 // Remove forgets a daemon.
-func (d *Directory) Remove(name ident.Instance) { delete(d.peers, name) }
+func (d *Directory) Remove(name ident.Instance) {
+	delete(d.peers, name)
+	d.sorted = nil
+}
 
 // Peer returns one daemon, or nil.
 func (d *Directory) Peer(name ident.Instance) *Peer { return d.peers[name] }
 
-// Peers returns all daemons in the order of their names.
+// Peers returns all daemons in the order of their names. The caller must not
+// change the list, which stays as it is when daemons come and go.
 func (d *Directory) Peers() []*Peer {
-	all := make([]*Peer, 0, len(d.peers))
-	for _, name := range slices.Sorted(maps.Keys(d.peers)) {
-		all = append(all, d.peers[name])
+	if d.sorted == nil {
+		d.sorted = make([]*Peer, 0, len(d.peers))
+		for _, name := range slices.Sorted(maps.Keys(d.peers)) {
+			d.sorted = append(d.sorted, d.peers[name])
+		}
 	}
-	return all
+	return d.sorted
 }
--- a/fleet/directory_test.go
+++ b/fleet/directory_test.go
@@ -16,9 +16,9 @@
 	d := NewDirectory()
 	now := clock.Time(time.Hour)
 	m := member(2, 5)
-	d.Learn(&m, true, now)
+	d.Learn(&m, now)
 	for _, old := range []Member{member(1, 9), member(2, 4), member(2, 5)} {
-		if d.Learn(&old, true, now) {
+		if d.Learn(&old, now) {
 			t.Errorf("%d.%d counts as news after 2.5", old.Incarnation, old.Revision)
 		}
 	}
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -269,7 +269,7 @@
 	b.closing.Store(true)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.carryOut(nil, b.queue.Empty())
+	b.carryOut(nil, b.queue.Close())
 }
 
 // endsInTime reports whether a request that starts now is likely to end before
--- a/sidecar/control_members.go
+++ b/sidecar/control_members.go
@@ -21,12 +21,12 @@
 		c.takeOwnMember(m)
 		return nil
 	}
-	c.learn(m, true)
+	c.learn(m)
 	return nil
 }
 
-// learn takes another daemon's record.
-func (c *control) learn(m *fleet.Member, stored bool) {
+// learn takes another daemon's record from the store.
+func (c *control) learn(m *fleet.Member) {
 	now := clock.Now()
 	if m.Gone {
 		if p := c.dir.Peer(ident.Instance(m.Instance)); p != nil && !p.Member.Newer(m) {
@@ -36,12 +36,12 @@
 		}
 		return
 	}
-	if !c.dir.Learn(m, stored, now) {
+	if !c.dir.Learn(m, now) {
 		return
 	}
 	c.agent.Changed(now)
 	c.stale = true
-	c.logPeer(m, stored)
+	c.logPeer(m, true)
 }
 
 func (c *control) logPeer(m *fleet.Member, stored bool) {
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -210,7 +210,7 @@
 		return
 	}
 	st.fetching, st.nextConfirm = true, now.Add(confirmInterval)
-	go c.d.fetch("", false)
+	go c.d.readDirectory()
 }
 
 // forgetGone takes daemons out of the directory that stay silent and own
@@ -253,7 +253,11 @@
 		return
 	}
 	st.fetching, st.behind = true, clock.Never
-	go c.d.fetch(from, config)
+	if config {
+		go c.d.fetchConfiguration(from)
+		return
+	}
+	go c.d.readDirectory()
 }
 
 // ahead returns the address of a daemon with newer news, and whether it is the
@@ -274,25 +278,23 @@
 	return addr, false
 }
 
-// fetch brings news from another daemon: its configuration, or what the store
-// holds, read through it.
-func (d *Daemon) fetch(addr string, config bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+// fetchConfiguration brings the configuration that another daemon has.
+func (d *Daemon) fetchConfiguration(addr string) {
+	ctx, cancel := d.fetching()
 	defer cancel()
-	defer d.control.do(func() { d.control.status.fetching = false })
-	if config {
-		value, err := d.links.Call(ctx, addr, callConfig, nil)
-		if err != nil {
-			logevent.Log(d.log, logevent.FetchFailed, zap.String("from", addr), zap.Error(err))
-			return
-		}
-		d.control.do(func() { d.control.takeConfiguration(value) })
-		return
-	}
-	var from metastore.Offset
-	if !d.control.ask(ctx, func() { from = d.control.read }) {
+	value, err := d.links.Call(ctx, addr, callConfig, nil)
+	if err != nil {
+		logevent.Log(d.log, logevent.FetchFailed, zap.String("from", addr), zap.Error(err))
 		return
 	}
+	d.control.do(func() { d.control.takeConfiguration(value) })
+}
+
+// readDirectory brings what the store holds beyond what is known.
+func (d *Daemon) readDirectory() {
+	ctx, cancel := d.fetching()
+	defer cancel()
+	from := metastore.Offset(d.control.known.Load())
 	sent := clock.Now()
 	b, err := d.store.Read(ctx, d.directory, from, 0)
 	if err != nil {
@@ -302,6 +304,15 @@
 	d.control.do(func() { d.control.takeDirectory(from, b, sent, false) })
 }
 
+// fetching bounds one fetch. Its cancel lets the next one begin.
+func (d *Daemon) fetching() (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
+	return ctx, func() {
+		cancel()
+		d.control.do(func() { d.control.status.fetching = false })
+	}
+}
+
 // forget writes the removal of a daemon. Another try follows if it fails.
 func (d *Daemon) forget(m fleet.Member) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -156,7 +156,7 @@
 			}
 		}
 	}
-	slices.SortFunc(addrs, func(string, string) int { return int(random()*3) - 1 })
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
 	return addrs
 }
 
@@ -188,7 +188,9 @@
 	case <-work.Done():
 	}
 	end()
-	listeners.close()
+	if err := listeners.close(); err != nil {
+		logevent.Log(d.log, logevent.StopIncomplete, zap.Error(err))
+	}
 	d.closeServers()
 	d.server.Close()
 	d.links.Close()
--- a/sidecar/follower.go
+++ b/sidecar/follower.go
@@ -14,9 +14,11 @@
 )
 
 const (
-	// minPause and maxPause bound the pause after a failed read of the store.
+	// minPause and maxPause bound the pause after a failed call to the store.
 	minPause = 100 * time.Millisecond
 	maxPause = 800 * time.Millisecond
+	// maxDoublings is above the doublings that lead from minPause to maxPause.
+	maxDoublings = 4
 )
 
 // follower reads one partition for as long as the daemon lives: the newest
@@ -53,7 +55,7 @@
 			if failures == 1 {
 				logevent.Log(f.log, logevent.StoreCallFailed, zap.String("topic", f.partition.Topic), zap.Int64("offset", int64(f.next)), zap.Error(err))
 			}
-			sleep(ctx, jittered(min(minPause<<min(failures-1, 4), maxPause)))
+			sleep(ctx, pauseAfter(failures))
 			continue
 		}
 		failures = 0
@@ -93,6 +95,12 @@
 	return nil
 }
 
+// pauseAfter returns the pause after a number of failed calls in a row. It
+// doubles from minPause up to maxPause.
+func pauseAfter(failures int) time.Duration {
+	return jittered(min(minPause<<min(failures-1, maxDoublings), maxPause))
+}
+
 func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
 
 // sleep waits for d or until ctx ends.
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -50,12 +50,12 @@
 // write appends m until the store has taken it or a newer one is wanted.
 func (w *memberWriter) write(ctx context.Context, m fleet.Member) {
 	record := metastore.Record{Key: memberPrefix + m.Instance, Value: m.Encode()}
-	for failures := 0; ctx.Err() == nil; failures++ {
+	for failures := 1; ctx.Err() == nil; failures++ {
 		err := w.d.store.Append(ctx, w.d.directory, []metastore.Record{record})
 		if err == nil {
 			return
 		}
-		if failures == 0 {
+		if failures == 1 {
 			logevent.Log(w.d.log, logevent.StoreCallFailed, zap.String("record", record.Key), zap.Error(err))
 		}
 		select {
@@ -64,6 +64,6 @@
 			record.Value = m.Encode()
 		default:
 		}
-		sleep(ctx, jittered(min(minPause<<min(failures, 4), maxPause)))
+		sleep(ctx, pauseAfter(failures))
 	}
 }
--- a/sidecar/servers.go
+++ b/sidecar/servers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/parsleystack/parsleystack/listen"
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/platform"
 )
@@ -19,29 +19,17 @@
 	links, callers, control, ready, metrics net.Listener
 }
 
-func (l *listeners) close() {
-	for _, x := range []net.Listener{l.links, l.callers, l.control, l.ready, l.metrics} {
-		if x != nil {
-			_ = x.Close() // the process ends
-		}
-	}
-}
-
 func (d *Daemon) listen() (*listeners, error) {
-	l := new(listeners)
 	s := d.settings()
-	for _, x := range []struct {
-		at   *net.Listener
-		addr string
-	}{{&l.links, s.LinkAddr}, {&l.callers, s.CallerAddr}, {&l.control, s.ControlAddr}, {&l.ready, s.ReadyAddr}, {&l.metrics, s.MetricsAddr}} {
-		ln, err := net.Listen("tcp", x.addr)
-		if err != nil {
-			l.close()
-			return nil, fmt.Errorf("can't listen on %s: %w; check that no other process uses the port", x.addr, err)
-		}
-		*x.at = ln
+	ls, err := listen.All(s.LinkAddr, s.CallerAddr, s.ControlAddr, s.ReadyAddr, s.MetricsAddr)
+	if err != nil {
+		return nil, err
 	}
-	return l, nil
+	return &listeners{links: ls[0], callers: ls[1], control: ls[2], ready: ls[3], metrics: ls[4]}, nil
+}
+
+func (l *listeners) close() error {
+	return listen.Close([]net.Listener{l.links, l.callers, l.control, l.ready, l.metrics})
 }
 
 func (d *Daemon) serveHTTP(l net.Listener, h fasthttp.RequestHandler) error {
--- a/workqueue/pace.go
+++ b/workqueue/pace.go
@@ -99,16 +99,13 @@
 	return time.Duration(float64(item.Objective.Sub(item.Arrived)) * firstGuess)
 }
 
-// expect returns the same, longer if those that run now are older than usual.
-func (p *pace) expect(item *Item, now []running, at clock.Time) time.Duration {
-	usual := p.usual(item)
-	if ratio := p.slowdown(now, at); ratio > slowAge {
-		return time.Duration(float64(usual) * ratio)
-	}
-	return usual
+// expect returns the same at a target that has slowed down by a factor.
+func (p *pace) expect(item *Item, slowdown float64) time.Duration {
+	return time.Duration(float64(p.usual(item)) * slowdown)
 }
 
-// slowdown compares the ages of what runs with the usual times.
+// slowdown returns the ratio of the ages of what runs to the usual times, or 1
+// for a target that has not slowed down.
 func (p *pace) slowdown(now []running, at clock.Time) float64 {
 	var age, usual time.Duration
 	for i := range now {
@@ -116,9 +113,12 @@
 		usual += p.usual(&now[i].item)
 	}
 	if usual <= 0 {
-		return 0
+		return 1
+	}
+	if ratio := float64(age) / float64(usual); ratio > slowAge {
+		return ratio
 	}
-	return float64(age) / float64(usual)
+	return 1
 }
 
 func (p *pace) finished(item *Item, ending Ending, took time.Duration) {
--- a/workqueue/queue.go
+++ b/workqueue/queue.go
@@ -76,17 +76,7 @@
 
 // Expect returns how long an item is expected to take at the target.
 func (q *Queue) Expect(item *Item, now clock.Time) time.Duration {
-	return q.pace.expect(item, q.running, now)
-}
-
-// Empty refuses all waiting items.
-func (q *Queue) Empty() []Refusal {
-	q.refused = q.refused[:0]
-	for i := range q.waiting {
-		q.refused = append(q.refused, Refusal{ID: q.waiting[i].ID, RetryAfter: minRetryAfter})
-	}
-	q.waiting = q.waiting[:0]
-	return q.refused
+	return q.pace.expect(item, q.pace.slowdown(q.running, now))
 }
 
 // Offered returns the work that arrives as a share of what the slots can run.
@@ -98,7 +88,8 @@
 	if q.closed {
 		return Refuse, Refusal{ID: item.ID, RetryAfter: minRetryAfter}
 	}
-	took := q.pace.expect(&item, q.running, now)
+	slowdown := q.pace.slowdown(q.running, now)
+	took := q.pace.expect(&item, slowdown)
 	if q.mayStart(&item) && (len(q.waiting) == 0 || item.before(&q.waiting[0])) {
 		// A target that runs nothing gets the request all the same, so that one
 		// that has recovered is noticed.
@@ -108,7 +99,7 @@
 		q.start(item, now)
 		return Start, Refusal{}
 	}
-	wait := q.expectedWait(&item, now)
+	wait := q.expectedWait(&item, slowdown)
 	done := now.Add(wait + took)
 	late := now.Add(time.Duration(waitMargin*float64(wait) + tookMargin*float64(took))).Sub(item.Objective)
 	switch {
@@ -166,12 +157,14 @@
 // Close refuses all waiting items and all that arrive from now on.
 func (q *Queue) Close() []Refusal {
 	q.closed = true
-	return q.Empty()
+	q.refused = q.refused[:0]
+	for i := range q.waiting {
+		q.refused = append(q.refused, Refusal{ID: q.waiting[i].ID, RetryAfter: minRetryAfter})
+	}
+	q.waiting = q.waiting[:0]
+	return q.refused
 }
 
-// Open takes items again after Close.
-func (q *Queue) Open() { q.closed = false }
-
 func (q *Queue) advance(now clock.Time) ([]uint64, []Refusal) {
 	q.started, q.refused = q.started[:0], q.refused[:0]
 	q.dropHopeless(now)
@@ -254,12 +247,12 @@
 // expectedWait estimates the time until an item that arrives now would start:
 // the slots that run free one after the other go to those ahead of it, then to
 // it.
-func (q *Queue) expectedWait(item *Item, now clock.Time) time.Duration {
+func (q *Queue) expectedWait(item *Item, slowdown float64) time.Duration {
 	kept := q.atMost(item.Priority) >= q.room(item.Priority) // for more urgent items
 	ends := 0.0                                              // a second
 	for i := range q.running {
 		if r := &q.running[i].item; !kept || r.Priority <= item.Priority {
-			ends += 1 / max(q.pace.expect(r, q.running, now).Seconds(), shortest)
+			ends += 1 / max(q.pace.expect(r, slowdown).Seconds(), shortest)
 		}
 	}
 	ahead := 1
