A refused connection does not end a target that leaves

Trace: the holder leaves at 24.8009 and refuses new connections from 24.8034 on, while it works on its keys; its daemon takes that for its end at 25.0039 and its rows go to others at once. Its next heartbeat comes at 25.6937. Only a target that was ready as of its last heartbeat counts as ended by a refusal; the rows of a leaving one wait for its release or its hold. Test: fails before.

--- a/sidecar/control_beat.go
+++ b/sidecar/control_beat.go
@@ -218,10 +218,12 @@
 	return heartbeatAnswer{status: 200, body: platform.AppendAcknowledgement(nil)}
 }
 
-// targetRefused notes that nothing listens at the target's address.
+// targetRefused notes that nothing listens at the target's address. One that
+// leaves may take no new connections and still work on its keys, so its rows
+// wait until it lets go or its hold has run out.
 func (c *control) targetRefused(id string) {
 	now := clock.Now()
-	if id != c.self.TargetID || c.self.State == fleet.TargetEnded || now.Sub(c.beats.at) < refusedAfter {
+	if id != c.self.TargetID || c.self.State != fleet.TargetReady || now.Sub(c.beats.at) < refusedAfter {
 		return
 	}
 	m := c.self
