metastore, platform: offsets order by era, then by the store's own offset

A store that comes back from an older copy assigns offsets again. Fencing tokens are made of offsets, statuses and followers compare them, and a conditional append on an old offset succeeds again: all of these trusted a number that falls.

An Offset now has the era in its upper and the position in its lower 32 bits; the platform client takes the era from the header Store-Era, 0 without one. A read answered in another era than its offset's returns *metastore.EraError and no records, an answer of an earlier era than one seen before is never used, a conditional append that a later era accepted is not reported as accepted, and the pages of Newest are of one era. Relayed answers state the era behind the relayAnswer, where daemons of the version before ignore it.

--- a/metastore/errors.go
+++ b/metastore/errors.go
@@ -22,7 +22,7 @@
 }
 
 func (e *ConditionError) Error() string {
-	return fmt.Sprintf("metastore: append at a stale offset, the partition ends at %d; read up to there and decide whether to append again", e.End)
+	return fmt.Sprintf("metastore: append at a stale offset, the partition ends at %d; read up to there and decide whether to append again", e.End.Position())
 }
 
 // TruncatedError reports a read from a truncated range: the requested records are no
@@ -32,5 +32,19 @@
 }
 
 func (e *TruncatedError) Error() string {
-	return fmt.Sprintf("metastore: records before offset %d are no longer kept; load the newest record of each key", e.First)
+	return fmt.Sprintf("metastore: records before offset %d are no longer kept; load the newest record of each key", e.First.Position())
+}
+
+// EraError reports an answer of another era than the call assumes. Its records are
+// not returned.
+type EraError struct {
+	Expected Era // of the offset in the call, or the latest one that the client knows
+	Store    Era // of the answer
+}
+
+func (e *EraError) Error() string {
+	if e.Store < e.Expected {
+		return fmt.Sprintf("metastore: an answer of era %d, era %d has begun; repeat the call", e.Store, e.Expected)
+	}
+	return fmt.Sprintf("metastore: the store has come back from an older copy and is in era %d, the call assumes era %d; load the newest record of each key and write again what is missing", e.Store, e.Expected)
 }
--- a/metastore/store.go
+++ b/metastore/store.go
@@ -5,10 +5,6 @@
 	"time"
 )
 
-// Offset is the position of a record in its partition. Offsets start at 0 and
-// have no gaps.
-type Offset int64
-
 // Partition identifies one partition of a topic.
 type Partition struct {
 	Topic string
@@ -32,21 +28,25 @@
 }
 
 // Store is a client of the shared store. All methods are safe for concurrent
-// use. They return the errors of this package.
+// use. They return the errors of this package. An answer of an earlier era than one
+// that this client has received before is reported as an *EraError and not used.
 type Store interface {
 	// AppendAt appends the records if and only if the partition ends at offset
 	// at, and returns the new end. It returns a *ConditionError if the partition
 	// ends elsewhere, ErrNotApplied if nothing was appended, and ErrIndeterminate
-	// if the append may have taken effect or may still do so.
+	// if the append may have taken effect or may still do so. The store compares
+	// only positions. If it is in a later era than at, AppendAt returns an
+	// *EraError, and the partition may contain the records at a position of that era.
 	AppendAt(ctx context.Context, p Partition, at Offset, records []Record) (end Offset, err error)
 	// Append appends the records at the end of the partition. A retry after
 	// ErrIndeterminate may append them twice.
 	Append(ctx context.Context, p Partition, records []Record) error
 	// Read returns the records from offset from on. If there is none yet, it
 	// waits up to wait for one and then returns an empty batch. It returns a
-	// *TruncatedError if the records are no longer kept.
+	// *TruncatedError if the records are no longer kept, and an *EraError without
+	// any records if the store is not in the era of from.
 	Read(ctx context.Context, p Partition, from Offset, wait time.Duration) (Batch, error)
 	// Newest returns the newest record of each key and an offset from which
-	// Read continues without a gap.
+	// Read continues without a gap. All of them are of one era.
 	Newest(ctx context.Context, p Partition) (Batch, error)
 }
--- a/sidecar/storelink.go
+++ b/sidecar/storelink.go
@@ -78,6 +78,9 @@
 	if err == nil && !answer.Rejected() || err != nil && call.NoRetry {
 		return answer, err
 	}
+	if ctx.Err() != nil {
+		return answer, err
+	}
 	relayed, relayErr := l.callRelayed(ctx, call)
 	if relayErr == nil {
 		return relayed, nil
@@ -183,14 +186,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var answer relayAnswer
-	if _, err := answer.UnmarshalMsg(reply); err != nil {
-		return nil, fmt.Errorf("decode relayed answer: %w", err)
-	}
-	if answer.NotSent {
-		return nil, errStoreUnreachable
-	}
-	return &platform.StoreAnswer{Status: answer.Status, Body: answer.Body}, nil
+	return decodeRelayedAnswer(reply)
 }
 
 // serveRelay makes a direct call for another daemon. It is never relayed again.
@@ -206,5 +202,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return (&relayAnswer{Status: answer.Status, Body: answer.Body}).MarshalMsg(nil)
+	return encodeRelayedAnswer(answer)
 }
