sidecar: followers start anew in a later era of the store

When any answer states a later era, direct or relayed, every follower breaks off its long poll and loads the newest record of each key. The control state forgets the offsets of keys, ignores late records, updates and reads of earlier eras, leaves the directory and writes its own record again if the copy lacks it or has an older one; an instance without any record joins anew, since members that start meanwhile do not know it. A status that names a later era makes a daemon read at once.

A store that refuses the offset that it has just named is met with a backoff; the follower asked again without a pause before.

TestDirectoryUpdateWithMissingRecordsIsDropped took the applied offset minus one for an earlier one; at the start of an era there is none, so the test waits for a record first.

--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -23,6 +23,9 @@
 	UpdateNotForwarded    = define(7107, "directory update not forwarded", routine, "A directory update could not be forwarded to another daemon; that daemon reads the store itself.", "")
 	RelayFailed           = define(7106, "relayed store call failed", routine, "No other daemon could relay a store call for this one.", "")
 
+	EraChanged = define(7108, "store went back", warning, "An answer of the store states a later era: the store has come back from an older copy and has lost its newest records. All topics are read anew.", "Check why the store was replaced. Compare what was written just before; the daemons and the operator write their own records again.")
+	EraEntered = define(7109, "directory read in a later era", info, "The newest records of the directory were read in a later era of the store; this daemon writes its own record again if it is missing.", "")
+
 	RoutesInForce  = define(7201, "routes in force", info, "Requests are routed by this configuration version from now on.", "")
 	ConfigRejected = define(7202, "configuration rejected", failure, "The operator's configuration is invalid; the version in force stays.", "Write a valid configuration.")
 
--- a/metastore/store.go
+++ b/metastore/store.go
@@ -49,4 +49,7 @@
 	// Newest returns the newest record of each key and an offset from which
 	// Read continues without a gap. All of them are of one era.
 	Newest(ctx context.Context, p Partition) (Batch, error)
+	// Era returns the latest era that an answer of the store has stated, and a
+	// channel that is closed when an answer states a later one.
+	Era() (era Era, later <-chan struct{})
 }
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -156,6 +156,14 @@
 // from on or, if snapshot is set, the newest of each key. sent is when the read was
 // sent.
 func (c *control) applyDirectory(from metastore.Offset, b metastore.Batch, sent clock.Time, snapshot bool) {
+	entered := snapshot && b.End.Era() > c.era()
+	if !entered && b.End.Era() != c.era() {
+		return // read before a later era was entered
+	}
+	if entered {
+		c.enterEra(b.End.Era())
+		c.advance(b.End)
+	}
 	next := b.End
 	if !snapshot && len(b.Records) > 0 {
 		next = b.Records[len(b.Records)-1].Offset + 1
@@ -167,15 +175,21 @@
 		c.forwardUpdates(from, b.Records)
 	}
 	c.advance(next)
-	if snapshot && !c.directoryLoaded {
+	switch {
+	case !c.directoryLoaded:
 		c.directoryLoaded = true
 		c.registerSelf()
+	case entered:
+		c.writeSelfAgain(b.Records)
 	}
 	c.agent.Applied(uint64(c.applied), sent, next >= b.End)
 	c.plan(clock.Now())
 }
 
 func (c *control) applyRecord(r *metastore.Record) {
+	if r.Offset.Era() != c.era() {
+		return
+	}
 	if at, seen := c.keyOffsets[r.Key]; seen && r.Offset <= at {
 		return
 	}
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -256,7 +256,7 @@
 	if st.behindSince == clock.Never {
 		st.behindSince = now
 	}
-	if st.fetching || now.Sub(st.behindSince) < catchUpAfter {
+	if st.fetching || now.Sub(st.behindSince) < catchUpAfter && !c.peerInLaterEra() {
 		return
 	}
 	st.fetching, st.behindSince = true, clock.Never
@@ -286,6 +286,12 @@
 	return addr, false
 }
 
+// peerInLaterEra reports whether a daemon has read the directory in a later era of the
+// store. Reading it here too shows the era to the followers.
+func (c *control) peerInLaterEra() bool {
+	return slices.ContainsFunc(c.dir.Peers(), func(p *fleet.Peer) bool { return metastore.Offset(p.Offset).Era() > c.era() })
+}
+
 // fetchConfiguration fetches and applies the configuration of another daemon.
 func (d *Daemon) fetchConfiguration(addr string) {
 	ctx, cancel := d.fetchContext()
--- a/sidecar/directory_update.go
+++ b/sidecar/directory_update.go
@@ -75,10 +75,12 @@
 }
 
 // applyForwarded applies forwarded records. An update that starts after the applied
-// records is dropped, because the missing ones can only be read from the store.
+// records is dropped, because the missing ones can only be read from the store, and so
+// is one of another era.
 // Forwarded records do not confirm the lease.
 func (c *control) applyForwarded(update *directoryUpdate) {
-	if !c.directoryLoaded || metastore.Offset(update.From) > c.applied || len(update.Records) == 0 {
+	from := metastore.Offset(update.From)
+	if !c.directoryLoaded || from > c.applied || from.Era() != c.era() || len(update.Records) == 0 {
 		return
 	}
 	for i := range update.Records {
--- a/sidecar/directory_update_test.go
+++ b/sidecar/directory_update_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/fleet"
 	"github.com/parsleystack/parsleystack/metastore"
 	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/platform/platformtest"
@@ -80,6 +81,7 @@
 	t.Parallel()
 	d := deploy(t, plainService)
 	d.nodes[0].awaitUnkeyedServing(t)
+	eventually(t, "a record lies before the applied offset", func() bool { return d.nodes[0].applied().Position() > 0 })
 	c := d.nodes[0].daemon.control
 	done := make(chan [2]metastore.Offset)
 	c.do(func() {
@@ -111,3 +113,26 @@
 		t.Errorf("a forwarded update moved the time of the last read by %v", got[1].Sub(got[0]))
 	}
 }
+
+// An update of an earlier era must be dropped: its offsets are lower than the applied
+// one, but its records may be lost in this era. A record of a key that the newest
+// records lack would otherwise come back.
+func TestDirectoryUpdateOfEarlierEraIsDropped(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, plainService)
+	d.nodes[0].awaitUnkeyedServing(t)
+	lost := fleet.Member{Instance: "lost", Incarnation: 1, Revision: 1, Addr: "127.0.0.1:1", Service: plainService}
+	at, err := metastore.NewOffset(firstEra-1, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := d.nodes[0].daemon.control
+	known := make(chan bool)
+	c.do(func() {
+		c.applyForwarded(&directoryUpdate{From: int64(at), Records: []updateRecord{{Key: memberPrefix + lost.Instance, Value: lost.Encode(), Offset: int64(at)}}})
+		known <- c.dir.Peer("lost") != nil
+	})
+	if <-known {
+		t.Error("a record of an earlier era was applied")
+	}
+}
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -27,7 +27,13 @@
 	if clock.Now().Sub(d.started) < startupPeriod {
 		sleep(ctx, startupReadInterval)
 	}
+	_, laterEra := d.store.Era()
 	for end := clock.Now().Add(jittered(2 * d.idlePollTime(maxPoll))); !c.readsDirectory.Load() && clock.Now().Before(end) && ctx.Err() == nil; {
+		select {
+		case <-laterEra:
+			return metastore.Offset(c.appliedShared.Load())
+		default:
+		}
 		sleep(ctx, readerCheckInterval)
 	}
 	return metastore.Offset(c.appliedShared.Load())
--- a/sidecar/follower.go
+++ b/sidecar/follower.go
@@ -22,7 +22,7 @@
 )
 
 // follower reads one partition until the daemon stops: first the newest record of
-// each key, then new records.
+// each key, then new records. When the store enters a later era, it starts anew.
 type follower struct {
 	store     metastore.Store
 	partition metastore.Partition
@@ -38,22 +38,34 @@
 
 	next   metastore.Offset // of the next read
 	loaded bool
+	// loads counts how often the newest records were loaded since the last successful
+	// read after them.
+	loads int
 }
 
 // run reads until ctx ends.
 func (f *follower) run(ctx context.Context) error {
 	failures := 0
 	for ctx.Err() == nil {
-		if err := f.readOnce(ctx); err != nil {
+		err := f.readOnce(ctx)
+		if era, _ := f.store.Era(); f.loaded && f.next.Era() < era {
+			logevent.Log(f.log, logevent.EraChanged, zap.String("topic", f.partition.Topic), zap.Uint32("era", uint32(era)), zap.Int64("offset", f.next.Position()), zap.Error(err))
+			f.loaded, failures = false, 0
+			continue
+		}
+		if err != nil {
 			var truncated *metastore.TruncatedError
 			if errors.As(err, &truncated) {
-				logevent.Log(f.log, logevent.StoreHistoryTruncated, zap.String("topic", f.partition.Topic), zap.Int64("first", int64(truncated.First)))
+				logevent.Log(f.log, logevent.StoreHistoryTruncated, zap.String("topic", f.partition.Topic), zap.Int64("first", truncated.First.Position()))
 				f.loaded = false
+				if f.loads > 1 {
+					sleep(ctx, backoff(f.loads-1)) // the store refuses the offset that it has just named
+				}
 				continue
 			}
 			failures++
 			if failures == 1 {
-				logevent.Log(f.log, logevent.StoreCallFailed, zap.String("topic", f.partition.Topic), zap.Int64("offset", int64(f.next)), zap.Error(err))
+				logevent.Log(f.log, logevent.StoreCallFailed, zap.String("topic", f.partition.Topic), zap.Int64("offset", f.next.Position()), zap.Error(err))
 			}
 			sleep(ctx, backoff(failures))
 			continue
@@ -71,6 +83,7 @@
 			return err
 		}
 		f.next, f.loaded = b.End, true
+		f.loads++
 		f.apply(0, b, sent, true)
 		return nil
 	}
@@ -78,15 +91,13 @@
 		f.next = max(f.next, f.awaitRead(ctx))
 		sent = clock.Now()
 	}
+	ctx, cancel := f.untilLaterEra(ctx)
+	defer cancel()
 	b, err := f.store.Read(ctx, f.partition, f.next, f.pollTime())
 	if err != nil {
 		return err
 	}
-	if b.End < f.next {
-		f.loaded = false // the partition was replaced by a shorter one
-		sleep(ctx, jittered(maxBackoff))
-		return nil
-	}
+	f.loads = 0
 	from := f.next
 	if n := len(b.Records); n > 0 {
 		f.next = b.Records[n-1].Offset + 1
@@ -95,6 +106,26 @@
 	return nil
 }
 
+// untilLaterEra returns a context that ends when an answer to another call states a
+// later era than that of the next read. A read that waits in the earlier one would
+// otherwise show the change only when it is answered.
+func (f *follower) untilLaterEra(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	era, later := f.store.Era()
+	if era > f.next.Era() {
+		cancel()
+		return ctx, cancel
+	}
+	go func() {
+		select {
+		case <-later:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
 // backoff returns the jittered pause after a number of failed calls in a row. It
 // doubles from minBackoff up to maxBackoff.
 func backoff(failures int) time.Duration {
--- a/sidecar/harness_test.go
+++ b/sidecar/harness_test.go
@@ -30,6 +30,7 @@
 	t       *testing.T
 	store   *platformtest.Store
 	records *platformtest.Records
+	held    *platformtest.Holdings // of keyedService
 	nodes   []*testNode
 	version int
 }
@@ -62,8 +63,9 @@
 // deployWith is deploy with a function that changes each node before it starts.
 func deployWith(t *testing.T, tune func(*testNode), services ...string) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: platformtest.NewStore(), records: new(platformtest.Records)}
+	d := &deployment{t: t, store: platformtest.NewStore(), records: new(platformtest.Records), held: new(platformtest.Holdings)}
 	t.Cleanup(d.close)
+	d.store.SetEra(firstEra)
 	d.configure("")
 	for i, service := range services {
 		n := d.newNode(i, service)
@@ -110,6 +112,9 @@
 		ID: fmt.Sprintf("t-%d", i), Service: service, Addr: s.TargetAddr, Control: s.ControlAddr, Keyed: service == keyedService,
 		Slots: 8, ProcessingTime: 5 * time.Millisecond, HeartbeatInterval: s.HeartbeatInterval, Records: d.records,
 	}
+	if target.Keyed {
+		target.Holdings = d.held
+	}
 	return &testNode{settings: s, target: target}
 }
 
