Soak of the key owners: a store that comes back from an older copy (fails)

What callers would see: after a store came back from a copy some seconds old, two targets of a service held a key at once, and fencing tokens repeated, so that the new owner's requests were refused or the old owner's writes were accepted.

The simulated store now goes back: it is away for 0.1 to 2.6 s, drops the records of up to 9 s, counts its era up and gives the offsets out again; appends that are under way are made in the new era if their condition holds again. Drills come twice in a row or together with a restart of all daemons; the other faults go on meanwhile.

Cause: a token is the offset of its table, which is given out again, and a table that came back counts as in force although later ones were acted on.

--- a/ownertable/soak_test.go
+++ b/ownertable/soak_test.go
@@ -70,17 +70,16 @@
 
 // simulation is the fleet of one service in virtual time.
 type simulation struct {
-	rng            *rand.Rand
-	activeFault    faultMode
-	now            time.Duration
-	queue          []delivery
-	log            [][]byte
-	storeDownUntil time.Duration // time until which the store is unavailable
-	nodes          []*node
-	maxTokens      map[uint32]uint64 // largest token that any target has had, by sampled key
-	holders        map[uint32]Owner
-	lines          []string
-	firstHotKey    uint32 // first of the busy keys
+	rng         *rand.Rand
+	activeFault faultMode
+	now         time.Duration
+	queue       []delivery
+	store       simStore
+	nodes       []*node
+	maxTokens   map[uint32]uint64 // largest token that any target has had, by sampled key
+	holders     map[uint32]Owner
+	lines       []string
+	firstHotKey uint32 // first of the busy keys
 }
 
 // delivery is a scheduled event.
@@ -198,6 +197,9 @@
 		w.nodes[w.rng.IntN(len(w.nodes))].load = w.rng.Float64() * 1.8
 		w.firstHotKey = w.rng.Uint32N(MaxKey)
 	}
+	if w.rng.IntN(int(simDrillPeriod/simStep)) == 0 {
+		w.drill()
+	}
 	if w.rng.IntN(120) != 0 {
 		return
 	}
@@ -222,7 +224,7 @@
 		n.peersCutUntil = w.now + span
 	case 5:
 		w.logf("store down for %v", span)
-		w.storeDownUntil = w.now + span
+		w.store.downUntil = w.now + span
 	case 6:
 		w.logf("%s disconnected from the store and its peers for %v", n.name, span)
 		n.peersCutUntil, n.storeCutUntil = w.now+span, w.now+span
@@ -342,11 +344,11 @@
 	w, process, sent, from := n.sim, n.process, n.clock(), n.agent.readEnd
 	answered := false
 	w.schedule(w.delay(), func() {
-		if w.now < w.storeDownUntil || w.now < n.storeCutUntil {
+		if w.now < w.store.downUntil || w.now < n.storeCutUntil {
 			return
 		}
-		end := uint64(len(w.log))
-		records := w.log[min(from, end):end]
+		end := uint64(len(w.store.log))
+		records := w.store.records(from)
 		w.schedule(w.delay(), func() {
 			n.whenActive(process, func() {
 				answered = true
@@ -461,14 +463,14 @@
 		appendDelay = time.Duration(1000+w.rng.IntN(5000)) * time.Millisecond
 	}
 	w.schedule(w.delay(), func() {
-		if w.now < w.storeDownUntil || w.now < n.storeCutUntil {
+		if w.now < w.store.downUntil || w.now < n.storeCutUntil {
 			w.schedule(time.Second, func() { answer(Indeterminate) })
 			return
 		}
 		w.schedule(appendDelay, func() {
-			accepted := uint64(len(w.log)) == p.At || w.activeFault == ignoreAppendCondition && appendDelay > 0
+			accepted := uint64(len(w.store.log)) == p.At || w.activeFault == ignoreAppendCondition && appendDelay > 0
 			if accepted {
-				w.log = append(w.log, record)
+				w.store.log = append(w.store.log, storedRecord{data: record, appended: w.now})
 				w.logf("%s: table at %d of %d changes, first %s", n.name, p.At, len(p.Changes), p.Changes[0].Reason)
 			}
 			if appendDelay == 0 && w.rng.IntN(5) > 0 {
