ownertable: positions and tokens order by era; recovery of a store that went back

Cause: a token was an offset of the store, which is given out again, and the newest table that the store contains counted as in force although later ones were acted on.

Change: a position has the store's era in its upper 32 bits, a token is a position plus one. A table belongs to the era of its tokens and is in force only there. An agent that learns of a later era starts its lease anew, drops proposals and revocations, and reports what its target may hold under its own grants (HoldReport). It renews that once the store contains the report. The first table of an era keeps reported keys with their targets; it is proposed when the reports list all keys, or when every grant of older eras has expired. A record of established members is passed as its age (Agent.Joined), because it bounds the wait for members that this one is unknown to, and reliance on extensions.

--- a/ownertable/agent.go
+++ b/ownertable/agent.go
@@ -28,11 +28,14 @@
 	self    ident.Instance
 	started clock.Time
 
-	table    *Table
-	readEnd  uint64     // end of the part of the directory that was applied
-	joinedAt clock.Time // when this daemon's record was read from the store
-	lease    *Lease
-	grants   *GrantTracker
+	era       uint32        // era of the store; 0 if it states none
+	recovery  recovery      // state until the first table of the era was read
+	table     *Table        // newest table of the era
+	readEnd   uint64        // position of the end of the part of the directory that was applied
+	joinedAt  clock.Time    // when this daemon's record was read from the store
+	recordAge time.Duration // age that the record certainly had then
+	lease     *Lease
+	grants    *GrantTracker
 
 	membershipChangedAt clock.Time // when a daemon or target last changed
 	changeNeededSince   clock.Time // since when a change of the table is needed
@@ -57,7 +60,7 @@
 }
 
 // Proposal is a table to append on the condition that the directory still ends
-// at offset At.
+// at the position At.
 type Proposal struct {
 	At      uint64
 	Table   *Table
@@ -85,14 +88,16 @@
 	}
 }
 
-// Table returns the newest table that was read, or nil if none was read.
+// Table returns the table in force, or nil if none was read in the store's era.
 func (a *Agent) Table() *Table { return a.table }
 
 // Joined records that the store contains this daemon's record. A daemon that
-// has left the directory must join again before it grants or proposes.
-func (a *Agent) Joined(now clock.Time) {
+// has left the directory must join again before it grants or proposes. age is how
+// long the record has certainly been in the store, in its present and in older
+// eras: it is 0 for a record that was written again after the store lost it.
+func (a *Agent) Joined(now clock.Time, age time.Duration) {
 	if a.joinedAt == clock.Never {
-		a.joinedAt = now
+		a.joinedAt, a.recordAge = now, age
 	}
 }
 
@@ -103,13 +108,13 @@
 // last read.
 func (a *Agent) IsMember() bool { return a.joinedAt != clock.Never }
 
-// MemberFor returns the time since this process first read this daemon's record
-// from the store, or 0 if the daemon is not a member.
+// MemberFor returns how long the store has certainly contained this daemon's
+// record, or 0 if the daemon is not a member.
 func (a *Agent) MemberFor(now clock.Time) time.Duration {
 	if !a.IsMember() {
 		return 0
 	}
-	return now.Sub(a.joinedAt)
+	return now.Sub(a.joinedAt) + a.recordAge
 }
 
 // MembershipChanged records that a daemon or target of the service has changed.
@@ -121,9 +126,13 @@
 	a.grants = NewGrantTracker(clock.Time(math.MinInt64 / 2))
 }
 
-// Applied records that the directory was read up to end by a read that was sent
-// at sent. complete says that the read reached the end of the directory.
+// Applied records that the directory was read up to the position end by a read
+// that was sent at sent. complete says that the read reached the end of the
+// directory. A read of another era than the known one has no effect.
 func (a *Agent) Applied(end uint64, sent clock.Time, complete bool) {
+	if EraOf(end) != a.era {
+		return
+	}
 	a.readEnd = max(a.readEnd, end)
 	if complete && a.IsMember() {
 		a.lease.ConfirmRead(sent)
@@ -131,16 +140,22 @@
 }
 
 // LeaseExtended records that a member has extended this daemon's lease in
-// response to a message sent at sent.
-func (a *Agent) LeaseExtended(by ident.Instance, sent clock.Time) { a.lease.ConfirmExtension(by, sent) }
+// response to a message sent at sent. Extensions in response to messages from
+// before the store's era was known belong to an older era.
+func (a *Agent) LeaseExtended(by ident.Instance, sent clock.Time) {
+	if a.era == 0 || a.recovery.since.Before(sent) {
+		a.lease.ConfirmExtension(by, sent)
+	}
+}
 
 // MayExtendLease reports whether this daemon may extend the lease of the member
-// to, which has read the directory up to read. It may not if a proposal that
-// takes shards from the member may be accepted, or if the member has not read
-// the newest revocation of its shards.
+// to, which has read the directory up to the position read. It may not if a
+// proposal that takes shards from the member may be accepted, if the member has
+// not read the newest revocation of its shards, or if the two know different eras
+// of the store.
 func (a *Agent) MayExtendLease(to ident.Instance, read uint64) bool {
 	losesShards := a.proposal.undecided && slices.Contains(a.proposal.losingOwners, to)
-	return a.IsMember() && !losesShards && read >= a.revocationEnd[to]
+	return a.IsMember() && !losesShards && EraOf(read) == a.era && read >= a.revocationEnd[to]
 }
 
 // LeaseLeft returns the remaining time of the lease; others are all other
@@ -149,20 +164,34 @@
 	if !a.IsMember() || a.lease.LastRead() == clock.Never {
 		return 0
 	}
+	if !a.mayRelyOnExtensions(now) {
+		return a.lease.LastRead().Add(LeaseTime).Sub(now)
+	}
 	return a.lease.End(others).Sub(now)
 }
 
 // KeptByExtensions reports whether lease extensions alone keep the lease valid
 // for more than half of LeaseTime, so that the store can be read less often.
 func (a *Agent) KeptByExtensions(others []ident.Instance, now clock.Time) bool {
-	return a.lease.ExtendedUntil(others).Sub(now) > LeaseTime/2 && now.Sub(a.lease.LastRead()) < MaxUnconfirmed/2
+	return a.mayRelyOnExtensions(now) && a.lease.ExtendedUntil(others).Sub(now) > LeaseTime/2 && now.Sub(a.lease.LastRead()) < MaxUnconfirmed/2
 }
 
 // LastRead returns when the last complete read of the directory was sent.
 func (a *Agent) LastRead() clock.Time { return a.lease.LastRead() }
 
-// TableRead applies a table that was read from the directory at an offset.
-func (a *Agent) TableRead(t *Table, offset uint64, now clock.Time) {
+// TableRead applies a table that was read from the directory at a position. A
+// table that was made for an older era only tells who owned the keys.
+func (a *Agent) TableRead(t *Table, position uint64, now clock.Time) {
+	if EraOf(position) != a.era {
+		return
+	}
+	if t.Era() != a.era {
+		if a.recovery.older == nil || a.recovery.older.LastToken() < t.LastToken() {
+			a.recovery.older = t
+		}
+		a.readEnd = max(a.readEnd, position+1)
+		return
+	}
 	revokedSince := make(map[ShardID]clock.Time)
 	released := make(map[ShardID]string)
 	for i := range t.Shards {
@@ -176,24 +205,25 @@
 		since, ok := a.revokedSince[r.ID()]
 		if !ok {
 			since = now
-			a.revocationEnd[r.Owner.Instance] = offset + 1
+			a.revocationEnd[r.Owner.Instance] = position + 1
 		}
 		revokedSince[r.ID()] = since
 	}
 	a.table, a.revokedSince, a.released = t, revokedSince, released
-	a.readEnd = max(a.readEnd, offset+1)
+	a.readEnd = max(a.readEnd, position+1)
 	a.changeNeededSince = clock.Never
 }
 
-// Heartbeat handles a heartbeat of the target that arrived at received.
+// Heartbeat handles a heartbeat of the target that arrived at received. The TTL of
+// the reply is 0 while it is not known what the target is to hold.
 func (a *Agent) Heartbeat(owner Owner, report *Report, others []ident.Instance, longest time.Duration, received, now clock.Time) HeartbeatReply {
 	left := a.LeaseLeft(others, now)
 	if left > 0 {
 		left += now.Sub(received) // the target counts the TTL from when it sent the heartbeat
 	}
-	var shards []Shard
-	if a.table != nil {
-		shards = a.table.OwnedBy(owner)
+	shards := a.ownedShards(owner)
+	if a.table == nil && (len(shards) == 0 || !a.reported()) {
+		return HeartbeatReply{}
 	}
 	reply := a.grants.Heartbeat(shards, report, left, longest, received)
 	for id, handover := range reply.Released {
@@ -241,9 +271,6 @@
 	Candidates []Candidate // all targets of the service, including the local one
 	Rank       int         // of this daemon by name among those that respond
 	KeyLoad    KeyLoad
-	// Established says that all other members have had this member in the
-	// directory for MaxUnconfirmed.
-	Established bool
 }
 
 // Plan returns the table that this daemon should propose now, or nil.
@@ -255,21 +282,17 @@
 	if !a.IsMember() || a.proposal.inFlight || now.Before(a.nextProposalAt) {
 		return nil
 	}
-	t := a.table
-	if t == nil {
-		t = NewTable()
-	}
-	if !s.Self.Ready {
-		a.releaseExpired(t, s.Self.Owner, now)
+	if s.Self.Ended {
+		a.TargetEnded()
 	}
 	input := PlanInput{
 		Now: now, Candidates: s.Candidates, Released: a.released, RevokedAt: a.revokedSince, Self: s.Self.Owner,
-		TakeoverWait: TakeoverWait(s.Established), MembershipStable: now.Sub(a.membershipChangedAt) > membershipStableTime,
+		TakeoverWait: TakeoverWait(a.established(now)), MembershipStable: now.Sub(a.membershipChangedAt) > membershipStableTime,
 	}
 	if now.Sub(a.loadMovedAt) > loadMovePause {
 		input.KeyLoad = s.KeyLoad
 	}
-	next, changes := Plan(t, a.readEnd, &input)
+	next, changes := a.nextTable(s, &input)
 	if next == nil {
 		a.changeNeededSince = clock.Never
 		return nil
@@ -288,6 +311,22 @@
 	return &Proposal{At: a.readEnd, Table: next, Changes: changes}
 }
 
+// nextTable returns the table that should replace the one in force and the
+// differences, or nil if no change is needed or possible.
+func (a *Agent) nextTable(s *PlanRequest, input *PlanInput) (*Table, []Change) {
+	if a.Recovering() {
+		return a.firstTable(s, input)
+	}
+	t := a.table
+	if t == nil {
+		t = NewTable()
+	}
+	if !s.Self.Ready {
+		a.releaseExpired(t, s.Self.Owner, s.Now)
+	}
+	return Plan(t, a.readEnd, input)
+}
+
 // releaseExpired marks revoked shards as released if their grants have expired at a
 // target that is not ready.
 func (a *Agent) releaseExpired(t *Table, owner Owner, now clock.Time) {
@@ -315,7 +354,7 @@
 	}
 }
 
-// Proposed records the outcome of the append of the proposal at an offset. An
+// Proposed records the outcome of the append of the proposal at a position. An
 // indeterminate proposal stays undecided until the directory has grown, because
 // the store may still append it.
 func (a *Agent) Proposed(at uint64, v AppendOutcome, now clock.Time) {
--- a/ownertable/balance.go
+++ b/ownertable/balance.go
@@ -24,7 +24,8 @@
 	// splitShare is the share of a target's load above which a single shard is split.
 	splitShare = 0.1
 	// maxShardsPerOwner is the number of shards of one owner above which adjacent
-	// shards are merged. The reply to a heartbeat has space for about 180 shards.
+	// shards are merged. The reply to a heartbeat has space for about 130 shards with
+	// the long tokens of a store that has eras.
 	maxShardsPerOwner = 120
 )
 
--- a/ownertable/grant_tracker.go
+++ b/ownertable/grant_tracker.go
@@ -1,6 +1,7 @@
 package ownertable
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/parsleystack/parsleystack/clock"
@@ -20,6 +21,7 @@
 type trackedGrant struct {
 	Range                 // as granted, or as in the newest table
 	expires    clock.Time // time after which the grant has certainly expired at the target
+	ownExpiry  clock.Time // the same for the grants of this process; Never if it granted nothing
 	omittedSeq uint64     // sequence number of the first heartbeat whose reply omitted the shard
 	confirmed  bool       // a heartbeat has listed the shard with its token
 }
@@ -81,16 +83,19 @@
 	// maxGrantBytes is the space for grants in a reply, without the fields around
 	// them.
 	maxGrantBytes = MaxAnswerBytes - 296
-	// grantBytes and handoverBytes are the largest sizes of a grant and its
-	// handover in the text encoding.
-	grantBytes    = 22
+	// grantBytes and handoverBytes are the largest sizes of a grant, without the
+	// digits of its token, and of its handover in the text encoding.
+	grantBytes    = 18
 	handoverBytes = 16
 )
 
 // trimHandovers drops handovers that do not fit in the reply. The keys of those
 // shards are slow at first, which is better than a reply that the target rejects.
 func (reply *HeartbeatReply) trimHandovers() {
-	space := maxGrantBytes - grantBytes*len(reply.Grants)
+	space := maxGrantBytes
+	for i := range reply.Grants {
+		space -= grantBytes + len(strconv.FormatUint(reply.Grants[i].Token, 10))
+	}
 	for i := range reply.Grants {
 		if reply.Grants[i].Handover == "" {
 			continue
@@ -111,7 +116,8 @@
 		grant.Handover = ""
 	}
 	reply.Grants = append(reply.Grants, grant)
-	g.Range, g.expires = shard.Range, max(g.expires, now.Add(GrantExpiryBound(reply.TTL)))
+	g.ownExpiry = max(g.ownExpiry, now.Add(GrantExpiryBound(reply.TTL)))
+	g.Range, g.expires = shard.Range, max(g.expires, g.ownExpiry)
 	g.omittedSeq = 0
 }
 
@@ -164,6 +170,9 @@
 			if other.Overlaps(r.Range) {
 				g.expires = max(g.expires, other.expires)
 			}
+			if other.Covers(r.Range) {
+				g.ownExpiry = max(g.ownExpiry, other.ownExpiry)
+			}
 		}
 		t.grants[r.ID()] = g
 		g.Range = r.Range
--- a/ownertable/lease_test.go
+++ b/ownertable/lease_test.go
@@ -16,7 +16,7 @@
 func TestFailedMemberEndsLeaseExtensions(t *testing.T) {
 	a := NewAgent("a", at(0))
 	others := []ident.Instance{"b", "c"}
-	a.Joined(at(0))
+	a.Joined(at(0), time.Hour)
 	a.Applied(1, at(0), true)
 	a.LeaseExtended("b", at(time.Second))
 	a.LeaseExtended("c", at(time.Second))
@@ -59,7 +59,7 @@
 // and extends the lease again once the proposal is certainly rejected.
 func TestNoLeaseExtensionDuringUndecidedProposal(t *testing.T) {
 	a := NewAgent("a", at(0))
-	a.Joined(at(0))
+	a.Joined(at(0), time.Hour)
 	failed := Owner{Instance: "b", Target: Target{ID: "t", StartTime: 1}}
 	own := Candidate{Owner: Owner{Instance: "a", Target: Target{ID: "u", StartTime: 1}}, Slots: 1, Ready: true, Responded: true}
 	a.TableRead(&Table{Shards: []Shard{{Range: Range{To: MaxKey}, Token: 1, Owner: failed}}}, 0, at(0))
@@ -67,7 +67,7 @@
 	if !a.MayExtendLease("b", 1) {
 		t.Fatal("the lease of a member that loses no shards is not extended")
 	}
-	s := PlanRequest{Now: at(5 * time.Second), Self: own, Candidates: []Candidate{own, {Owner: failed, Slots: 1, Ready: true, Responded: true, Suspected: true}}, Established: true}
+	s := PlanRequest{Now: at(5 * time.Second), Self: own, Candidates: []Candidate{own, {Owner: failed, Slots: 1, Ready: true, Responded: true, Suspected: true}}}
 	p := a.Plan(&s)
 	if p == nil || p.At != 1 {
 		t.Fatalf("proposal %+v, want one at 1", p)
@@ -80,7 +80,7 @@
 		t.Error("the lease is extended while the proposal may still be appended")
 	}
 	a.Applied(2, at(7*time.Second), true)
-	a.Plan(&PlanRequest{Now: at(7 * time.Second), Self: own, Candidates: []Candidate{own, {Owner: failed, Slots: 1, Ready: true, Responded: true}}, Established: true})
+	a.Plan(&PlanRequest{Now: at(7 * time.Second), Self: own, Candidates: []Candidate{own, {Owner: failed, Slots: 1, Ready: true, Responded: true}}})
 	if !a.MayExtendLease("b", 2) {
 		t.Error("the lease is not extended although the proposal was rejected")
 	}
--- a/ownertable/plan.go
+++ b/ownertable/plan.go
@@ -95,6 +95,7 @@
 	ReasonUnassigned Reason = "was-free"
 	ReasonLoad       Reason = "load"
 	ReasonMerged     Reason = "too-many-rows"
+	ReasonRecovered  Reason = "store-went-back"
 )
 
 // planner builds the next table.
@@ -109,10 +110,7 @@
 	changes    []Change
 }
 
-// Plan returns the table that should replace t and its differences from t, or
-// nil if no change is needed. The table must be appended at the offset at,
-// because its fencing tokens are derived from it.
-func Plan(t *Table, at uint64, input *PlanInput) (*Table, []Change) {
+func newPlanner(at uint64, input *PlanInput) *planner {
 	p := &planner{input: input, token: at + 1, candidates: make(map[Owner]*Candidate), newest: make(map[ident.Instance]*Candidate), keyCounts: make(map[Owner]int)}
 	for i := range input.Candidates {
 		c := &input.Candidates[i]
@@ -126,6 +124,14 @@
 		}
 	}
 	slices.SortFunc(p.ready, func(a, b *Candidate) int { return cmp.Compare(a.Instance, b.Instance) })
+	return p
+}
+
+// Plan returns the table that should replace t and its differences from t, or
+// nil if no change is needed. The table must be appended at the position at,
+// because its fencing tokens are derived from it.
+func Plan(t *Table, at uint64, input *PlanInput) (*Table, []Change) {
+	p := newPlanner(at, input)
 	if len(p.ready) == 0 {
 		return nil, nil
 	}
@@ -156,15 +162,23 @@
 // assignInitially splits the keys into short shards and assigns them to the ready
 // targets in round-robin order.
 func (p *planner) assignInitially() {
-	n := min(shardsPerTarget*len(p.ready), MaxShards)
-	p.shards = make([]Shard, n)
+	p.shards = p.initialShards()
 	for i := range p.shards {
-		p.shards[i].From = uint32(i * (MaxKey + 1) / n)
-		p.shards[i].To = uint32((i+1)*(MaxKey+1)/n - 1)
 		p.assign(&p.shards[i], p.ready[i%len(p.ready)].Owner, "", ReasonFirst)
 	}
 }
 
+// initialShards returns short shards without owners that together contain all keys.
+func (p *planner) initialShards() []Shard {
+	n := min(shardsPerTarget*len(p.ready), MaxShards)
+	shards := make([]Shard, n)
+	for i := range shards {
+		shards[i].From = uint32(i * (MaxKey + 1) / n)
+		shards[i].To = uint32((i+1)*(MaxKey+1)/n - 1)
+	}
+	return shards
+}
+
 // countKeys counts the keys that each ready target owns or is due to receive.
 func (p *planner) countKeys() {
 	for i := range p.shards {
--- a/ownertable/record.go
+++ b/ownertable/record.go
@@ -1,6 +1,6 @@
 package ownertable
 
-//msgp:tuple shardRecord tableRecord
+//msgp:tuple shardRecord tableRecord heldRecord reportRecord
 
 // tableSchema is the version of tableRecord.
 const tableSchema = 1
@@ -25,3 +25,25 @@
 	StartTimes []int64       `msg:"b,limit=4096"`
 	Shards     []shardRecord `msg:"r,limit=65536"`
 }
+
+// reportSchema is the version of reportRecord.
+const reportSchema = 1
+
+// heldRecord is the stored form of a row of a HoldReport.
+type heldRecord struct {
+	From  uint32 `msg:"f"`
+	To    uint32 `msg:"t"`
+	Token uint64 `msg:"k"`
+}
+
+// reportRecord is the stored form of a HoldReport.
+type reportRecord struct {
+	Schema       uint         `msg:"v"`
+	Era          uint32       `msg:"e"`
+	Instance     string       `msg:"i"`
+	Target       string       `msg:"t"`
+	StartTime    int64        `msg:"b"`
+	Process      int64        `msg:"p"`
+	UnreportedMS uint32       `msg:"u"`
+	Rows         []heldRecord `msg:"r,limit=65536"`
+}
--- a/ownertable/record_gen.go
+++ b/ownertable/record_gen.go
@@ -6,6 +6,176 @@
 	"github.com/tinylib/msgp/msgp"
 )
 
+// MarshalMsg implements msgp.Marshaler
+func (z heldRecord) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 3
+	o = append(o, 0x93)
+	o = msgp.AppendUint32(o, z.From)
+	o = msgp.AppendUint32(o, z.To)
+	o = msgp.AppendUint64(o, z.Token)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *heldRecord) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 3 {
+		err = msgp.ArrayError{Wanted: 3, Got: zb0001}
+		return
+	}
+	z.From, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "From")
+		return
+	}
+	z.To, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "To")
+		return
+	}
+	z.Token, bts, err = msgp.ReadUint64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Token")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z heldRecord) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint64Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z *reportRecord) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 8
+	o = append(o, 0x98)
+	o = msgp.AppendUint(o, z.Schema)
+	o = msgp.AppendUint32(o, z.Era)
+	o = msgp.AppendString(o, z.Instance)
+	o = msgp.AppendString(o, z.Target)
+	o = msgp.AppendInt64(o, z.StartTime)
+	o = msgp.AppendInt64(o, z.Process)
+	o = msgp.AppendUint32(o, z.UnreportedMS)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Rows)))
+	for za0001 := range z.Rows {
+		// array header, size 3
+		o = append(o, 0x93)
+		o = msgp.AppendUint32(o, z.Rows[za0001].From)
+		o = msgp.AppendUint32(o, z.Rows[za0001].To)
+		o = msgp.AppendUint64(o, z.Rows[za0001].Token)
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *reportRecord) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 8 {
+		err = msgp.ArrayError{Wanted: 8, Got: zb0001}
+		return
+	}
+	z.Schema, bts, err = msgp.ReadUintBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Schema")
+		return
+	}
+	z.Era, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Era")
+		return
+	}
+	z.Instance, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Instance")
+		return
+	}
+	z.Target, bts, err = msgp.ReadStringBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Target")
+		return
+	}
+	z.StartTime, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "StartTime")
+		return
+	}
+	z.Process, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Process")
+		return
+	}
+	z.UnreportedMS, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "UnreportedMS")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Rows")
+		return
+	}
+	if zb0002 > 65536 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Rows) >= int(zb0002) {
+		z.Rows = (z.Rows)[:zb0002]
+	} else {
+		z.Rows = make([]heldRecord, zb0002)
+	}
+	for za0001 := range z.Rows {
+		var zb0003 uint32
+		zb0003, bts, err = msgp.ReadArrayHeaderBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Rows", za0001)
+			return
+		}
+		if zb0003 != 3 {
+			err = msgp.ArrayError{Wanted: 3, Got: zb0003}
+			return
+		}
+		z.Rows[za0001].From, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Rows", za0001, "From")
+			return
+		}
+		z.Rows[za0001].To, bts, err = msgp.ReadUint32Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Rows", za0001, "To")
+			return
+		}
+		z.Rows[za0001].Token, bts, err = msgp.ReadUint64Bytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Rows", za0001, "Token")
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *reportRecord) Msgsize() (s int) {
+	s = 1 + msgp.UintSize + msgp.Uint32Size + msgp.StringPrefixSize + len(z.Instance) + msgp.StringPrefixSize + len(z.Target) + msgp.Int64Size + msgp.Int64Size + msgp.Uint32Size + msgp.ArrayHeaderSize + (len(z.Rows) * (7 + msgp.Uint32Size + msgp.Uint32Size + msgp.Uint64Size))
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z *shardRecord) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/ownertable/soak_test.go
+++ b/ownertable/soak_test.go
@@ -31,7 +31,8 @@
 // TestBrokenRulesAreCaught enables one fault in the protocol at a time and
 // requires the assertions of the simulation to detect each.
 func TestBrokenRulesAreCaught(t *testing.T) {
-	for _, mode := range []faultMode{alwaysExtend, clockStopsWhenFrozen, ignoreHeld, confirmAtReadResponse, ignoreAppendCondition} {
+	for _, mode := range []faultMode{alwaysExtend, clockStopsWhenFrozen, ignoreHeld, confirmAtReadResponse, ignoreAppendCondition,
+		ignoreEra, olderTableInForce, leaseKept, reportsNotAwaited, extendAcrossEras, releasedReported, inheritedReported} {
 		t.Run(string(mode), func(t *testing.T) {
 			for seed := range uint64(400) {
 				if err := newSimulation(seed, mode).run(simDuration); err != nil {
@@ -54,6 +55,13 @@
 	ignoreHeld            faultMode = "a shard counts as released as soon as it is omitted"
 	confirmAtReadResponse faultMode = "a read confirms the lease from the time of its response"
 	ignoreAppendCondition faultMode = "the store ignores the condition of delayed appends"
+	ignoreEra             faultMode = "positions are offsets without the era"
+	olderTableInForce     faultMode = "a table of an older era is in force"
+	leaseKept             faultMode = "lease and shards are kept over a change of the era"
+	reportsNotAwaited     faultMode = "the first table of an era does not wait for reports"
+	extendAcrossEras      faultMode = "the lease of a member in an older era is extended"
+	releasedReported      faultMode = "released shards are reported as held"
+	inheritedReported     faultMode = "shards granted by an earlier process are reported as held"
 )
 
 const (
@@ -70,16 +78,19 @@
 
 // simulation is the fleet of one service in virtual time.
 type simulation struct {
-	rng         *rand.Rand
-	activeFault faultMode
-	now         time.Duration
-	queue       []delivery
-	store       simStore
-	nodes       []*node
-	maxTokens   map[uint32]uint64 // largest token that any target has had, by sampled key
-	holders     map[uint32]Owner
-	lines       []string
-	firstHotKey uint32 // first of the busy keys
+	rng                *rand.Rand
+	activeFault        faultMode
+	now                time.Duration
+	queue              []delivery
+	store              simStore
+	learnsEraFromPeers bool          // daemons also learn of a later era by statuses
+	reports            []*HoldReport // that were appended in their era
+	overlap            error         // of two reports
+	nodes              []*node
+	maxTokens          map[uint32]uint64 // largest token that any target has had, by sampled key
+	holders            map[uint32]Owner
+	lines              []string
+	firstHotKey        uint32 // first of the busy keys
 }
 
 // delivery is a scheduled event.
@@ -107,6 +118,7 @@
 	localTarget   Candidate // the target as seen by the daemon
 	heartbeatSeq  uint64
 	reading       bool
+	reporting     bool // the append of a report has not returned
 	nextStatus    time.Duration
 }
 
@@ -139,6 +151,8 @@
 func newSimulation(seed uint64, fault faultMode) *simulation {
 	w := &simulation{rng: rand.New(rand.NewPCG(seed, 7)), activeFault: fault, maxTokens: make(map[uint32]uint64), holders: make(map[uint32]Owner)}
 	w.now = time.Hour
+	w.store.era = uint32(w.rng.IntN(2))
+	w.learnsEraFromPeers = w.rng.IntN(2) == 0
 	for i := range machines {
 		n := &node{sim: w, name: ident.Instance(fmt.Sprintf("m%d", i))}
 		n.newTarget()
@@ -240,6 +254,9 @@
 // new holder has a larger token than all previous holders.
 func (w *simulation) check() error {
 	const sample = 4099
+	if w.overlap != nil {
+		return w.overlap
+	}
 	for key := uint32(0); key <= MaxKey; key += sample {
 		var holder Owner
 		for _, n := range w.nodes {
@@ -275,7 +292,7 @@
 }
 
 func (n *node) start() {
-	n.up, n.reading = true, false
+	n.up, n.reading, n.reporting = true, false, false
 	n.process++
 	n.agent = NewAgent(n.name, n.clock())
 	n.peers = make(map[ident.Instance]*peerState)
@@ -338,49 +355,6 @@
 	f()
 }
 
-// read requests new records from the store.
-func (n *node) read() {
-	n.reading = true
-	w, process, sent, from := n.sim, n.process, n.clock(), n.agent.readEnd
-	answered := false
-	w.schedule(w.delay(), func() {
-		if w.now < w.store.downUntil || w.now < n.storeCutUntil {
-			return
-		}
-		end := uint64(len(w.store.log))
-		records := w.store.records(from)
-		w.schedule(w.delay(), func() {
-			n.whenActive(process, func() {
-				answered = true
-				n.reading = false
-				n.apply(from, records, end, sent)
-			})
-		})
-	})
-	w.schedule(1200*time.Millisecond, func() {
-		if !answered {
-			n.whenActive(process, func() { n.reading = false })
-		}
-	})
-}
-
-func (n *node) apply(from uint64, records [][]byte, end uint64, sent clock.Time) {
-	for i, b := range records {
-		if at := from + uint64(i); at >= n.agent.readEnd {
-			t, err := Decode(b)
-			if err != nil {
-				panic(err)
-			}
-			n.agent.TableRead(t, at, n.clock())
-		}
-	}
-	n.agent.Joined(n.clock())
-	if n.sim.activeFault == confirmAtReadResponse {
-		sent = n.clock()
-	}
-	n.agent.Applied(end, sent, true)
-}
-
 func (n *node) sendStatuses() {
 	n.seq++
 	n.sentAt[n.seq] = n.clock()
@@ -390,7 +364,7 @@
 		}
 		peer := n.peers[m.name]
 		seq, echo, echoOf, process, read, target := n.seq, peer.seq, peer.process, n.process, n.agent.readEnd, n.localTarget
-		extend := n.agent.MayExtendLease(m.name, peer.read) || n.sim.activeFault == alwaysExtend
+		extend := n.extends(m.name, peer.read)
 		if n.sim.now < n.peersCutUntil || n.sim.now < m.peersCutUntil {
 			continue
 		}
@@ -410,6 +384,9 @@
 	if target.Target != peer.target.Target || target.Ready != peer.target.Ready {
 		n.agent.MembershipChanged(n.clock())
 	}
+	if n.sim.learnsEraFromPeers {
+		n.enterEra(EraOf(read))
+	}
 	peer.lastStatus, peer.seq, peer.process, peer.read, peer.target, peer.responded = n.clock(), seq, process, read, target, true
 	if sent, ok := n.sentAt[echo]; ok && extend && echoOf == n.process {
 		n.agent.LeaseExtended(from, sent)
@@ -437,7 +414,7 @@
 func (n *node) plan() {
 	self := n.localTarget
 	self.Load, self.LatencyRatio = n.load, soakLatencyRatio
-	s := PlanRequest{Now: n.clock(), Self: self, Candidates: []Candidate{self}, Established: true, KeyLoad: n.sim.keyLoad}
+	s := PlanRequest{Now: n.clock(), Self: self, Candidates: []Candidate{self}, KeyLoad: n.sim.keyLoad}
 	for _, m := range n.sim.nodes {
 		if m == n {
 			continue
@@ -451,6 +428,7 @@
 			s.Rank++
 		}
 	}
+	n.writeReport()
 	p := n.agent.Plan(&s)
 	if p == nil {
 		return
@@ -468,10 +446,10 @@
 			return
 		}
 		w.schedule(appendDelay, func() {
-			accepted := uint64(len(w.store.log)) == p.At || w.activeFault == ignoreAppendCondition && appendDelay > 0
+			accepted := uint64(len(w.store.log)) == OffsetOf(p.At) || w.activeFault == ignoreAppendCondition && appendDelay > 0
 			if accepted {
-				w.store.log = append(w.store.log, storedRecord{data: record, appended: w.now})
-				w.logf("%s: table at %d of %d changes, first %s", n.name, p.At, len(p.Changes), p.Changes[0].Reason)
+				w.store.append(record, false, w.now)
+				w.logf("%s: table at %x of %d changes, first %s", n.name, p.At, len(p.Changes), p.Changes[0].Reason)
 			}
 			if appendDelay == 0 && w.rng.IntN(5) > 0 {
 				w.schedule(w.delay(), func() {
--- a/ownertable/table.go
+++ b/ownertable/table.go
@@ -58,6 +58,28 @@
 	return &t.Shards[i]
 }
 
+// LastToken returns the largest fencing token of the table, or 0 for a table
+// without owners. Of two tables of a service the one with the larger last token is
+// newer, also if the store has gone back between them.
+func (t *Table) LastToken() uint64 {
+	last := uint64(0)
+	for i := range t.Shards {
+		last = max(last, t.Shards[i].Token)
+	}
+	return last
+}
+
+// Era returns the era of the store for which the table was made. All fencing
+// tokens of a table are of the same era. It is in force only in that era: a store
+// that has gone back may contain older tables, and append one late.
+func (t *Table) Era() uint32 {
+	last := t.LastToken()
+	if last == 0 {
+		return 0
+	}
+	return EraOf(last - 1)
+}
+
 // OwnedBy returns the shards of an owner, including revoked ones.
 func (t *Table) OwnedBy(o Owner) []Shard {
 	var shards []Shard
--- a/ownertable/timing.go
+++ b/ownertable/timing.go
@@ -13,6 +13,11 @@
 	// which extensions by the other members keep a lease valid. Outages of the
 	// store last about 9 s.
 	MaxUnconfirmed = 20 * time.Second
+	// MaxCopyAge is the greatest age of the copy that a store comes back from; the
+	// platform's pages say some seconds. In a store that has eras, a lease depends
+	// on extensions only if the daemon's record is older than that, because a
+	// member whose record was lost with the newest ones is unknown to the others.
+	MaxCopyAge = 15 * time.Second
 	// maxClockDrift is the largest relative error by which the clock of a target
 	// may run slow.
 	maxClockDrift = 0.02
--- a/sidecar/control_members.go
+++ b/sidecar/control_members.go
@@ -79,7 +79,7 @@
 		c.selfChanged()
 	case m.Incarnation == c.self.Incarnation:
 		if !c.agent.IsMember() {
-			c.agent.Joined(clock.Now())
+			c.agent.Joined(clock.Now(), c.recordAge())
 			logevent.Log(c.log, logevent.MemberRecorded, zap.Uint64("incarnation", m.Incarnation), zap.Uint64("revision", m.Revision))
 		}
 	case m.Newer(&c.self):
--- a/sidecar/control_plan.go
+++ b/sidecar/control_plan.go
@@ -71,7 +71,7 @@
 		return
 	}
 	list := c.candidates()
-	p := c.agent.Plan(&ownertable.PlanRequest{Now: now, Self: list[0], Candidates: list, Rank: c.rank(), Established: c.established(now), KeyLoad: c.d.backend.keyLoads.load})
+	p := c.agent.Plan(&ownertable.PlanRequest{Now: now, Self: list[0], Candidates: list, Rank: c.rank(), KeyLoad: c.d.backend.keyLoads.load})
 	if p == nil {
 		return
 	}
@@ -83,13 +83,9 @@
 	go c.d.propose(metastore.Offset(p.At), metastore.Record{Key: ownersPrefix + c.self.Service, Value: p.Table.Encode()})
 }
 
-// established reports whether all other members are sure to have had this member's
-// record for ownertable.MaxUnconfirmed.
-func (c *control) established(now clock.Time) bool {
-	if c.agent.MemberFor(now) > ownertable.MaxUnconfirmed {
-		return true
-	}
-	return time.Since(time.UnixMilli(c.self.JoinedMS)) > ownertable.MaxUnconfirmed+establishedSlack
+// recordAge returns how long the store has certainly contained the own record.
+func (c *control) recordAge() time.Duration {
+	return max(time.Since(time.UnixMilli(c.self.JoinedMS))-establishedSlack, 0)
 }
 
 // rank returns the position of this daemon, by instance name, among the daemons of
