Rejections with a 4xx name their cause in log and metrics

A malformed deadline, a malformed key, a missing key and a body that is too large all read bad-request, and a request that could not be read was neither logged nor counted.

Each cause has its own reason (package outcome, added at the end), event 7508 has the inputs of the decision (host, uri, service drawn, configuration in force, newest one known, parse error), and parsley_requests_rejected_total counts by status and reason. No decision changes.

--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -70,9 +70,30 @@
 	NotReady Reason = 15
 	// Duplicate means that an earlier request with the same idempotency key is in flight or has an unknown outcome.
 	Duplicate Reason = 16
+	// MalformedDeadline means that the deadline in the request's headers is not a number.
+	MalformedDeadline Reason = 17
+	// MalformedKey means that the key in the request's headers is not a valid key.
+	MalformedKey Reason = 18
+	// MissingKey means that the request has no key and no service that could serve it
+	// without one.
+	MissingKey Reason = 19
+	// BodyTooLarge means that the body exceeds the limit.
+	BodyTooLarge Reason = 20
+	// HeaderTooLarge means that the header exceeds the limit.
+	HeaderTooLarge Reason = 21
+	// MalformedRequest means that the bytes read from the caller are not a request.
+	MalformedRequest Reason = 22
+	// RequestTimeout means that the request was not complete within the time to read it.
+	RequestTimeout Reason = 23
+	// UnknownRoute means that the active configuration has no route for the request.
+	UnknownRoute Reason = 24
+
+	// LastReason is the largest reason of this version.
+	LastReason = UnknownRoute
 )
 
-var reasonNames = [...]string{"none", "wrong-owner", "moving", "no-owner", "overloaded", "deadline-exceeded", "draining", "stale-config", "lease-expired", "connection-lost", "canceled", "target-shed", "retry-budget", "unknown-service", "bad-request", "not-ready", "duplicate"}
+var reasonNames = [...]string{"none", "wrong-owner", "moving", "no-owner", "overloaded", "deadline-exceeded", "draining", "stale-config", "lease-expired", "connection-lost", "canceled", "target-shed", "retry-budget", "unknown-service", "bad-request", "not-ready", "duplicate",
+	"malformed-deadline", "malformed-key", "missing-key", "body-too-large", "header-too-large", "malformed-request", "request-timeout", "unknown-route"}
 
 // String returns the name that callers see in the Parsley-Reason header.
 func (r Reason) String() string {
--- a/outcomestat/counts.go
+++ b/outcomestat/counts.go
@@ -12,7 +12,7 @@
 
 // reasonCount is the number of known reasons. The arrays of Counts have one
 // more element, which counts the reasons of newer versions.
-const reasonCount = int(outcome.Duplicate) + 1
+const reasonCount = int(outcome.LastReason) + 1
 
 // Counts counts requests by outcome and reason. The zero value is ready to use.
 // All methods are safe for concurrent use.
--- a/outcomestat/counts_test.go
+++ b/outcomestat/counts_test.go
@@ -14,7 +14,7 @@
 // when a peer of a newer version sends a reason or kind that is unknown here.
 func TestReasonsOfNewerVersionsAreCounted(t *testing.T) {
 	var c Counts
-	c.Add(outcome.Result{Kind: outcome.NotRun, Reason: outcome.Duplicate + 1})
+	c.Add(outcome.Result{Kind: outcome.NotRun, Reason: outcome.LastReason + 1})
 	c.Add(outcome.Result{Kind: outcome.Unknown, Reason: 255})
 	c.Add(outcome.Result{Kind: 77, Reason: outcome.ConnectionLost})
 	if c.NotRun(200) != 1 || c.Unknown(200) != 1 || c.Unknown(outcome.ConnectionLost) != 1 {
--- a/resend/policy_test.go
+++ b/resend/policy_test.go
@@ -35,7 +35,7 @@
 // twice: after an unknown outcome, for any reason, it must not be sent to another
 // target.
 func TestUnsafeRequestsRunOnce(t *testing.T) {
-	for reason := outcome.WrongOwner; reason <= outcome.Duplicate; reason++ {
+	for reason := outcome.WrongOwner; reason <= outcome.LastReason; reason++ {
 		r := request(false, false)
 		a := r.Next(Attempt{Result: outcome.Result{Kind: outcome.Unknown, Reason: reason}, Reached: true}, start)
 		if a.Kind != Finish || a.Result.Kind != outcome.Unknown {
--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -69,10 +69,10 @@
 func (f *callerRequest) parse() bool {
 	h := &f.httpCtx.Request.Header
 	v := f.ingress.d.control.view.Load()
-	headers, ok := platform.ReadRequestHeaders(h)
+	headers, err := platform.ReadRequestHeaders(h)
 	f.headers = headers
-	if !ok {
-		return f.reject(fasthttp.StatusBadRequest, outcome.BadRequest)
+	if err != nil {
+		return f.rejectHeaders(v, err)
 	}
 	if f.ingress.refusing.Load() {
 		f.respond(outcome.Result{Kind: outcome.NotRun, Reason: outcome.Draining, RetryAfter: retryStopping})
@@ -82,34 +82,28 @@
 		return f.rejectNotReady()
 	}
 	f.configVersion = v.routes.Version()
+	var ok bool
 	f.route, ok = v.routes.Lookup(string(h.Host()), string(h.RequestURI()))
 	if !ok {
 		if v.configBehind {
 			return f.rejectNotReady()
 		}
-		return f.reject(fasthttp.StatusNotFound, outcome.UnknownService)
+		return f.reject(v, fasthttp.StatusNotFound, outcome.UnknownRoute)
 	}
 	limits := v.routes.Limits()
 	if limits.BodyBytes > 0 && len(f.httpCtx.Request.Body()) > limits.BodyBytes {
-		return f.reject(fasthttp.StatusRequestEntityTooLarge, outcome.BadRequest)
+		return f.reject(v, fasthttp.StatusRequestEntityTooLarge, outcome.BodyTooLarge)
 	}
 	if f.service, ok = v.routes.Service(f.route.PickService(random())); !ok {
 		return f.rejectNotReady()
 	}
 	if f.service.Keyed && !f.headers.HasKey {
-		return f.reject(fasthttp.StatusBadRequest, outcome.BadRequest)
+		return f.reject(v, fasthttp.StatusBadRequest, outcome.MissingKey)
 	}
 	f.buildRequest()
 	return true
 }
 
-func (f *callerRequest) reject(status int, reason outcome.Reason) bool {
-	f.httpCtx.SetStatusCode(status)
-	platform.SetRequestID(&f.httpCtx.Response.Header, f.headers.RequestID)
-	f.logResult(logevent.RequestRefused, outcome.Result{Kind: outcome.NotRun, Reason: reason}, status)
-	return false
-}
-
 func (f *callerRequest) rejectNotReady() bool {
 	f.respond(outcome.Result{Kind: outcome.NotRun, Reason: outcome.NotReady, RetryAfter: retryNotReady})
 	return false
--- a/sidecar/caller_request_answer.go
+++ b/sidecar/caller_request_answer.go
@@ -50,7 +50,8 @@
 	return fasthttp.StatusBadGateway
 }
 
-func (f *callerRequest) logResult(e *logevent.Event, r outcome.Result, status int) {
+// logResult logs and counts the request. details are added to its line.
+func (f *callerRequest) logResult(e *logevent.Event, r outcome.Result, status int, details ...zap.Field) {
 	d := f.ingress.d
 	took := clock.Now().Sub(f.arrived)
 	name := ""
@@ -74,5 +75,5 @@
 	if r.RetryAfter > 0 {
 		fields = append(fields, zap.Duration("retry_after", r.RetryAfter))
 	}
-	logevent.Log(d.log, e, fields...)
+	logevent.Log(d.log, e, append(fields, details...)...)
 }
--- a/sidecar/harness_test.go
+++ b/sidecar/harness_test.go
@@ -38,6 +38,7 @@
 type testNode struct {
 	settings *platform.Settings
 	target   *platformtest.Target
+	log      *zap.Logger
 	daemon   *Daemon
 	stop     context.CancelFunc
 	done     chan error
@@ -110,13 +111,13 @@
 		ID: fmt.Sprintf("t-%d", i), Service: service, Addr: s.TargetAddr, Control: s.ControlAddr, Keyed: service == keyedService,
 		Slots: 8, ProcessingTime: 5 * time.Millisecond, HeartbeatInterval: s.HeartbeatInterval, Records: d.records,
 	}
-	return &testNode{settings: s, target: target}
+	return &testNode{settings: s, target: target, log: zap.NewNop()}
 }
 
 func (n *testNode) start(t *testing.T) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	n.daemon, n.stop, n.done = New(n.settings, zap.NewNop(), func() uint64 { return 0 }), cancel, make(chan error, 1)
+	n.daemon, n.stop, n.done = New(n.settings, n.log, func() uint64 { return 0 }), cancel, make(chan error, 1)
 	daemon, done := n.daemon, n.done
 	go func() { done <- daemon.Run(ctx) }()
 }
@@ -137,6 +138,22 @@
 	return platformtest.Call(n.settings.CallerAddr, host, method, path, id, key)
 }
 
+// rawCall sends the bytes of a request through the daemon and returns the response.
+func (n *testNode) rawCall(t *testing.T, request string) (int, http.Header) {
+	t.Helper()
+	status, header, err := platformtest.RawCall(n.settings.CallerAddr, request)
+	if err != nil {
+		t.Fatalf("%.80q: %v", request, err)
+	}
+	return status, header
+}
+
+// head returns the head of a request with a new ID and more header lines, each ended by
+// \r\n.
+func head(method, path, lines string) string {
+	return platformtest.Head(host, method, path, newID(), lines)
+}
+
 // metrics returns the text of the daemon's metrics.
 func (n *testNode) metrics(t *testing.T) string {
 	t.Helper()
--- a/sidecar/ingress.go
+++ b/sidecar/ingress.go
@@ -91,23 +91,6 @@
 	in.track(f, false)
 }
 
-// handleReadError responds to a request that could not be read.
-func (in *ingress) handleReadError(ctx *fasthttp.RequestCtx, err error) {
-	ctx.SetConnectionClose()
-	status := fasthttp.StatusBadRequest
-	var small *fasthttp.ErrSmallBuffer
-	var timeout net.Error
-	switch {
-	case errors.As(err, &small):
-		status = fasthttp.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		status = fasthttp.StatusRequestEntityTooLarge
-	case errors.As(err, &timeout) && timeout.Timeout():
-		status = fasthttp.StatusRequestTimeout
-	}
-	ctx.Error(err.Error(), status)
-}
-
 func (in *ingress) track(f *callerRequest, started bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/parsleystack/parsleystack/outcome"
 )
 
 // metricSet is the set of metrics of the daemon.
@@ -30,6 +32,11 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("parsley_request_duration_seconds{route=%q,outcome=%q}", route, outcome)).Update(took.Seconds())
 }
 
+// countRejection counts a response with a 4xx status of the daemon's own.
+func (m *metricSet) countRejection(status int, reason outcome.Reason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`parsley_requests_rejected_total{status="%d",reason=%q}`, status, reason)).Inc()
+}
+
 func (m *metricSet) count(name string) { m.set.GetOrCreateCounter(name).Inc() }
 
 // Counters without labels.
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -14,8 +14,9 @@
 type view struct {
 	routes       *routetable.Table // nil until there is a configuration
 	services     map[ident.Service]*serviceView
-	daemons      int  // that are not suspected, including this one
-	configBehind bool // another daemon has a newer configuration
+	daemons      int    // that are not suspected, including this one
+	configBehind bool   // another daemon has a newer configuration
+	newestConfig uint64 // newest configuration version that any daemon reported
 	stopping     bool
 }
 
