Header names of callers and targets are compared without case

A caller that sends shard-key in lower case got 400, request-deadline-ms counted as not stated (10 s), and its own caller-service, expected-instance and request-deadline-ms were forwarded beside ours: HTTP header names have no case, but the daemon keeps them as sent and looked them up with case.

--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -127,7 +127,7 @@
 		Idempotent: f.route.Idempotent, Method: h.Method(), URI: h.RequestURI(), RequestID: []byte(f.headers.RequestID),
 		Class: []byte(f.route.Name), Caller: f.ingress.d.settings().Service, Body: f.httpCtx.Request.Body(),
 	}
-	named := h.Peek(fasthttp.HeaderConnection)
+	named := httpfield.Value(h, fasthttp.HeaderConnection)
 	for name, value := range h.All() {
 		if singleHop(name) || httpfield.ListedInConnection(named, name) || platform.IsDaemonHeader(string(name)) {
 			continue
