Nodes of tests have addresses of their test process

Two runs of the tests of package sidecar on one machine used the same loopback addresses and failed with 'listen tcp 127.77.0.1:7006: bind: address already in use'. The process id is part of the address now.

--- a/sidecar/harness_test.go
+++ b/sidecar/harness_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -48,10 +49,11 @@
 // that its ports do not clash with outgoing connections or other tests.
 var lastHost atomic.Uint32
 
-// newHost returns a loopback address that no other node uses.
+// newHost returns a loopback address that no other node uses. The process id keeps
+// test processes on one machine apart.
 func newHost() string {
-	n := lastHost.Add(1)
-	return fmt.Sprintf("127.77.%d.%d", n>>8, n&0xff)
+	n, pid := lastHost.Add(1), os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8%64, pid&0xff, 1+n%254)
 }
 
 // deploy starts a daemon and a target for each named service.
