A request with no time left is refused as not run

Request-Deadline-Ms below zero, as a call has whose parent's deadline has passed, got 400; 0 counted as not stated, so the request ran with the default of 10 s. Both are answered with 503 at once.

--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -78,6 +78,10 @@
 		f.respond(outcome.Result{Kind: outcome.NotRun, Reason: outcome.Draining, RetryAfter: retryStopping})
 		return false
 	}
+	if f.headers.HasTimeout && f.headers.Timeout == 0 {
+		f.respond(outcome.Result{Kind: outcome.NotRun, Reason: outcome.DeadlineExceeded})
+		return false
+	}
 	if v.routes == nil {
 		return f.rejectNotReady()
 	}
@@ -112,9 +116,9 @@
 // buildRequest builds the request that is sent to the target's daemon.
 func (f *callerRequest) buildRequest() {
 	h := &f.httpCtx.Request.Header
-	timeout := f.headers.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
+	timeout := defaultTimeout
+	if f.headers.HasTimeout {
+		timeout = f.headers.Timeout
 	}
 	f.deadline = f.arrived.Add(min(timeout, f.route.Timeout))
 	f.resends.Constraints = resend.Constraints{
