A request without key is drawn only among the services that serve it

A route may distribute its requests by weight over a service that is divided by key and others. The draw ignored whether the request has a key: without one, the share of the divided service got 400, which callers never retry, although the other services serve the request.

PickService draws by weight among the clusters that can serve the request and whose service the table knows; 400 is left for routes that lead only to divided services. Weights may be fractions.

--- a/routetable/configuration.go
+++ b/routetable/configuration.go
@@ -34,7 +34,7 @@
 // proportion to its weight.
 type Cluster struct {
 	Service ident.Service
-	Weight  int
+	Weight  float64
 }
 
 // Service is a group of targets.
--- a/routetable/table.go
+++ b/routetable/table.go
@@ -64,19 +64,3 @@
 	}
 	return nil, false
 }
-
-// PickService selects the service for one request by the weights of the clusters.
-// draw is a uniformly distributed number in [0, 1).
-func (r *Route) PickService(draw float64) ident.Service {
-	total := 0
-	for _, c := range r.Clusters {
-		total += c.Weight
-	}
-	at := int(draw * float64(total))
-	for _, c := range r.Clusters {
-		if at -= c.Weight; at < 0 {
-			return c.Service
-		}
-	}
-	return r.Clusters[len(r.Clusters)-1].Service
-}
--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -98,12 +98,13 @@
 	if limits.BodyBytes > 0 && len(f.httpCtx.Request.Body()) > limits.BodyBytes {
 		return f.reject(v, fasthttp.StatusRequestEntityTooLarge, outcome.BodyTooLarge)
 	}
-	if f.service, ok = v.routes.Service(f.route.PickService(random())); !ok {
+	f.service, err = v.routes.PickService(f.route, f.headers.HasKey, random())
+	switch {
+	case errors.Is(err, routetable.ErrKeyRequired):
+		return f.reject(v, fasthttp.StatusBadRequest, outcome.MissingKey, zap.Error(err))
+	case err != nil:
 		return f.rejectNotReady()
 	}
-	if f.service.Keyed && !f.headers.HasKey {
-		return f.reject(v, fasthttp.StatusBadRequest, outcome.MissingKey)
-	}
 	f.buildRequest()
 	return true
 }
--- a/sidecar/harness_test.go
+++ b/sidecar/harness_test.go
@@ -127,11 +127,18 @@
 // configure writes the next configuration. It has one route to each service, and one
 // more if extra is not empty.
 func (d *deployment) configure(extra string) {
-	d.version++
-	routes := []platformtest.Route{{Prefix: "/view/", Idempotent: true, Service: keyedService}, {Prefix: "/book/", Service: plainService}}
-	if extra != "" {
-		routes = append(routes, platformtest.Route{Prefix: extra, Service: plainService})
+	if extra == "" {
+		d.configureRoutes()
+		return
 	}
+	d.configureRoutes(platformtest.Route{Prefix: extra, Service: plainService})
+}
+
+// configureRoutes writes the next configuration. It has one route to each service, and
+// the extra ones.
+func (d *deployment) configureRoutes(extra ...platformtest.Route) {
+	d.version++
+	routes := append([]platformtest.Route{{Prefix: "/view/", Idempotent: true, Service: keyedService}, {Prefix: "/book/", Service: plainService}}, extra...)
 	d.store.Configure(d.version, host, routes, keyedService)
 }
 
