--- a/sidecar/harness_test.go
+++ b/sidecar/harness_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -38,6 +39,7 @@
 type testNode struct {
 	settings *platform.Settings
 	target   *platformtest.Target
+	log      *zap.Logger
 	daemon   *Daemon
 	stop     context.CancelFunc
 	done     chan error
@@ -47,10 +49,11 @@
 // that its ports do not clash with outgoing connections or other tests.
 var lastHost atomic.Uint32
 
-// newHost returns a loopback address that no other node uses.
+// newHost returns a loopback address that no other node uses. The process id keeps
+// test processes on one machine apart.
 func newHost() string {
-	n := lastHost.Add(1)
-	return fmt.Sprintf("127.77.%d.%d", n>>8, n&0xff)
+	n, pid := lastHost.Add(1), os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8%64, pid&0xff, 1+n%254)
 }
 
 // deploy starts a daemon and a target for each named service.
@@ -110,13 +113,13 @@
 		ID: fmt.Sprintf("t-%d", i), Service: service, Addr: s.TargetAddr, Control: s.ControlAddr, Keyed: service == keyedService,
 		Slots: 8, ProcessingTime: 5 * time.Millisecond, HeartbeatInterval: s.HeartbeatInterval, Records: d.records,
 	}
-	return &testNode{settings: s, target: target}
+	return &testNode{settings: s, target: target, log: zap.NewNop()}
 }
 
 func (n *testNode) start(t *testing.T) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	n.daemon, n.stop, n.done = New(n.settings, zap.NewNop(), func() uint64 { return 0 }), cancel, make(chan error, 1)
+	n.daemon, n.stop, n.done = New(n.settings, n.log, func() uint64 { return 0 }), cancel, make(chan error, 1)
 	daemon, done := n.daemon, n.done
 	go func() { done <- daemon.Run(ctx) }()
 }
@@ -124,11 +127,18 @@
 // configure writes the next configuration. It has one route to each service, and one
 // more if extra is not empty.
 func (d *deployment) configure(extra string) {
-	d.version++
-	routes := []platformtest.Route{{Prefix: "/view/", Idempotent: true, Service: keyedService}, {Prefix: "/book/", Service: plainService}}
-	if extra != "" {
-		routes = append(routes, platformtest.Route{Prefix: extra, Service: plainService})
+	if extra == "" {
+		d.configureRoutes()
+		return
 	}
+	d.configureRoutes(platformtest.Route{Prefix: extra, Service: plainService})
+}
+
+// configureRoutes writes the next configuration. It has one route to each service, and
+// the extra ones.
+func (d *deployment) configureRoutes(extra ...platformtest.Route) {
+	d.version++
+	routes := append([]platformtest.Route{{Prefix: "/view/", Idempotent: true, Service: keyedService}, {Prefix: "/book/", Service: plainService}}, extra...)
 	d.store.Configure(d.version, host, routes, keyedService)
 }
 
@@ -137,6 +147,22 @@
 	return platformtest.Call(n.settings.CallerAddr, host, method, path, id, key)
 }
 
+// rawCall sends the bytes of a request through the daemon and returns the response.
+func (n *testNode) rawCall(t *testing.T, request string) (int, http.Header) {
+	t.Helper()
+	status, header, err := platformtest.RawCall(n.settings.CallerAddr, request)
+	if err != nil {
+		t.Fatalf("%.80q: %v", request, err)
+	}
+	return status, header
+}
+
+// head returns the head of a request with a new ID and more header lines, each ended by
+// \r\n.
+func head(method, path, lines string) string {
+	return platformtest.Head(host, method, path, newID(), lines)
+}
+
 // metrics returns the text of the daemon's metrics.
 func (n *testNode) metrics(t *testing.T) string {
 	t.Helper()
