sidecar: keys stay with one owner when the store goes back

The agent enters the era together with the directory, before any of its records is applied. Each daemon appends a report of what its target may hold, until it has read it back; grants of reported keys are renewed by reads of this era. The first table of the era follows once the reports cover all keys or all unreported grants have expired; package ownertable decides that. The view keeps routing by the newest known table, not by the copy's.

Reports are keyed by service and process, tables by service and era (owners/SERVICE@ERA; without eras the key is as before). One key for all eras would let an append that was meant for an earlier era, and that a later one accepts at the same offset, hide the table in force from daemons that start later; these would make a first table again from reports that are out of date (TestLateAppendDoesNotHideTheTable).

Members are not removed from the directory before the first table of the era says what they own. A daemon whose target changes its service applies the reports of the new one that it has read before.

The tests judge by what targets saw: platformtest.Holdings follows each key's holder and token. They play the drill twice in a row, with one daemon and with all daemons restarted beside the copy, with a relayed daemon, and with a late append.

--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -45,6 +45,8 @@
 	TableProposalFailed = define(7402, "assignment table proposal failed", info, "The append of the proposed table was rejected or its outcome is indeterminate; a new table is planned from the records in the store.", "")
 	TableInForce        = define(7403, "assignment table in force", info, "A new assignment table was read and applied.", "")
 	ShardsReleased      = define(7404, "shards released", info, "The target has released shards.", "")
+	HoldingsReported    = define(7405, "holdings reported", info, "The store went back. This daemon appends what its target may hold, until it reads the report back; keys move only once it is certain who holds them.", "")
+	FirstTableOfEra     = define(7406, "first table of an era", info, "The first assignment table after the store went back is in force.", "")
 
 	RequestRefused  = define(7501, "request refused", info, "A request was answered with the outcome not run.", "")
 	RequestFailed   = define(7502, "request failed", info, "A request was answered with an unknown outcome.", "")
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -66,6 +66,10 @@
 	heartbeats heartbeatState
 	status     statusState
 
+	reports        map[string]storedReport // by key
+	reportInFlight bool                    // the append of a report has not returned
+	nextReport     clock.Time
+
 	stopping bool
 }
 
@@ -75,7 +79,8 @@
 		d: d, log: d.log, events: make(chan func(), eventQueueSize),
 		dir: fleet.NewDirectory(), suspected: make(map[ident.Instance]bool), loads: make(map[ident.Instance]*targetLoad),
 		keyOffsets: make(map[string]metastore.Offset), tables: make(map[ident.Service]*ownertable.Table),
-		agent: ownertable.NewAgent(s.Instance, d.started),
+		reports: make(map[string]storedReport),
+		agent:   ownertable.NewAgent(s.Instance, d.started),
 		self: fleet.Member{
 			Instance: string(s.Instance), Incarnation: uint64(time.Now().UnixNano()), Revision: 1,
 			Addr: s.LinkAddr, Zone: string(s.Zone), JoinedMS: time.Now().UnixMilli(), Service: string(s.Service),
@@ -148,6 +153,7 @@
 	c.catchUp(now)
 	c.confirmLease(now)
 	c.removeFailedPeers(now)
+	c.writeReport(now)
 	c.registerWithoutTarget(now)
 	c.plan(now)
 }
@@ -200,6 +206,8 @@
 		err = c.applyMember(r)
 	case strings.HasPrefix(r.Key, ownersPrefix):
 		err = c.applyTable(r)
+	case strings.HasPrefix(r.Key, reportPrefix):
+		err = c.applyReport(r)
 	}
 	if err != nil {
 		logevent.Log(c.log, logevent.RecordIgnored, zap.String("key", r.Key), zap.Int64("offset", int64(r.Offset)), zap.Error(err))
@@ -211,7 +219,14 @@
 	if err != nil {
 		return err
 	}
-	service := ident.Service(strings.TrimPrefix(r.Key, ownersPrefix))
+	service := tableService(r.Key)
+	if t.Era() != uint32(c.era()) {
+		c.applyOlderTable(service, t, r.Offset)
+		return nil
+	}
+	if known := c.tables[service]; known != nil && known.Era() < t.Era() {
+		logevent.Log(c.log, logevent.FirstTableOfEra, zap.String("service", string(service)), zap.Uint32("era", t.Era()))
+	}
 	c.tables[service] = t
 	c.viewStale = true
 	logevent.Log(c.log, logevent.TableInForce, zap.String("service", string(service)), zap.Int64("offset", int64(r.Offset)), zap.Int("rows", len(t.Shards)))
--- a/sidecar/control_era.go
+++ b/sidecar/control_era.go
@@ -7,8 +7,10 @@
 
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/fleet"
+	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/metastore"
+	"github.com/parsleystack/parsleystack/ownertable"
 )
 
 // era returns the era of the store in which the directory was read.
@@ -21,7 +23,9 @@
 func (c *control) enterEra(era metastore.Era) {
 	logevent.Log(c.log, logevent.EraEntered, zap.Uint32("era", uint32(era)), zap.Uint32("before", uint32(c.era())), zap.Int64("applied", c.applied.Position()))
 	clear(c.keyOffsets)
-	c.agent.Left()
+	clear(c.reports)
+	c.nextReport = clock.Never
+	c.enterAgentEra(era)
 	c.status.behindSince = clock.Never
 	c.status.urgent = true
 }
@@ -46,3 +50,23 @@
 	c.self.JoinedMS = time.Now().UnixMilli()
 	c.selfChanged()
 }
+
+// enterAgentEra makes the agent enter an era. It grants only what the target may hold
+// already until the first table of the era is in force.
+func (c *control) enterAgentEra(era metastore.Era) {
+	load := c.d.backend.load()
+	self := candidate(&c.self, &load, false, true)
+	c.agent.EnterEra(uint32(era), &self, clock.Now())
+}
+
+// applyOlderTable applies a table of an earlier era. It says who owned the keys. The
+// view keeps the newest known table until the first one of the era is in force.
+func (c *control) applyOlderTable(service ident.Service, t *ownertable.Table, offset metastore.Offset) {
+	if service == ident.Service(c.self.Service) {
+		c.agent.TableRead(t, uint64(offset), clock.Now())
+	}
+	if known := c.tables[service]; known == nil || known.LastToken() < t.LastToken() {
+		c.tables[service] = t
+		c.viewStale = true
+	}
+}
--- a/sidecar/control_heartbeat.go
+++ b/sidecar/control_heartbeat.go
@@ -151,30 +151,34 @@
 }
 
 func (c *control) setTarget(m fleet.Member, cause string) {
-	if m.Service != c.self.Service {
-		c.changeService(&m)
-	}
+	serviceChanged := m.Service != c.self.Service
 	c.self = m
+	if serviceChanged {
+		c.changeService()
+	}
 	c.selfChanged()
 	c.d.backend.setTarget(&c.self, c.heartbeats.leavingSince)
 	logevent.Log(c.log, logevent.TargetChanged, zap.String("cause", cause), zap.String("service", m.Service), zap.String("target", m.TargetID),
 		zap.Int64("born", m.TargetStartMS), zap.Stringer("state", m.State), zap.Int("slots", m.Slots))
 }
 
-// changeService makes this daemon a new member of the service of m.
-func (c *control) changeService(m *fleet.Member) {
-	m.JoinedMS = time.Now().UnixMilli()
-	c.agent = ownertable.NewAgent(ident.Instance(m.Instance), c.d.started)
-	if t := c.tables[ident.Service(m.Service)]; t != nil && c.applied > 0 {
+// changeService makes this daemon a new member of the service that its record names
+// since a moment ago.
+func (c *control) changeService() {
+	c.self.JoinedMS = time.Now().UnixMilli()
+	c.agent = ownertable.NewAgent(ident.Instance(c.self.Instance), c.d.started)
+	c.enterAgentEra(c.era())
+	if t := c.tables[ident.Service(c.self.Service)]; t != nil && c.applied.Position() > 0 {
 		c.agent.TableRead(t, uint64(c.applied-1), clock.Now())
 	}
+	c.applyReports()
 }
 
 // answerHeartbeat grants the target's shards of the newest table while the lease
 // lasts. The target counts the TTL of a grant from when it sent the heartbeat, so
 // the TTL may reach to the end of the lease, counted from received.
 func (c *control) answerHeartbeat(hb *platform.Heartbeat, received, now clock.Time) heartbeatResponse {
-	if !c.keyed() || c.agent.Table() == nil {
+	if !c.keyed() || c.agent.Table() == nil && !c.agent.Recovering() {
 		return heartbeatResponse{status: 200, body: platform.AppendAcknowledgement(nil)}
 	}
 	report := ownertable.Report{Seq: hb.Seq, Held: hb.Held, Released: hb.Released}
--- a/sidecar/control_plan.go
+++ b/sidecar/control_plan.go
@@ -80,7 +80,7 @@
 		reasons[p.Changes[i].Reason]++
 	}
 	logevent.Log(c.log, logevent.TableProposed, zap.String("service", c.self.Service), zap.Uint64("at", p.At), zap.Any("changes", reasons))
-	go c.d.propose(metastore.Offset(p.At), metastore.Record{Key: ownersPrefix + c.self.Service, Value: p.Table.Encode()})
+	go c.d.propose(metastore.Offset(p.At), metastore.Record{Key: tableKey(ident.Service(c.self.Service), metastore.Offset(p.At).Era()), Value: p.Table.Encode()})
 }
 
 // recordAge returns how long the store has certainly contained the own record.
@@ -122,7 +122,8 @@
 	logevent.Log(c.log, logevent.TableProposalFailed, zap.Int64("at", int64(at)), zap.Error(err))
 	verdict := ownertable.Indeterminate
 	var condition *metastore.ConditionError
-	if errors.As(err, &condition) || errors.Is(err, metastore.ErrNotApplied) {
+	var era *metastore.EraError // wherever the record stands, it is not in force
+	if errors.As(err, &condition) || errors.As(err, &era) || errors.Is(err, metastore.ErrNotApplied) {
 		verdict = ownertable.Rejected
 	}
 	c.agent.Proposed(uint64(at), verdict, now)
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -223,7 +223,7 @@
 // fleet.RemovalTimeout and own no shards. A removed daemon that still runs reads its
 // removal and joins again.
 func (c *control) removeFailedPeers(now clock.Time) {
-	if !c.agent.IsMember() || c.rank() > 0 || c.stopping || now.Before(c.status.nextRemove) {
+	if !c.agent.IsMember() || c.agent.Recovering() || c.rank() > 0 || c.stopping || now.Before(c.status.nextRemove) {
 		return
 	}
 	c.status.nextRemove = now.Add(removeInterval)
--- a/sidecar/drill_test.go
+++ b/sidecar/drill_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
@@ -8,14 +9,25 @@
 	"testing"
 	"time"
 
+	"github.com/parsleystack/parsleystack/metastore"
 	"github.com/parsleystack/parsleystack/platform/platformtest"
 )
 
 const (
 	firstEra = 3
+	copyAge  = 3 * time.Second
 	awayTime = 700 * time.Millisecond
 )
 
+// deployForDrill starts three keyed instances and a plain one on a store that states
+// eras, and waits until they serve.
+func deployForDrill(t *testing.T) *deployment {
+	t.Helper()
+	d := deploy(t, keyedService, keyedService, keyedService, plainService)
+	d.awaitServing()
+	return d
+}
+
 // awaitEra waits until all daemons have read the directory in the era.
 func (d *deployment) awaitEra(era int64) {
 	d.t.Helper()
@@ -24,6 +36,18 @@
 	}
 }
 
+// awaitRecovery waits until all daemons are in the era and serve, and checks what the
+// targets saw meanwhile.
+func (d *deployment) awaitRecovery(era int64) {
+	d.t.Helper()
+	d.awaitEra(era)
+	eventually(d.t, "all keys have tokens of the era", func() bool { return d.held.MaxToken()>>32 == era })
+	d.awaitServing()
+	for _, v := range d.held.Violations() {
+		d.t.Error(v)
+	}
+}
+
 // watchRoute calls a route of the newest configuration through nodes until the
 // returned function is called, which reports the first answer that only an older
 // configuration explains.
@@ -62,6 +86,119 @@
 	}
 }
 
+// A store that has lost the newest seconds must not give two targets one key, repeat a
+// token or take a configuration back, also if it does so twice in a row.
+func TestStoreThatGoesBackTwice(t *testing.T) {
+	t.Parallel()
+	d := deployForDrill(t)
+	d.configure("/new/")
+	d.awaitRoute("/new/a")
+	stop := d.watchRoute("/new/a", d.nodes...)
+	d.store.GoBack(platformtest.Drill{Age: copyAge, Away: awayTime})
+	time.Sleep(awayTime) // some time on the old configuration
+	d.store.WriteAgain()
+	d.awaitRecovery(firstEra + 1)
+	d.store.GoBack(platformtest.Drill{Age: copyAge, Away: awayTime})
+	d.store.WriteAgain()
+	d.awaitRecovery(firstEra + 2)
+	if s := stop(); s != "" {
+		t.Error(s)
+	}
+}
+
+// A daemon that is started beside the copy knows nothing but what the copy and the
+// other daemons say. It must take neither keys nor an older configuration from there.
+func TestDaemonRestartedDuringDrill(t *testing.T) {
+	t.Parallel()
+	d := deployForDrill(t)
+	d.configure("/new/")
+	d.awaitRoute("/new/a")
+	stop := d.watchRoute("/new/a", d.nodes[1:]...)
+	restarted := d.nodes[0]
+	restarted.stop()
+	<-restarted.done
+	d.store.GoBack(platformtest.Drill{Age: copyAge, Away: awayTime})
+	restarted.start(t)
+	d.awaitRecovery(firstEra + 1)
+	d.awaitRoute("/new/a") // before the operator has written it again
+	d.store.WriteAgain()
+	if s := stop(); s != "" {
+		t.Error(s)
+	}
+}
+
+// Daemons that are all started anew beside the copy have no memory of what it lacks.
+// Only the targets do, and the grants that they hold have to expire.
+func TestAllDaemonsRestartedDuringDrill(t *testing.T) {
+	t.Parallel()
+	d := deployForDrill(t)
+	lost := d.nodes[0]
+	lost.target.Stop() // its keys move in the seconds that the copy lacks
+	eventually(t, "the keys of the lost target have moved", func() bool {
+		return d.nodes[3].call(http.MethodGet, "/view/a", newID(), 0).Status == http.StatusOK && d.nodes[3].call(http.MethodGet, "/view/a", newID(), 65535).Status == http.StatusOK
+	})
+	if err := lost.target.Start(); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range d.nodes {
+		n.stop()
+	}
+	for _, n := range d.nodes {
+		<-n.done
+	}
+	d.store.GoBack(platformtest.Drill{Age: 2 * copyAge})
+	for _, n := range d.nodes {
+		n.start(t)
+	}
+	d.store.WriteAgain()
+	d.awaitRecovery(firstEra + 1)
+}
+
+// A daemon whose calls are relayed learns of the era from relayed answers, also while
+// the daemons that relay have learned of it before or after.
+func TestRelayedDaemonDuringDrill(t *testing.T) {
+	t.Parallel()
+	d := deployForDrill(t)
+	d.store.SetFault(platformtest.Unavailable, d.nodes[0].settings.Store.Addr)
+	eventually(t, "calls are relayed", d.nodes[0].daemon.storeLink.avoidDirect)
+	d.store.GoBack(platformtest.Drill{Age: copyAge, Away: awayTime})
+	d.store.WriteAgain()
+	d.awaitRecovery(firstEra + 1)
+	if d.nodes[0].daemon.storeLink.reachable() && !d.nodes[0].daemon.storeLink.avoidDirect() {
+		t.Error("the daemon reached the store directly")
+	}
+}
+
+// A conditional append that was meant for an earlier era can succeed after the first
+// table of the later one. A daemon that starts then must find the table in force.
+func TestLateAppendDoesNotHideTheTable(t *testing.T) {
+	t.Parallel()
+	d := deployForDrill(t)
+	stale := make(chan metastore.Record, 1)
+	c := d.nodes[0].daemon.control
+	c.do(func() {
+		stale <- metastore.Record{Key: tableKey(keyedService, c.era()), Value: c.tables[keyedService].Encode()}
+	})
+	record := <-stale
+	d.store.GoBack(platformtest.Drill{Age: copyAge})
+	d.awaitRecovery(firstEra + 1)
+	if err := d.nodes[1].daemon.store.Append(context.Background(), d.nodes[1].daemon.directory, []metastore.Record{record}); err != nil {
+		t.Fatal(err)
+	}
+	n := d.nodes[0]
+	n.stop()
+	<-n.done
+	n.start(t)
+	recovering := make(chan bool, 1)
+	eventually(t, "the daemon has the table in force", func() bool {
+		n.daemon.control.do(func() {
+			recovering <- !n.daemon.control.directoryLoaded || n.daemon.control.agent.Recovering()
+		})
+		return !<-recovering
+	})
+	d.awaitRecovery(firstEra + 1)
+}
+
 // A long poll can span the replacement of the store and return records that stand at
 // offsets which the daemon has read before. It must not take the older configuration
 // in them, and must find the newer one when it is written again.
