sidecar: a restarted daemon keeps what an earlier process granted

Timeline: a daemon was restarted while the store refused it; its target's next heartbeat arrived before it had read its earlier record; the others suspected it and revoked its shards; when it read the directory it declared all 48 of them released within 25 ms, though its target still held them.

Cause: with no target known, the heartbeat's target differs from the zero value, which counted as the replacement of an earlier incarnation, and that proves that its grants have ended. Nothing of it needs a store that goes back. Now only a target that is known can be replaced.

TestGrantsOfEarlierProcessOutliveUnreadDirectory failed before with "1 shards count as released that the target lists as held".

--- a/sidecar/control_heartbeat.go
+++ b/sidecar/control_heartbeat.go
@@ -134,7 +134,9 @@
 		state = fleet.TargetLeaving
 	}
 	if hb.Target != c.target() {
-		c.agent.TargetReplaced()
+		if !c.target().IsZero() { // else an earlier process may have granted shards to it
+			c.agent.TargetReplaced()
+		}
 		c.heartbeats.leavingSince = clock.Never
 	} else if c.heartbeats.leavingSince != clock.Never {
 		state = fleet.TargetLeaving
