--- a/sidecar/losses_test.go
+++ b/sidecar/losses_test.go
@@ -132,6 +132,11 @@
 			d.store.SetFault(platformtest.NoFault)
 			return func() {}
 		}},
+		{"store goes back", 1500 * time.Millisecond, func(_ *testing.T, d *deployment, _ *testNode) func() {
+			d.store.GoBack(platformtest.Drill{Age: copyAge, Away: awayTime})
+			d.store.WriteAgain()
+			return func() {}
+		}},
 	} {
 		t.Run(kind.name, func(t *testing.T) {
 			t.Parallel()
