--- a/cmd/parsley-sidecar/main.go
+++ b/cmd/parsley-sidecar/main.go
@@ -31,6 +31,7 @@
 type args struct {
 	Settings string `arg:"--settings,env:PARSLEYSTACK_SETTINGS" placeholder:"FILE" help:"settings file that the platform writes"`
 	Check    bool   `arg:"--check" help:"check the settings file and exit"`
+	Announce string `arg:"--announce" placeholder:"IP:PORT" help:"address at which other daemons reach this one, if not the first port of the settings"`
 	LogLevel string `arg:"--log-level" default:"info" help:"debug, info, warn or error; debug adds a line for each request"`
 }
 
@@ -53,6 +54,7 @@
 	if err != nil {
 		return err
 	}
+	s.AnnounceAddr = a.Announce
 	level, err := zapcore.ParseLevel(a.LogLevel)
 	if err != nil {
 		return fmt.Errorf("--log-level: %w; use debug, info, warn or error", err)
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"strings"
 	"sync/atomic"
@@ -78,7 +79,7 @@
 		agent: ownertable.NewAgent(s.Instance, d.started),
 		self: fleet.Member{
 			Instance: string(s.Instance), Incarnation: uint64(time.Now().UnixNano()), Revision: 1,
-			Addr: s.LinkAddr, Zone: string(s.Zone), JoinedMS: time.Now().UnixMilli(), Service: string(s.Service),
+			Addr: cmp.Or(s.AnnounceAddr, s.LinkAddr), Zone: string(s.Zone), JoinedMS: time.Now().UnixMilli(), Service: string(s.Service),
 		},
 	}
 	c.readsDirectory.Store(true)
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -127,7 +127,8 @@
 	old := d.settings()
 	s.Instance, s.IP, s.Zone = old.Instance, old.IP, old.Zone
 	s.CallerAddr, s.ReadyAddr, s.ControlAddr = old.CallerAddr, old.ReadyAddr, old.ControlAddr
-	s.LinkAddr, s.MetricsAddr, s.TargetAddr, s.Store.Addr = old.LinkAddr, old.MetricsAddr, old.TargetAddr, old.Store.Addr
+	s.LinkAddr, s.AnnounceAddr, s.MetricsAddr = old.LinkAddr, old.AnnounceAddr, old.MetricsAddr
+	s.TargetAddr, s.Store.Addr = old.TargetAddr, old.Store.Addr
 	if *s == *old {
 		return
 	}
