Logs and metrics tell how current the configuration is

Event 7201 (routes in force) now names the source (poll or check of the store, or the daemon it was fetched from) and the time since the version was first heard of. A refusal as unknown route or as not ready has the newest known version and the age of that knowledge; both are metrics, too. Package freshness tracks the age; it will decide when to check.

--- a/sidecar/caller_request_answer.go
+++ b/sidecar/caller_request_answer.go
@@ -71,6 +71,9 @@
 	if f.service.Keyed {
 		fields = append(fields, zap.Uint32("key", f.headers.Key), zap.String("owner", string(f.owner)))
 	}
+	if r.Reason == outcome.UnknownService || r.Reason == outcome.NotReady {
+		fields = append(fields, d.control.configurationFields()...)
+	}
 	if r.RetryAfter > 0 {
 		fields = append(fields, zap.Duration("retry_after", r.RetryAfter))
 	}
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -11,6 +11,7 @@
 
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/fleet"
+	"github.com/parsleystack/parsleystack/freshness"
 	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/metastore"
@@ -60,7 +61,8 @@
 
 	routes       *routetable.Table
 	rawConfig    []byte // the encoded configuration, as the operator wrote it
-	newestConfig uint64 // newest configuration version that any daemon reported
+	newestConfig uint64 // newest configuration version that is known to exist
+	config       configurationState
 
 	tables     map[ident.Service]*ownertable.Table
 	agent      *ownertable.Agent
@@ -76,7 +78,8 @@
 		d: d, log: d.log, events: make(chan func(), eventQueueSize),
 		dir: fleet.NewDirectory(), suspected: make(map[ident.Instance]bool), loads: make(map[ident.Instance]*targetLoad),
 		keyOffsets: make(map[string]metastore.Offset), tables: make(map[ident.Service]*ownertable.Table),
-		agent: ownertable.NewAgent(s.Instance, d.started),
+		agent:  ownertable.NewAgent(s.Instance, d.started),
+		config: configurationState{tracker: freshness.NewTracker(freshness.NewPolicy(s.ConfigApplyTime))},
 		self: fleet.Member{
 			Instance: string(s.Instance), Incarnation: uint64(time.Now().UnixNano()), Revision: 1,
 			Addr: cmp.Or(s.AnnounceAddr, s.LinkAddr), Zone: string(s.Zone), JoinedMS: time.Now().UnixMilli(), Service: string(s.Service),
@@ -208,8 +211,9 @@
 	return nil
 }
 
-// applyConfiguration applies the operator's configuration.
-func (c *control) applyConfiguration(value []byte) {
+// applyConfiguration applies the operator's configuration, which was obtained from
+// source.
+func (c *control) applyConfiguration(value []byte, source string) {
 	cfg, err := platform.DecodeConfiguration(value)
 	if err != nil {
 		logevent.Log(c.log, logevent.ConfigRejected, zap.Error(err))
@@ -219,9 +223,10 @@
 		return
 	}
 	c.routes, c.rawConfig = routetable.New(cfg), value
-	c.newestConfig = max(c.newestConfig, uint64(cfg.Version))
+	now := clock.Now()
+	c.heardOfConfiguration(uint64(cfg.Version), now)
 	c.viewStale, c.status.urgent = true, true
-	logevent.Log(c.log, logevent.RoutesInForce, zap.Uint64("version", uint64(cfg.Version)), zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)))
+	logevent.Log(c.log, logevent.RoutesInForce, zap.Uint64("version", uint64(cfg.Version)), zap.String("from", source), zap.Duration("after", now.Sub(c.config.newestAt)), zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)))
 }
 
 // announceStop marks the daemon as stopping, for readiness checks and in its next
--- /dev/null
+++ b/sidecar/control_configuration.go
@@ -0,0 +1,72 @@
+package sidecar
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/freshness"
+	"github.com/parsleystack/parsleystack/metastore"
+	"github.com/parsleystack/parsleystack/platform"
+)
+
+// Sources of a configuration, for the log. Other sources are addresses of daemons.
+const (
+	fromStorePoll  = "store"
+	fromStoreCheck = "check of the store"
+)
+
+// configurationState is what the control goroutine knows about the currency of the
+// configuration. Other goroutines use only the atomic fields.
+type configurationState struct {
+	tracker  *freshness.Tracker
+	newestAt clock.Time       // when the newest known version was first heard of
+	next     metastore.Offset // after the newest record that was read
+
+	asOf   atomic.Int64  // clock.Time as of which the newest known version was current
+	newest atomic.Uint64 // copy of control.newestConfig
+}
+
+// heardOfConfiguration records that a version exists.
+func (c *control) heardOfConfiguration(version uint64, now clock.Time) {
+	if version > c.newestConfig {
+		c.newestConfig, c.config.newestAt = version, now
+		c.config.newest.Store(version)
+	}
+}
+
+// configurationRead applies the records that were read from the operator's partition
+// by a call sent at a time.
+func (c *control) configurationRead(b metastore.Batch, sent clock.Time, source string) {
+	_, key := platform.ConfigurationPartition()
+	for i := range b.Records {
+		r := &b.Records[i]
+		if r.Key == key {
+			c.applyConfiguration(r.Value, source)
+		}
+		c.config.next = max(c.config.next, r.Offset+1)
+	}
+	c.confirmConfiguration(sent)
+}
+
+// confirmConfiguration records that no version newer than the newest known one
+// existed at a time.
+func (c *control) confirmConfiguration(asOf clock.Time) {
+	c.config.tracker.Confirm(asOf, rand.Float64())
+	c.config.asOf.Store(int64(c.config.tracker.AsOf()))
+}
+
+// configurationAge returns the time since the newest known version was known to be
+// the operator's newest.
+func (c *control) configurationAge(now clock.Time) time.Duration {
+	return now.Sub(clock.Time(c.config.asOf.Load()))
+}
+
+// configurationFields are the log fields that tell an outdated configuration from an
+// unknown route.
+func (c *control) configurationFields() []zap.Field {
+	return []zap.Field{zap.Uint64("newest_config", c.config.newest.Load()), zap.Duration("config_age", c.configurationAge(clock.Now()))}
+}
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -170,7 +170,7 @@
 		p.Echo = s.Echo
 	}
 	c.peerLoad(name, p.Member.Slots).report(&s.Load)
-	c.newestConfig = max(c.newestConfig, s.Config)
+	c.heardOfConfiguration(s.Config, now)
 	if s.LeaseExtension && s.EchoIncarnation == c.self.Incarnation && c.status.seq-s.Echo < sentAtSize && s.Echo > 0 {
 		c.agent.LeaseExtended(name, c.status.sentAt[s.Echo%sentAtSize])
 	}
@@ -295,7 +295,7 @@
 		logevent.Log(d.log, logevent.UpdateNotFetched, zap.String("from", addr), zap.Error(err))
 		return
 	}
-	d.control.do(func() { d.control.applyConfiguration(value) })
+	d.control.do(func() { d.control.applyConfiguration(value, addr) })
 }
 
 // readDirectory reads and applies the directory records after the applied ones.
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -34,15 +34,11 @@
 }
 
 func (d *Daemon) configurationFollower() *follower {
-	partition, key := platform.ConfigurationPartition()
+	partition, _ := platform.ConfigurationPartition()
 	return &follower{
 		store: d.store, partition: partition, log: d.log, pollTime: func() time.Duration { return d.idlePollTime(maxConfigurationPoll) },
-		apply: func(_ metastore.Offset, b metastore.Batch, _ clock.Time, _ bool) {
-			for i := range b.Records {
-				if r := &b.Records[i]; r.Key == key {
-					d.control.do(func() { d.control.applyConfiguration(r.Value) })
-				}
-			}
+		apply: func(_ metastore.Offset, b metastore.Batch, sent clock.Time, _ bool) {
+			d.control.do(func() { d.control.configurationRead(b, sent, fromStorePoll) })
 		},
 	}
 }
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/parsleystack/parsleystack/clock"
 )
 
 // metricSet is the set of metrics of the daemon.
@@ -50,6 +52,8 @@
 		}
 		return 0
 	})
+	gauge("parsley_configuration_newest_known", func() float64 { return float64(d.control.config.newest.Load()) })
+	gauge("parsley_configuration_age_seconds", func() float64 { return d.control.configurationAge(clock.Now()).Seconds() })
 	gauge("parsley_daemons", func() float64 { return float64(d.control.view.Load().daemons) })
 	gauge("parsley_callers_in_flight", func() float64 { return float64(d.ingress.inFlight()) })
 	gauge("parsley_target_running", func() float64 { return float64(d.backend.load().Running) })
