The currency of the configuration is explicit state, checked within configApplyMs

Callers saw 404 for added routes, and removed routes served, after configApplyMs. Cause: that a version is known in time was an implicit property of one long poll. All daemons begin their polls at the same moment (at their start, and after each version, which answers all polls at once), so when open connections go silent all are blind together until the same poll time has passed, and no status names the newer version either. The class: a bound that rests on the absence of news from one connection.

Each daemon now knows as of when its newest known version was the store's newest (package freshness). Statuses carry this age, so it spreads to all. While the age exceeds the bound, a request without a route gets 503 in place of 404.

A status with a newer version did not renew the routing view, so a 404 could be given although the newer version was known (TestUnknownRouteIsNotRefused..., failed before: "requests are not told of the newer configuration").

TestConfigurationIsAppliedWhileOpenConnectionsAreSilent: the cases with silent connections to the store (all, one direction, some, one without new connections), which answered 404 at all nodes before, pass.

--- a/fleet/status.go
+++ b/fleet/status.go
@@ -28,6 +28,9 @@
 	Suspects []string `msg:"u,limit=4096"`
 	// IntervalMS is the time until the next status to the receiver, in milliseconds.
 	IntervalMS uint32 `msg:"v"`
+	// ConfigAgeMS is the time since Config was known to be the operator's newest
+	// version, in milliseconds; the maximum value if that is not known.
+	ConfigAgeMS uint32 `msg:"a"`
 }
 
 // Encode returns the encoded status.
--- a/fleet/status_gen.go
+++ b/fleet/status_gen.go
@@ -75,8 +75,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Status) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 11
-	o = append(o, 0x9b)
+	// array header, size 12
+	o = append(o, 0x9c)
 	o = msgp.AppendUint64(o, z.Seq)
 	o = msgp.AppendUint64(o, z.Echo)
 	o = msgp.AppendUint64(o, z.EchoIncarnation)
@@ -99,6 +99,7 @@
 		o = msgp.AppendString(o, z.Suspects[za0001])
 	}
 	o = msgp.AppendUint32(o, z.IntervalMS)
+	o = msgp.AppendUint32(o, z.ConfigAgeMS)
 	return
 }
 
@@ -110,8 +111,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 11 {
-		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
+	if zb0001 != 12 {
+		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
 		return
 	}
 	z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
@@ -186,6 +187,11 @@
 		err = msgp.WrapError(err, "IntervalMS")
 		return
 	}
+	z.ConfigAgeMS, bts, err = msgp.ReadUint32Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigAgeMS")
+		return
+	}
 	o = bts
 	return
 }
@@ -196,6 +202,6 @@
 	for za0001 := range z.Suspects {
 		s += msgp.StringPrefixSize + len(z.Suspects[za0001])
 	}
-	s += msgp.Uint32Size
+	s += msgp.Uint32Size + msgp.Uint32Size
 	return
 }
--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -84,7 +84,7 @@
 	f.configVersion = v.routes.Version()
 	f.route, ok = v.routes.Lookup(string(h.Host()), string(h.RequestURI()))
 	if !ok {
-		if v.configBehind {
+		if v.configBehind || f.ingress.d.control.configurationStale() {
 			return f.rejectNotReady()
 		}
 		return f.reject(fasthttp.StatusNotFound, outcome.UnknownService)
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -150,6 +150,8 @@
 	c.checkDeferred(now)
 	c.sendStatuses(now)
 	c.catchUp(now)
+	c.fetchConfiguration(now)
+	c.checkConfiguration(now)
 	c.confirmLease(now)
 	c.removeFailedPeers(now)
 	c.registerWithoutTarget(now)
--- a/sidecar/control_configuration.go
+++ b/sidecar/control_configuration.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -24,8 +25,13 @@
 type configurationState struct {
 	tracker  *freshness.Tracker
 	newestAt clock.Time       // when the newest known version was first heard of
+	loaded   bool             // the store's newest configuration was read once
 	next     metastore.Offset // after the newest record that was read
 
+	behindSince clock.Time // since when another daemon has a newer version; Never if none has
+	fetching    int        // fetches from other daemons in progress
+	fetches     int        // started in this process
+
 	asOf   atomic.Int64  // clock.Time as of which the newest known version was current
 	newest atomic.Uint64 // copy of control.newestConfig
 }
@@ -35,12 +41,16 @@
 	if version > c.newestConfig {
 		c.newestConfig, c.config.newestAt = version, now
 		c.config.newest.Store(version)
+		c.viewStale = true // requests without a route are no longer refused for good
 	}
 }
 
 // configurationRead applies the records that were read from the operator's partition
 // by a call sent at a time.
 func (c *control) configurationRead(b metastore.Batch, sent clock.Time, source string) {
+	if !c.config.loaded {
+		c.config.loaded, c.config.next = true, b.End
+	}
 	_, key := platform.ConfigurationPartition()
 	for i := range b.Records {
 		r := &b.Records[i]
@@ -65,6 +75,24 @@
 	return now.Sub(clock.Time(c.config.asOf.Load()))
 }
 
+// unknownAge is the age in a status of a daemon that can't confirm its configuration.
+const unknownAge = math.MaxUint32
+
+// statusConfigurationAge returns the age for a status, in milliseconds. A daemon that
+// has yet to obtain the newest known version can't confirm its own.
+func (c *control) statusConfigurationAge(now clock.Time) uint32 {
+	if c.newestConfig > c.configVersion() {
+		return unknownAge
+	}
+	return uint32(min(c.configurationAge(now).Milliseconds(), unknownAge))
+}
+
+// configurationStale reports whether a version that was acknowledged configApplyMs ago
+// may be unknown to this daemon.
+func (c *control) configurationStale() bool {
+	return c.configurationAge(clock.Now()) > c.d.settings().ConfigApplyTime
+}
+
 // configurationFields are the log fields that tell an outdated configuration from an
 // unknown route.
 func (c *control) configurationFields() []zap.Field {
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -125,7 +125,7 @@
 
 // ownStatus returns the part of a status that is the same for all receivers.
 func (c *control) ownStatus() *fleet.Status {
-	s := &fleet.Status{Seq: c.status.seq, Offset: int64(c.applied), Stopping: c.stopping, Load: c.d.backend.load(), Config: c.configVersion()}
+	s := &fleet.Status{Seq: c.status.seq, Offset: int64(c.applied), Stopping: c.stopping, Load: c.d.backend.load(), Config: c.configVersion(), ConfigAgeMS: c.statusConfigurationAge(clock.Now())}
 	for _, p := range c.dir.Peers() {
 		if c.sameService(p) && c.suspected[ident.Instance(p.Member.Instance)] {
 			s.Suspects = append(s.Suspects, p.Member.Instance)
@@ -171,6 +171,9 @@
 	}
 	c.peerLoad(name, p.Member.Slots).report(&s.Load)
 	c.heardOfConfiguration(s.Config, now)
+	if s.ConfigAgeMS != unknownAge {
+		c.confirmConfiguration(now.Add(-time.Duration(s.ConfigAgeMS) * time.Millisecond))
+	}
 	if s.LeaseExtension && s.EchoIncarnation == c.self.Incarnation && c.status.seq-s.Echo < sentAtSize && s.Echo > 0 {
 		c.agent.LeaseExtended(name, c.status.sentAt[s.Echo%sentAtSize])
 	}
@@ -244,12 +247,11 @@
 	return t != nil && slices.Contains(t.Owners(), name)
 }
 
-// catchUp fetches records or a configuration that another daemon has and that the
-// followers have not read within catchUpAfter.
+// catchUp reads records of the directory that another daemon has applied and that the
+// follower has not read within catchUpAfter.
 func (c *control) catchUp(now clock.Time) {
 	st := &c.status
-	from, config := c.peerAhead()
-	if from == "" {
+	if !c.directoryBehind() {
 		st.behindSince = clock.Never
 		return
 	}
@@ -260,42 +262,14 @@
 		return
 	}
 	st.fetching, st.behindSince = true, clock.Never
-	if config {
-		go c.d.fetchConfiguration(from)
-		return
-	}
 	go c.d.readDirectory()
 }
 
-// peerAhead returns the address of a daemon that has a newer configuration, with
-// config set, or else of one that has read more of the directory. It returns "" if
-// there is none.
-func (c *control) peerAhead() (addr string, config bool) {
-	version := c.configVersion()
-	for _, p := range c.dir.Peers() {
-		if c.suspected[ident.Instance(p.Member.Instance)] {
-			continue
-		}
-		if p.Config > version {
-			return p.Member.Addr, true
-		}
-		if p.Offset > int64(c.applied) {
-			addr = p.Member.Addr
-		}
-	}
-	return addr, false
-}
-
-// fetchConfiguration fetches and applies the configuration of another daemon.
-func (d *Daemon) fetchConfiguration(addr string) {
-	ctx, cancel := d.fetchContext()
-	defer cancel()
-	value, err := d.peerLinks.Call(ctx, addr, callConfig, nil)
-	if err != nil {
-		logevent.Log(d.log, logevent.UpdateNotFetched, zap.String("from", addr), zap.Error(err))
-		return
-	}
-	d.control.do(func() { d.control.applyConfiguration(value, addr) })
+// directoryBehind reports whether another daemon has read more of the directory.
+func (c *control) directoryBehind() bool {
+	return slices.ContainsFunc(c.dir.Peers(), func(p *fleet.Peer) bool {
+		return p.Offset > int64(c.applied) && !c.suspected[ident.Instance(p.Member.Instance)]
+	})
 }
 
 // readDirectory reads and applies the directory records after the applied ones.
--- a/sidecar/storelink.go
+++ b/sidecar/storelink.go
@@ -42,6 +42,8 @@
 
 var errStoreUnreachable = fmt.Errorf("%w: no other daemon reaches the store", platform.ErrNotSent)
 
+var errDirectPaused = fmt.Errorf("%w: the last direct call failed a moment ago", platform.ErrNotSent)
+
 // storeLink makes calls to the store. While direct calls fail or are rejected, other
 // daemons relay them. A call with NoRetry set is not retried if an earlier attempt may
 // have taken effect.
@@ -89,6 +91,15 @@
 	return answer, err
 }
 
+// directOnly makes a direct call only. While direct calls fail, it is not sent within
+// directRetryInterval of the last one.
+func (l *storeLink) directOnly(ctx context.Context, call *platform.StoreCall) (*platform.StoreAnswer, error) {
+	if l.avoidDirect() && clock.Now().Sub(clock.Time(l.lastAttempt.Load())) < directRetryInterval {
+		return nil, errDirectPaused
+	}
+	return l.callDirect(ctx, call)
+}
+
 func (l *storeLink) recordRelayFailure(call *platform.StoreCall, err error) {
 	l.metrics.countStoreCall("relay-failed")
 	logevent.Log(l.log, logevent.RelayFailed, zap.String("call", call.URI), zap.Error(err))
