A configuration row that can't be decoded affects only its own requests

One route or service that the daemon could not decode (a kind that it does not know, a weight or limit written as a fraction, a missing field) rejected the whole version: the routes that it added got 404 from then on, and the daemon did not know that it was behind.

Rows are decoded one by one. Requests of a route that can't be decoded get 503 not-ready (if its host or prefix is not known either, all requests without a route do), the rest of the version is in force, event 7203 and parsley_configuration_rows_rejected_total name the loss.

--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -23,8 +23,9 @@
 	UpdateNotForwarded    = define(7107, "directory update not forwarded", routine, "A directory update could not be forwarded to another daemon; that daemon reads the store itself.", "")
 	RelayFailed           = define(7106, "relayed store call failed", routine, "No other daemon could relay a store call for this one.", "")
 
-	RoutesInForce  = define(7201, "routes in force", info, "Requests are routed by this configuration version from now on.", "")
-	ConfigRejected = define(7202, "configuration rejected", failure, "The operator's configuration is invalid; the version in force stays.", "Write a valid configuration.")
+	RoutesInForce      = define(7201, "routes in force", info, "Requests are routed by this configuration version from now on.", "")
+	ConfigRejected     = define(7202, "configuration rejected", failure, "The operator's configuration is invalid; the version in force stays, and requests without a route in it get 503.", "Write a valid configuration.")
+	ConfigRowsRejected = define(7203, "configuration rows rejected", failure, "Routes or services of the version in force can't be decoded; their requests get 503, all other rows are in force.", "Write a version with these rows corrected; the line has the first error.")
 
 	PeerJoined          = define(7301, "daemon joined", info, "The directory has a new daemon, or a change of a daemon's target.", "")
 	PeerSuspected       = define(7302, "daemon suspected", warning, "No status of a daemon has arrived within the timeout; it is suspected to have failed.", "Check whether its instance runs and is reachable; its keys are moved if no status arrives.")
--- a/routetable/configuration.go
+++ b/routetable/configuration.go
@@ -15,6 +15,16 @@
 	Routes   []Route
 	Services map[ident.Service]Service
 	Limits   Limits
+	// Unusable has the patterns of routes that could not be decoded.
+	Unusable []Pattern
+	// RowErrors has the errors of routes and services that could not be decoded.
+	RowErrors []error
+}
+
+// Pattern selects the requests of a route. Both fields are empty if they are not known.
+type Pattern struct {
+	Host       string
+	PathPrefix string
 }
 
 // Route assigns the requests of one host and path prefix to services.
@@ -27,7 +37,7 @@
 	Objective   time.Duration // target response time
 	Priority    int           // 0 is the most urgent
 	MaxAttempts int           // largest number of targets that one request is sent to
-	Clusters    []Cluster     // at least one; the weights are positive
+	Clusters    []Cluster     // the weights are positive; none if the route could not be decoded
 }
 
 // Cluster is a service that receives a share of a route's requests, in
--- a/routetable/table.go
+++ b/routetable/table.go
@@ -12,14 +12,22 @@
 type Table struct {
 	cfg   Configuration
 	hosts map[string][]Route // longest prefix first
+	// partial is set if a route is missing whose requests can't be told.
+	partial bool
 }
 
 // New returns the table of a configuration.
 func New(cfg Configuration) *Table {
 	t := &Table{cfg: cfg, hosts: make(map[string][]Route)}
 	for _, r := range cfg.Routes {
-		host := strings.ToLower(r.Host)
-		t.hosts[host] = append(t.hosts[host], r)
+		t.add(r)
+	}
+	for _, p := range cfg.Unusable {
+		if p.Host == "" || p.PathPrefix == "" {
+			t.partial = true
+			continue
+		}
+		t.add(Route{Host: p.Host, PathPrefix: p.PathPrefix})
 	}
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, func(a, b Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
@@ -27,6 +35,15 @@
 	return t
 }
 
+func (t *Table) add(r Route) {
+	host := strings.ToLower(r.Host)
+	t.hosts[host] = append(t.hosts[host], r)
+}
+
+// Partial reports whether the configuration has a route that could not be decoded and
+// whose host or prefix is not known.
+func (t *Table) Partial() bool { return t.partial }
+
 // Version returns the version of the configuration.
 func (t *Table) Version() Version { return t.cfg.Version }
 
--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -89,7 +89,7 @@
 	var ok bool
 	f.route, ok = v.routes.Lookup(string(h.Host()), string(h.RequestURI()))
 	if !ok {
-		if v.configBehind {
+		if v.configBehind || v.routes.Partial() {
 			return f.rejectNotReady()
 		}
 		return f.reject(v, fasthttp.StatusNotFound, outcome.UnknownRoute)
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -14,7 +14,6 @@
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/metastore"
 	"github.com/parsleystack/parsleystack/ownertable"
-	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/routetable"
 )
 
@@ -207,22 +206,6 @@
 	return nil
 }
 
-// applyConfiguration applies the operator's configuration.
-func (c *control) applyConfiguration(value []byte) {
-	cfg, err := platform.DecodeConfiguration(value)
-	if err != nil {
-		logevent.Log(c.log, logevent.ConfigRejected, zap.Error(err))
-		return
-	}
-	if c.routes != nil && cfg.Version <= c.routes.Version() {
-		return
-	}
-	c.routes, c.rawConfig = routetable.New(cfg), value
-	c.newestConfig = max(c.newestConfig, uint64(cfg.Version))
-	c.viewStale, c.status.urgent = true, true
-	logevent.Log(c.log, logevent.RoutesInForce, zap.Uint64("version", uint64(cfg.Version)), zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)))
-}
-
 // announceStop marks the daemon as stopping, for readiness checks and in its next
 // status.
 func (c *control) announceStop() {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -37,6 +37,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`parsley_requests_rejected_total{status="%d",reason=%q}`, status, reason)).Inc()
 }
 
+// countRows counts routes and services of a configuration that could not be decoded.
+func (m *metricSet) countRows(n int) {
+	m.set.GetOrCreateCounter("parsley_configuration_rows_rejected_total").Add(n)
+}
+
 func (m *metricSet) count(name string) { m.set.GetOrCreateCounter(name).Inc() }
 
 // Counters without labels.
@@ -45,7 +50,9 @@
 	metricBudgetDenied = "parsley_resend_budget_denied_total"
 	metricTargetFailed = "parsley_target_failures_total"
 	metricNoGrants     = "parsley_heartbeats_without_grants_total"
-	metricLinesDropped = "parsley_log_lines_dropped_total"
+	// metricConfigRejected counts configurations of which nothing could be decoded.
+	metricConfigRejected = "parsley_configurations_rejected_total"
+	metricLinesDropped   = "parsley_log_lines_dropped_total"
 )
 
 // registerGauges registers gauges that read the state of the daemon.
