A daemon rejects for its configuration only if that is known to be the newest

404, 413 by the configured limit and 400 for a missing key state that the request is at fault, and callers never retry them. The daemon sent them whenever no newer version was known to it: - a status that named a newer version took effect only with the next change of targets, since the view was not rebuilt, and was ignored whole if the daemon did not know the sender's record yet; - a daemon that did not reach the store, or had just started and heard nobody, could not know any better and said 404.

--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -89,19 +89,16 @@
 	var ok bool
 	f.route, ok = v.routes.Lookup(string(h.Host()), string(h.RequestURI()))
 	if !ok {
-		if v.configBehind || v.routes.Partial() {
-			return f.rejectNotReady()
-		}
-		return f.reject(v, fasthttp.StatusNotFound, outcome.UnknownRoute)
+		return f.rejectIfConfirmed(v, fasthttp.StatusNotFound, outcome.UnknownRoute)
 	}
 	limits := v.routes.Limits()
 	if limits.BodyBytes > 0 && len(f.httpCtx.Request.Body()) > limits.BodyBytes {
-		return f.reject(v, fasthttp.StatusRequestEntityTooLarge, outcome.BodyTooLarge)
+		return f.rejectIfConfirmed(v, fasthttp.StatusRequestEntityTooLarge, outcome.BodyTooLarge)
 	}
 	f.service, err = v.routes.PickService(f.route, f.headers.HasKey, random())
 	switch {
 	case errors.Is(err, routetable.ErrKeyRequired):
-		return f.reject(v, fasthttp.StatusBadRequest, outcome.MissingKey, zap.Error(err))
+		return f.rejectIfConfirmed(v, fasthttp.StatusBadRequest, outcome.MissingKey)
 	case err != nil:
 		return f.rejectNotReady()
 	}
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -59,6 +59,7 @@
 	routes       *routetable.Table
 	rawConfig    []byte // the encoded configuration, as the operator wrote it
 	newestConfig uint64 // newest configuration version that any daemon reported
+	heardPeer    bool   // another daemon has sent a status to this process
 
 	tables     map[ident.Service]*ownertable.Table
 	agent      *ownertable.Agent
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -150,6 +150,10 @@
 	if s.Member.Instance == c.self.Instance || s.Member.Instance == "" {
 		return
 	}
+	if s.Config > c.newestConfig || !c.heardPeer {
+		c.newestConfig, c.heardPeer = max(c.newestConfig, s.Config), true
+		c.viewStale = true
+	}
 	now := clock.Now()
 	known := c.dir.Peer(ident.Instance(s.Member.Instance)) != nil
 	p, changed := c.dir.ApplyStatus(s, now)
@@ -170,7 +174,6 @@
 		p.Echo = s.Echo
 	}
 	c.peerLoad(name, p.Member.Slots).report(&s.Load)
-	c.newestConfig = max(c.newestConfig, s.Config)
 	if s.LeaseExtension && s.EchoIncarnation == c.self.Incarnation && c.status.seq-s.Echo < sentAtSize && s.Echo > 0 {
 		c.agent.LeaseExtended(name, c.status.sentAt[s.Echo%sentAtSize])
 	}
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -77,16 +77,17 @@
 	started         clock.Time
 	metrics         *metricSet
 
-	directory metastore.Partition
-	storeLink *storeLink
-	store     metastore.Store
-	peerLinks *transport.Pool
-	server    *transport.Server
-	control   *control
-	members   *memberWriter
-	backend   *backend
-	ingress   *ingress
-	operators *admin.Handler
+	directory          metastore.Partition
+	storeLink          *storeLink
+	store              metastore.Store
+	configurationReads *configurationReads
+	peerLinks          *transport.Pool
+	server             *transport.Server
+	control            *control
+	members            *memberWriter
+	backend            *backend
+	ingress            *ingress
+	operators          *admin.Handler
 
 	serversMu sync.Mutex
 	servers   []*fasthttp.Server // all but the one for callers
@@ -105,6 +106,7 @@
 	d.currentSettings.Store(s)
 	d.storeLink = &storeLink{direct: platform.NewStoreTransport(s.Store.Addr), log: log, metrics: d.metrics, peers: d.relayAddrs}
 	d.store = platform.NewStoreClient(d.storeLink.roundTrip)
+	d.configurationReads = &configurationReads{Store: d.store}
 	d.members = newMemberWriter(d)
 	d.backend = newBackend(d)
 	d.control = newControl(d)
--- a/sidecar/daemon_test.go
+++ b/sidecar/daemon_test.go
@@ -39,6 +39,7 @@
 			t.Errorf("no %s among the metrics", name)
 		}
 	}
+	d.nodes[0].awaitConfirmed(t)
 	if a := d.nodes[0].call(http.MethodGet, "/none/", newID(), platformtest.NoKey); a.Status != http.StatusNotFound {
 		t.Errorf("a path without a route is answered with status %d, want 404", a.Status)
 	}
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -36,7 +36,7 @@
 func (d *Daemon) configurationFollower() *follower {
 	partition, key := platform.ConfigurationPartition()
 	return &follower{
-		store: d.store, partition: partition, log: d.log, pollTime: func() time.Duration { return d.idlePollTime(maxConfigurationPoll) },
+		store: d.configurationReads, partition: partition, log: d.log, pollTime: func() time.Duration { return d.idlePollTime(maxConfigurationPoll) },
 		apply: func(_ metastore.Offset, b metastore.Batch, _ clock.Time, _ bool) {
 			for i := range b.Records {
 				if r := &b.Records[i]; r.Key == key {
--- a/sidecar/harness_test.go
+++ b/sidecar/harness_test.go
@@ -147,6 +147,15 @@
 	return platformtest.Call(n.settings.CallerAddr, host, method, path, id, key)
 }
 
+// awaitConfirmed waits until the daemon knows that its configuration is the newest one.
+func (n *testNode) awaitConfirmed(t *testing.T) {
+	t.Helper()
+	eventually(t, "the configuration is confirmed", func() bool {
+		v := n.daemon.control.view.Load()
+		return v.routes != nil && n.daemon.configurationConfirmed(v)
+	})
+}
+
 // rawCall sends the bytes of a request through the daemon and returns the response.
 func (n *testNode) rawCall(t *testing.T, request string) (int, http.Header) {
 	t.Helper()
--- a/sidecar/rejected_row_test.go
+++ b/sidecar/rejected_row_test.go
@@ -15,6 +15,7 @@
 	d := deploy(t, plainService)
 	n := d.nodes[0]
 	n.awaitUnkeyedServing(t)
+	n.awaitConfirmed(t)
 	status := func(path string) int { return n.call(http.MethodGet, path, newID(), platformtest.NoKey).Status }
 	d.configureRoutes(platformtest.Route{Prefix: "/later/", Service: plainService, Kind: "stream"}, platformtest.Route{Prefix: "/added/", Service: plainService})
 	eventually(t, "the added route is served", func() bool { return status("/added/a") == http.StatusOK })
--- a/sidecar/rejection.go
+++ b/sidecar/rejection.go
@@ -26,6 +26,16 @@
 	return false
 }
 
+// rejectIfConfirmed rejects a request that the configuration does not allow. While a newer
+// configuration may exist that does, the answer is that the daemon is not ready, which
+// callers retry.
+func (f *callerRequest) rejectIfConfirmed(v *view, status int, reason outcome.Reason) bool {
+	if !f.ingress.d.configurationConfirmed(v) {
+		return f.rejectNotReady()
+	}
+	return f.reject(v, status, reason)
+}
+
 // rejectHeaders rejects a request for an error of platform.ReadRequestHeaders.
 func (f *callerRequest) rejectHeaders(v *view, err error) bool {
 	reason := outcome.MalformedDeadline
--- a/sidecar/rejection_test.go
+++ b/sidecar/rejection_test.go
@@ -20,6 +20,7 @@
 	d := deployWith(t, func(n *testNode) { n.log = zap.New(core) }, plainService)
 	n := d.nodes[0]
 	n.awaitUnkeyedServing(t)
+	n.awaitConfirmed(t)
 	for _, c := range []struct {
 		status  int
 		reason  string
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -16,6 +16,7 @@
 	services     map[ident.Service]*serviceView
 	daemons      int    // that are not suspected, including this one
 	configBehind bool   // another daemon has a newer configuration
+	heardPeer    bool   // another daemon has sent a status to this process
 	newestConfig uint64 // newest configuration version that any daemon reported
 	stopping     bool
 }
