A request that ends early is not called malformed

Every error of reading a request that was no timeout and no limit was a 400, a body cut short by a broken connection included, although nothing is wrong with such a request and it was not run.

--- a/sidecar/ingress.go
+++ b/sidecar/ingress.go
@@ -64,6 +64,7 @@
 		DisablePreParseMultipartForm:  true,
 		DisableHeaderNamesNormalizing: true,
 		NoDefaultContentType:          true,
+		SecureErrorLogMessage:         true, // no bytes of requests in errors
 		NoDefaultServerHeader:         true,
 		CloseOnShutdown:               true,
 		Logger:                        discardLogger{},
--- a/sidecar/rejection.go
+++ b/sidecar/rejection.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
@@ -44,28 +43,3 @@
 	}
 	return f.reject(v, fasthttp.StatusBadRequest, reason, zap.Error(err))
 }
-
-// handleReadError responds to a request that could not be read.
-func (in *ingress) handleReadError(ctx *fasthttp.RequestCtx, err error) {
-	ctx.SetConnectionClose()
-	status, reason := readErrorStatus(err)
-	ctx.Error(err.Error(), status)
-	in.d.metrics.countRejection(status, reason)
-	logevent.Log(in.d.log, logevent.RequestRejected, zap.Int("status", status), zap.Stringer("reason", reason), zap.Error(err),
-		zap.Stringer("caller", ctx.RemoteAddr()), zap.Uint64("requests_before", ctx.ConnRequestNum()))
-}
-
-// readErrorStatus returns the status and reason for an error of reading a request.
-func readErrorStatus(err error) (int, outcome.Reason) {
-	var small *fasthttp.ErrSmallBuffer
-	var timeout net.Error
-	switch {
-	case errors.As(err, &small):
-		return fasthttp.StatusRequestHeaderFieldsTooLarge, outcome.HeaderTooLarge
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return fasthttp.StatusRequestEntityTooLarge, outcome.BodyTooLarge
-	case errors.As(err, &timeout) && timeout.Timeout():
-		return fasthttp.StatusRequestTimeout, outcome.RequestTimeout
-	}
-	return fasthttp.StatusBadRequest, outcome.MalformedRequest
-}
