The absolute form of a target and a final dot of a host find their route

HTTP/1.1 servers must accept http://host/path as request target. The routing table was asked for that text as a path, so the request got 404; a host with its final dot did, too. Targets receive the path and query, as in the origin form.

--- a/routetable/table.go
+++ b/routetable/table.go
@@ -36,7 +36,7 @@
 }
 
 func (t *Table) add(r Route) {
-	host := strings.ToLower(r.Host)
+	host := hostName(r.Host)
 	t.hosts[host] = append(t.hosts[host], r)
 }
 
@@ -67,13 +67,13 @@
 }
 
 // Lookup returns the route with the longest prefix of the path among those of
-// the host. A port in host and a query in uri are ignored.
+// the host. A port and a final dot in host and a query in uri are ignored.
 func (t *Table) Lookup(host, uri string) (*Route, bool) {
 	path, _, _ := strings.Cut(uri, "?")
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
 		host = host[:i]
 	}
-	routes := t.hosts[strings.ToLower(host)]
+	routes := t.hosts[hostName(host)]
 	for i := range routes {
 		if strings.HasPrefix(path, routes[i].PathPrefix) {
 			return &routes[i], true
@@ -81,3 +81,6 @@
 	}
 	return nil, false
 }
+
+// hostName returns a host in lower case without the final dot of a fully qualified name.
+func hostName(host string) string { return strings.TrimSuffix(strings.ToLower(host), ".") }
--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -87,7 +87,7 @@
 	}
 	f.configVersion = v.routes.Version()
 	var ok bool
-	f.route, ok = v.routes.Lookup(string(h.Host()), string(h.RequestURI()))
+	f.route, ok = v.routes.Lookup(string(h.Host()), string(originForm(h.RequestURI())))
 	if !ok {
 		return f.rejectIfConfirmed(v, fasthttp.StatusNotFound, outcome.UnknownRoute)
 	}
@@ -126,7 +126,7 @@
 	f.req = wire.Request{
 		Service: f.service.Name, Keyed: f.service.Keyed, Point: keyspace.Point(f.headers.Key),
 		Priority:   uint8(maxWirePriority - min(max(f.route.Priority, 0), maxWirePriority)),
-		Idempotent: f.route.Idempotent, Method: h.Method(), URI: h.RequestURI(), RequestID: []byte(f.headers.RequestID),
+		Idempotent: f.route.Idempotent, Method: h.Method(), URI: originForm(h.RequestURI()), RequestID: []byte(f.headers.RequestID),
 		Class: []byte(f.route.Name), Caller: f.ingress.d.settings().Service, Body: f.httpCtx.Request.Body(),
 	}
 	named := httpfield.Value(h, fasthttp.HeaderConnection)
