--- a/sidecar/control_configuration.go
+++ b/sidecar/control_configuration.go
@@ -10,8 +10,10 @@
 
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/freshness"
+	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/metastore"
 	"github.com/parsleystack/parsleystack/platform"
+	"github.com/parsleystack/parsleystack/routetable"
 )
 
 // Sources of a configuration, for the log. Other sources are addresses of daemons.
@@ -98,3 +100,42 @@
 func (c *control) configurationFields() []zap.Field {
 	return []zap.Field{zap.Uint64("newest_config", c.config.newest.Load()), zap.Duration("config_age", c.configurationAge(clock.Now()))}
 }
+
+// peerWait is how long a new process waits for a status of another daemon, which names a
+// version that the store may not show yet.
+const peerWait = 5 * time.Second
+
+// configurationConfirmed reports whether the daemon knows that the configuration of v is
+// the newest one: it was confirmed recently, all rows were decoded, and no other daemon
+// has named a newer version. Only then does the lack of a route mean that it does not
+// exist.
+func (c *control) configurationConfirmed(v *view) bool {
+	if v.configBehind || v.routes.Partial() || c.configurationStale() {
+		return false
+	}
+	return v.heardPeer || clock.Now().Sub(c.d.started) >= peerWait
+}
+
+// applyConfiguration applies the operator's configuration, which was obtained from
+// source.
+func (c *control) applyConfiguration(value []byte, source string) {
+	now := clock.Now()
+	cfg, err := platform.DecodeConfiguration(value)
+	if err != nil {
+		c.d.metrics.count(metricConfigRejected)
+		logevent.Log(c.log, logevent.ConfigRejected, zap.Uint64("version", uint64(cfg.Version)), zap.String("from", source), zap.Error(err))
+		c.heardOfConfiguration(uint64(cfg.Version), now) // routes that only this version has must not look absent
+		return
+	}
+	if c.routes != nil && cfg.Version <= c.routes.Version() {
+		return
+	}
+	c.routes, c.rawConfig = routetable.New(cfg), value
+	c.heardOfConfiguration(uint64(cfg.Version), now)
+	c.viewStale, c.status.urgent = true, true
+	logevent.Log(c.log, logevent.RoutesInForce, zap.Uint64("version", uint64(cfg.Version)), zap.String("from", source), zap.Duration("after", now.Sub(c.config.newestAt)), zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)))
+	if n := len(cfg.RowErrors); n > 0 {
+		c.d.metrics.countRows(n)
+		logevent.Log(c.log, logevent.ConfigRowsRejected, zap.Uint64("version", uint64(cfg.Version)), zap.Int("rows", n), zap.NamedError("first", cfg.RowErrors[0]))
+	}
+}
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -151,6 +151,10 @@
 		return
 	}
 	now := clock.Now()
+	if !c.heardPeer {
+		c.heardPeer, c.viewStale = true, true
+	}
+	c.heardOfConfiguration(s.Config, now)
 	known := c.dir.Peer(ident.Instance(s.Member.Instance)) != nil
 	p, changed := c.dir.ApplyStatus(s, now)
 	if changed {
@@ -170,7 +174,6 @@
 		p.Echo = s.Echo
 	}
 	c.peerLoad(name, p.Member.Slots).report(&s.Load)
-	c.heardOfConfiguration(s.Config, now)
 	if s.ConfigAgeMS != unknownAge {
 		c.confirmConfiguration(now.Add(-time.Duration(s.ConfigAgeMS) * time.Millisecond))
 	}
