--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -72,7 +72,7 @@
 	headers, err := platform.ReadRequestHeaders(h)
 	f.headers = headers
 	if err != nil {
-		return f.rejectHeaders(v, err)
+		return f.rejectHeaders(err)
 	}
 	if f.ingress.refusing.Load() {
 		f.respond(outcome.Result{Kind: outcome.NotRun, Reason: outcome.Draining, RetryAfter: retryStopping})
--- a/sidecar/configuration_reads_test.go
+++ b/sidecar/configuration_apply_test.go
@@ -3,9 +3,10 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/parsleystack/parsleystack/clock"
-	"github.com/parsleystack/parsleystack/fleet"
+	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/platform/platformtest"
 	"github.com/parsleystack/parsleystack/routetable"
 )
@@ -28,25 +29,6 @@
 	eventually(t, "404 again", func() bool { return status() == http.StatusNotFound })
 }
 
-// A status that named a newer version did not take effect before the next change of
-// targets, so that its routes got 404 from a daemon that knew better.
-func TestNewerVersionOfAPeerTakesEffectAtOnce(t *testing.T) {
-	t.Parallel()
-	c := deploy(t, plainService).nodes[0].daemon.control
-	s := &fleet.Status{Seq: 1, Member: fleet.Member{Instance: "peer", Incarnation: 1, Revision: 1, Service: plainService, Addr: "127.0.0.1:1"}}
-	behind := make(chan bool)
-	c.do(func() {
-		c.handleStatus(s)
-		c.publishView()
-		s.Seq, s.Config = 2, 1000
-		c.handleStatus(s)
-		behind <- c.viewStale
-	})
-	if !<-behind {
-		t.Error("the view is not rebuilt for the newer version")
-	}
-}
-
 // What the configuration does not allow is only the caller's fault if no newer one may
 // allow it.
 func TestConfigurationConfirmed(t *testing.T) {
@@ -65,8 +47,14 @@
 		"the store does not answer":  {view{routes: whole, heardPeer: true}, 0, false, false},
 		"a route of unknown pattern": {view{routes: partial, heardPeer: true}, 0, true, false},
 	} {
-		d := &Daemon{started: clock.Now() - c.age, configurationReads: new(configurationReads)}
-		d.configurationReads.answered.Store(c.answered)
+		d := &Daemon{started: clock.Now() - c.age, control: new(control)}
+		d.control.d = d
+		d.currentSettings.Store(&platform.Settings{ConfigApplyTime: time.Second})
+		asOf := clock.Now()
+		if !c.answered {
+			asOf = asOf.Add(-2 * time.Second)
+		}
+		d.control.config.asOf.Store(int64(asOf))
 		if got := d.configurationConfirmed(&c.v); got != c.want {
 			t.Errorf("%s: confirmed %v, want %v", name, got, c.want)
 		}
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"strings"
 	"sync/atomic"
@@ -10,6 +11,7 @@
 
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/fleet"
+	"github.com/parsleystack/parsleystack/freshness"
 	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/metastore"
@@ -58,8 +60,9 @@
 
 	routes       *routetable.Table
 	rawConfig    []byte // the encoded configuration, as the operator wrote it
-	newestConfig uint64 // newest configuration version that any daemon reported
-	heardPeer    bool   // another daemon has sent a status to this process
+	newestConfig uint64 // newest configuration version that is known to exist
+	config       configurationState
+	heardPeer    bool // another daemon has sent a status to this process
 
 	tables     map[ident.Service]*ownertable.Table
 	agent      *ownertable.Agent
@@ -75,10 +78,11 @@
 		d: d, log: d.log, events: make(chan func(), eventQueueSize),
 		dir: fleet.NewDirectory(), suspected: make(map[ident.Instance]bool), loads: make(map[ident.Instance]*targetLoad),
 		keyOffsets: make(map[string]metastore.Offset), tables: make(map[ident.Service]*ownertable.Table),
-		agent: ownertable.NewAgent(s.Instance, d.started),
+		agent:  ownertable.NewAgent(s.Instance, d.started),
+		config: configurationState{tracker: freshness.NewTracker(freshness.NewPolicy(s.ConfigApplyTime))},
 		self: fleet.Member{
 			Instance: string(s.Instance), Incarnation: uint64(time.Now().UnixNano()), Revision: 1,
-			Addr: s.LinkAddr, Zone: string(s.Zone), JoinedMS: time.Now().UnixMilli(), Service: string(s.Service),
+			Addr: cmp.Or(s.AnnounceAddr, s.LinkAddr), Zone: string(s.Zone), JoinedMS: time.Now().UnixMilli(), Service: string(s.Service),
 		},
 	}
 	c.readsDirectory.Store(true)
@@ -146,6 +150,8 @@
 	c.checkDeferred(now)
 	c.sendStatuses(now)
 	c.catchUp(now)
+	c.fetchConfiguration(now)
+	c.checkConfiguration(now)
 	c.confirmLease(now)
 	c.removeFailedPeers(now)
 	c.registerWithoutTarget(now)
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -77,17 +77,18 @@
 	started         clock.Time
 	metrics         *metricSet
 
-	directory          metastore.Partition
-	storeLink          *storeLink
-	store              metastore.Store
-	configurationReads *configurationReads
-	peerLinks          *transport.Pool
-	server             *transport.Server
-	control            *control
-	members            *memberWriter
-	backend            *backend
-	ingress            *ingress
-	operators          *admin.Handler
+	directory metastore.Partition
+	storeLink *storeLink
+	store     metastore.Store
+	// directStore makes no relayed calls.
+	directStore metastore.Store
+	peerLinks   *transport.Pool
+	server      *transport.Server
+	control     *control
+	members     *memberWriter
+	backend     *backend
+	ingress     *ingress
+	operators   *admin.Handler
 
 	serversMu sync.Mutex
 	servers   []*fasthttp.Server // all but the one for callers
@@ -105,8 +106,8 @@
 	}
 	d.currentSettings.Store(s)
 	d.storeLink = &storeLink{direct: platform.NewStoreTransport(s.Store.Addr), log: log, metrics: d.metrics, peers: d.relayAddrs}
-	d.store = platform.NewStoreClient(d.storeLink.roundTrip)
-	d.configurationReads = &configurationReads{Store: d.store}
+	store := platform.NewStoreClient(d.storeLink.roundTrip)
+	d.store, d.directStore = store, store.WithTransport(d.storeLink.directOnly)
 	d.members = newMemberWriter(d)
 	d.backend = newBackend(d)
 	d.control = newControl(d)
@@ -129,7 +130,8 @@
 	old := d.settings()
 	s.Instance, s.IP, s.Zone = old.Instance, old.IP, old.Zone
 	s.CallerAddr, s.ReadyAddr, s.ControlAddr = old.CallerAddr, old.ReadyAddr, old.ControlAddr
-	s.LinkAddr, s.MetricsAddr, s.TargetAddr, s.Store.Addr = old.LinkAddr, old.MetricsAddr, old.TargetAddr, old.Store.Addr
+	s.LinkAddr, s.AnnounceAddr, s.MetricsAddr = old.LinkAddr, old.AnnounceAddr, old.MetricsAddr
+	s.TargetAddr, s.Store.Addr = old.TargetAddr, old.Store.Addr
 	if *s == *old {
 		return
 	}
