--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -24,8 +24,8 @@
 	RelayFailed           = define(7106, "relayed store call failed", routine, "No other daemon could relay a store call for this one.", "")
 
 	RoutesInForce            = define(7201, "routes in force", info, "Requests are routed by this configuration version from now on.", "")
-	ConfigRejected           = define(7202, "configuration rejected", failure, "The operator's configuration is invalid; the version in force stays, and requests without a route in it get 503.", "Write a valid configuration.")
 	ConfigurationUnconfirmed = define(7203, "configuration not confirmed", info, "The store did not answer the check whether the configuration in force is the newest; it is repeated.", "")
+	ConfigRejected           = define(7202, "configuration rejected", failure, "The operator's configuration is invalid; the version in force stays, and requests without a route in it get 503.", "Write a valid configuration.")
 	ConfigRowsRejected       = define(7204, "configuration rows rejected", failure, "Routes or services of the version in force can't be decoded; their requests get 503, all other rows are in force.", "Write a version with these rows corrected; the line has the first error.")
 
 	PeerJoined          = define(7301, "daemon joined", info, "The directory has a new daemon, or a change of a daemon's target.", "")
--- a/sidecar/configuration_check_test.go
+++ b/sidecar/configuration_check_test.go
@@ -15,6 +15,7 @@
 	d := deploy(t, plainService)
 	n := d.nodes[0]
 	n.awaitUnkeyedServing(t)
+	n.awaitConfirmed(t)
 	status := func() int { return n.call(http.MethodPost, "/later/a", newID(), platformtest.NoKey).Status }
 	if got := status(); got != http.StatusNotFound {
 		t.Fatalf("a route that never existed is answered with %d", got)
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -151,10 +151,9 @@
 		return
 	}
 	now := clock.Now()
-	if !c.heardPeer {
-		c.heardPeer, c.viewStale = true, true
-	}
 	c.heardOfConfiguration(s.Config, now)
+	c.viewStale = c.viewStale || !c.heardPeer
+	c.heardPeer = true
 	known := c.dir.Peer(ident.Instance(s.Member.Instance)) != nil
 	p, changed := c.dir.ApplyStatus(s, now)
 	if changed {
--- a/sidecar/harness_test.go
+++ b/sidecar/harness_test.go
@@ -152,7 +152,7 @@
 	t.Helper()
 	eventually(t, "the configuration is confirmed", func() bool {
 		v := n.daemon.control.view.Load()
-		return v.routes != nil && n.daemon.control.configurationConfirmed(v)
+		return v.routes != nil && n.daemon.configurationConfirmed(v)
 	})
 }
 
--- a/sidecar/rejection.go
+++ b/sidecar/rejection.go
@@ -13,13 +13,13 @@
 
 // reject responds with a 4xx status, which states that the fault is the request's. Callers
 // never retry such a request. It returns false.
-func (f *callerRequest) reject(v *view, status int, reason outcome.Reason, details ...zap.Field) bool {
+func (f *callerRequest) reject(status int, reason outcome.Reason, details ...zap.Field) bool {
 	f.httpCtx.SetStatusCode(status)
 	platform.SetRequestID(&f.httpCtx.Response.Header, f.headers.RequestID)
 	h := &f.httpCtx.Request.Header
 	details = append(details,
 		zap.ByteString("host", h.Host()), zap.ByteString("uri", h.RequestURI()), zap.String("service", string(f.service.Name)),
-		zap.Uint64("newest_config", v.newestConfig), zap.Int("body_bytes", len(f.httpCtx.Request.Body())))
+		zap.Int("body_bytes", len(f.httpCtx.Request.Body())))
 	f.logResult(logevent.RequestRejected, outcome.Result{Kind: outcome.NotRun, Reason: reason}, status, details...)
 	f.ingress.d.metrics.countRejection(status, reason)
 	return false
@@ -29,17 +29,17 @@
 // configuration may exist that does, the answer is that the daemon is not ready, which
 // callers retry.
 func (f *callerRequest) rejectIfConfirmed(v *view, status int, reason outcome.Reason) bool {
-	if !f.ingress.d.control.configurationConfirmed(v) {
+	if !f.ingress.d.configurationConfirmed(v) {
 		return f.rejectNotReady()
 	}
-	return f.reject(v, status, reason)
+	return f.reject(status, reason)
 }
 
 // rejectHeaders rejects a request for an error of platform.ReadRequestHeaders.
-func (f *callerRequest) rejectHeaders(v *view, err error) bool {
+func (f *callerRequest) rejectHeaders(err error) bool {
 	reason := outcome.MalformedDeadline
 	if errors.Is(err, platform.ErrMalformedKey) {
 		reason = outcome.MalformedKey
 	}
-	return f.reject(v, fasthttp.StatusBadRequest, reason, zap.Error(err))
+	return f.reject(fasthttp.StatusBadRequest, reason, zap.Error(err))
 }
