--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"strings"
 	"sync/atomic"
@@ -10,11 +11,11 @@
 
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/fleet"
+	"github.com/parsleystack/parsleystack/freshness"
 	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/metastore"
 	"github.com/parsleystack/parsleystack/ownertable"
-	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/routetable"
 )
 
@@ -59,7 +60,9 @@
 
 	routes       *routetable.Table
 	rawConfig    []byte // the encoded configuration, as the operator wrote it
-	newestConfig uint64 // newest configuration version that any daemon reported
+	newestConfig uint64 // newest configuration version that is known to exist
+	config       configurationState
+	heardPeer    bool // another daemon has sent a status to this process
 
 	tables     map[ident.Service]*ownertable.Table
 	agent      *ownertable.Agent
@@ -81,9 +84,10 @@
 		keyOffsets: make(map[string]metastore.Offset), tables: make(map[ident.Service]*ownertable.Table),
 		reports: make(map[string]storedReport),
 		agent:   ownertable.NewAgent(s.Instance, d.started),
+		config:  configurationState{tracker: freshness.NewTracker(freshness.NewPolicy(s.ConfigApplyTime))},
 		self: fleet.Member{
 			Instance: string(s.Instance), Incarnation: uint64(time.Now().UnixNano()), Revision: 1,
-			Addr: s.LinkAddr, Zone: string(s.Zone), JoinedMS: time.Now().UnixMilli(), Service: string(s.Service),
+			Addr: cmp.Or(s.AnnounceAddr, s.LinkAddr), Zone: string(s.Zone), JoinedMS: time.Now().UnixMilli(), Service: string(s.Service),
 		},
 	}
 	c.readsDirectory.Store(true)
@@ -151,6 +155,8 @@
 	c.checkDeferred(now)
 	c.sendStatuses(now)
 	c.catchUp(now)
+	c.fetchConfiguration(now)
+	c.checkConfiguration(now)
 	c.confirmLease(now)
 	c.removeFailedPeers(now)
 	c.writeReport(now)
@@ -236,22 +242,6 @@
 	return nil
 }
 
-// applyConfiguration applies the operator's configuration.
-func (c *control) applyConfiguration(value []byte) {
-	cfg, err := platform.DecodeConfiguration(value)
-	if err != nil {
-		logevent.Log(c.log, logevent.ConfigRejected, zap.Error(err))
-		return
-	}
-	if c.routes != nil && cfg.Version <= c.routes.Version() {
-		return
-	}
-	c.routes, c.rawConfig = routetable.New(cfg), value
-	c.newestConfig = max(c.newestConfig, uint64(cfg.Version))
-	c.viewStale, c.status.urgent = true, true
-	logevent.Log(c.log, logevent.RoutesInForce, zap.Uint64("version", uint64(cfg.Version)), zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)))
-}
-
 // announceStop marks the daemon as stopping, for readiness checks and in its next
 // status.
 func (c *control) announceStop() {
