--- a/ownertable/agent.go
+++ b/ownertable/agent.go
@@ -233,10 +233,11 @@
 }
 
 // AssignmentPending reports whether shards are due to move to the target while
-// it has no shard left to release and none that is not yet granted.
+// it has no shard left to release and none that is not yet granted. They are also
+// due before the first table of an era if nothing can be granted until then.
 func (a *Agent) AssignmentPending(owner Owner) bool {
 	if a.table == nil {
-		return false
+		return a.Recovering() && len(a.ownedShards(owner)) == 0
 	}
 	pending := false
 	for i := range a.table.Shards {
