ownertable: the last read decides whether a lease may depend on extensions

A daemon that joined shortly before its last read, and whose record was lost, could have begun to depend on extensions 15 s later without any member of the new era knowing it. The unit test covers both sides of the bound.

--- a/ownertable/agent.go
+++ b/ownertable/agent.go
@@ -164,7 +164,7 @@
 	if !a.IsMember() || a.lease.LastRead() == clock.Never {
 		return 0
 	}
-	if !a.mayRelyOnExtensions(now) {
+	if !a.mayRelyOnExtensions() {
 		return a.lease.LastRead().Add(LeaseTime).Sub(now)
 	}
 	return a.lease.End(others).Sub(now)
@@ -173,7 +173,7 @@
 // KeptByExtensions reports whether lease extensions alone keep the lease valid
 // for more than half of LeaseTime, so that the store can be read less often.
 func (a *Agent) KeptByExtensions(others []ident.Instance, now clock.Time) bool {
-	return a.mayRelyOnExtensions(now) && a.lease.ExtendedUntil(others).Sub(now) > LeaseTime/2 && now.Sub(a.lease.LastRead()) < MaxUnconfirmed/2
+	return a.mayRelyOnExtensions() && a.lease.ExtendedUntil(others).Sub(now) > LeaseTime/2 && now.Sub(a.lease.LastRead()) < MaxUnconfirmed/2
 }
 
 // LastRead returns when the last complete read of the directory was sent.
--- a/ownertable/recovery.go
+++ b/ownertable/recovery.go
@@ -206,9 +206,10 @@
 	return PlanFirst(rec.claims, rec.older, a.readEnd, input)
 }
 
-// mayRelyOnExtensions reports whether extensions alone may keep the lease.
-func (a *Agent) mayRelyOnExtensions(now clock.Time) bool {
-	return a.era == 0 || a.MemberFor(now) >= MaxCopyAge
+// mayRelyOnExtensions reports whether extensions alone may keep the lease: if the
+// store goes back after the last read, the copy must still contain the own record.
+func (a *Agent) mayRelyOnExtensions() bool {
+	return a.era == 0 || a.MemberFor(a.lease.LastRead()) >= MaxCopyAge
 }
 
 // established reports whether all other members have had this member in the
--- a/ownertable/recovery_test.go
+++ b/ownertable/recovery_test.go
@@ -111,10 +111,16 @@
 	if p == nil || p.At != Position(3, 2) || len(p.Table.OwnedBy(other.Owner)) != shardsPerTarget {
 		t.Errorf("after all members have reported the proposal is %+v", p)
 	}
-	a.LeaseExtended("b", at(10*time.Second))
-	if left := a.LeaseLeft([]ident.Instance{"b"}, at(10*time.Second)); left > 0 {
+	a.Applied(Position(3, 2), at(MaxCopyAge-time.Second), true)
+	later := at(MaxCopyAge + 5*time.Second)
+	a.LeaseExtended("b", later)
+	if left := a.LeaseLeft([]ident.Instance{"b"}, later); left > 0 {
 		t.Errorf("the lease of a member whose record may be lost depends on extensions, left %v", left)
 	}
+	a.Applied(Position(3, 2), at(MaxCopyAge), true)
+	if left := a.LeaseLeft([]ident.Instance{"b"}, later); left != LeaseTime {
+		t.Errorf("the lease left by extensions is %v, want %v", left, LeaseTime)
+	}
 }
 
 // TestFirstTableContainsAllKeys checks the first table of reports that lie across
