--- a/ownertable/agent.go
+++ b/ownertable/agent.go
@@ -31,7 +31,7 @@
 	era       uint32        // era of the store; 0 if it states none
 	recovery  recovery      // state until the first table of the era was read
 	table     *Table        // newest table of the era
-	readEnd   uint64        // position of the end of the part of the directory that was applied
+	readEnd   uint64        // offset of the end of the part of the directory that was applied
 	joinedAt  clock.Time    // when this daemon's record was read from the store
 	recordAge time.Duration // age that the record certainly had then
 	lease     *Lease
@@ -60,7 +60,7 @@
 }
 
 // Proposal is a table to append on the condition that the directory still ends
-// at the position At.
+// at the offset At.
 type Proposal struct {
 	At      uint64
 	Table   *Table
@@ -126,7 +126,7 @@
 	a.grants = NewGrantTracker(clock.Time(math.MinInt64 / 2))
 }
 
-// Applied records that the directory was read up to the position end by a read
+// Applied records that the directory was read up to the offset end by a read
 // that was sent at sent. complete says that the read reached the end of the
 // directory. A read of another era than the known one has no effect.
 func (a *Agent) Applied(end uint64, sent clock.Time, complete bool) {
@@ -149,7 +149,7 @@
 }
 
 // MayExtendLease reports whether this daemon may extend the lease of the member
-// to, which has read the directory up to the position read. It may not if a
+// to, which has read the directory up to the offset read. It may not if a
 // proposal that takes shards from the member may be accepted, if the member has
 // not read the newest revocation of its shards, or if the two know different eras
 // of the store.
@@ -179,17 +179,17 @@
 // LastRead returns when the last complete read of the directory was sent.
 func (a *Agent) LastRead() clock.Time { return a.lease.LastRead() }
 
-// TableRead applies a table that was read from the directory at a position. A
+// TableRead applies a table that was read from the directory at an offset. A
 // table that was made for an older era only tells who owned the keys.
-func (a *Agent) TableRead(t *Table, position uint64, now clock.Time) {
-	if EraOf(position) != a.era {
+func (a *Agent) TableRead(t *Table, offset uint64, now clock.Time) {
+	if EraOf(offset) != a.era {
 		return
 	}
 	if t.Era() != a.era {
 		if a.recovery.older == nil || a.recovery.older.LastToken() < t.LastToken() {
 			a.recovery.older = t
 		}
-		a.readEnd = max(a.readEnd, position+1)
+		a.readEnd = max(a.readEnd, offset+1)
 		return
 	}
 	revokedSince := make(map[ShardID]clock.Time)
@@ -205,12 +205,12 @@
 		since, ok := a.revokedSince[r.ID()]
 		if !ok {
 			since = now
-			a.revocationEnd[r.Owner.Instance] = position + 1
+			a.revocationEnd[r.Owner.Instance] = offset + 1
 		}
 		revokedSince[r.ID()] = since
 	}
 	a.table, a.revokedSince, a.released = t, revokedSince, released
-	a.readEnd = max(a.readEnd, position+1)
+	a.readEnd = max(a.readEnd, offset+1)
 	a.changeNeededSince = clock.Never
 }
 
@@ -355,7 +355,7 @@
 	}
 }
 
-// Proposed records the outcome of the append of the proposal at a position. An
+// Proposed records the outcome of the append of the proposal at an offset. An
 // indeterminate proposal stays undecided until the directory has grown, because
 // the store may still append it.
 func (a *Agent) Proposed(at uint64, v AppendOutcome, now clock.Time) {
--- a/ownertable/plan.go
+++ b/ownertable/plan.go
@@ -128,7 +128,7 @@
 }
 
 // Plan returns the table that should replace t and its differences from t, or
-// nil if no change is needed. The table must be appended at the position at,
+// nil if no change is needed. The table must be appended at the offset at,
 // because its fencing tokens are derived from it.
 func Plan(t *Table, at uint64, input *PlanInput) (*Table, []Change) {
 	p := newPlanner(at, input)
--- a/ownertable/recovery.go
+++ b/ownertable/recovery.go
@@ -43,7 +43,7 @@
 	if a.table != nil {
 		older = a.table
 	}
-	a.era, a.readEnd, a.table = era, Position(era, 0), nil
+	a.era, a.readEnd, a.table = era, Offset(era, 0), nil
 	a.lease, a.joinedAt, a.recordAge = NewLease(), clock.Never, 0
 	a.proposal, a.changeNeededSince, a.nextProposalAt = proposal{}, clock.Never, clock.Never
 	a.released, a.revokedSince, a.revocationEnd = make(map[ShardID]string), make(map[ShardID]clock.Time), make(map[ident.Instance]uint64)
@@ -76,13 +76,13 @@
 	return ok
 }
 
-// ReportRead applies a report that was read at a position of the directory. A
+// ReportRead applies a report that was read at an offset of the directory. A
 // report of another era has no effect.
-func (a *Agent) ReportRead(r *HoldReport, position uint64, now clock.Time) {
-	if EraOf(position) != a.era {
+func (a *Agent) ReportRead(r *HoldReport, offset uint64, now clock.Time) {
+	if EraOf(offset) != a.era {
 		return
 	}
-	a.readEnd = max(a.readEnd, position+1)
+	a.readEnd = max(a.readEnd, offset+1)
 	if r.Era != a.era {
 		return
 	}
--- a/ownertable/recovery_plan.go
+++ b/ownertable/recovery_plan.go
@@ -6,7 +6,7 @@
 // table, or nil if no target is ready. claims are the shards that targets have
 // reported: they stay with the targets. The other keys go to their owners in the
 // older table, which may be nil, as far as these are ready. Every shard gets a
-// token of the era. The table must be appended at the position at.
+// token of the era. The table must be appended at the offset at.
 func PlanFirst(claims []Shard, older *Table, at uint64, input *PlanInput) (*Table, []Change) {
 	p := newPlanner(at, input)
 	if len(p.ready) == 0 || len(claims) == 0 && older == nil && !input.MembershipStable {
--- a/ownertable/recovery_test.go
+++ b/ownertable/recovery_test.go
@@ -67,18 +67,18 @@
 		return a.Heartbeat(self.Owner, &Report{Seq: seq}, nil, 10*time.Second, now, now)
 	}
 	a.Joined(now, time.Hour)
-	a.Applied(Position(1, 0), now, true)
+	a.Applied(Offset(1, 0), now, true)
 	due := a.ReportDue()
 	if reply := heartbeat(2); due == nil || reply.TTL != 0 {
 		t.Fatalf("report due %v, before it is stored the reply is %+v", due, reply)
 	}
-	a.ReportRead(due, Position(1, 0), now)
-	a.Applied(Position(1, 1), now, true)
+	a.ReportRead(due, Offset(1, 0), now)
+	a.Applied(Offset(1, 1), now, true)
 	if reply := heartbeat(3); len(reply.Grants) != 2 || reply.Grants[1].Token != 1 {
 		t.Errorf("after the report is stored the reply is %+v", reply)
 	}
 	late := &Table{Shards: []Shard{{Range: Range{To: MaxKey}, Token: 40, Owner: Owner{Instance: "b"}}}}
-	a.TableRead(late, Position(1, 1), now)
+	a.TableRead(late, Offset(1, 1), now)
 	if a.Table() != nil || a.MayExtendLease("b", 7) {
 		t.Error("a table of an older era is in force, or a member's lease of that era is extended")
 	}
@@ -95,29 +95,29 @@
 	a, self, other := NewAgent("a", at(0)), simpleCandidate("a"), simpleCandidate("b")
 	a.EnterEra(3, &self, at(0))
 	a.Joined(at(0), 0)
-	a.Applied(Position(3, 0), at(0), true)
-	a.ReportRead(a.ReportDue(), Position(3, 0), at(0))
+	a.Applied(Offset(3, 0), at(0), true)
+	a.ReportRead(a.ReportDue(), Offset(3, 0), at(0))
 	plan := func(d time.Duration) *Proposal {
 		return a.Plan(&PlanRequest{Now: at(d), Self: self, Candidates: []Candidate{self, other}})
 	}
 	if p := plan(MaxUnconfirmed - time.Second); p != nil {
 		t.Fatal("the first table does not wait for a member that has not reported")
 	}
-	a.ReportRead(&HoldReport{Era: 3, Owner: other.Owner, UnreportedFor: 2 * time.Second}, Position(3, 1), at(2*time.Second))
+	a.ReportRead(&HoldReport{Era: 3, Owner: other.Owner, UnreportedFor: 2 * time.Second}, Offset(3, 1), at(2*time.Second))
 	if p := plan(TakeoverWait(true) - time.Millisecond); p != nil {
 		t.Error("the first table does not wait for members that are unknown")
 	}
 	p := plan(2*time.Second + GrantExpiryBound(2*time.Second))
-	if p == nil || p.At != Position(3, 2) || len(p.Table.OwnedBy(other.Owner)) != shardsPerTarget {
+	if p == nil || p.At != Offset(3, 2) || len(p.Table.OwnedBy(other.Owner)) != shardsPerTarget {
 		t.Errorf("after all members have reported the proposal is %+v", p)
 	}
-	a.Applied(Position(3, 2), at(MaxCopyAge-time.Second), true)
+	a.Applied(Offset(3, 2), at(MaxCopyAge-time.Second), true)
 	later := at(MaxCopyAge + 5*time.Second)
 	a.LeaseExtended("b", later)
 	if left := a.LeaseLeft([]ident.Instance{"b"}, later); left > 0 {
 		t.Errorf("the lease of a member whose record may be lost depends on extensions, left %v", left)
 	}
-	a.Applied(Position(3, 2), at(MaxCopyAge), true)
+	a.Applied(Offset(3, 2), at(MaxCopyAge), true)
 	if left := a.LeaseLeft([]ident.Instance{"b"}, later); left != LeaseTime {
 		t.Errorf("the lease left by extensions is %v, want %v", left, LeaseTime)
 	}
@@ -133,7 +133,7 @@
 		{Range: Range{0, 1000}, Token: 9, Owner: all[0].Owner},
 		{Range: Range{30000, 50000}, Token: 9, Owner: all[2].Owner},
 	}
-	table, _ := PlanFirst(claims, older, Position(2, 7), &PlanInput{Candidates: all})
+	table, _ := PlanFirst(claims, older, Offset(2, 7), &PlanInput{Candidates: all})
 	back, err := Decode(table.Encode())
 	if err != nil || table.Era() != 2 || len(table.Shards) > MaxShards {
 		t.Fatalf("a table of %d shards in era %d, error %v", len(table.Shards), table.Era(), err)
@@ -149,7 +149,7 @@
 		case was.Owner == all[2].Owner: // not ready and not reported
 			want = r.Owner
 		}
-		if r.Owner != want || r.Token != Position(2, 7)+1 {
+		if r.Owner != want || r.Token != Offset(2, 7)+1 {
 			t.Fatalf("key %d: %+v, want the owner %v", key, r, want)
 		}
 	}
--- a/ownertable/soak_store_test.go
+++ b/ownertable/soak_store_test.go
@@ -94,7 +94,7 @@
 	}
 }
 
-// read requests new records from the store. A read at a position of an older era
+// read requests new records from the store. A read at an offset of an older era
 // gets none, only the era.
 func (n *node) read() {
 	n.reading = true
@@ -105,7 +105,7 @@
 			return
 		}
 		era, end := w.store.era, uint64(len(w.store.log))
-		records := w.store.records(OffsetOf(from))
+		records := w.store.records(PositionOf(from))
 		w.schedule(w.delay(), func() {
 			n.whenActive(process, func() {
 				answered = true
@@ -143,14 +143,14 @@
 	if n.sim.activeFault == confirmAtReadResponse {
 		sent = n.clock()
 	}
-	n.agent.Applied(Position(EraOf(from), end), sent, true)
+	n.agent.Applied(Offset(EraOf(from), end), sent, true)
 }
 
 func (w *simulation) decodeTable(data []byte, era uint32) *Table {
 	t := mustDecode(Decode(data))
 	if w.activeFault == olderTableInForce {
 		for i := range t.Shards {
-			t.Shards[i].Token = Position(era, OffsetOf(t.Shards[i].Token))
+			t.Shards[i].Token = Offset(era, PositionOf(t.Shards[i].Token))
 		}
 	}
 	return t
@@ -187,13 +187,13 @@
 }
 
 // extends reports whether the node extends the lease of a member that has read the
-// directory up to the position read.
+// directory up to the offset read.
 func (n *node) extends(to ident.Instance, read uint64) bool {
 	switch n.sim.activeFault {
 	case alwaysExtend:
 		return true
 	case extendAcrossEras:
-		read = Position(n.agent.Era(), OffsetOf(read))
+		read = Offset(n.agent.Era(), PositionOf(read))
 	}
 	return n.agent.MayExtendLease(to, read)
 }
--- a/ownertable/soak_test.go
+++ b/ownertable/soak_test.go
@@ -70,7 +70,7 @@
 	ignoreHeld            faultMode = "a shard counts as released as soon as it is omitted"
 	confirmAtReadResponse faultMode = "a read confirms the lease from the time of its response"
 	ignoreAppendCondition faultMode = "the store ignores the condition of delayed appends"
-	ignoreEra             faultMode = "positions are offsets without the era"
+	ignoreEra             faultMode = "offsets are positions without the era"
 	olderTableInForce     faultMode = "a table of an older era is in force"
 	leaseKept             faultMode = "lease and shards are kept over a change of the era"
 	reportsNotAwaited     faultMode = "the first table of an era does not wait for reports"
@@ -467,7 +467,7 @@
 			return
 		}
 		w.schedule(appendDelay, func() {
-			accepted := uint64(len(w.store.log)) == OffsetOf(p.At) || w.activeFault == ignoreAppendCondition && appendDelay > 0
+			accepted := uint64(len(w.store.log)) == PositionOf(p.At) || w.activeFault == ignoreAppendCondition && appendDelay > 0
 			if accepted {
 				w.store.append(record, false, w.now)
 				w.logf("%s: table at %x of %d changes, first %s", n.name, p.At, len(p.Changes), p.Changes[0].Reason)
