--- a/sidecar/control_plan.go
+++ b/sidecar/control_plan.go
@@ -83,9 +83,14 @@
 	go c.d.propose(metastore.Offset(p.At), metastore.Record{Key: ownersPrefix + c.self.Service, Value: p.Table.Encode()})
 }
 
-// recordAge returns how long the store has certainly contained the own record.
+// recordAge returns how long the store has certainly contained the own record. In a
+// store that has gone back, an append of the record may have been made late.
 func (c *control) recordAge() time.Duration {
-	return max(time.Since(time.UnixMilli(c.self.JoinedMS))-establishedSlack, 0)
+	age := time.Since(time.UnixMilli(c.self.JoinedMS)) - establishedSlack
+	if c.agent.Era() > 0 {
+		age -= ownertable.MaxCopyAge
+	}
+	return max(age, 0)
 }
 
 // rank returns the position of this daemon, by instance name, among the daemons of
