A daemon that is the only member grants for LeaseTime at most

After a restart the daemon assumed that grants of its earlier process end within LeaseTime, released or left unreported what its target still held, and another target got the key.

TestOnlyMemberGrantsNoLongerThanLeaseTime before: "the only member of a service grants for 10s, want at most 3s".

Fix: the remaining time of a lease is at most LeaseTime; the lease itself still lasts MaxUnconfirmed.

--- a/ownertable/agent.go
+++ b/ownertable/agent.go
@@ -158,8 +158,8 @@
 	return a.IsMember() && !losesShards && EraOf(read) == a.era && read >= a.revocationEnd[to]
 }
 
-// LeaseLeft returns the remaining time of the lease; others are all other
-// members. It is zero or negative if the lease is not valid.
+// LeaseLeft returns the remaining time of the lease, at most LeaseTime; others are
+// all other members. It is zero or negative if the lease is not valid.
 func (a *Agent) LeaseLeft(others []ident.Instance, now clock.Time) time.Duration {
 	if !a.IsMember() || a.lease.LastRead() == clock.Never {
 		return 0
@@ -167,7 +167,9 @@
 	if !a.mayRelyOnExtensions() {
 		return a.lease.LastRead().Add(LeaseTime).Sub(now)
 	}
-	return a.lease.End(others).Sub(now)
+	// The lease of an only member depends on no extensions and lasts longer, but a
+	// later process relies on grants of no more than LeaseTime.
+	return min(a.lease.End(others).Sub(now), LeaseTime)
 }
 
 // KeptByExtensions reports whether lease extensions alone keep the lease valid
--- a/ownertable/lease_test.go
+++ b/ownertable/lease_test.go
@@ -85,3 +85,17 @@
 		t.Error("the lease is not extended although the proposal was rejected")
 	}
 }
+
+// TestOnlyMemberGrantsNoLongerThanLeaseTime guards against grants that outlast the
+// time for which a restarted daemon waits: the shards counted as released while the
+// target still held them.
+func TestOnlyMemberGrantsNoLongerThanLeaseTime(t *testing.T) {
+	a := NewAgent("a", at(0))
+	a.Joined(at(0), time.Hour)
+	owner := Owner{Instance: "a", Target: Target{ID: "t", StartTime: 1}}
+	a.TableRead(&Table{Shards: []Shard{{Range: Range{To: MaxKey}, Token: 1, Owner: owner}}}, 0, at(0))
+	a.Applied(1, at(0), true)
+	if reply := a.Heartbeat(owner, &Report{Seq: 1}, nil, 10*time.Second, at(0), at(0)); reply.TTL == 0 || reply.TTL > LeaseTime {
+		t.Errorf("the only member of a service grants for %v, want at most %v", reply.TTL, LeaseTime)
+	}
+}
