--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -72,7 +72,7 @@
 	headers, err := platform.ReadRequestHeaders(h)
 	f.headers = headers
 	if err != nil {
-		return f.rejectHeaders(v, err)
+		return f.rejectHeaders(err)
 	}
 	if f.ingress.refusing.Load() {
 		f.respond(outcome.Result{Kind: outcome.NotRun, Reason: outcome.Draining, RetryAfter: retryStopping})
@@ -87,21 +87,18 @@
 	}
 	f.configVersion = v.routes.Version()
 	var ok bool
-	f.route, ok = v.routes.Lookup(string(h.Host()), string(h.RequestURI()))
+	f.route, ok = v.routes.Lookup(string(h.Host()), string(originForm(h.RequestURI())))
 	if !ok {
-		if v.configBehind || f.ingress.d.control.configurationStale() {
-			return f.rejectNotReady()
-		}
-		return f.reject(v, fasthttp.StatusNotFound, outcome.UnknownRoute)
+		return f.rejectIfConfirmed(v, fasthttp.StatusNotFound, outcome.UnknownRoute)
 	}
 	limits := v.routes.Limits()
 	if limits.BodyBytes > 0 && len(f.httpCtx.Request.Body()) > limits.BodyBytes {
-		return f.reject(v, fasthttp.StatusRequestEntityTooLarge, outcome.BodyTooLarge)
+		return f.rejectIfConfirmed(v, fasthttp.StatusRequestEntityTooLarge, outcome.BodyTooLarge)
 	}
 	f.service, err = v.routes.PickService(f.route, f.headers.HasKey, random())
 	switch {
 	case errors.Is(err, routetable.ErrKeyRequired):
-		return f.reject(v, fasthttp.StatusBadRequest, outcome.MissingKey, zap.Error(err))
+		return f.rejectIfConfirmed(v, fasthttp.StatusBadRequest, outcome.MissingKey)
 	case err != nil:
 		return f.rejectNotReady()
 	}
@@ -129,7 +126,7 @@
 	f.req = wire.Request{
 		Service: f.service.Name, Keyed: f.service.Keyed, Point: keyspace.Point(f.headers.Key),
 		Priority:   uint8(maxWirePriority - min(max(f.route.Priority, 0), maxWirePriority)),
-		Idempotent: f.route.Idempotent, Method: h.Method(), URI: h.RequestURI(), RequestID: []byte(f.headers.RequestID),
+		Idempotent: f.route.Idempotent, Method: h.Method(), URI: originForm(h.RequestURI()), RequestID: []byte(f.headers.RequestID),
 		Class: []byte(f.route.Name), Caller: f.ingress.d.settings().Service, Body: f.httpCtx.Request.Body(),
 	}
 	named := httpfield.Value(h, fasthttp.HeaderConnection)
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -16,7 +16,6 @@
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/metastore"
 	"github.com/parsleystack/parsleystack/ownertable"
-	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/routetable"
 )
 
@@ -63,6 +62,7 @@
 	rawConfig    []byte // the encoded configuration, as the operator wrote it
 	newestConfig uint64 // newest configuration version that is known to exist
 	config       configurationState
+	heardPeer    bool // another daemon has sent a status to this process
 
 	tables     map[ident.Service]*ownertable.Table
 	agent      *ownertable.Agent
@@ -213,24 +213,6 @@
 	return nil
 }
 
-// applyConfiguration applies the operator's configuration, which was obtained from
-// source.
-func (c *control) applyConfiguration(value []byte, source string) {
-	cfg, err := platform.DecodeConfiguration(value)
-	if err != nil {
-		logevent.Log(c.log, logevent.ConfigRejected, zap.Error(err))
-		return
-	}
-	if c.routes != nil && cfg.Version <= c.routes.Version() {
-		return
-	}
-	c.routes, c.rawConfig = routetable.New(cfg), value
-	now := clock.Now()
-	c.heardOfConfiguration(uint64(cfg.Version), now)
-	c.viewStale, c.status.urgent = true, true
-	logevent.Log(c.log, logevent.RoutesInForce, zap.Uint64("version", uint64(cfg.Version)), zap.String("from", source), zap.Duration("after", now.Sub(c.config.newestAt)), zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)))
-}
-
 // announceStop marks the daemon as stopping, for readiness checks and in its next
 // status.
 func (c *control) announceStop() {
