--- a/ownertable/agent.go
+++ b/ownertable/agent.go
@@ -224,7 +224,7 @@
 		left += now.Sub(received) // the target counts the TTL from when it sent the heartbeat
 	}
 	shards := a.ownedShards(owner)
-	if a.table == nil && (len(shards) == 0 || !a.reported()) {
+	if a.table == nil && (len(shards) == 0 || !a.reportStored()) {
 		return HeartbeatReply{}
 	}
 	reply := a.grants.Heartbeat(shards, report, left, longest, received)
--- a/ownertable/recovery.go
+++ b/ownertable/recovery.go
@@ -12,11 +12,11 @@
 // recovery is what a daemon knows about the ownership of keys in an era of the
 // store until it has read the first table of that era.
 type recovery struct {
-	since   clock.Time  // when this process learned of the era
-	older   *Table      // newest table of an older era, which says who owned a key; nil if there is none
-	report  *HoldReport // of this process
-	reports map[string]receivedReport
-	claims  []Shard // the rows of all reports, in ascending key order
+	since    clock.Time  // when this process learned of the era
+	older    *Table      // newest table of an older era, which says who owned a key; nil if there is none
+	report   *HoldReport // of this process
+	reports  map[string]receivedReport
+	reported []Shard // the rows of all reports, in ascending key order
 }
 
 // receivedReport is a report that was read from the store.
@@ -64,14 +64,14 @@
 // ReportDue returns the report that must be appended to the store, or nil if the
 // store contains it or it is not needed. It may be appended more than once.
 func (a *Agent) ReportDue() *HoldReport {
-	if !a.Recovering() || a.lease.LastRead() == clock.Never || a.reported() {
+	if !a.Recovering() || a.lease.LastRead() == clock.Never || a.reportStored() {
 		return nil
 	}
 	return a.recovery.report
 }
 
-// reported reports whether this process's report was read from the store.
-func (a *Agent) reported() bool {
+// reportStored reports whether this process's report was read from the store.
+func (a *Agent) reportStored() bool {
 	_, ok := a.recovery.reports[a.recovery.report.Name()]
 	return ok
 }
@@ -91,7 +91,7 @@
 		return
 	}
 	a.recovery.reports[name] = receivedReport{HoldReport: r, unreportedUntil: now.Add(GrantExpiryBound(r.UnreportedFor))}
-	a.recovery.claims = claims(a.recovery.reports)
+	a.recovery.reported = reportedShards(a.recovery.reports)
 }
 
 // heldRows returns the ranges that the target may hold under grants of this process
@@ -99,8 +99,8 @@
 func (a *Agent) heldRows(owner Owner, now clock.Time) []Held {
 	var rows []Held
 	shards := a.ownedShards(owner)
-	if a.Recovering() && !a.reported() {
-		shards = claims(map[string]receivedReport{"": {HoldReport: a.recovery.report}})
+	if a.Recovering() && !a.reportStored() {
+		shards = reportedShards(map[string]receivedReport{"": {HoldReport: a.recovery.report}})
 	}
 	for _, r := range shards {
 		if _, ok := a.released[r.ID()]; !ok && a.grants.MayHold(&r, now) {
@@ -116,14 +116,14 @@
 func (a *Agent) ownedShards(owner Owner) []Shard {
 	t := a.table
 	if t == nil {
-		t = &Table{Shards: a.recovery.claims}
+		t = &Table{Shards: a.recovery.reported}
 	}
 	return t.OwnedBy(owner)
 }
 
-// claims returns the rows of reports as shards without overlaps. Reports do not
+// reportedShards returns the rows of reports as shards without overlaps. Reports do not
 // overlap; if they did, the larger token would win.
-func claims(reports map[string]receivedReport) []Shard {
+func reportedShards(reports map[string]receivedReport) []Shard {
 	var all []Shard
 	for _, name := range slices.Sorted(maps.Keys(reports)) {
 		r := reports[name]
@@ -145,14 +145,14 @@
 	return disjoint
 }
 
-// claimsAllKeys reports whether the reports list every key.
-func (rec *recovery) claimsAllKeys() bool {
+// listsAllKeys reports whether the reports list every key.
+func (rec *recovery) listsAllKeys() bool {
 	next := uint32(0)
-	for i := range rec.claims {
-		if rec.claims[i].From != next {
+	for i := range rec.reported {
+		if rec.reported[i].From != next {
 			return false
 		}
-		next = rec.claims[i].To + 1
+		next = rec.reported[i].To + 1
 	}
 	return next == MaxKey+1
 }
@@ -197,13 +197,13 @@
 // keys, or nil.
 func (a *Agent) firstTable(s *PlanRequest, input *PlanInput) (*Table, []Change) {
 	rec := &a.recovery
-	if a.lease.LastRead() == clock.Never || !a.reported() {
+	if a.lease.LastRead() == clock.Never || !a.reportStored() {
 		return nil, nil
 	}
-	if !rec.claimsAllKeys() && !rec.mayAssignUnreported(a.self, s.Candidates, a.established(s.Now), s.Now) {
+	if !rec.listsAllKeys() && !rec.mayAssignUnreported(a.self, s.Candidates, a.established(s.Now), s.Now) {
 		return nil, nil
 	}
-	return PlanFirst(rec.claims, rec.older, a.readEnd, input)
+	return PlanFirst(rec.reported, rec.older, a.readEnd, input)
 }
 
 // mayRelyOnExtensions reports whether extensions alone may keep the lease: if the
--- a/ownertable/recovery_plan.go
+++ b/ownertable/recovery_plan.go
@@ -3,19 +3,19 @@
 import "slices"
 
 // PlanFirst returns the first table of an era and its differences from the older
-// table, or nil if no target is ready. claims are the shards that targets have
+// table, or nil if no target is ready. reported are the shards that targets have
 // reported: they stay with the targets. The other keys go to their owners in the
 // older table, which may be nil, as far as these are ready. Every shard gets a
 // token of the era. The table must be appended at the offset at.
-func PlanFirst(claims []Shard, older *Table, at uint64, input *PlanInput) (*Table, []Change) {
+func PlanFirst(reported []Shard, older *Table, at uint64, input *PlanInput) (*Table, []Change) {
 	p := newPlanner(at, input)
-	if len(p.ready) == 0 || len(claims) == 0 && older == nil && !input.MembershipStable {
+	if len(p.ready) == 0 || len(reported) == 0 && older == nil && !input.MembershipStable {
 		return nil, nil
 	}
 	if older == nil {
 		older = &Table{Shards: p.initialShards()}
 	}
-	p.shards = fillGaps(claims, older)
+	p.shards = fillGaps(reported, older)
 	p.mergeToFit()
 	kept := make([]bool, len(p.shards))
 	for i := range p.shards {
@@ -47,10 +47,10 @@
 	return ready || r.Revoked == NotRevoked
 }
 
-// fillGaps returns the claimed shards and, for the keys between them, the parts of
+// fillGaps returns the reported shards and, for the keys between them, the parts of
 // the older table's shards. The latter are marked as revoked to their planned
 // owner or, without one, to their owner.
-func fillGaps(claims []Shard, older *Table) []Shard {
+func fillGaps(reported []Shard, older *Table) []Shard {
 	var shards []Shard
 	next := uint32(0)
 	gap := func(end uint32) { // end is the key after the gap
@@ -64,7 +64,7 @@
 			}
 		}
 	}
-	for _, c := range claims {
+	for _, c := range reported {
 		gap(c.From)
 		shards = append(shards, c)
 		next = c.To + 1
--- a/ownertable/recovery_test.go
+++ b/ownertable/recovery_test.go
@@ -129,11 +129,11 @@
 	all := []Candidate{simpleCandidate("a"), simpleCandidate("b"), simpleCandidate("c")}
 	older, _ := Plan(NewTable(), 0, &PlanInput{Candidates: all, MembershipStable: true})
 	all[2].Ready = false
-	claims := []Shard{
+	reported := []Shard{
 		{Range: Range{0, 1000}, Token: 9, Owner: all[0].Owner},
 		{Range: Range{30000, 50000}, Token: 9, Owner: all[2].Owner},
 	}
-	table, _ := PlanFirst(claims, older, Offset(2, 7), &PlanInput{Candidates: all})
+	table, _ := PlanFirst(reported, older, Offset(2, 7), &PlanInput{Candidates: all})
 	back, err := Decode(table.Encode())
 	if err != nil || table.Era() != 2 || len(table.Shards) > MaxShards {
 		t.Fatalf("a table of %d shards in era %d, error %v", len(table.Shards), table.Era(), err)
--- a/ownertable/soak_store_test.go
+++ b/ownertable/soak_store_test.go
@@ -183,7 +183,7 @@
 	n.membership.read, n.membership.recorded = false, false
 	switch fault {
 	case leaseKept:
-		a.lease, a.joinedAt, a.recovery.claims = lease, joined, owned
+		a.lease, a.joinedAt, a.recovery.reported = lease, joined, owned
 		a.recovery.reports[a.recovery.report.Name()] = receivedReport{HoldReport: a.recovery.report}
 	case reportsNotAwaited:
 		a.recovery.since = a.recovery.since.Add(-time.Minute)
