--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/metastore"
 	"github.com/parsleystack/parsleystack/outcome"
 )
 
@@ -79,6 +80,13 @@
 		}
 		return 0
 	})
+	gauge("parsley_store_era", func() float64 {
+		era, _ := d.store.Era()
+		return float64(era)
+	})
+	gauge("parsley_directory_era", func() float64 {
+		return float64(metastore.Offset(d.control.appliedShared.Load()).Era())
+	})
 }
 
 func (m *metricSet) write(w io.Writer) { m.set.WritePrometheus(w) }
