--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -23,6 +23,9 @@
 	UpdateNotForwarded    = define(7107, "directory update not forwarded", routine, "A directory update could not be forwarded to another daemon; that daemon reads the store itself.", "")
 	RelayFailed           = define(7106, "relayed store call failed", routine, "No other daemon could relay a store call for this one.", "")
 
+	EraChanged = define(7108, "store went back", warning, "An answer of the store states a later era: the store has come back from an older copy and has lost its newest records. All topics are read anew.", "Check why the store was replaced. Compare what was written just before; the daemons and the operator write their own records again.")
+	EraEntered = define(7109, "directory read in a later era", info, "The newest records of the directory were read in a later era of the store; this daemon writes its own record again if it is missing.", "")
+
 	RoutesInForce            = define(7201, "routes in force", info, "Requests are routed by this configuration version from now on.", "")
 	ConfigurationUnconfirmed = define(7203, "configuration not confirmed", info, "The store did not answer the check whether the configuration in force is the newest; it is repeated.", "")
 	ConfigRejected           = define(7202, "configuration rejected", failure, "The operator's configuration is invalid; the version in force stays, and requests without a route in it get 503.", "Write a valid configuration.")
@@ -44,6 +47,8 @@
 	TableProposalFailed = define(7402, "assignment table proposal failed", info, "The append of the proposed table was rejected or its outcome is indeterminate; a new table is planned from the records in the store.", "")
 	TableInForce        = define(7403, "assignment table in force", info, "A new assignment table was read and applied.", "")
 	ShardsReleased      = define(7404, "shards released", info, "The target has released shards.", "")
+	HoldingsReported    = define(7405, "holdings reported", info, "The store went back. This daemon appends what its target may hold, until it reads the report back; keys move only once it is certain who holds them.", "")
+	FirstTableOfEra     = define(7406, "first table of an era", info, "The first assignment table after the store went back is in force.", "")
 
 	RequestRefused  = define(7501, "request refused", info, "A request was answered with the outcome not run.", "")
 	RequestFailed   = define(7502, "request failed", info, "A request was answered with an unknown outcome.", "")
--- a/sidecar/control_plan.go
+++ b/sidecar/control_plan.go
@@ -71,7 +71,7 @@
 		return
 	}
 	list := c.candidates()
-	p := c.agent.Plan(&ownertable.PlanRequest{Now: now, Self: list[0], Candidates: list, Rank: c.rank(), Established: c.established(now), KeyLoad: c.d.backend.keyLoads.load})
+	p := c.agent.Plan(&ownertable.PlanRequest{Now: now, Self: list[0], Candidates: list, Rank: c.rank(), KeyLoad: c.d.backend.keyLoads.load})
 	if p == nil {
 		return
 	}
@@ -80,16 +80,17 @@
 		reasons[p.Changes[i].Reason]++
 	}
 	logevent.Log(c.log, logevent.TableProposed, zap.String("service", c.self.Service), zap.Uint64("at", p.At), zap.Any("changes", reasons))
-	go c.d.propose(metastore.Offset(p.At), metastore.Record{Key: ownersPrefix + c.self.Service, Value: p.Table.Encode()})
+	go c.d.propose(metastore.Offset(p.At), metastore.Record{Key: tableKey(ident.Service(c.self.Service), metastore.Offset(p.At).Era()), Value: p.Table.Encode()})
 }
 
-// established reports whether all other members are sure to have had this member's
-// record for ownertable.MaxUnconfirmed.
-func (c *control) established(now clock.Time) bool {
-	if c.agent.MemberFor(now) > ownertable.MaxUnconfirmed {
-		return true
+// recordAge returns how long the store has certainly contained the own record. In a
+// store that has gone back, an append of the record may have been made late.
+func (c *control) recordAge() time.Duration {
+	age := time.Since(time.UnixMilli(c.self.JoinedMS)) - establishedSlack
+	if c.agent.Era() > 0 {
+		age -= ownertable.MaxCopyAge
 	}
-	return time.Since(time.UnixMilli(c.self.JoinedMS)) > ownertable.MaxUnconfirmed+establishedSlack
+	return max(age, 0)
 }
 
 // rank returns the position of this daemon, by instance name, among the daemons of
@@ -126,7 +127,8 @@
 	logevent.Log(c.log, logevent.TableProposalFailed, zap.Int64("at", int64(at)), zap.Error(err))
 	verdict := ownertable.Indeterminate
 	var condition *metastore.ConditionError
-	if errors.As(err, &condition) || errors.Is(err, metastore.ErrNotApplied) {
+	var era *metastore.EraError // wherever the record stands, it is not in force
+	if errors.As(err, &condition) || errors.As(err, &era) || errors.Is(err, metastore.ErrNotApplied) {
 		verdict = ownertable.Rejected
 	}
 	c.agent.Proposed(uint64(at), verdict, now)
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -228,7 +228,7 @@
 // fleet.RemovalTimeout and own no shards. A removed daemon that still runs reads its
 // removal and joins again.
 func (c *control) removeFailedPeers(now clock.Time) {
-	if !c.agent.IsMember() || c.rank() > 0 || c.stopping || now.Before(c.status.nextRemove) {
+	if !c.agent.IsMember() || c.agent.Recovering() || c.rank() > 0 || c.stopping || now.Before(c.status.nextRemove) {
 		return
 	}
 	c.status.nextRemove = now.Add(removeInterval)
@@ -260,13 +260,19 @@
 	if st.behindSince == clock.Never {
 		st.behindSince = now
 	}
-	if st.fetching || now.Sub(st.behindSince) < catchUpAfter {
+	if st.fetching || now.Sub(st.behindSince) < catchUpAfter && !c.peerInLaterEra() {
 		return
 	}
 	st.fetching, st.behindSince = true, clock.Never
 	go c.d.readDirectory()
 }
 
+// peerInLaterEra reports whether a daemon has read the directory in a later era of the
+// store. Reading it here too shows the era to the followers.
+func (c *control) peerInLaterEra() bool {
+	return slices.ContainsFunc(c.dir.Peers(), func(p *fleet.Peer) bool { return metastore.Offset(p.Offset).Era() > c.era() })
+}
+
 // directoryBehind reports whether another daemon has read more of the directory.
 func (c *control) directoryBehind() bool {
 	return slices.ContainsFunc(c.dir.Peers(), func(p *fleet.Peer) bool {
