Bound the memory of answers that a target sends without end

What callers saw: up to 26 connections to one target (18 slots and 8 spare) could each receive 32 MB at the same time. The memory of an answer was allocated from the length that the target stated, before any byte had arrived, and doubled otherwise. The process would be killed, and with it every request on the instance.

Fix: package recvlimit. Bodies grow only as bytes arrive, and everything above the first 64 KiB of a body is reserved from a budget that all answers of the target share: a fifth of the memory that the settings state (limits.memoryMb). The reservation lasts until the answer has been passed on. If the budget is exhausted, the call ends as unknown and its connection is closed; answers up to 64 KiB need no reservation and are not affected. The garbage collector gets a limit of three quarters of the memory, since a heap of short-lived bodies otherwise reaches twice its live size. Event 7601 and parsley_messages_too_large_total count by source.

A single answer may still have 32 MB, also on a machine with 184 MB.

The test hosts of package sidecar depend on the process ID, since two runs of the package on one machine used the same addresses ("bind: address already in use").

--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -50,4 +50,6 @@
 	RequestResent  = define(7505, "request resent", info, "A request is sent to another target after the first one did not answer.", "")
 	AttemptRefused = define(7506, "attempt refused", routine, "A daemon or its target refused a request without running it.", "")
 	TargetFailed   = define(7507, "target failed", info, "A target returned no complete response.", "")
+
+	MessageTooLarge = define(7601, "message too large", warning, "A message from the named source exceeded its size limit or the memory budget of its source; its connection was closed.", "Check why the source sends so much; the metric parsley_messages_too_large_total counts by source.")
 )
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -98,7 +98,7 @@
 	replaced := old == nil || old.target != current.target
 	if replaced {
 		current.client = target.New(target.Config{
-			Addr: b.d.settings().TargetAddr, MaxConns: m.Slots + spareConns, WarmConns: 1, MaxBody: maxTargetBody,
+			Addr: b.d.settings().TargetAddr, MaxConns: m.Slots + spareConns, WarmConns: 1, MaxBody: maxTargetBody, Budget: b.d.budgets.target,
 			DialTimeout: targetDialTimeout, AllowCloseDelimited: true, MaxIdle: targetMaxIdle,
 		})
 	} else {
@@ -297,6 +297,7 @@
 // refused connection may end the target.
 func (b *backend) recordFailure(incarnation *targetIncarnation, id []byte, sent bool, err error) {
 	b.d.metrics.count(metricTargetFailed)
+	b.d.recordOversize(err)
 	logevent.Log(b.d.log, logevent.TargetFailed, zap.ByteString("request", id), zap.String("target", incarnation.target.ID), zap.Bool("sent", sent), zap.Error(err))
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		b.d.control.do(func() { b.d.control.targetRefused(incarnation.target.ID) })
@@ -310,7 +311,9 @@
 	e.OnCancel(c)
 	d.backend.serve(&e.Request, &resp, c)
 	e.OnCancel(nil)
+	defer resp.Release()
 	if err := e.Respond(&resp); err != nil {
+		resp.Release()
 		resp.Reset()
 		resp.Kind, resp.Reason = outcome.Unknown, outcome.BadRequest
 		_ = e.Respond(&resp) // an error means that the connection is closed, which the peer detects itself
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -76,6 +76,7 @@
 	takeDropped     func() uint64
 	started         clock.Time
 	metrics         *metricSet
+	budgets         receiveBudgets
 
 	directory metastore.Partition
 	storeLink *storeLink
@@ -100,6 +101,7 @@
 func New(s *platform.Settings, log *zap.Logger, dropped func() uint64) *Daemon {
 	d := &Daemon{
 		log: log, takeDropped: dropped, logLevel: zapcore.LevelOf(log.Core()), started: clock.Now(), metrics: newMetricSet(),
+		budgets:   newReceiveBudgets(s.MemoryBytes),
 		directory: metastore.Partition{Topic: platform.KeyedTopic(directoryTopic)}, viewReplaced: make(chan struct{}),
 	}
 	d.currentSettings.Store(s)
--- a/sidecar/harness_test.go
+++ b/sidecar/harness_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -47,10 +48,11 @@
 // that its ports do not clash with outgoing connections or other tests.
 var lastHost atomic.Uint32
 
-// newHost returns a loopback address that no other node uses.
+// newHost returns a loopback address that no other node uses, neither in this run nor,
+// with few exceptions, in another run of the package at the same time.
 func newHost() string {
 	n := lastHost.Add(1)
-	return fmt.Sprintf("127.77.%d.%d", n>>8, n&0xff)
+	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, n>>8, n&0xff)
 }
 
 // deploy starts a daemon and a target for each named service.
@@ -103,7 +105,7 @@
 		Instance: ident.Instance(fmt.Sprintf("node-%d", i)), IP: netip.MustParseAddr(ip), Zone: "z", Service: ident.Service(service),
 		CallerAddr: addrOf(7001), ReadyAddr: addrOf(7002), ControlAddr: addrOf(7003), LinkAddr: addrOf(7004), MetricsAddr: addrOf(7005), TargetAddr: addrOf(7006),
 		HeartbeatInterval: 300 * time.Millisecond, DrainTime: 2 * time.Second, GraceTime: 6 * time.Second, MaxGrantTTL: 10 * time.Second,
-		RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, MemoryBytes: 284 << 20,
 		Store: platform.StoreSettings{Addr: addr, Partitions: 32, WritesPerS: 400, ReadsPerS: 2000, MaxRecordBytes: 1 << 18},
 	}
 	target := &platformtest.Target{
--- /dev/null
+++ b/sidecar/memory.go
@@ -0,0 +1,51 @@
+package sidecar
+
+import (
+	"runtime/debug"
+
+	"go.uber.org/zap"
+
+	"github.com/parsleystack/parsleystack/logevent"
+	"github.com/parsleystack/parsleystack/recvlimit"
+)
+
+// Parts of the process's memory that messages may take while they are received, by
+// source. A message is copied up to once more on its way, and the heap needs room for
+// garbage, so that all parts together are below half.
+const (
+	targetMemoryPart = 5  // a fifth, above the largest response body on the smallest machine
+	storeMemoryPart  = 12 // a twelfth; the store's largest page is about 1.4 MB
+)
+
+// receiveBudgets bound the memory of messages that are being received.
+type receiveBudgets struct {
+	target, store *recvlimit.Budget
+}
+
+func newReceiveBudgets(memory int) receiveBudgets {
+	return receiveBudgets{
+		target: recvlimit.NewBudget(recvlimit.Target, memory/targetMemoryPart),
+		store:  recvlimit.NewBudget(recvlimit.Store, memory/storeMemoryPart),
+	}
+}
+
+// heapPart is the part of the process's memory that the heap may take, garbage
+// included. The rest is for stacks, socket buffers and the program itself.
+const heapPart = 0.75
+
+// LimitHeap makes the garbage collector run more often when the heap approaches its
+// part of the process's memory, in bytes. It returns the earlier limit.
+func LimitHeap(memory int) (earlier int64) {
+	return debug.SetMemoryLimit(int64(heapPart * float64(memory)))
+}
+
+// recordOversize logs and counts an error about a message that was too large. It
+// ignores all other errors.
+func (d *Daemon) recordOversize(err error) {
+	source, ok := recvlimit.Exceeded(err)
+	if !ok {
+		return
+	}
+	d.metrics.countOversize(source)
+	logevent.Log(d.log, logevent.MessageTooLarge, zap.String("source", string(source)), zap.Error(err))
+}
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
 // metricSet is the set of metrics of the daemon.
@@ -23,6 +25,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("parsley_store_calls_total{result=%q}", result)).Inc()
 }
 
+// countOversize counts a message that was not received completely because of its size.
+func (m *metricSet) countOversize(source recvlimit.Source) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("parsley_messages_too_large_total{source=%q}", string(source))).Inc()
+}
+
 func (m *metricSet) observeStoreCall(d time.Duration) { m.storeTime.Update(max(d, 0).Seconds()) }
 
 func (m *metricSet) observeRequest(route, outcome, reason string, took time.Duration) {
@@ -56,6 +63,8 @@
 	gauge("parsley_target_waiting", func() float64 { return float64(d.backend.load().Waiting) })
 	gauge("parsley_target_limit", func() float64 { return float64(d.backend.load().Limit) })
 	gauge("parsley_target_offered_ratio", func() float64 { return d.backend.load().OfferedRatio })
+	gauge(`parsley_receive_memory_bytes{source="target"}`, func() float64 { return float64(d.budgets.target.Used()) })
+	gauge(`parsley_receive_memory_bytes{source="store"}`, func() float64 { return float64(d.budgets.store.Used()) })
 	gauge("parsley_store_reached", func() float64 {
 		if d.storeLink.reachable() {
 			return 1
--- a/sidecar/target_request.go
+++ b/sidecar/target_request.go
@@ -123,7 +123,11 @@
 	if err != nil {
 		return r.handleFailure(sent, err)
 	}
-	return r.handleResponse()
+	completion := r.handleResponse()
+	if r.resp.Kind != outcome.Done {
+		r.call.Release()
+	}
+	return completion
 }
 
 // confirmGrant checks the grant again right before the request is written to the
@@ -202,6 +206,7 @@
 		}
 	}
 	r.resp.Body = resp.Body()
+	r.resp.OnRelease(r.call.Release)
 	if resp.StatusCode() >= http.StatusInternalServerError {
 		return workqueue.Failed
 	}
--- a/target/call.go
+++ b/target/call.go
@@ -5,14 +5,16 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
 // maxBufferedBody is the largest request body, in bytes, that is assumed to fit the
 // socket's send buffer, so that it can be written before the target reads it.
 const maxBufferedBody = 8 << 10
 
-// Call is one request to the target. After Do has returned it may be reused, with
-// Reset. Only Cancel may be called while Do runs.
+// Call is one request to the target. After Do has returned and the response was used,
+// it is released with Release, or reused with Reset. Only Cancel may be called while Do runs.
 type Call struct {
 	Request  *fasthttp.Request
 	Response *fasthttp.Response
@@ -24,6 +26,8 @@
 	// A nil Accept accepts the first response.
 	Accept func(*fasthttp.Response) bool
 
+	reserved recvlimit.Reservation // memory of the response body
+
 	mu       sync.Mutex
 	canceled bool
 	conn     *conn
@@ -40,8 +44,13 @@
 	}
 }
 
-// Reset clears the call for reuse.
+// Release returns the memory of the response body to the client's budget; the body
+// must not be used afterwards.
+func (c *Call) Release() { c.reserved.Release() }
+
+// Reset releases the call and clears it for reuse.
 func (c *Call) Reset() {
+	c.Release()
 	c.mu.Lock()
 	c.canceled, c.conn = false, nil
 	c.mu.Unlock()
--- a/target/client.go
+++ b/target/client.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
 // refillInterval is how often Run opens missing idle connections.
@@ -59,6 +61,7 @@
 	if err != nil {
 		return false, err
 	}
+	call.reserved = recvlimit.NewReservation(c.cfg.Budget)
 	if !call.attach(conn) {
 		c.pool.put(conn)
 		return false, ErrCanceled
@@ -73,6 +76,9 @@
 	sent, err = c.roundTrip(conn, call)
 	call.detach()
 	c.releaseConn(conn, call, err)
+	if err != nil {
+		call.reserved.Release()
+	}
 	if err != nil && call.isCanceled() {
 		err = ErrCanceled
 	}
@@ -144,6 +150,7 @@
 func (c *Client) readResponse(conn *conn, call *Call) error {
 	resp := call.Response
 	resp.Reset()
+	call.reserved.Release() // of an answer that was skipped
 	resp.Header.SetNoDefaultContentType(true)
 	if err := readFinalHeader(conn, resp); err != nil {
 		return err
@@ -155,13 +162,7 @@
 	if length == lengthUntilClose && !c.cfg.AllowCloseDelimited {
 		return ErrCloseDelimited
 	}
-	if err := resp.ReadBody(conn.reader, c.cfg.MaxBody); err != nil {
-		return err
-	}
-	if length == lengthChunked {
-		return resp.Header.ReadTrailer(conn.reader)
-	}
-	return nil
+	return c.readBody(conn, call, length)
 }
 
 // readFinalHeader reads header blocks until the first that is not of an interim
--- a/target/config.go
+++ b/target/config.go
@@ -1,6 +1,10 @@
 package target
 
-import "time"
+import (
+	"time"
+
+	"github.com/parsleystack/parsleystack/recvlimit"
+)
 
 // Config configures a Client. Zero fields take the defaults below.
 type Config struct {
@@ -13,6 +17,10 @@
 	WarmConns int
 	// MaxBody is the largest response body in bytes; DefaultMaxBody if 0.
 	MaxBody int
+	// Budget bounds the memory of all response bodies together; no limit if nil.
+	Budget *recvlimit.Budget
+	// Source is named in errors about too large responses; recvlimit.Target if empty.
+	Source recvlimit.Source
 	// AllowCloseDelimited allows responses whose body ends with the connection.
 	// Otherwise they are an error, since a truncated body can't be distinguished
 	// from a complete one if the target's host fails.
@@ -51,6 +59,9 @@
 	if c.MaxBody == 0 {
 		c.MaxBody = DefaultMaxBody
 	}
+	if c.Source == "" {
+		c.Source = recvlimit.Target
+	}
 	if c.DialTimeout == 0 {
 		c.DialTimeout = DefaultDialTimeout
 	}
--- a/wire/response.go
+++ b/wire/response.go
@@ -40,7 +40,8 @@
 	Headers    []Header       `msg:"h,limit=128"`
 	Body       []byte         `msg:"b,zerocopy"`
 
-	frame Frame
+	frame   Frame
+	release func()
 }
 
 // Result returns the outcome without status, headers and body.
@@ -51,10 +52,18 @@
 // Attach records the frame that r was decoded from, so that Release releases it.
 func (r *Response) Attach(f Frame) { r.frame = f }
 
-// Release returns the buffer that r refers to for reuse; Body and Headers must not
+// OnRelease sets a function that the next Release calls once, for a response whose
+// Body refers to memory other than a frame.
+func (r *Response) OnRelease(release func()) { r.release = release }
+
+// Release returns the memory that r refers to for reuse; Body and Headers must not
 // be used afterwards.
 func (r *Response) Release() {
 	r.frame.Release()
+	if r.release != nil {
+		r.release()
+		r.release = nil
+	}
 	r.Body = nil
 	r.Headers = r.Headers[:0]
 }
