--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -69,47 +69,43 @@
 func (f *callerRequest) parse() bool {
 	h := &f.httpCtx.Request.Header
 	v := f.ingress.d.control.view.Load()
-	headers, ok := platform.ReadRequestHeaders(h)
+	headers, err := platform.ReadRequestHeaders(h)
 	f.headers = headers
-	if !ok {
-		return f.reject(fasthttp.StatusBadRequest, outcome.BadRequest)
+	if err != nil {
+		return f.rejectHeaders(err)
 	}
 	if f.ingress.refusing.Load() {
 		f.respond(outcome.Result{Kind: outcome.NotRun, Reason: outcome.Draining, RetryAfter: retryStopping})
 		return false
 	}
+	if f.headers.HasTimeout && f.headers.Timeout == 0 {
+		f.respond(outcome.Result{Kind: outcome.NotRun, Reason: outcome.DeadlineExceeded})
+		return false
+	}
 	if v.routes == nil {
 		return f.rejectNotReady()
 	}
 	f.configVersion = v.routes.Version()
-	f.route, ok = v.routes.Lookup(string(h.Host()), string(h.RequestURI()))
+	var ok bool
+	f.route, ok = v.routes.Lookup(string(h.Host()), string(originForm(h.RequestURI())))
 	if !ok {
-		if v.configBehind {
-			return f.rejectNotReady()
-		}
-		return f.reject(fasthttp.StatusNotFound, outcome.UnknownService)
+		return f.rejectIfConfirmed(v, fasthttp.StatusNotFound, outcome.UnknownRoute)
 	}
 	limits := v.routes.Limits()
 	if limits.BodyBytes > 0 && len(f.httpCtx.Request.Body()) > limits.BodyBytes {
-		return f.reject(fasthttp.StatusRequestEntityTooLarge, outcome.BadRequest)
+		return f.rejectIfConfirmed(v, fasthttp.StatusRequestEntityTooLarge, outcome.BodyTooLarge)
 	}
-	if f.service, ok = v.routes.Service(f.route.PickService(random())); !ok {
+	f.service, err = v.routes.PickService(f.route, f.headers.HasKey, random())
+	switch {
+	case errors.Is(err, routetable.ErrKeyRequired):
+		return f.rejectIfConfirmed(v, fasthttp.StatusBadRequest, outcome.MissingKey)
+	case err != nil:
 		return f.rejectNotReady()
 	}
-	if f.service.Keyed && !f.headers.HasKey {
-		return f.reject(fasthttp.StatusBadRequest, outcome.BadRequest)
-	}
 	f.buildRequest()
 	return true
 }
 
-func (f *callerRequest) reject(status int, reason outcome.Reason) bool {
-	f.httpCtx.SetStatusCode(status)
-	platform.SetRequestID(&f.httpCtx.Response.Header, f.headers.RequestID)
-	f.logResult(logevent.RequestRefused, outcome.Result{Kind: outcome.NotRun, Reason: reason}, status)
-	return false
-}
-
 func (f *callerRequest) rejectNotReady() bool {
 	f.respond(outcome.Result{Kind: outcome.NotRun, Reason: outcome.NotReady, RetryAfter: retryNotReady})
 	return false
@@ -118,9 +114,9 @@
 // buildRequest builds the request that is sent to the target's daemon.
 func (f *callerRequest) buildRequest() {
 	h := &f.httpCtx.Request.Header
-	timeout := f.headers.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
+	timeout := defaultTimeout
+	if f.headers.HasTimeout {
+		timeout = f.headers.Timeout
 	}
 	f.deadline = f.arrived.Add(min(timeout, f.route.Timeout))
 	f.resends.Constraints = resend.Constraints{
@@ -130,10 +126,10 @@
 	f.req = wire.Request{
 		Service: f.service.Name, Keyed: f.service.Keyed, Point: keyspace.Point(f.headers.Key),
 		Priority:   uint8(maxWirePriority - min(max(f.route.Priority, 0), maxWirePriority)),
-		Idempotent: f.route.Idempotent, Method: h.Method(), URI: h.RequestURI(), RequestID: []byte(f.headers.RequestID),
+		Idempotent: f.route.Idempotent, Method: h.Method(), URI: originForm(h.RequestURI()), RequestID: []byte(f.headers.RequestID),
 		Class: []byte(f.route.Name), Caller: f.ingress.d.settings().Service, Body: f.httpCtx.Request.Body(),
 	}
-	named := h.Peek(fasthttp.HeaderConnection)
+	named := httpfield.Value(h, fasthttp.HeaderConnection)
 	for name, value := range h.All() {
 		if singleHop(name) || httpfield.ListedInConnection(named, name) || platform.IsDaemonHeader(string(name)) {
 			continue
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -7,6 +7,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/outcome"
 	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
@@ -37,6 +39,16 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("parsley_request_duration_seconds{route=%q,outcome=%q}", route, outcome)).Update(took.Seconds())
 }
 
+// countRejection counts a response with a 4xx status of the daemon's own.
+func (m *metricSet) countRejection(status int, reason outcome.Reason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`parsley_requests_rejected_total{status="%d",reason=%q}`, status, reason)).Inc()
+}
+
+// countRows counts routes and services of a configuration that could not be decoded.
+func (m *metricSet) countRows(n int) {
+	m.set.GetOrCreateCounter("parsley_configuration_rows_rejected_total").Add(n)
+}
+
 func (m *metricSet) count(name string) { m.set.GetOrCreateCounter(name).Inc() }
 
 // Counters without labels.
@@ -45,7 +57,9 @@
 	metricBudgetDenied = "parsley_resend_budget_denied_total"
 	metricTargetFailed = "parsley_target_failures_total"
 	metricNoGrants     = "parsley_heartbeats_without_grants_total"
-	metricLinesDropped = "parsley_log_lines_dropped_total"
+	// metricConfigRejected counts configurations of which nothing could be decoded.
+	metricConfigRejected = "parsley_configurations_rejected_total"
+	metricLinesDropped   = "parsley_log_lines_dropped_total"
 )
 
 // registerGauges registers gauges that read the state of the daemon.
@@ -57,6 +71,8 @@
 		}
 		return 0
 	})
+	gauge("parsley_configuration_newest_known", func() float64 { return float64(d.control.config.newest.Load()) })
+	gauge("parsley_configuration_age_seconds", func() float64 { return d.control.configurationAge(clock.Now()).Seconds() })
 	gauge("parsley_daemons", func() float64 { return float64(d.control.view.Load().daemons) })
 	gauge("parsley_callers_in_flight", func() float64 { return float64(d.ingress.inFlight()) })
 	gauge("parsley_target_running", func() float64 { return float64(d.backend.load().Running) })
--- a/sidecar/storelink.go
+++ b/sidecar/storelink.go
@@ -42,6 +42,8 @@
 
 var errStoreUnreachable = fmt.Errorf("%w: no other daemon reaches the store", platform.ErrNotSent)
 
+var errDirectPaused = fmt.Errorf("%w: the last direct call failed a moment ago", platform.ErrNotSent)
+
 // storeLink makes calls to the store. While direct calls fail or are rejected, other
 // daemons relay them. A call with NoRetry set is not retried if an earlier attempt may
 // have taken effect.
@@ -78,6 +80,9 @@
 	if err == nil && !answer.Rejected() || err != nil && call.NoRetry {
 		return answer, err
 	}
+	if ctx.Err() != nil {
+		return answer, err
+	}
 	relayed, relayErr := l.callRelayed(ctx, call)
 	if relayErr == nil {
 		return relayed, nil
@@ -89,6 +94,15 @@
 	return answer, err
 }
 
+// directOnly makes a direct call only. While direct calls fail, it is not sent within
+// directRetryInterval of the last one.
+func (l *storeLink) directOnly(ctx context.Context, call *platform.StoreCall) (*platform.StoreAnswer, error) {
+	if l.avoidDirect() && clock.Now().Sub(clock.Time(l.lastAttempt.Load())) < directRetryInterval {
+		return nil, errDirectPaused
+	}
+	return l.callDirect(ctx, call)
+}
+
 func (l *storeLink) recordRelayFailure(call *platform.StoreCall, err error) {
 	l.metrics.countStoreCall("relay-failed")
 	logevent.Log(l.log, logevent.RelayFailed, zap.String("call", call.URI), zap.Error(err))
@@ -183,14 +197,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var answer relayAnswer
-	if _, err := answer.UnmarshalMsg(reply); err != nil {
-		return nil, fmt.Errorf("decode relayed answer: %w", err)
-	}
-	if answer.NotSent {
-		return nil, errStoreUnreachable
-	}
-	return &platform.StoreAnswer{Status: answer.Status, Body: answer.Body}, nil
+	return decodeRelayedAnswer(reply)
 }
 
 // serveRelay makes a direct call for another daemon. It is never relayed again.
@@ -206,5 +213,5 @@
 	if err != nil {
 		return nil, err
 	}
-	return (&relayAnswer{Status: answer.Status, Body: answer.Body}).MarshalMsg(nil)
+	return encodeRelayedAnswer(answer)
 }
