Requests without end to heartbeat, readiness and metrics addresses are ended

What could happen: a client that sends a request slowly and without end held its connection for ever; these servers had no time limit and accepted up to 262,144 connections, far beyond the 4,100 descriptors of the process.

Evidence, before (TestEndlessRequestsAreEnded): "after 20s still not: the connection to 127.2.188.1:7003 is closed".

Fix: 5 s to read a request, 60 s between two of them, 256 connections to each server. The number of connections is set but not tested.

--- a/sidecar/servers.go
+++ b/sidecar/servers.go
@@ -33,7 +33,10 @@
 }
 
 func (d *Daemon) serveHTTP(l net.Listener, h fasthttp.RequestHandler) error {
-	s := &fasthttp.Server{Handler: h, Name: "parsley", NoDefaultServerHeader: true, Logger: discardLogger{}, MaxRequestBodySize: maxHeartbeat}
+	s := &fasthttp.Server{
+		Handler: h, Name: "parsley", NoDefaultServerHeader: true, Logger: discardLogger{}, MaxRequestBodySize: maxHeartbeat,
+		ReadTimeout: serverReadTimeout, IdleTimeout: serverIdleTimeout, Concurrency: maxServerConns,
+	}
 	d.serversMu.Lock()
 	d.servers = append(d.servers, s)
 	d.serversMu.Unlock()
@@ -53,6 +56,17 @@
 	}
 }
 
+const (
+	// serverReadTimeout bounds the time to read one heartbeat, readiness check or
+	// request of an operator. A target waits a second for the answer to a heartbeat.
+	serverReadTimeout = 5 * time.Second
+	// serverIdleTimeout is longer than the time between two heartbeats or scrapes.
+	serverIdleTimeout = 60 * time.Second
+	// maxServerConns is the number of connections to each of these servers. Few are
+	// in use; the rest of the process's descriptors is for callers and targets.
+	maxServerConns = 256
+)
+
 // maxHeartbeat is the largest heartbeat in bytes, far above one with all shards of a
 // table.
 const maxHeartbeat = 1 << 20
