A frame between daemons must be complete within 30 s

What could happen: a peer that stops or drips within a frame held its connection and the part of the frame that had arrived, up to 64 MB, for ever.

Fix: wire.Reader sets a read deadline when a frame has begun and is not buffered completely (FrameTimeout, 30 s). A connection without a frame in progress has none. The frames of all connections together are still without a common memory bound.

--- a/transport/config.go
+++ b/transport/config.go
@@ -30,6 +30,9 @@
 	// WriteTimeout bounds one write; a connection whose peer reads nothing for
 	// that long is closed. DefaultWriteTimeout if 0.
 	WriteTimeout time.Duration
+	// FrameTimeout bounds the time from the first byte of a frame to its last;
+	// DefaultFrameTimeout if 0.
+	FrameTimeout time.Duration
 	// MinBackoff and MaxBackoff bound the jittered pause between failed dials;
 	// DefaultMinBackoff and DefaultMaxBackoff if 0.
 	MinBackoff time.Duration
@@ -46,6 +49,9 @@
 	DefaultHandshakeTimeout = time.Second
 	// DefaultWriteTimeout is the default of Config.WriteTimeout.
 	DefaultWriteTimeout = 5 * time.Second
+	// DefaultFrameTimeout is the default of Config.FrameTimeout. The largest frame of
+	// 64 MB takes half a second on a link of 1000 Mbit/s.
+	DefaultFrameTimeout = 30 * time.Second
 	// DefaultMinBackoff is the default of Config.MinBackoff.
 	DefaultMinBackoff = 20 * time.Millisecond
 	// DefaultMaxBackoff is the default of Config.MaxBackoff.
@@ -59,6 +65,7 @@
 	c.MaxBacklog = cmp.Or(c.MaxBacklog, DefaultMaxBacklog)
 	c.HandshakeTimeout = cmp.Or(c.HandshakeTimeout, DefaultHandshakeTimeout)
 	c.WriteTimeout = cmp.Or(c.WriteTimeout, DefaultWriteTimeout)
+	c.FrameTimeout = cmp.Or(c.FrameTimeout, DefaultFrameTimeout)
 	c.MinBackoff = cmp.Or(c.MinBackoff, DefaultMinBackoff)
 	c.MaxBackoff = cmp.Or(c.MaxBackoff, DefaultMaxBackoff)
 	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
--- a/transport/handshake.go
+++ b/transport/handshake.go
@@ -60,6 +60,7 @@
 		return nil, wire.Hello{}, err
 	}
 	reader.SetLimit(cfg.MaxFrame)
+	reader.SetFrameTimeout(conn, cfg.FrameTimeout)
 	return reader, peer, conn.SetDeadline(time.Time{})
 }
 
@@ -88,6 +89,7 @@
 		return nil, peer, &wire.MalformedError{Detail: "unknown traffic class"}
 	}
 	reader.SetLimit(cfg.MaxFrame)
+	reader.SetFrameTimeout(conn, cfg.FrameTimeout)
 	return reader, peer, conn.SetDeadline(time.Time{})
 }
 
--- a/wire/reader.go
+++ b/wire/reader.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"time"
 )
 
 const readBufferSize = 16 << 10 // bytes
@@ -18,6 +19,13 @@
 	r         *bufio.Reader
 	limit     int
 	bytesRead uint64
+	conn      DeadlineSetter // nil if the time of a frame is not bounded
+	timeout   time.Duration
+}
+
+// DeadlineSetter sets the deadline of reads from a connection.
+type DeadlineSetter interface {
+	SetReadDeadline(time.Time) error
 }
 
 // NewReader returns a Reader that accepts frames of up to limit bytes.
@@ -28,12 +36,40 @@
 // SetLimit sets the size limit, in bytes, of the frames that follow.
 func (r *Reader) SetLimit(limit int) { r.limit = limit }
 
+// SetFrameTimeout bounds the time from the first byte of each following frame to its
+// last. conn is the connection that r reads from; its read deadline is changed only
+// while an incomplete frame is received.
+func (r *Reader) SetFrameTimeout(conn DeadlineSetter, timeout time.Duration) {
+	r.conn, r.timeout = conn, timeout
+}
+
+// awaitFrame waits for the first byte of a frame. If the frame is not buffered
+// completely, it sets the deadline of the frame and returns true.
+func (r *Reader) awaitFrame() (deadlineSet bool) {
+	if r.conn == nil {
+		return false
+	}
+	if _, err := r.r.Peek(1); err != nil {
+		return false // the read that follows returns the error
+	}
+	if r.r.Buffered() >= lengthSize {
+		prefix, err := r.r.Peek(lengthSize)
+		if err == nil && uint64(r.r.Buffered()-lengthSize) >= uint64(binary.BigEndian.Uint32(prefix)) {
+			return false
+		}
+	}
+	return r.conn.SetReadDeadline(time.Now().Add(r.timeout)) == nil
+}
+
 // Bytes returns the number of bytes of the frames read so far.
 func (r *Reader) Bytes() uint64 { return r.bytesRead }
 
 // Next reads one frame. It returns io.EOF if the connection closed between
 // frames; any other error is a TruncatedError, OversizeError or MalformedError.
 func (r *Reader) Next() (Frame, error) {
+	if r.awaitFrame() {
+		defer func() { _ = r.conn.SetReadDeadline(time.Time{}) }() // an error shows in the next read
+	}
 	var prefix [prefixSize]byte
 	if _, err := io.ReadFull(r.r, prefix[:lengthSize]); err != nil {
 		return Frame{}, prefixReadError(err)
