Heartbeats of a service that the configuration lacks are not refused for good

The service in the daemon's settings is accepted now, and for any other one the answer is 503 while a newer configuration may have it. 400 stays for heartbeats of other writers.

--- a/sidecar/control_heartbeat.go
+++ b/sidecar/control_heartbeat.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -80,11 +81,13 @@
 		logevent.Log(c.log, logevent.HeartbeatIgnored, zap.String("target", hb.Target.ID), zap.String("address", hb.Addr), zap.String("want", c.d.settings().TargetAddr))
 		return heartbeatResponse{status: 400}, true
 	}
-	if c.routes != nil {
-		if _, ok := c.routes.Service(hb.Service); !ok {
-			logevent.Log(c.log, logevent.HeartbeatIgnored, zap.String("target", hb.Target.ID), zap.String("service", string(hb.Service)))
-			return heartbeatResponse{status: 400}, true
+	if !c.knowsService(hb.Service) {
+		status := http.StatusBadRequest
+		if c.newestConfig > c.configVersion() || c.configurationStale() {
+			status = http.StatusServiceUnavailable // a newer configuration may have it
 		}
+		logevent.Log(c.log, logevent.HeartbeatIgnored, zap.String("target", hb.Target.ID), zap.String("service", string(hb.Service)), zap.Uint64("config", c.configVersion()), zap.Int("status", status))
+		return heartbeatResponse{status: status}, true
 	}
 	if !c.isNewer(hb) {
 		logevent.Log(c.log, logevent.HeartbeatOutOfOrder, zap.String("target", hb.Target.ID), zap.Int64("born", hb.Target.StartTime), zap.Uint64("seq", hb.Seq))
@@ -93,6 +96,17 @@
 	return heartbeatResponse{}, false
 }
 
+// knowsService reports whether a target may be of the service: the one in the settings,
+// which a later version may add, or any of the configuration. Any is accepted before there
+// is a configuration.
+func (c *control) knowsService(name ident.Service) bool {
+	if c.routes == nil || name == c.d.settings().Service {
+		return true
+	}
+	_, ok := c.routes.Service(name)
+	return ok
+}
+
 // shardsPending reports whether shards are pending for the target and it has none
 // to release.
 func (c *control) shardsPending() bool {
