Entry: a request that ends early is not called malformed

The same cause as in package sidecar: every error of reading a request that was no time-out and no limit was 400 bad-request. The check is shared (connprobe.CutShort).

Before, TestRequestCutShortIsNotMalformed: cut in the body, chunk, size and header: status 400, want 503. TestBadCallers is unchanged.

--- a/entry/badcaller_test.go
+++ b/entry/badcaller_test.go
@@ -140,3 +140,29 @@
 		t.Errorf("%d incomplete requests reached the target", n)
 	}
 }
+
+// A request whose connection ends before it is complete was called malformed (400), which
+// tells its caller not to send it again.
+func TestRequestCutShortIsNotMalformed(t *testing.T) {
+	r := newFixture(t)
+	head := "POST /reports/k HTTP/1.1\r\nHost: x\r\n"
+	for name, request := range map[string]string{
+		"header": head, "body": head + "Content-Length: 9\r\n\r\nab", "chunk": head + "Transfer-Encoding: chunked\r\n\r\n9\r\nab", "size": head + "Transfer-Encoding: chunked\r\n\r\n9",
+	} {
+		conn, err := net.Dial("tcp", r.entry.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+		if _, err := conn.Write([]byte(request)); err != nil {
+			t.Fatal(err)
+		}
+		if err := conn.(*net.TCPConn).CloseWrite(); err != nil {
+			t.Fatal(err)
+		}
+		var resp fasthttp.Response
+		if err := resp.Read(bufio.NewReader(conn)); err != nil || resp.StatusCode() != 503 || string(resp.Header.Peek("Parsley-Reason")) != "connection-lost" {
+			t.Errorf("cut in the %s: status %d, %v, want 503", name, resp.StatusCode(), err)
+		}
+	}
+}
--- a/entry/gateway.go
+++ b/entry/gateway.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/parsleystack/parsleystack/connprobe"
 	"github.com/parsleystack/parsleystack/dispatch"
 	"github.com/parsleystack/parsleystack/ident"
 )
@@ -90,11 +91,11 @@
 // handleError responds to requests that could not be read.
 func (g *Gateway) handleError(ctx *fasthttp.RequestCtx, err error) {
 	ctx.SetConnectionClose()
-	writeProblem(ctx, readProblem(err))
+	writeProblem(ctx, readProblem(err, ctx.Conn()))
 }
 
-// readProblem maps an error of reading a request to a problem.
-func readProblem(err error) *problem {
+// readProblem maps an error of reading a request from conn to a problem.
+func readProblem(err error, conn net.Conn) *problem {
 	var small *fasthttp.ErrSmallBuffer
 	var timeout net.Error
 	switch {
@@ -104,6 +105,8 @@
 		return problemBodyTooLarge
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return problemTimeout
+	case connprobe.CutShort(err, conn):
+		return problemCutShort
 	}
 	return problemMalformed
 }
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -17,6 +17,7 @@
 var (
 	problemMalformed      = &problem{fasthttp.StatusBadRequest, outcome.BadRequest, "the request is malformed; send a well-formed HTTP/1.1 request"}
 	problemTimeout        = &problem{fasthttp.StatusRequestTimeout, outcome.BadRequest, "the request did not arrive in time; send it faster or in smaller parts"}
+	problemCutShort       = &problem{fasthttp.StatusServiceUnavailable, outcome.ConnectionLost, "the connection ended before the request was complete; send it again"}
 	problemHeaderTooLarge = &problem{fasthttp.StatusRequestHeaderFieldsTooLarge, outcome.BadRequest, "the header is too large; send fewer or shorter fields"}
 	problemBodyTooLarge   = &problem{fasthttp.StatusRequestEntityTooLarge, outcome.BadRequest, "the body is too large; send a smaller one"}
 	problemFraming        = &problem{fasthttp.StatusBadRequest, outcome.BadRequest, "the length of the body is ambiguous; send either one Content-Length or chunks"}
--- a/sidecar/read_error.go
+++ b/sidecar/read_error.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 
 	"github.com/valyala/fasthttp"
@@ -16,7 +15,7 @@
 // handleReadError responds to a request that could not be read.
 func (in *ingress) handleReadError(ctx *fasthttp.RequestCtx, err error) {
 	ctx.SetConnectionClose()
-	status, reason := readErrorStatus(err, func() bool { return connprobe.PeerClosed(ctx.Conn()) })
+	status, reason := readErrorStatus(err, ctx.Conn())
 	ctx.Error(reason.String(), status)
 	event := logevent.RequestRejected
 	if status == fasthttp.StatusServiceUnavailable {
@@ -28,22 +27,19 @@
 		zap.Stringer("caller", ctx.RemoteAddr()), zap.Uint64("requests_before", ctx.ConnRequestNum()))
 }
 
-// readErrorStatus returns the status and reason for an error of reading a request.
-// peerClosed reports whether the caller has closed the connection.
-func readErrorStatus(err error, peerClosed func() bool) (int, outcome.Reason) {
-	var (
-		small   *fasthttp.ErrSmallBuffer
-		network net.Error
-		broken  fasthttp.ErrBrokenChunk // does not wrap its cause
-	)
+// readErrorStatus returns the status and reason for an error of reading a request from
+// conn.
+func readErrorStatus(err error, conn net.Conn) (int, outcome.Reason) {
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
 	switch {
 	case errors.As(err, &small):
 		return fasthttp.StatusRequestHeaderFieldsTooLarge, outcome.HeaderTooLarge
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		return fasthttp.StatusRequestEntityTooLarge, outcome.BodyTooLarge
-	case errors.As(err, &network) && network.Timeout():
+	case errors.As(err, &timeout) && timeout.Timeout():
 		return fasthttp.StatusRequestTimeout, outcome.RequestTimeout
-	case errors.As(err, &network), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.As(err, &broken) && peerClosed():
+	case connprobe.CutShort(err, conn):
 		return fasthttp.StatusServiceUnavailable, outcome.ConnectionLost
 	}
 	return fasthttp.StatusBadRequest, outcome.MalformedRequest
