Entry: no 404 while the configuration is known to be outdated

The same cause as in package sidecar: a daemon to which a peer had reported newer records, or whose configuration had a gap, answered 404 for a service that it lacked. It answers 503 not-ready, as it does before it has any configuration.

--- a/config/follower.go
+++ b/config/follower.go
@@ -47,8 +47,13 @@
 type FollowerStatus struct {
 	NewestPeerOffset platformlog.Offset // newest offset that a peer has reported
 	Fault            error              // reason why the configuration is incomplete; nil if it is complete
+	Behind           bool               // a peer has records that this daemon has not read
 }
 
+// Outdated reports whether the configuration in force is known not to be the newest or
+// not to be complete.
+func (s FollowerStatus) Outdated() bool { return s.Behind || s.Fault != nil }
+
 const (
 	readTimeout   = 30 * time.Second
 	pullTimeout   = 2 * time.Second
@@ -200,7 +205,7 @@
 			f.cfg.OnChange(eff.InForce)
 		}
 	}
-	f.status.Store(&FollowerStatus{NewestPeerOffset: f.core.NewestPeerOffset(), Fault: eff.Fault})
+	f.status.Store(&FollowerStatus{NewestPeerOffset: f.core.NewestPeerOffset(), Fault: eff.Fault, Behind: f.core.BehindSince() != clock.Never})
 	if eff.Read != nil {
 		g.Go(func() error { f.read(ctx, *eff.Read); return nil })
 	}
--- a/config/follower_test.go
+++ b/config/follower_test.go
@@ -108,3 +108,28 @@
 		t.Fatalf("%d slots are in force, want 2", in.Service("reports").Spec.Slots)
 	}
 }
+
+// A daemon must know that its configuration is outdated while a peer has records that it
+// can't read, and only then: the services that it lacks may exist.
+func TestFollowerKnowsThatItIsOutdated(t *testing.T) {
+	log := logtest.New(logtest.Options{LongPoll: 10 * time.Millisecond})
+	f, changes := follow(t, log, nil)
+	node := ident.Node{Instance: "reports-1", Incarnation: 1}
+	f.SetPeers([]ident.Node{node})
+	waitFor(t, changes, 0)
+	await := func(want bool) {
+		t.Helper()
+		for end := time.Now().Add(time.Minute); f.Status().Outdated() != want; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatalf("outdated is not %v after a minute", want)
+			}
+		}
+	}
+	await(false)
+	f.PeerOffset(node, 1)
+	await(true)
+	if _, err := log.Append(context.Background(), Stream, publishPayload(t, "reports", 1, 0, "anna", 1)); err != nil {
+		t.Fatal(err)
+	}
+	await(false)
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -138,6 +138,7 @@
 		Router:   d.router,
 		Pool:     d.pool,
 		Source:   d.directory,
+		Outdated: func() bool { return d.follower.Status().Outdated() },
 		MaxBody:  d.settings.Limits.RequestBytes,
 		MaxConns: d.settings.Limits.CallerConns,
 		Log:      d.log,
--- a/entry/activerequest.go
+++ b/entry/activerequest.go
@@ -82,7 +82,7 @@
 	}
 	svc, ok := table.Service(name)
 	if !ok {
-		if table.Len() == 0 {
+		if outdated := r.gateway.cfg.Outdated; table.Len() == 0 || outdated != nil && outdated() {
 			return problemNotReady
 		}
 		return problemUnknownService
--- a/entry/config.go
+++ b/entry/config.go
@@ -23,6 +23,10 @@
 	// from the hints in refusals of other daemons.
 	Source route.Source
 
+	// Outdated reports whether the configuration in force is known not to be the newest
+	// or not to be complete. Services that it lacks may exist then. May be nil.
+	Outdated func() bool
+
 	// Now reads the clock for deadlines; clock.Fast if nil.
 	Now func() clock.Time
 	// MaxBody is the largest request body in bytes; DefaultMaxBody if 0.
--- a/entry/problem.go
+++ b/entry/problem.go
@@ -24,7 +24,7 @@
 	problemMethod         = &problem{fasthttp.StatusBadRequest, outcome.BadRequest, "the method is not forwarded; use another one"}
 	problemPath           = &problem{fasthttp.StatusBadRequest, outcome.BadRequest, "the path is not in normal form; send /<service>/... without dot segments, backslashes, spaces or fragments"}
 	problemUnknownService = &problem{fasthttp.StatusNotFound, outcome.UnknownService, "the service does not exist; check the first path segment"}
-	problemNotReady       = &problem{fasthttp.StatusServiceUnavailable, outcome.NotReady, "this daemon has no configuration yet; retry later or at another daemon"}
+	problemNotReady       = &problem{fasthttp.StatusServiceUnavailable, outcome.NotReady, "this daemon does not have the newest configuration yet; retry later or at another daemon"}
 	problemIdempotencyKey = &problem{fasthttp.StatusBadRequest, outcome.BadRequest, "Idempotency-Key is given more than once or too long; send it once, with at most 255 bytes"}
 )
 
