--- a/sidecar/proper_forms_test.go
+++ b/sidecar/proper_forms_test.go
@@ -24,6 +24,7 @@
 		"coding in upper case":  {"PUT", "/book/a", "TRANSFER-ENCODING: Chunked\r\n", "3\r\nabc\r\n0\r\n\r\n"},
 		"body of a GET":         {"GET", "/book/a", "Content-Length: 3\r\n", "abc"},
 		"chunks of a GET":       {"GET", "/book/a", "Transfer-Encoding: chunked\r\n", "3\r\nabc\r\n0\r\n\r\n"},
+		"expect":                {"POST", "/book/a", "Expect: 100-continue\r\nContent-Length: 3\r\n", "abc"},
 		"length 0":              {"POST", "/book/a", "Content-Length: 0\r\n", ""},
 		"no length":             {"POST", "/book/a", "", ""},
 		"body of a DELETE":      {"DELETE", "/book/a", "Content-Length: 3\r\n", "abc"},
