Links between daemons that go silent are replaced

Requests for other instances ended with 504 without end after the open connections between daemons had gone silent: nothing replaced a connection that delivers nothing and is not reset, as behind a relay or a firewall that dropped its state. TCP_USER_TIMEOUT sees only segments that are not acknowledged.

- A daemon replaces its connections to a peer whose statuses stop, and to one whose statuses echo none of its own (silent in one direction), at most every 2 s.
- A connection on which an RPC was given up after 0.5 s in which nothing arrived takes no new ones.

Pending requests stay on the old connection in both cases, so that a peer that is only slow loses none. Event 7312 and parsley's transport counters tell of it.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -36,6 +36,7 @@
 	Responded      bool          // it has sent a status since its record was received
 	Suspects       []string      // daemons of its service that it suspects
 	StatusInterval time.Duration // interval of its statuses to this daemon, as it declares
+	RenewedAt      clock.Time    // when the connections to it were last replaced, Never if they were not
 }
 
 // Directory holds all daemons except this one. It is part of the control state
--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -35,6 +35,7 @@
 	RemovalFailed       = define(7310, "removal failed", warning, "A daemon could not be removed from the directory; the removal is retried at the next check.", "Look for event 7101 (store unavailable) before this line.")
 	UpdateNotFetched    = define(7311, "update not fetched", info, "A newer configuration or directory of another daemon or the store could not be read; the read is retried.", "")
 	TargetChanged       = define(7306, "target changed", info, "The state of the target changed after a heartbeat, a refused connection or a planned stop.", "")
+	LinksRenewed        = define(7312, "links renewed", info, "Statuses pass in one direction only or not at all; new connections to the daemon are opened.", "")
 	HeartbeatIgnored    = define(7307, "heartbeat ignored", warning, "A heartbeat can't be decoded or names another target; it is ignored.", "Check who sends heartbeats to this daemon.")
 	HeartbeatOutOfOrder = define(7308, "heartbeat out of order", info, "A heartbeat is older than one already processed; it renews no grant.", "")
 	GrantsNotRenewed    = define(7309, "grants not renewed", warning, "A heartbeat was answered without grants, since the lease of the daemon is not confirmed.", "Look for events 7101 (store unavailable) and 7302 (daemon suspected) before this line.")
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -146,6 +146,7 @@
 func (c *control) tick() {
 	now := clock.Now()
 	c.suspectPeers(now)
+	c.renewSilentLinks(now)
 	c.checkTargetHeartbeats(now)
 	c.checkDeferred(now)
 	c.sendStatuses(now)
--- a/transport/clientconn.go
+++ b/transport/clientconn.go
@@ -5,13 +5,20 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/wire"
 )
 
+// silenceTimeout is the time without any frame after which a connection whose RPC is
+// given up takes no new RPCs. Those that are pending stay on it, so nothing is lost if
+// the peer is only slow.
+const silenceTimeout = 500 * time.Millisecond
+
 // clientConn is an established outgoing connection. It carries RPCs: a Request
 // frame is answered by a Response frame, a Call frame by a Reply frame. Each RPC has
 // a correlation id that is never reused on the connection.
@@ -28,8 +35,9 @@
 	// are dropped.
 	onCellMessage func(from ident.Node, body []byte)
 
-	unusable       atomic.Bool // err or draining is set
-	usedSinceSweep atomic.Bool // an RPC was sent since the last sweep for idle connections
+	lastReceived   atomic.Int64 // clock.Time of the newest frame
+	unusable       atomic.Bool  // err or draining is set
+	usedSinceSweep atomic.Bool  // an RPC was sent since the last sweep for idle connections
 
 	mu       sync.Mutex
 	nextID   uint64
@@ -87,7 +95,7 @@
 	if err != nil {
 		return 0, err
 	}
-	w.streamPos = position
+	w.streamPos, w.sentAt = position, clock.Fast()
 	if !c.usedSinceSweep.Load() {
 		c.usedSinceSweep.Store(true)
 	}
@@ -105,6 +113,10 @@
 	c.mu.Unlock()
 	if pending {
 		defer c.closeIfDrained()
+		if c.silentSince(w.sentAt) {
+			c.counters.SilentConns.Add(1)
+			c.drain()
+		}
 		w.release()
 		if kind == wire.KindRequest {
 			_, _ = c.writer.appendRaw(wire.KindCancel, id, nil)
@@ -117,6 +129,13 @@
 	return context.Cause(ctx)
 }
 
+// silentSince reports whether an RPC that was sent at a time has waited for
+// silenceTimeout in which nothing arrived on the connection. An open connection can
+// stop delivering data without a reset.
+func (c *clientConn) silentSince(sent clock.Time) bool {
+	return clock.Time(c.lastReceived.Load()) < sent && clock.Fast().Sub(sent) >= silenceTimeout
+}
+
 // run reads frames until the connection ends, and then fails all pending RPCs.
 func (c *clientConn) run() {
 	go func() {
@@ -132,6 +151,7 @@
 		}
 		c.counters.BytesIn[c.class].Add(c.reader.Bytes() - before)
 		c.counters.FramesIn[c.class].Add(1)
+		c.lastReceived.Store(int64(clock.Fast()))
 		if err := c.dispatch(f); err != nil {
 			c.counters.BadConns.Add(1)
 			c.fail(err)
--- a/transport/waiter.go
+++ b/transport/waiter.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/wire"
 )
 
@@ -17,6 +18,7 @@
 type waiter struct {
 	ch        chan answer // buffered; receives at most one answer
 	wantKind  wire.Kind
+	sentAt    clock.Time
 	streamPos uint64 // where the RPC's frame starts in the outgoing byte stream
 }
 
