One daemon checks the configuration for all, as was intended

A daemon's own confirmation came back from others some milliseconds younger, by its transit time, and ended its turn. Passed on and on, such confirmations would also have replaced checks: the transit times add up.

A confirmation is now passed on at most three times, one that is hardly newer is ignored, and of several checking daemons all but one cease at random. The simulation of the tracker has transit times now and fails without this.

--- a/fleet/status.go
+++ b/fleet/status.go
@@ -31,6 +31,8 @@
 	// ConfigAgeMS is the time since Config was known to be the operator's newest
 	// version, in milliseconds; the maximum value if that is not known.
 	ConfigAgeMS uint32 `msg:"a"`
+	// ConfigHops is the number of daemons that have passed this age on.
+	ConfigHops uint8 `msg:"h"`
 }
 
 // Encode returns the encoded status.
--- a/fleet/status_gen.go
+++ b/fleet/status_gen.go
@@ -75,8 +75,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Status) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 12
-	o = append(o, 0x9c)
+	// array header, size 13
+	o = append(o, 0x9d)
 	o = msgp.AppendUint64(o, z.Seq)
 	o = msgp.AppendUint64(o, z.Echo)
 	o = msgp.AppendUint64(o, z.EchoIncarnation)
@@ -100,6 +100,7 @@
 	}
 	o = msgp.AppendUint32(o, z.IntervalMS)
 	o = msgp.AppendUint32(o, z.ConfigAgeMS)
+	o = msgp.AppendUint8(o, z.ConfigHops)
 	return
 }
 
@@ -111,8 +112,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 12 {
-		err = msgp.ArrayError{Wanted: 12, Got: zb0001}
+	if zb0001 != 13 {
+		err = msgp.ArrayError{Wanted: 13, Got: zb0001}
 		return
 	}
 	z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
@@ -192,6 +193,11 @@
 		err = msgp.WrapError(err, "ConfigAgeMS")
 		return
 	}
+	z.ConfigHops, bts, err = msgp.ReadUint8Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "ConfigHops")
+		return
+	}
 	o = bts
 	return
 }
@@ -202,6 +208,6 @@
 	for za0001 := range z.Suspects {
 		s += msgp.StringPrefixSize + len(z.Suspects[za0001])
 	}
-	s += msgp.Uint32Size + msgp.Uint32Size
+	s += msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size
 	return
 }
--- a/freshness/tracker.go
+++ b/freshness/tracker.go
@@ -30,6 +30,7 @@
 type Tracker struct {
 	policy  Policy
 	asOf    clock.Time // Never before the first confirmation
+	hops    int        // processes that passed the confirmation on, 0 after a check of this process
 	checker bool       // asOf comes from a check of this process
 	jitter  time.Duration
 	running bool
@@ -39,18 +40,38 @@
 // NewTracker returns the tracker of a copy that was never confirmed.
 func NewTracker(p Policy) *Tracker { return &Tracker{policy: p} }
 
-// Confirm records that the copy was current at a time, as another process or a read
-// for another purpose has found. random is in [0, 1).
-func (t *Tracker) Confirm(asOf clock.Time, random float64) { t.confirm(asOf, random, false) }
+// MaxHops is the number of times that a confirmation is passed on. Each time adds the
+// transit time of a message to the time that the receiver takes it for, so without a
+// limit processes that tell each other would need no check at all. Three hops reach
+// every process of a large fleet.
+const MaxHops = 3
 
-func (t *Tracker) confirm(asOf clock.Time, random float64, checker bool) {
+// Confirm records that the copy was current at a time, as a read for another purpose
+// has found or another process has told, after a number of hops. random is in [0, 1).
+func (t *Tracker) Confirm(asOf clock.Time, hops int, random float64) {
+	similar := t.policy.Interval / 4
+	switch newer := asOf.Sub(t.asOf); {
+	case hops > MaxHops || newer < -similar:
+	case newer > similar:
+		t.confirm(asOf, max(hops, 1), random, false) // 0 is for a process that checks
+	case hops == 1 && random < 0.5: // another process checks at the same times as this one
+		t.checker, t.hops = false, 1
+	}
+	// A confirmation that is hardly newer may otherwise be the present one, passed on.
+}
+
+func (t *Tracker) confirm(asOf clock.Time, hops int, random float64, checker bool) {
 	if asOf <= t.asOf {
 		return
 	}
-	t.asOf, t.checker = asOf, checker
+	t.asOf, t.hops, t.checker = asOf, hops, checker
 	t.jitter = time.Duration(random * float64(t.policy.Spread))
 }
 
+// Hops returns the number of hops for which the confirmation is passed on: one more
+// than those it has made.
+func (t *Tracker) Hops() int { return t.hops + 1 }
+
 // AsOf returns the time as of which the copy was current; Never if it was never
 // confirmed.
 func (t *Tracker) AsOf() clock.Time { return t.asOf }
@@ -74,11 +95,11 @@
 // Succeeded records that a check sent at a time was answered.
 func (t *Tracker) Succeeded(sent clock.Time, random float64) {
 	t.running = false
-	t.confirm(sent, random, true)
+	t.confirm(sent, 0, random, true)
 }
 
 // Failed records that a check was not answered. random is in [0, 1).
 func (t *Tracker) Failed(now clock.Time, random float64) {
-	t.running, t.checker = false, false
+	t.running, t.checker, t.hops = false, false, max(t.hops, 1)
 	t.retryAt = now.Add(t.policy.RetryPause + time.Duration(random*float64(t.policy.Spread)))
 }
--- a/freshness/tracker_test.go
+++ b/freshness/tracker_test.go
@@ -13,6 +13,7 @@
 	start          = clock.Time(time.Hour)
 	step           = 10 * time.Millisecond
 	gossipInterval = 400 * time.Millisecond // time between two confirmations that a process sends
+	transit        = 20 * time.Millisecond  // of a confirmation
 )
 
 // process is one copy in a simulated fleet.
@@ -29,7 +30,7 @@
 	fleet := make([]*process, n)
 	for i := range fleet {
 		fleet[i] = &process{Tracker: NewTracker(NewPolicy(bound))}
-		fleet[i].Confirm(start, random.Float64())
+		fleet[i].Confirm(start, 0, random.Float64())
 	}
 	for now := start; now < start.Add(time.Duration(seconds)*time.Second); now = now.Add(step) {
 		for i, p := range fleet {
@@ -47,8 +48,11 @@
 			}
 			oldest = max(oldest, now.Sub(p.AsOf()))
 			if !silent(now) && int(now/clock.Time(step))%int(gossipInterval/step) == i%int(gossipInterval/step) {
-				for _, q := range fleet {
-					q.Confirm(p.AsOf(), random.Float64())
+				for j, q := range fleet {
+					if j == i {
+						continue
+					}
+					q.Confirm(p.AsOf().Add(transit), p.Hops(), random.Float64())
 				}
 			}
 		}
@@ -62,12 +66,15 @@
 
 // A copy must not become older than the bound: with any number of processes, while
 // they hear nothing of each other, and while some can't reach the source. The rate of
-// checks in steady state is that of one process.
+// checks in steady state is that of one process, and no lower: the transit times of
+// confirmations that are passed on must not add up.
 func TestCopiesStayWithinTheBound(t *testing.T) {
 	const seconds = 30
+	policy := NewPolicy(bound)
+	least := int(seconds * time.Second / (policy.Takeover + policy.Spread))
 	most := func(perS float64) int { return int(perS * seconds) }
 	for _, n := range []int{1, 2, 11, 100} {
-		if oldest, checks := simulate(n, seconds, never, noneFails); oldest > bound || checks > most(1.6)+2*n {
+		if oldest, checks := simulate(n, seconds, never, noneFails); oldest > bound || checks > most(1.6)+2*n || checks < least {
 			t.Errorf("%d processes: oldest copy %v, %d checks", n, oldest, checks)
 		}
 		if oldest, _ := simulate(n, seconds, func(clock.Time) bool { return true }, noneFails); oldest > bound {
@@ -86,7 +93,7 @@
 // the pause after a failed one.
 func TestOutdatedCopyIsCheckedAtOnce(t *testing.T) {
 	tr := NewTracker(NewPolicy(bound))
-	tr.Confirm(start, 0)
+	tr.Confirm(start, 0, 0)
 	now := start.Add(step)
 	if tr.Due(now, false) || !tr.Due(now, true) {
 		t.Error("a fresh copy is checked if and only if a newer version is known")
--- a/sidecar/control_configuration.go
+++ b/sidecar/control_configuration.go
@@ -59,13 +59,13 @@
 		}
 		c.config.next = max(c.config.next, r.Offset+1)
 	}
-	c.confirmConfiguration(sent)
+	c.confirmConfiguration(sent, 0)
 }
 
 // confirmConfiguration records that no version newer than the newest known one
-// existed at a time.
-func (c *control) confirmConfiguration(asOf clock.Time) {
-	c.config.tracker.Confirm(asOf, rand.Float64())
+// existed at a time, as was passed on for a number of hops.
+func (c *control) confirmConfiguration(asOf clock.Time, hops int) {
+	c.config.tracker.Confirm(asOf, hops, rand.Float64())
 	c.config.asOf.Store(int64(c.config.tracker.AsOf()))
 }
 
@@ -84,7 +84,7 @@
 	if c.newestConfig > c.configVersion() {
 		return unknownAge
 	}
-	return uint32(min(c.configurationAge(now).Milliseconds(), unknownAge))
+	return uint32(min(c.configurationAge(now).Milliseconds()+1, unknownAge)) // rounded up
 }
 
 // configurationStale reports whether a version that was acknowledged configApplyMs ago
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -125,7 +125,7 @@
 
 // ownStatus returns the part of a status that is the same for all receivers.
 func (c *control) ownStatus() *fleet.Status {
-	s := &fleet.Status{Seq: c.status.seq, Offset: int64(c.applied), Stopping: c.stopping, Load: c.d.backend.load(), Config: c.configVersion(), ConfigAgeMS: c.statusConfigurationAge(clock.Now())}
+	s := &fleet.Status{Seq: c.status.seq, Offset: int64(c.applied), Stopping: c.stopping, Load: c.d.backend.load(), Config: c.configVersion(), ConfigAgeMS: c.statusConfigurationAge(clock.Now()), ConfigHops: uint8(c.config.tracker.Hops())}
 	for _, p := range c.dir.Peers() {
 		if c.sameService(p) && c.suspected[ident.Instance(p.Member.Instance)] {
 			s.Suspects = append(s.Suspects, p.Member.Instance)
@@ -172,7 +172,7 @@
 	c.peerLoad(name, p.Member.Slots).report(&s.Load)
 	c.heardOfConfiguration(s.Config, now)
 	if s.ConfigAgeMS != unknownAge {
-		c.confirmConfiguration(now.Add(-time.Duration(s.ConfigAgeMS) * time.Millisecond))
+		c.confirmConfiguration(now.Add(-time.Duration(s.ConfigAgeMS)*time.Millisecond), int(s.ConfigHops))
 	}
 	if s.LeaseExtension && s.EchoIncarnation == c.self.Incarnation && c.status.seq-s.Echo < sentAtSize && s.Echo > 0 {
 		c.agent.LeaseExtended(name, c.status.sentAt[s.Echo%sentAtSize])
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -32,10 +32,10 @@
 	// minPoll and maxPoll bound how long one read waits for a record.
 	minPoll = time.Second
 	maxPoll = 8 * time.Second
-	// maxConfigurationPoll is the upper bound for reads of the configuration. It
-	// may be longer, since statuses carry the newest configuration version. The
-	// store accepts at most 30 s.
-	maxConfigurationPoll = 25 * time.Second
+	// configurationPoll is how long a read of the configuration waits for a record. It
+	// may be long, since checkConfiguration does not rely on it. The store accepts at
+	// most 30 s.
+	configurationPoll = 25 * time.Second
 	// startupPeriod is the time after its start in which a process reads the
 	// directory at most once in startupReadInterval: while a fleet starts, each
 	// daemon appends its own record.
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -36,7 +36,7 @@
 func (d *Daemon) configurationFollower() *follower {
 	partition, _ := platform.ConfigurationPartition()
 	return &follower{
-		store: d.store, partition: partition, log: d.log, pollTime: func() time.Duration { return d.idlePollTime(maxConfigurationPoll) },
+		store: d.store, partition: partition, log: d.log, pollTime: func() time.Duration { return configurationPoll },
 		apply: func(_ metastore.Offset, b metastore.Batch, sent clock.Time, _ bool) {
 			d.control.do(func() { d.control.configurationRead(b, sent, fromStorePoll) })
 		},
