make sidecar-faults: a soak of parsley-sidecar as real processes

The soak plays the store, the network (standin/tcprelay), the operator and the callers, injects overlapping faults drawn from a seed, and judges CONFIG (late, or taken back), DENIED, TWICE, REFUSED, MIXED, UNASKED and OWNER by what callers and targets see. A script starts the processes and restarts those that end. SIGSTOP and SIGTERM go to process IDs that it recorded.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,5 @@
-# Targets: build, run, generate, lint, test, soak, measure, faults. See README.md.
+# Targets: build, run, generate, lint, test, soak, measure, faults,
+# sidecar-faults. See README.md.
 
 GO ?= go
 BIN := bin
@@ -6,7 +7,7 @@
 STEPS ?= 1000000
 MINUTES ?= 3
 
-.PHONY: build generate run test lint soak measure faults
+.PHONY: build generate run test lint soak measure faults sidecar-faults
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -35,5 +36,9 @@
 faults: build
 	BIN=$(BIN) SEED=$(SEED) MINUTES=$(MINUTES) ./scripts/faults.sh
 
+# Faults on parsley-sidecar as real processes, generated from SEED.
+sidecar-faults: build
+	BIN=$(BIN) SEED=$(SEED) MINUTES=$(MINUTES) ./scripts/sidecar-faults.sh
+
 soak:
 	$(GO) run ./cmd/parsley-soak --seed $(SEED) --steps $(STEPS)
--- /dev/null
+++ b/cmd/standin-platform-target/main.go
@@ -0,0 +1,58 @@
+// Command standin-platform-target is a stand-in for a target on the users' platform:
+// it sends heartbeats to the daemon beside it and serves requests.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/parsleystack/parsleystack/platform/platformtest"
+)
+
+type args struct {
+	Name      string        `arg:"--name,required" help:"name of the instance; each start gets an ID of its own"`
+	Service   string        `arg:"--service,required"`
+	Zone      string        `arg:"--zone,required"`
+	Listen    string        `arg:"--listen,required" placeholder:"IP:PORT"`
+	Control   string        `arg:"--control,required" placeholder:"IP:PORT" help:"address for heartbeats"`
+	Keyed     bool          `arg:"--keyed" help:"serve only keys that are granted"`
+	Slots     int           `arg:"--slots" default:"18"`
+	Heartbeat time.Duration `arg:"--heartbeat" default:"870ms"`
+	Work      time.Duration `arg:"--work" default:"20ms" help:"processing time of a request"`
+	Runs      string        `arg:"--runs,required" placeholder:"FILE" help:"file to which each run is appended"`
+}
+
+func main() {
+	var a args
+	arg.MustParse(&a)
+	if err := run(a); err != nil {
+		fmt.Fprintln(os.Stderr, "standin-platform-target:", err)
+		os.Exit(1)
+	}
+}
+
+func run(a args) error {
+	file, err := os.OpenFile(a.Runs, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }() // each line was written on its own
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	t := &platformtest.Target{
+		ID: fmt.Sprintf("%s-%d", a.Name, time.Now().UnixNano()), Service: a.Service, Zone: a.Zone, Addr: a.Listen, Control: a.Control, Keyed: a.Keyed,
+		Slots: a.Slots, ProcessingTime: a.Work, HeartbeatInterval: a.Heartbeat, Records: &platformtest.Records{Sink: file},
+	}
+	if err := t.Start(); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	t.Stop()
+	return nil
+}
--- /dev/null
+++ b/standin/sidecarsoak/callers.go
@@ -0,0 +1,67 @@
+package sidecarsoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/parsleystack/parsleystack/platform/platformtest"
+)
+
+const (
+	requestPause = 60 * time.Millisecond  // of a caller, between two requests
+	probePause   = 120 * time.Millisecond // between two requests for added or removed routes
+	probedRoutes = 6                      // newest added routes that are probed
+)
+
+// callers sends requests over open connections, as the callers beside each target do.
+type callers struct {
+	d      *deployment
+	judge  *judge
+	lastID atomic.Int64
+	routes atomic.Int64 // number of the newest added route
+}
+
+// run sends requests through one daemon until ctx ends.
+func (c *callers) run(ctx context.Context, daemon int, random *rand.Rand) {
+	for kind := 0; ctx.Err() == nil; kind = (kind + 1) % 3 {
+		switch kind {
+		case 0:
+			c.send(daemon, http.MethodGet, "/view/a", random.IntN(1<<16), 0)
+		case 1:
+			c.send(daemon, http.MethodPost, "/book/a", platformtest.NoKey, 0)
+		case 2:
+			c.send(daemon, http.MethodPost, "/pay/a", platformtest.NoKey, 0)
+		}
+		pause(ctx, requestPause)
+	}
+}
+
+// probe sends requests on routes that were just added or removed.
+func (c *callers) probe(ctx context.Context, daemon int, random *rand.Rand) {
+	for ctx.Err() == nil {
+		if newest := int(c.routes.Load()); newest > 0 {
+			route := max(newest-random.IntN(probedRoutes), 1)
+			c.send(daemon, http.MethodPost, prefix(route)+"a", platformtest.NoKey, route)
+		}
+		pause(ctx, probePause)
+	}
+}
+
+func (c *callers) send(daemon int, method, path string, key, route int) {
+	id := fmt.Sprintf("req-%d", c.lastID.Add(1))
+	o := observation{daemon: daemon, id: id, unsafe: method == http.MethodPost, route: route, sent: time.Now()}
+	o.answer = platformtest.Call(c.d.instances[daemon].addr(callerPort), host, method, path, id, key)
+	o.ended = time.Now()
+	c.judge.observe(o)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/standin/sidecarsoak/judge.go
@@ -0,0 +1,180 @@
+package sidecarsoak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/parsleystack/parsleystack/platform/platformtest"
+)
+
+const (
+	configApplyTime = 2 * time.Second
+	stableWindow    = 3 * time.Second
+	rollbackSlack   = 250 * time.Millisecond
+	shownPerRule    = 5 // violations of a rule that are printed
+)
+
+// observation is one answered request.
+type observation struct {
+	daemon      int
+	id          string
+	unsafe      bool
+	route       int // number of an added route; 0 for a route of all versions
+	sent, ended time.Time
+	answer      platformtest.Answer
+}
+
+// judge checks the rules by what callers and targets see. It is safe for concurrent
+// use.
+type judge struct {
+	history *history
+
+	mu         sync.Mutex
+	disturbed  []time.Time // by daemon, end of its last disturbance
+	proven     []proof     // by daemon, since its start
+	answers    map[string]observation
+	counts     map[string]int // by outcome
+	violations map[string][]string
+}
+
+// proof is a version that a daemon has shown to have in force.
+type proof struct {
+	version int
+	at      time.Time
+}
+
+func newJudge(h *history, daemons int) *judge {
+	return &judge{
+		history: h, disturbed: make([]time.Time, daemons), proven: make([]proof, daemons),
+		answers: make(map[string]observation), counts: make(map[string]int), violations: make(map[string][]string),
+	}
+}
+
+// disturb records a disturbance of a daemon that lasts until a time. restart is set if
+// its process ends.
+func (j *judge) disturb(daemon int, until time.Time, restart bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if until.After(j.disturbed[daemon]) {
+		j.disturbed[daemon] = until
+	}
+	if restart {
+		j.proven[daemon] = proof{}
+	}
+}
+
+func (j *judge) violateLocked(rule, format string, args ...any) {
+	j.violations[rule] = append(j.violations[rule], fmt.Sprintf(format, args...))
+}
+
+// observe checks the answer to a request. Runs at targets are checked by checkRuns.
+func (j *judge) observe(o observation) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.answers[o.id] = o
+	inTouch := o.sent.After(j.disturbed[o.daemon].Add(stableWindow)) && o.ended.After(j.disturbed[o.daemon])
+	status := o.answer.Status
+	calm := "disturbed"
+	if inTouch {
+		calm = "calm"
+	}
+	kind := "base"
+	if o.route > 0 {
+		kind = "added"
+	}
+	j.counts[fmt.Sprintf("%s %s %d", calm, kind, status)]++
+	if status == http.StatusOK && (o.answer.Body != "body of "+o.id || !o.answer.Signed) {
+		j.violateLocked("MIXED", "%s at daemon %d: 200 with the body %.60q", o.id, o.daemon, o.answer.Body)
+	}
+	if o.route == 0 {
+		if status >= 300 && status < 500 && !slices.Contains([]int{408, 421, 429}, status) {
+			j.violateLocked("DENIED", "%s at daemon %d: %d", o.id, o.daemon, status)
+		}
+		return
+	}
+	if status == http.StatusOK || status == http.StatusNotFound {
+		j.checkVersionLocked(&o, inTouch)
+	}
+}
+
+// checkVersionLocked checks that an answer on an added route follows a version that
+// may be in force.
+func (j *judge) checkVersionLocked(o *observation, inTouch bool) {
+	present := o.answer.Status == http.StatusOK
+	p := &j.proven[o.daemon]
+	floor := 0
+	if inTouch {
+		floor = j.history.floor(o.sent.Add(-configApplyTime))
+	}
+	if _, ok := j.history.explain(o.route, present, floor, o.ended); !ok {
+		j.violateLocked("CONFIG", "%s at daemon %d, sent %s: %d for %s as only a version older than %d allows", o.id, o.daemon, o.sent.Format("05.000"), o.answer.Status, prefix(o.route), floor)
+		return
+	}
+	if p.version > 0 && o.sent.After(p.at.Add(rollbackSlack)) {
+		if _, ok := j.history.explain(o.route, present, p.version, o.ended); !ok {
+			j.violateLocked("CONFIG", "%s at daemon %d, sent %s: %d for %s after version %d was in force", o.id, o.daemon, o.sent.Format("05.000"), o.answer.Status, prefix(o.route), p.version)
+			return
+		}
+	}
+	if shown, ok := j.history.explain(o.route, present, 0, o.ended); ok && shown > p.version && o.sent.After(j.disturbed[o.daemon]) {
+		*p = proof{version: shown, at: o.ended}
+	}
+}
+
+// checkRuns checks what the targets have run.
+func (j *judge) checkRuns(runs []platformtest.Run) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	byRequest := make(map[string]int)
+	type grant struct{ key, token int64 }
+	holders := make(map[grant]string)
+	newest := make(map[int64]platformtest.Run)
+	slices.SortFunc(runs, func(a, b platformtest.Run) int { return a.Began.Compare(b.Began) })
+	for _, r := range runs {
+		byRequest[r.RequestID]++
+		o, known := j.answers[r.RequestID]
+		switch {
+		case !known:
+			j.violateLocked("UNASKED", "%s ran at %s, but no caller has sent it", r.RequestID, r.Target)
+		case o.unsafe && byRequest[r.RequestID] == 2:
+			j.violateLocked("TWICE", "%s ran more than once", r.RequestID)
+		case o.unsafe && (o.answer.Status == http.StatusServiceUnavailable || o.answer.Status == http.StatusTooManyRequests):
+			j.violateLocked("REFUSED", "%s was answered with %d and ran at %s", r.RequestID, o.answer.Status, r.Target)
+		}
+		if r.Token == 0 {
+			continue
+		}
+		g := grant{r.Key, r.Token}
+		if holder, ok := holders[g]; ok && holder != r.Target {
+			j.violateLocked("OWNER", "key %d token %d: %s and %s", r.Key, r.Token, holder, r.Target)
+		}
+		holders[g] = r.Target
+		if last := newest[r.Key]; r.Token < last.Token {
+			j.violateLocked("OWNER", "key %d: %s ran with token %d after %s with %d", r.Key, r.Target, r.Token, last.Target, last.Token)
+		} else {
+			newest[r.Key] = r
+		}
+	}
+	j.counts["runs"] = len(runs)
+}
+
+// report returns the counts and the violations as text, and the number of violations.
+func (j *judge) report() (text string, violations int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, name := range sortedKeys(j.counts) {
+		text += fmt.Sprintf("%-24s %6d\n", name, j.counts[name])
+	}
+	for _, rule := range sortedKeys(j.violations) {
+		all := j.violations[rule]
+		violations += len(all)
+		text += fmt.Sprintf("%s: %d\n", rule, len(all))
+		for _, v := range all[:min(len(all), shownPerRule)] {
+			text += "  " + v + "\n"
+		}
+	}
+	return text, violations
+}
--- /dev/null
+++ b/standin/sidecarsoak/judge_test.go
@@ -0,0 +1,57 @@
+package sidecarsoak
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/parsleystack/parsleystack/platform/platformtest"
+)
+
+// Each rule must be reported when it is broken, and only then.
+func TestJudge(t *testing.T) {
+	start := time.Now()
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	answer := func(id string, route, status int, sent float64) observation {
+		return observation{id: id, unsafe: true, route: route, sent: at(sent), ended: at(sent + 0.01), answer: platformtest.Answer{Status: status, Body: "body of " + id, Signed: true}}
+	}
+	run := func(id, target string, key, token int64, began float64) platformtest.Run {
+		return platformtest.Run{RequestID: id, Target: target, Key: key, Token: token, Began: at(began)}
+	}
+	for name, c := range map[string]struct {
+		answers   []observation
+		runs      []platformtest.Run
+		disturbed float64
+		want      string
+	}{
+		"in time":             {answers: []observation{answer("a", 1, http.StatusNotFound, 11.9)}},
+		"late":                {answers: []observation{answer("a", 1, http.StatusNotFound, 12.1)}, want: "CONFIG"},
+		"late, not in touch":  {answers: []observation{answer("a", 1, http.StatusNotFound, 12.1)}, disturbed: 9.5},
+		"went back":           {answers: []observation{answer("a", 1, http.StatusOK, 10.5), answer("b", 1, http.StatusNotFound, 11)}, want: "CONFIG"},
+		"before it was sent":  {answers: []observation{answer("a", 1, http.StatusOK, 9)}, want: "CONFIG"},
+		"refused for good":    {answers: []observation{answer("a", 0, http.StatusNotFound, 11)}, want: "DENIED"},
+		"refused for now":     {answers: []observation{answer("a", 0, http.StatusServiceUnavailable, 11)}},
+		"refused and run":     {answers: []observation{answer("a", 0, http.StatusServiceUnavailable, 11)}, runs: []platformtest.Run{run("a", "x", 1, 0, 11)}, want: "REFUSED"},
+		"run twice":           {answers: []observation{answer("a", 0, http.StatusOK, 11)}, runs: []platformtest.Run{run("a", "x", 1, 0, 11), run("a", "y", 1, 0, 12)}, want: "TWICE"},
+		"run, never sent":     {runs: []platformtest.Run{run("a", "x", 1, 0, 11)}, want: "UNASKED"},
+		"two with one token":  {answers: []observation{answer("a", 0, 200, 11), answer("b", 0, 200, 11)}, runs: []platformtest.Run{run("a", "x", 1, 5, 11), run("b", "y", 1, 5, 12)}, want: "OWNER"},
+		"token goes down":     {answers: []observation{answer("a", 0, 200, 11), answer("b", 0, 200, 11)}, runs: []platformtest.Run{run("a", "x", 1, 5, 11), run("b", "y", 1, 4, 12)}, want: "OWNER"},
+		"token goes up":       {answers: []observation{answer("a", 0, 200, 11), answer("b", 0, 200, 11)}, runs: []platformtest.Run{run("a", "x", 1, 5, 11), run("b", "y", 1, 6, 12)}},
+		"answer of another's": {answers: []observation{{id: "a", sent: at(11), ended: at(11.1), answer: platformtest.Answer{Status: 200, Body: "body of b", Signed: true}}}, want: "MIXED"},
+	} {
+		h := new(history)
+		h.append(version{number: 1, sent: at(0), confirmed: at(0)})
+		h.append(version{number: 3, sent: at(9.9), confirmed: at(10), added: []int{1}})
+		j := newJudge(h, 1)
+		j.disturb(0, at(c.disturbed), false)
+		for _, o := range c.answers {
+			j.observe(o)
+		}
+		j.checkRuns(c.runs)
+		text, violations := j.report()
+		if c.want == "" && violations > 0 || c.want != "" && !strings.Contains(text, c.want+": 1\n") {
+			t.Errorf("%s: %s", name, text)
+		}
+	}
+}
--- /dev/null
+++ b/standin/sidecarsoak/soak.go
@@ -0,0 +1,151 @@
+package sidecarsoak
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/parsleystack/parsleystack/platform/platformtest"
+)
+
+const (
+	// startupLimit is the time in which all daemons must serve after the start.
+	startupLimit = 30 * time.Second
+	// settleTime is the time between the start and the first fault, and between the
+	// last fault and the end.
+	settleTime = 8 * time.Second
+)
+
+// Options are the options of a soak.
+type Options struct {
+	Dir     string // empty directory for settings, process IDs and the targets' runs
+	Network string // first three bytes of the loopback addresses, such as 127.90.1
+	Seed    uint64
+	Length  time.Duration
+	Log     io.Writer
+}
+
+// Run runs a soak and returns the number of violations. The daemons and targets must be
+// started once the directory has the file "ready", with the settings NAME.yaml and the
+// announced addresses NAME.announce.
+func Run(ctx context.Context, o Options) (violations int, err error) {
+	d, err := newDeployment(o.Dir, o.Network)
+	if err != nil {
+		return 0, err
+	}
+	defer d.store.Close()
+	random := rand.New(rand.NewPCG(o.Seed, 0))
+	h := new(history)
+	j := newJudge(h, len(d.instances))
+	c := &callers{d: d, judge: j}
+	op := &operator{store: d.store, history: h, callers: c, random: random}
+	op.publish()
+	if err := d.writeStartLines(); err != nil {
+		return 0, err
+	}
+	if err := c.awaitServing(ctx); err != nil {
+		return 0, err
+	}
+	f := &faults{d: d, judge: j, random: random, log: o.Log, start: time.Now()}
+	load, stop := context.WithCancel(ctx)
+	var all sync.WaitGroup
+	for i := range d.instances {
+		j.disturb(i, time.Now().Add(settleTime), false)
+		for worker := range uint64(2) {
+			all.Go(func() { c.run(load, i, rand.New(rand.NewPCG(o.Seed, uint64(i)<<8+worker))) })
+		}
+		all.Go(func() { c.probe(load, i, rand.New(rand.NewPCG(o.Seed, uint64(i)<<8+9))) })
+	}
+	pause(ctx, settleTime)
+	for end := time.Now().Add(o.Length); time.Now().Before(end) && ctx.Err() == nil; {
+		next := time.Now().Add(roundTime)
+		op.series(1+random.IntN(4), 300*time.Millisecond)
+		var round sync.WaitGroup
+		round.Go(func() { f.run(ctx) })
+		op.series(2+random.IntN(8), 400*time.Millisecond)
+		pause(ctx, time.Duration(random.Int64N(int64(3*time.Second))))
+		op.series(1+random.IntN(3), 100*time.Millisecond)
+		round.Wait()
+		pause(ctx, time.Until(next))
+	}
+	pause(ctx, settleTime)
+	stop()
+	all.Wait()
+	runs, err := d.runs()
+	if err != nil {
+		return 0, err
+	}
+	j.checkRuns(runs)
+	text, violations := j.report()
+	_, _ = fmt.Fprintf(o.Log, "%d versions, %d store calls\n%s", len(h.versions), d.store.AllCalls(), text)
+	return violations, nil
+}
+
+// writeStartLines writes, for each instance, the arguments that the supervisor script
+// starts its target and its daemon with, and then the file "ready".
+func (d *deployment) writeStartLines() error {
+	for _, n := range d.instances {
+		target := fmt.Sprintf("--name %s --service %s --zone %s --listen %s --control %s --runs %s", n.name, n.service, n.zone, n.addr(targetPort), n.addr(controlPort), filepath.Join(d.dir, n.name+".runs"))
+		if n.service == keyedService {
+			target += " --keyed"
+		}
+		daemon := fmt.Sprintf("--settings %s --announce %s", filepath.Join(d.dir, n.name+".yaml"), n.links.Addr())
+		for name, line := range map[string]string{".target.args": target, ".daemon.args": daemon} {
+			if err := os.WriteFile(filepath.Join(d.dir, n.name+name), []byte(line+"\n"), 0o600); err != nil {
+				return err
+			}
+		}
+	}
+	return os.WriteFile(filepath.Join(d.dir, "ready"), nil, 0o600)
+}
+
+// awaitServing waits until all daemons serve all services.
+func (c *callers) awaitServing(ctx context.Context) error {
+	for end := time.Now().Add(startupLimit); ; pause(ctx, 100*time.Millisecond) {
+		serving := 0
+		for _, n := range c.d.instances {
+			a := platformtest.Call(n.addr(callerPort), host, http.MethodGet, "/view/a", fmt.Sprintf("start-%d", c.lastID.Add(1)), 4096*int(c.lastID.Load()%16))
+			if a.Status == http.StatusOK {
+				serving++
+			}
+		}
+		if serving == len(c.d.instances) {
+			return nil
+		}
+		if time.Now().After(end) || ctx.Err() != nil {
+			return fmt.Errorf("sidecarsoak: %d of %d daemons serve after %v; see the logs of the others", serving, len(c.d.instances), startupLimit)
+		}
+	}
+}
+
+// runs reads what all targets have run, without the requests before the load.
+func (d *deployment) runs() ([]platformtest.Run, error) {
+	var all []platformtest.Run
+	for _, n := range d.instances {
+		file, err := os.Open(filepath.Join(d.dir, n.name+".runs"))
+		if err != nil {
+			return nil, err
+		}
+		lines := bufio.NewScanner(file)
+		for lines.Scan() {
+			var r platformtest.Run
+			if json.Unmarshal(lines.Bytes(), &r) == nil && !strings.HasPrefix(r.RequestID, "start-") { // a killed target may leave half a line
+				all = append(all, r)
+			}
+		}
+		_ = file.Close() // it was only read
+		if err := lines.Err(); err != nil {
+			return nil, err
+		}
+	}
+	return all, nil
+}
