--- a/sidecar/configuration_check.go
+++ b/sidecar/configuration_check.go
@@ -46,21 +46,22 @@
 	sent := clock.Now()
 	b, err := d.directStore.Read(ctx, partition, from, 0)
 	var truncated *metastore.TruncatedError
-	if errors.As(err, &truncated) || err == nil && b.End < from {
+	snapshot := errors.As(err, &truncated) || err == nil && b.End < from
+	if snapshot {
 		sent = clock.Now()
 		b, err = d.directStore.Newest(ctx, partition)
 	}
-	d.control.do(func() { d.control.configurationChecked(b, sent, err) })
+	d.control.do(func() { d.control.configurationChecked(b, sent, snapshot, err) })
 }
 
-func (c *control) configurationChecked(b metastore.Batch, sent clock.Time, err error) {
+func (c *control) configurationChecked(b metastore.Batch, sent clock.Time, snapshot bool, err error) {
 	if err != nil {
 		c.config.tracker.Failed(clock.Now(), rand.Float64())
 		logevent.Log(c.log, logevent.ConfigurationUnconfirmed, zap.Duration("config_age", c.configurationAge(clock.Now())), zap.Error(err))
 		return
 	}
 	c.config.tracker.Succeeded(sent, rand.Float64())
-	c.configurationRead(b, sent, fromStoreCheck)
+	c.configurationRead(b, sent, fromStoreCheck, snapshot)
 }
 
 // fetchConfiguration starts to fetch the configuration from daemons that have a newer
--- a/sidecar/control_configuration.go
+++ b/sidecar/control_configuration.go
@@ -46,11 +46,8 @@
 }
 
 // configurationRead applies the records that were read from the operator's partition
-// by a call sent at a time.
-func (c *control) configurationRead(b metastore.Batch, sent clock.Time, source string) {
-	if !c.config.loaded {
-		c.config.loaded, c.config.next = true, b.End
-	}
+// by a call sent at a time. snapshot is set if b has the newest record of each key.
+func (c *control) configurationRead(b metastore.Batch, sent clock.Time, source string, snapshot bool) {
 	_, key := platform.ConfigurationPartition()
 	for i := range b.Records {
 		r := &b.Records[i]
@@ -59,6 +56,9 @@
 		}
 		c.config.next = max(c.config.next, r.Offset+1)
 	}
+	if snapshot { // the partition may have been replaced by a shorter one
+		c.config.loaded, c.config.next = true, b.End
+	}
 	c.confirmConfiguration(sent, 0)
 }
 
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -37,8 +37,8 @@
 	partition, _ := platform.ConfigurationPartition()
 	return &follower{
 		store: d.store, partition: partition, log: d.log, pollTime: func() time.Duration { return configurationPoll },
-		apply: func(_ metastore.Offset, b metastore.Batch, sent clock.Time, _ bool) {
-			d.control.do(func() { d.control.configurationRead(b, sent, fromStorePoll) })
+		apply: func(_ metastore.Offset, b metastore.Batch, sent clock.Time, snapshot bool) {
+			d.control.do(func() { d.control.configurationRead(b, sent, fromStorePoll, snapshot) })
 		},
 	}
 }
