A long poll is sent again if another read finds records that it did not return

The replacement of silent connections relied on another read being left unanswered. If that read dials a connection, it is answered, and the poll stayed on its silent connection until its time had passed: 25 s for the configuration, where the checks keep the bound, and 9.2 s for the directory, whose new records then arrived by catch-up reads only.

--- a/sidecar/configuration_check.go
+++ b/sidecar/configuration_check.go
@@ -51,6 +51,7 @@
 		sent = clock.Now()
 		b, err = d.directStore.Newest(ctx, partition)
 	}
+	d.expectPolled(&d.configurationPolled, b)
 	d.control.do(func() { d.control.configurationChecked(b, sent, snapshot, err) })
 }
 
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -283,6 +283,9 @@
 		logevent.Log(d.log, logevent.UpdateNotFetched, zap.String("from", "store"), zap.Int64("offset", int64(from)), zap.Error(err))
 		return
 	}
+	if d.control.readsDirectory.Load() {
+		d.expectPolled(&d.directoryPolled, b)
+	}
 	d.control.do(func() { d.control.applyDirectory(from, b, sent, false) })
 }
 
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -79,7 +79,11 @@
 
 	directory metastore.Partition
 	storeLink *storeLink
-	store     metastore.Store
+	// storeTransport holds the connections of direct calls.
+	storeTransport *platform.StoreTransport
+	// directoryPolled and configurationPolled are the progress of the followers.
+	directoryPolled, configurationPolled pollProgress
+	store                                metastore.Store
 	// directStore makes no relayed calls.
 	directStore metastore.Store
 	peerLinks   *transport.Pool
@@ -105,7 +109,8 @@
 		directory: metastore.Partition{Topic: platform.KeyedTopic(directoryTopic)}, viewReplaced: make(chan struct{}),
 	}
 	d.currentSettings.Store(s)
-	d.storeLink = &storeLink{direct: platform.NewStoreTransport(s.Store.Addr), log: log, metrics: d.metrics, peers: d.relayAddrs}
+	d.storeTransport = platform.NewStoreTransport(s.Store.Addr)
+	d.storeLink = &storeLink{direct: d.storeTransport.RoundTrip, log: log, metrics: d.metrics, peers: d.relayAddrs}
 	d.store = platform.NewStoreClient(d.storeLink.roundTrip)
 	d.directStore = platform.NewStoreClient(d.storeLink.directOnly)
 	d.members = newMemberWriter(d)
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -14,6 +14,7 @@
 		store: d.store, partition: d.directory, log: d.log, pollTime: d.directoryPollTime,
 		awaitRead: d.awaitDirectoryRead,
 		apply: func(from metastore.Offset, b metastore.Batch, sent clock.Time, snapshot bool) {
+			d.directoryPolled.read(b, snapshot)
 			d.control.do(func() { d.control.applyDirectory(from, b, sent, snapshot) })
 		},
 	}
@@ -38,6 +39,7 @@
 	return &follower{
 		store: d.store, partition: partition, log: d.log, pollTime: func() time.Duration { return configurationPoll },
 		apply: func(_ metastore.Offset, b metastore.Batch, sent clock.Time, snapshot bool) {
+			d.configurationPolled.read(b, snapshot)
 			d.control.do(func() { d.control.configurationRead(b, sent, fromStorePoll, snapshot) })
 		},
 	}
--- a/sidecar/silent_connections_test.go
+++ b/sidecar/silent_connections_test.go
@@ -117,3 +117,18 @@
 		})
 	}
 }
+
+// A long poll must not stay on a silent connection until its time has passed, even if
+// all other calls use connections that work.
+func TestLongPollContinuesAfterItsConnectionWentSilent(t *testing.T) {
+	t.Parallel()
+	r := deployRelayed(t, plainService)
+	n := r.nodes[0]
+	n.awaitUnkeyedServing(t)
+	for _, route := range []string{"/first/", "/second/"} {
+		polled := n.daemon.configurationPolled.next.Load()
+		r.toStore[0].Silence(tcprelay.Both)
+		r.configure(route)
+		eventually(t, "the poll returns the configuration with "+route, func() bool { return n.daemon.configurationPolled.next.Load() > polled })
+	}
+}
