--- a/freshness/example_test.go
+++ b/freshness/example_test.go
@@ -8,11 +8,12 @@
 	"github.com/parsleystack/parsleystack/freshness"
 )
 
-// A copy that another process confirmed is checked only when its age nears the bound.
+// A copy is checked before its age reaches the bound.
 func Example() {
 	t := freshness.NewTracker(freshness.NewPolicy(2 * time.Second))
-	at := clock.Time(time.Hour)
-	t.Confirm(at, 0)
-	fmt.Println(t.Due(at.Add(time.Second), false), t.Due(at.Add(1200*time.Millisecond), false))
+	now := clock.Time(time.Hour)
+	t.Started()
+	t.Succeeded(now, 0.5)
+	fmt.Println(t.Due(now.Add(500*time.Millisecond), false), t.Due(now.Add(time.Second), false))
 	// Output: false true
 }
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -32,10 +32,10 @@
 	// minPoll and maxPoll bound how long one read waits for a record.
 	minPoll = time.Second
 	maxPoll = 8 * time.Second
-	// maxConfigurationPoll is the upper bound for reads of the configuration. It
-	// may be longer, since statuses carry the newest configuration version. The
-	// store accepts at most 30 s.
-	maxConfigurationPoll = 25 * time.Second
+	// configurationPoll is how long a read of the configuration waits for a record. It
+	// may be long, since checkConfiguration does not rely on it. The store accepts at
+	// most 30 s.
+	configurationPoll = 25 * time.Second
 	// startupPeriod is the time after its start in which a process reads the
 	// directory at most once in startupReadInterval: while a fleet starts, each
 	// daemon appends its own record.
@@ -80,7 +80,11 @@
 
 	directory metastore.Partition
 	storeLink *storeLink
-	store     metastore.Store
+	// storeTransport holds the connections of direct calls.
+	storeTransport *platform.StoreTransport
+	// directoryPolled and configurationPolled are the progress of the followers.
+	directoryPolled, configurationPolled pollProgress
+	store                                metastore.Store
 	// directStore makes no relayed calls.
 	directStore metastore.Store
 	peerLinks   *transport.Pool
@@ -107,7 +111,8 @@
 		directory: metastore.Partition{Topic: platform.KeyedTopic(directoryTopic)}, viewReplaced: make(chan struct{}),
 	}
 	d.currentSettings.Store(s)
-	d.storeLink = &storeLink{direct: platform.NewStoreTransport(s.Store.Addr), log: log, metrics: d.metrics, peers: d.relayAddrs}
+	d.storeTransport = platform.NewStoreTransport(s.Store.Addr)
+	d.storeLink = &storeLink{direct: d.storeTransport.RoundTrip, log: log, metrics: d.metrics, peers: d.relayAddrs}
 	store := platform.NewStoreClient(d.storeLink.roundTrip)
 	d.store, d.directStore = store, store.WithTransport(d.storeLink.directOnly)
 	d.members = newMemberWriter(d)
