--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -20,11 +20,12 @@
 	StoreHistoryTruncated = define(7103, "store history truncated", info, "The store has removed the next records to read; the newest record of each key is read instead.", "")
 	RecordIgnored         = define(7104, "record ignored", warning, "A record in the store can't be decoded and is ignored.", "Find out which program writes to the topic.")
 	StoreCallFailed       = define(7105, "store call failed", warning, "A read or an append failed and is retried; logged once for each series of failures.", "Look for event 7101 (store unavailable) before this line; if there is none, the error has the store's answer.")
+	PollMissedRecords     = define(7108, "long poll missed records", info, "Another read found records that the long poll did not return; its connection is replaced.", "")
 	UpdateNotForwarded    = define(7107, "directory update not forwarded", routine, "A directory update could not be forwarded to another daemon; that daemon reads the store itself.", "")
 	RelayFailed           = define(7106, "relayed store call failed", routine, "No other daemon could relay a store call for this one.", "")
 
-	EraChanged = define(7108, "store went back", warning, "An answer of the store states a later era: the store has come back from an older copy and has lost its newest records. All topics are read anew.", "Check why the store was replaced. Compare what was written just before; the daemons and the operator write their own records again.")
-	EraEntered = define(7109, "directory read in a later era", info, "The newest records of the directory were read in a later era of the store; this daemon writes its own record again if it is missing.", "")
+	EraChanged = define(7110, "store went back", warning, "An answer of the store states a later era: the store has come back from an older copy and has lost its newest records. All topics are read anew.", "Check why the store was replaced. Compare what was written just before; the daemons and the operator write their own records again.")
+	EraEntered = define(7111, "directory read in a later era", info, "The newest records of the directory were read in a later era of the store; this daemon writes its own record again if it is missing.", "")
 
 	RoutesInForce            = define(7201, "routes in force", info, "Requests are routed by this configuration version from now on.", "")
 	ConfigurationUnconfirmed = define(7203, "configuration not confirmed", info, "The store did not answer the check whether the configuration in force is the newest; it is repeated.", "")
@@ -39,6 +40,7 @@
 	RemovalFailed       = define(7310, "removal failed", warning, "A daemon could not be removed from the directory; the removal is retried at the next check.", "Look for event 7101 (store unavailable) before this line.")
 	UpdateNotFetched    = define(7311, "update not fetched", info, "A newer configuration or directory of another daemon or the store could not be read; the read is retried.", "")
 	TargetChanged       = define(7306, "target changed", info, "The state of the target changed after a heartbeat, a refused connection or a planned stop.", "")
+	LinksRenewed        = define(7312, "links renewed", info, "Statuses pass in one direction only or not at all; new connections to the daemon are opened.", "")
 	HeartbeatIgnored    = define(7307, "heartbeat ignored", warning, "A heartbeat can't be decoded or names another target; it is ignored.", "Check who sends heartbeats to this daemon.")
 	HeartbeatOutOfOrder = define(7308, "heartbeat out of order", info, "A heartbeat is older than one already processed; it renews no grant.", "")
 	GrantsNotRenewed    = define(7309, "grants not renewed", warning, "A heartbeat was answered without grants, since the lease of the daemon is not confirmed.", "Look for events 7101 (store unavailable) and 7302 (daemon suspected) before this line.")
@@ -58,4 +60,6 @@
 	AttemptRefused  = define(7506, "attempt refused", routine, "A daemon or its target refused a request without running it.", "")
 	RequestRejected = define(7508, "request rejected", info, "A request was answered with a 4xx status of the daemon's own, which callers never retry.", "If the request was well formed, compare config (in force here) with newest_config, and look for events 7201 and 7202.")
 	TargetFailed    = define(7507, "target failed", info, "A target returned no complete response.", "")
+
+	MessageTooLarge = define(7601, "message too large", warning, "A message from the named source exceeded its size limit or the memory budget of its source; its connection was closed.", "Check why the source sends so much; the metric parsley_messages_too_large_total counts by source.")
 )
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -14,6 +14,7 @@
 		store: d.store, partition: d.directory, log: d.log, pollTime: d.directoryPollTime,
 		awaitRead: d.awaitDirectoryRead,
 		apply: func(from metastore.Offset, b metastore.Batch, sent clock.Time, snapshot bool) {
+			d.directoryPolled.read(b, snapshot)
 			d.control.do(func() { d.control.applyDirectory(from, b, sent, snapshot) })
 		},
 	}
@@ -42,9 +43,10 @@
 func (d *Daemon) configurationFollower() *follower {
 	partition, _ := platform.ConfigurationPartition()
 	return &follower{
-		store: d.store, partition: partition, log: d.log, pollTime: func() time.Duration { return d.idlePollTime(maxConfigurationPoll) },
-		apply: func(_ metastore.Offset, b metastore.Batch, sent clock.Time, _ bool) {
-			d.control.do(func() { d.control.configurationRead(b, sent, fromStorePoll) })
+		store: d.store, partition: partition, log: d.log, pollTime: func() time.Duration { return configurationPoll },
+		apply: func(_ metastore.Offset, b metastore.Batch, sent clock.Time, snapshot bool) {
+			d.configurationPolled.read(b, snapshot)
+			d.control.do(func() { d.control.configurationRead(b, sent, fromStorePoll, snapshot) })
 		},
 	}
 }
