--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -125,7 +125,7 @@
 
 // ownStatus returns the part of a status that is the same for all receivers.
 func (c *control) ownStatus() *fleet.Status {
-	s := &fleet.Status{Seq: c.status.seq, Offset: int64(c.applied), Stopping: c.stopping, Load: c.d.backend.load(), Config: c.configVersion(), ConfigAgeMS: c.statusConfigurationAge(clock.Now())}
+	s := &fleet.Status{Seq: c.status.seq, Offset: int64(c.applied), Stopping: c.stopping, Load: c.d.backend.load(), Config: c.configVersion(), ConfigAgeMS: c.statusConfigurationAge(clock.Now()), ConfigHops: uint8(c.config.tracker.Hops())}
 	for _, p := range c.dir.Peers() {
 		if c.sameService(p) && c.suspected[ident.Instance(p.Member.Instance)] {
 			s.Suspects = append(s.Suspects, p.Member.Instance)
@@ -174,7 +174,7 @@
 	}
 	c.peerLoad(name, p.Member.Slots).report(&s.Load)
 	if s.ConfigAgeMS != unknownAge {
-		c.confirmConfiguration(now.Add(-time.Duration(s.ConfigAgeMS) * time.Millisecond))
+		c.confirmConfiguration(now.Add(-time.Duration(s.ConfigAgeMS)*time.Millisecond), int(s.ConfigHops))
 	}
 	if s.LeaseExtension && s.EchoIncarnation == c.self.Incarnation && c.status.seq-s.Echo < sentAtSize && s.Echo > 0 {
 		c.agent.LeaseExtended(name, c.status.sentAt[s.Echo%sentAtSize])
@@ -228,7 +228,7 @@
 // fleet.RemovalTimeout and own no shards. A removed daemon that still runs reads its
 // removal and joins again.
 func (c *control) removeFailedPeers(now clock.Time) {
-	if !c.agent.IsMember() || c.rank() > 0 || c.stopping || now.Before(c.status.nextRemove) {
+	if !c.agent.IsMember() || c.agent.Recovering() || c.rank() > 0 || c.stopping || now.Before(c.status.nextRemove) {
 		return
 	}
 	c.status.nextRemove = now.Add(removeInterval)
@@ -260,13 +260,19 @@
 	if st.behindSince == clock.Never {
 		st.behindSince = now
 	}
-	if st.fetching || now.Sub(st.behindSince) < catchUpAfter {
+	if st.fetching || now.Sub(st.behindSince) < catchUpAfter && !c.peerInLaterEra() {
 		return
 	}
 	st.fetching, st.behindSince = true, clock.Never
 	go c.d.readDirectory()
 }
 
+// peerInLaterEra reports whether a daemon has read the directory in a later era of the
+// store. Reading it here too shows the era to the followers.
+func (c *control) peerInLaterEra() bool {
+	return slices.ContainsFunc(c.dir.Peers(), func(p *fleet.Peer) bool { return metastore.Offset(p.Offset).Era() > c.era() })
+}
+
 // directoryBehind reports whether another daemon has read more of the directory.
 func (c *control) directoryBehind() bool {
 	return slices.ContainsFunc(c.dir.Peers(), func(p *fleet.Peer) bool {
@@ -285,6 +291,9 @@
 		logevent.Log(d.log, logevent.UpdateNotFetched, zap.String("from", "store"), zap.Int64("offset", int64(from)), zap.Error(err))
 		return
 	}
+	if d.control.readsDirectory.Load() {
+		d.expectPolled(&d.directoryPolled, b)
+	}
 	d.control.do(func() { d.control.applyDirectory(from, b, sent, false) })
 }
 
