--- a/logevent/logevent_test.go
+++ b/logevent/logevent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"io/fs"
 	"os"
 	"path/filepath"
@@ -36,6 +37,9 @@
 func TestEventsAreComplete(t *testing.T) {
 	names := map[string]int{}
 	for _, e := range All() {
+		if !strings.Contains(Markdown(), fmt.Sprintf("\n| %d |", e.Number)) {
+			t.Errorf("%d is in no section of docs/LOG-EVENTS.md", e.Number)
+		}
 		if e.Name == "" || e.Meaning == "" {
 			t.Errorf("%d has no name or meaning", e.Number)
 		}
--- a/logevent/markdown.go
+++ b/logevent/markdown.go
@@ -15,6 +15,7 @@
 	{4000, "Configuration"},
 	{5000, "Log service"},
 	{6000, "Target"},
+	{7000, "Daemon on the users' platform"},
 }
 
 // Markdown returns the page docs/LOG-EVENTS.md.
