--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -24,8 +24,8 @@
 	UpdateNotForwarded    = define(7107, "directory update not forwarded", routine, "A directory update could not be forwarded to another daemon; that daemon reads the store itself.", "")
 	RelayFailed           = define(7106, "relayed store call failed", routine, "No other daemon could relay a store call for this one.", "")
 
-	EraChanged = define(7108, "store went back", warning, "An answer of the store states a later era: the store has come back from an older copy and has lost its newest records. All topics are read anew.", "Check why the store was replaced. Compare what was written just before; the daemons and the operator write their own records again.")
-	EraEntered = define(7109, "directory read in a later era", info, "The newest records of the directory were read in a later era of the store; this daemon writes its own record again if it is missing.", "")
+	EraChanged = define(7110, "store went back", warning, "An answer of the store states a later era: the store has come back from an older copy and has lost its newest records. All topics are read anew.", "Check why the store was replaced. Compare what was written just before; the daemons and the operator write their own records again.")
+	EraEntered = define(7111, "directory read in a later era", info, "The newest records of the directory were read in a later era of the store; this daemon writes its own record again if it is missing.", "")
 
 	RoutesInForce            = define(7201, "routes in force", info, "Requests are routed by this configuration version from now on.", "")
 	ConfigurationUnconfirmed = define(7203, "configuration not confirmed", info, "The store did not answer the check whether the configuration in force is the newest; it is repeated.", "")
