--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -9,24 +9,18 @@
 	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
-// Parts of the process's memory that messages may take while they are received, by
-// source. A message is copied up to once more on its way, and the heap needs room for
-// garbage, so that all parts together are below half.
-const (
-	targetMemoryPart = 5  // a fifth, above the largest response body on the smallest machine
-	storeMemoryPart  = 12 // a twelfth; the store's largest page is about 1.4 MB
-)
+// targetMemoryPart is the part of the process's memory that answers of the target may
+// take together: a fifth, above the largest one on the smallest machine. An answer is
+// copied up to once more on its way, and the heap needs room for garbage.
+const targetMemoryPart = 5
 
 // receiveBudgets bound the memory of messages that are being received.
 type receiveBudgets struct {
-	target, store *recvlimit.Budget
+	target *recvlimit.Budget
 }
 
 func newReceiveBudgets(memory int) receiveBudgets {
-	return receiveBudgets{
-		target: recvlimit.NewBudget(recvlimit.Target, memory/targetMemoryPart),
-		store:  recvlimit.NewBudget(recvlimit.Store, memory/storeMemoryPart),
-	}
+	return receiveBudgets{target: recvlimit.NewBudget(recvlimit.Target, memory/targetMemoryPart)}
 }
 
 // heapPart is the part of the process's memory that the heap may take, garbage
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -80,7 +80,6 @@
 	gauge("parsley_target_limit", func() float64 { return float64(d.backend.load().Limit) })
 	gauge("parsley_target_offered_ratio", func() float64 { return d.backend.load().OfferedRatio })
 	gauge(`parsley_receive_memory_bytes{source="target"}`, func() float64 { return float64(d.budgets.target.Used()) })
-	gauge(`parsley_receive_memory_bytes{source="store"}`, func() float64 { return float64(d.budgets.store.Used()) })
 	gauge("parsley_store_reached", func() float64 {
 		if d.storeLink.reachable() {
 			return 1
