--- a/ownertable/soak_test.go
+++ b/ownertable/soak_test.go
@@ -29,12 +29,29 @@
 }
 
 // TestBrokenRulesAreCaught enables one fault in the protocol at a time and
-// requires the assertions of the simulation to detect each.
+// requires the assertions of the simulation to detect each. The first seeds are
+// those of known violations, which keeps the test short.
 func TestBrokenRulesAreCaught(t *testing.T) {
-	for _, mode := range []faultMode{alwaysExtend, clockStopsWhenFrozen, ignoreHeld, confirmAtReadResponse, ignoreAppendCondition} {
-		t.Run(string(mode), func(t *testing.T) {
-			for seed := range uint64(400) {
-				if err := newSimulation(seed, mode).run(simDuration); err != nil {
+	for _, c := range []struct {
+		mode      faultMode
+		firstSeed uint64
+	}{
+		{alwaysExtend, 0},
+		{clockStopsWhenFrozen, 44},
+		{ignoreHeld, 0},
+		{confirmAtReadResponse, 48},
+		{ignoreAppendCondition, 0},
+		{ignoreEra, 0},
+		{olderTableInForce, 19},
+		{leaseKept, 34},
+		{assumeEstablished, 0},
+		{reportsNotAwaited, 0},
+		{extendAcrossEras, 0},
+		{inheritedReported, 0},
+	} {
+		t.Run(string(c.mode), func(t *testing.T) {
+			for seed := c.firstSeed; seed < c.firstSeed+400; seed++ {
+				if err := newSimulation(seed, c.mode).run(simDuration); err != nil {
 					t.Logf("seed %d: %v", seed, err)
 					return
 				}
@@ -54,6 +71,14 @@
 	ignoreHeld            faultMode = "a shard counts as released as soon as it is omitted"
 	confirmAtReadResponse faultMode = "a read confirms the lease from the time of its response"
 	ignoreAppendCondition faultMode = "the store ignores the condition of delayed appends"
+	ignoreEra             faultMode = "offsets are positions without the era"
+	olderTableInForce     faultMode = "a table of an older era is in force"
+	assumeEstablished     faultMode = "every member counts as known to all others"
+	youngExtended         faultMode = "extensions keep leases of daemons with young records"
+	leaseKept             faultMode = "lease and shards are kept over a change of the era"
+	reportsNotAwaited     faultMode = "the first table of an era does not wait for reports"
+	extendAcrossEras      faultMode = "the lease of a member in an older era is extended"
+	inheritedReported     faultMode = "shards granted by an earlier process are reported as held"
 )
 
 const (
@@ -66,21 +91,25 @@
 	planInterval      = 50 * time.Millisecond
 	hotSpan           = 500
 	soakLatencyRatio  = 0.3
+	sampledKeys       = 3001 // distance of the keys that are checked
 )
 
 // simulation is the fleet of one service in virtual time.
 type simulation struct {
-	rng            *rand.Rand
-	activeFault    faultMode
-	now            time.Duration
-	queue          []delivery
-	log            [][]byte
-	storeDownUntil time.Duration // time until which the store is unavailable
-	nodes          []*node
-	maxTokens      map[uint32]uint64 // largest token that any target has had, by sampled key
-	holders        map[uint32]Owner
-	lines          []string
-	firstHotKey    uint32 // first of the busy keys
+	rng                *rand.Rand
+	activeFault        faultMode
+	now                time.Duration
+	queue              []delivery
+	store              simStore
+	quiet              bool          // no random faults
+	learnsEraFromPeers bool          // daemons also learn of a later era by statuses
+	reports            []*HoldReport // that were appended in their era
+	overlap            error         // of two reports
+	nodes              []*node
+	maxTokens          map[uint32]uint64 // largest token that any target has had, by sampled key
+	holders            map[uint32]Owner
+	lines              []string
+	firstHotKey        uint32 // first of the busy keys
 }
 
 // delivery is a scheduled event.
@@ -108,6 +137,8 @@
 	localTarget   Candidate // the target as seen by the daemon
 	heartbeatSeq  uint64
 	reading       bool
+	reporting     bool // the append of a report has not returned
+	membership    membership
 	nextStatus    time.Duration
 }
 
@@ -138,16 +169,22 @@
 }
 
 func newSimulation(seed uint64, fault faultMode) *simulation {
+	w := newFleet(seed, fault)
+	w.startNodes()
+	return w
+}
+
+// newFleet returns a simulation whose daemons have not started.
+func newFleet(seed uint64, fault faultMode) *simulation {
 	w := &simulation{rng: rand.New(rand.NewPCG(seed, 7)), activeFault: fault, maxTokens: make(map[uint32]uint64), holders: make(map[uint32]Owner)}
 	w.now = time.Hour
+	w.store.era = uint32(w.rng.IntN(2))
+	w.learnsEraFromPeers = w.rng.IntN(2) == 0
 	for i := range machines {
 		n := &node{sim: w, name: ident.Instance(fmt.Sprintf("m%d", i))}
 		n.newTarget()
 		w.nodes = append(w.nodes, n)
 	}
-	for _, n := range w.nodes {
-		n.start()
-	}
 	return w
 }
 
@@ -172,7 +209,9 @@
 // run advances the simulation by span and returns the first violation.
 func (w *simulation) run(span time.Duration) error {
 	for end := w.now + span; w.now < end; w.now += simStep {
-		w.injectFault()
+		if !w.quiet {
+			w.injectFault()
+		}
 		due := w.queue
 		w.queue = nil
 		for _, d := range due {
@@ -198,6 +237,9 @@
 		w.nodes[w.rng.IntN(len(w.nodes))].load = w.rng.Float64() * 1.8
 		w.firstHotKey = w.rng.Uint32N(MaxKey)
 	}
+	if w.rng.IntN(int(simDrillPeriod/simStep)) == 0 {
+		w.drill()
+	}
 	if w.rng.IntN(120) != 0 {
 		return
 	}
@@ -222,7 +264,7 @@
 		n.peersCutUntil = w.now + span
 	case 5:
 		w.logf("store down for %v", span)
-		w.storeDownUntil = w.now + span
+		w.store.downUntil = w.now + span
 	case 6:
 		w.logf("%s disconnected from the store and its peers for %v", n.name, span)
 		n.peersCutUntil, n.storeCutUntil = w.now+span, w.now+span
@@ -237,8 +279,10 @@
 // check asserts that no sampled key is held by two running targets and that each
 // new holder has a larger token than all previous holders.
 func (w *simulation) check() error {
-	const sample = 4099
-	for key := uint32(0); key <= MaxKey; key += sample {
+	if w.overlap != nil {
+		return w.overlap
+	}
+	for key := uint32(0); key <= MaxKey; key += sampledKeys {
 		var holder Owner
 		for _, n := range w.nodes {
 			if !n.target.up {
@@ -273,13 +317,14 @@
 }
 
 func (n *node) start() {
-	n.up, n.reading = true, false
+	n.up, n.reading, n.reporting = true, false, false
 	n.process++
 	n.agent = NewAgent(n.name, n.clock())
 	n.peers = make(map[ident.Instance]*peerState)
 	n.sentAt = make(map[uint64]clock.Time)
 	n.localTarget = Candidate{Owner: Owner{Instance: n.name, Target: n.localTarget.Target}, Slots: 4, Responded: true, Ready: n.localTarget.Ready}
 	n.heartbeatSeq = 0
+	n.membership = membership{joined: n.sim.now, others: make(map[ident.Instance]bool)}
 	for _, m := range n.sim.nodes {
 		if m != n {
 			n.peers[m.name] = &peerState{lastStatus: n.clock(), target: Candidate{Owner: Owner{Instance: m.name, Target: m.localTarget.Target}, Slots: 4, Ready: m.localTarget.Ready}}
@@ -336,59 +381,16 @@
 	f()
 }
 
-// read requests new records from the store.
-func (n *node) read() {
-	n.reading = true
-	w, process, sent, from := n.sim, n.process, n.clock(), n.agent.readEnd
-	answered := false
-	w.schedule(w.delay(), func() {
-		if w.now < w.storeDownUntil || w.now < n.storeCutUntil {
-			return
-		}
-		end := uint64(len(w.log))
-		records := w.log[min(from, end):end]
-		w.schedule(w.delay(), func() {
-			n.whenActive(process, func() {
-				answered = true
-				n.reading = false
-				n.apply(from, records, end, sent)
-			})
-		})
-	})
-	w.schedule(1200*time.Millisecond, func() {
-		if !answered {
-			n.whenActive(process, func() { n.reading = false })
-		}
-	})
-}
-
-func (n *node) apply(from uint64, records [][]byte, end uint64, sent clock.Time) {
-	for i, b := range records {
-		if at := from + uint64(i); at >= n.agent.readEnd {
-			t, err := Decode(b)
-			if err != nil {
-				panic(err)
-			}
-			n.agent.TableRead(t, at, n.clock())
-		}
-	}
-	n.agent.Joined(n.clock())
-	if n.sim.activeFault == confirmAtReadResponse {
-		sent = n.clock()
-	}
-	n.agent.Applied(end, sent, true)
-}
-
 func (n *node) sendStatuses() {
 	n.seq++
 	n.sentAt[n.seq] = n.clock()
 	for _, m := range n.sim.nodes {
-		if m == n {
+		if !n.membership.others[m.name] {
 			continue
 		}
 		peer := n.peers[m.name]
 		seq, echo, echoOf, process, read, target := n.seq, peer.seq, peer.process, n.process, n.agent.readEnd, n.localTarget
-		extend := n.agent.MayExtendLease(m.name, peer.read) || n.sim.activeFault == alwaysExtend
+		extend := n.extends(m.name, peer.read)
 		if n.sim.now < n.peersCutUntil || n.sim.now < m.peersCutUntil {
 			continue
 		}
@@ -401,6 +403,7 @@
 }
 
 func (n *node) handleStatus(from ident.Instance, seq, echo uint64, echoOf, process int, read uint64, target Candidate, extend bool) {
+	n.memberFound(from)
 	peer := n.peers[from]
 	if process < peer.process || process == peer.process && seq <= peer.seq {
 		return
@@ -408,6 +411,9 @@
 	if target.Target != peer.target.Target || target.Ready != peer.target.Ready {
 		n.agent.MembershipChanged(n.clock())
 	}
+	if n.sim.learnsEraFromPeers {
+		n.enterEra(EraOf(read))
+	}
 	peer.lastStatus, peer.seq, peer.process, peer.read, peer.target, peer.responded = n.clock(), seq, process, read, target, true
 	if sent, ok := n.sentAt[echo]; ok && extend && echoOf == n.process {
 		n.agent.LeaseExtended(from, sent)
@@ -417,7 +423,7 @@
 func (n *node) others() []ident.Instance {
 	var names []ident.Instance
 	for _, m := range n.sim.nodes {
-		if m != n {
+		if n.membership.others[m.name] {
 			names = append(names, m.name)
 		}
 	}
@@ -435,9 +441,9 @@
 func (n *node) plan() {
 	self := n.localTarget
 	self.Load, self.LatencyRatio = n.load, soakLatencyRatio
-	s := PlanRequest{Now: n.clock(), Self: self, Candidates: []Candidate{self}, Established: true, KeyLoad: n.sim.keyLoad}
+	s := PlanRequest{Now: n.clock(), Self: self, Candidates: []Candidate{self}, KeyLoad: n.sim.keyLoad}
 	for _, m := range n.sim.nodes {
-		if m == n {
+		if !n.membership.others[m.name] {
 			continue
 		}
 		peer := n.peers[m.name]
@@ -449,6 +455,8 @@
 			s.Rank++
 		}
 	}
+	n.writeReport()
+	n.writeMember()
 	p := n.agent.Plan(&s)
 	if p == nil {
 		return
@@ -457,19 +465,19 @@
 	answer := func(v AppendOutcome) { n.whenActive(process, func() { n.agent.Proposed(p.At, v, n.clock()) }) }
 	record := p.Table.Encode()
 	appendDelay := time.Duration(0)
-	if w.rng.IntN(6) == 0 {
+	if w.rng.IntN(6) == 0 && !w.quiet {
 		appendDelay = time.Duration(1000+w.rng.IntN(5000)) * time.Millisecond
 	}
 	w.schedule(w.delay(), func() {
-		if w.now < w.storeDownUntil || w.now < n.storeCutUntil {
+		if w.now < w.store.downUntil || w.now < n.storeCutUntil {
 			w.schedule(time.Second, func() { answer(Indeterminate) })
 			return
 		}
 		w.schedule(appendDelay, func() {
-			accepted := uint64(len(w.log)) == p.At || w.activeFault == ignoreAppendCondition && appendDelay > 0
+			accepted := uint64(len(w.store.log)) == PositionOf(p.At) || w.activeFault == ignoreAppendCondition && appendDelay > 0
 			if accepted {
-				w.log = append(w.log, record)
-				w.logf("%s: table at %d of %d changes, first %s", n.name, p.At, len(p.Changes), p.Changes[0].Reason)
+				w.store.append(storedRecord{table: record}, w.now)
+				w.logf("%s: table at %x of %d changes, first %s", n.name, p.At, len(p.Changes), p.Changes[0].Reason)
 			}
 			if appendDelay == 0 && w.rng.IntN(5) > 0 {
 				w.schedule(w.delay(), func() {
@@ -527,7 +535,7 @@
 		report.Held = nil
 	}
 	delay := time.Millisecond
-	if w.rng.IntN(12) == 0 {
+	if w.rng.IntN(12) == 0 && !w.quiet {
 		delay = time.Duration(w.rng.IntN(2500)) * time.Millisecond
 	}
 	w.schedule(delay, func() {
@@ -551,6 +559,10 @@
 	}
 	n.heartbeatSeq = report.Seq
 	received := n.clock()
+	if n.sim.activeFault == youngExtended {
+		defer func(age time.Duration) { n.agent.recordAge = age }(n.agent.recordAge)
+		n.agent.recordAge = time.Hour
+	}
 	a := n.agent.Heartbeat(n.localTarget.Owner, report, n.others(), 10*time.Second, received, received)
 	if a.TTL == 0 {
 		return
--- a/sidecar/configuration_check.go
+++ b/sidecar/configuration_check.go
@@ -46,7 +46,8 @@
 	sent := clock.Now()
 	b, err := d.directStore.Read(ctx, partition, from, 0)
 	var truncated *metastore.TruncatedError
-	snapshot := errors.As(err, &truncated) || err == nil && b.End < from
+	var era *metastore.EraError
+	snapshot := errors.As(err, &truncated) || errors.As(err, &era) || err == nil && b.End < from
 	if snapshot {
 		sent = clock.Now()
 		b, err = d.directStore.Newest(ctx, partition)
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -16,7 +16,6 @@
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/metastore"
 	"github.com/parsleystack/parsleystack/ownertable"
-	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/routetable"
 )
 
@@ -63,12 +62,17 @@
 	rawConfig    []byte // the encoded configuration, as the operator wrote it
 	newestConfig uint64 // newest configuration version that is known to exist
 	config       configurationState
+	heardPeer    bool // another daemon has sent a status to this process
 
 	tables     map[ident.Service]*ownertable.Table
 	agent      *ownertable.Agent
 	heartbeats heartbeatState
 	status     statusState
 
+	reports        map[string]storedReport // by key
+	reportInFlight bool                    // the append of a report has not returned
+	nextReport     clock.Time
+
 	stopping bool
 }
 
@@ -78,8 +82,9 @@
 		d: d, log: d.log, events: make(chan func(), eventQueueSize),
 		dir: fleet.NewDirectory(), suspected: make(map[ident.Instance]bool), loads: make(map[ident.Instance]*targetLoad),
 		keyOffsets: make(map[string]metastore.Offset), tables: make(map[ident.Service]*ownertable.Table),
-		agent:  ownertable.NewAgent(s.Instance, d.started),
-		config: configurationState{tracker: freshness.NewTracker(freshness.NewPolicy(s.ConfigApplyTime))},
+		reports: make(map[string]storedReport),
+		agent:   ownertable.NewAgent(s.Instance, d.started),
+		config:  configurationState{tracker: freshness.NewTracker(freshness.NewPolicy(s.ConfigApplyTime))},
 		self: fleet.Member{
 			Instance: string(s.Instance), Incarnation: uint64(time.Now().UnixNano()), Revision: 1,
 			Addr: cmp.Or(s.AnnounceAddr, s.LinkAddr), Zone: string(s.Zone), JoinedMS: time.Now().UnixMilli(), Service: string(s.Service),
@@ -155,6 +160,7 @@
 	c.checkConfiguration(now)
 	c.confirmLease(now)
 	c.removeFailedPeers(now)
+	c.writeReport(now)
 	c.registerWithoutTarget(now)
 	c.plan(now)
 }
@@ -163,6 +169,14 @@
 // from on or, if snapshot is set, the newest of each key. sent is when the read was
 // sent.
 func (c *control) applyDirectory(from metastore.Offset, b metastore.Batch, sent clock.Time, snapshot bool) {
+	entered := snapshot && b.End.Era() > c.era()
+	if !entered && b.End.Era() != c.era() {
+		return // read before a later era was entered
+	}
+	if entered {
+		c.enterEra(b.End.Era())
+		c.advance(b.End)
+	}
 	next := b.End
 	if !snapshot && len(b.Records) > 0 {
 		next = b.Records[len(b.Records)-1].Offset + 1
@@ -174,15 +188,21 @@
 		c.forwardUpdates(from, b.Records)
 	}
 	c.advance(next)
-	if snapshot && !c.directoryLoaded {
+	switch {
+	case !c.directoryLoaded:
 		c.directoryLoaded = true
 		c.registerSelf()
+	case entered:
+		c.writeSelfAgain(b.Records)
 	}
 	c.agent.Applied(uint64(c.applied), sent, next >= b.End)
 	c.plan(clock.Now())
 }
 
 func (c *control) applyRecord(r *metastore.Record) {
+	if r.Offset.Era() != c.era() {
+		return
+	}
 	if at, seen := c.keyOffsets[r.Key]; seen && r.Offset <= at {
 		return
 	}
@@ -193,6 +213,8 @@
 		err = c.applyMember(r)
 	case strings.HasPrefix(r.Key, ownersPrefix):
 		err = c.applyTable(r)
+	case strings.HasPrefix(r.Key, reportPrefix):
+		err = c.applyReport(r)
 	}
 	if err != nil {
 		logevent.Log(c.log, logevent.RecordIgnored, zap.String("key", r.Key), zap.Int64("offset", int64(r.Offset)), zap.Error(err))
@@ -204,7 +226,14 @@
 	if err != nil {
 		return err
 	}
-	service := ident.Service(strings.TrimPrefix(r.Key, ownersPrefix))
+	service := tableService(r.Key)
+	if t.Era() != uint32(c.era()) {
+		c.applyOlderTable(service, t, r.Offset)
+		return nil
+	}
+	if known := c.tables[service]; known != nil && known.Era() < t.Era() {
+		logevent.Log(c.log, logevent.FirstTableOfEra, zap.String("service", string(service)), zap.Uint32("era", t.Era()))
+	}
 	c.tables[service] = t
 	c.viewStale = true
 	logevent.Log(c.log, logevent.TableInForce, zap.String("service", string(service)), zap.Int64("offset", int64(r.Offset)), zap.Int("rows", len(t.Shards)))
@@ -214,24 +243,6 @@
 	return nil
 }
 
-// applyConfiguration applies the operator's configuration, which was obtained from
-// source.
-func (c *control) applyConfiguration(value []byte, source string) {
-	cfg, err := platform.DecodeConfiguration(value)
-	if err != nil {
-		logevent.Log(c.log, logevent.ConfigRejected, zap.Error(err))
-		return
-	}
-	if c.routes != nil && cfg.Version <= c.routes.Version() {
-		return
-	}
-	c.routes, c.rawConfig = routetable.New(cfg), value
-	now := clock.Now()
-	c.heardOfConfiguration(uint64(cfg.Version), now)
-	c.viewStale, c.status.urgent = true, true
-	logevent.Log(c.log, logevent.RoutesInForce, zap.Uint64("version", uint64(cfg.Version)), zap.String("from", source), zap.Duration("after", now.Sub(c.config.newestAt)), zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)))
-}
-
 // announceStop marks the daemon as stopping, for readiness checks and in its next
 // status.
 func (c *control) announceStop() {
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -151,6 +151,9 @@
 		return
 	}
 	now := clock.Now()
+	c.heardOfConfiguration(s.Config, now)
+	c.viewStale = c.viewStale || !c.heardPeer
+	c.heardPeer = true
 	known := c.dir.Peer(ident.Instance(s.Member.Instance)) != nil
 	p, changed := c.dir.ApplyStatus(s, now)
 	if changed {
@@ -170,7 +173,6 @@
 		p.Echo = s.Echo
 	}
 	c.peerLoad(name, p.Member.Slots).report(&s.Load)
-	c.heardOfConfiguration(s.Config, now)
 	if s.ConfigAgeMS != unknownAge {
 		c.confirmConfiguration(now.Add(-time.Duration(s.ConfigAgeMS)*time.Millisecond), int(s.ConfigHops))
 	}
@@ -226,7 +228,7 @@
 // fleet.RemovalTimeout and own no shards. A removed daemon that still runs reads its
 // removal and joins again.
 func (c *control) removeFailedPeers(now clock.Time) {
-	if !c.agent.IsMember() || c.rank() > 0 || c.stopping || now.Before(c.status.nextRemove) {
+	if !c.agent.IsMember() || c.agent.Recovering() || c.rank() > 0 || c.stopping || now.Before(c.status.nextRemove) {
 		return
 	}
 	c.status.nextRemove = now.Add(removeInterval)
@@ -258,13 +260,19 @@
 	if st.behindSince == clock.Never {
 		st.behindSince = now
 	}
-	if st.fetching || now.Sub(st.behindSince) < catchUpAfter {
+	if st.fetching || now.Sub(st.behindSince) < catchUpAfter && !c.peerInLaterEra() {
 		return
 	}
 	st.fetching, st.behindSince = true, clock.Never
 	go c.d.readDirectory()
 }
 
+// peerInLaterEra reports whether a daemon has read the directory in a later era of the
+// store. Reading it here too shows the era to the followers.
+func (c *control) peerInLaterEra() bool {
+	return slices.ContainsFunc(c.dir.Peers(), func(p *fleet.Peer) bool { return metastore.Offset(p.Offset).Era() > c.era() })
+}
+
 // directoryBehind reports whether another daemon has read more of the directory.
 func (c *control) directoryBehind() bool {
 	return slices.ContainsFunc(c.dir.Peers(), func(p *fleet.Peer) bool {
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -76,6 +76,7 @@
 	takeDropped     func() uint64
 	started         clock.Time
 	metrics         *metricSet
+	budgets         receiveBudgets
 
 	directory metastore.Partition
 	storeLink *storeLink
@@ -106,13 +107,14 @@
 func New(s *platform.Settings, log *zap.Logger, dropped func() uint64) *Daemon {
 	d := &Daemon{
 		log: log, takeDropped: dropped, logLevel: zapcore.LevelOf(log.Core()), started: clock.Now(), metrics: newMetricSet(),
+		budgets:   newReceiveBudgets(s.MemoryBytes),
 		directory: metastore.Partition{Topic: platform.KeyedTopic(directoryTopic)}, viewReplaced: make(chan struct{}),
 	}
 	d.currentSettings.Store(s)
 	d.storeTransport = platform.NewStoreTransport(s.Store.Addr)
 	d.storeLink = &storeLink{direct: d.storeTransport.RoundTrip, log: log, metrics: d.metrics, peers: d.relayAddrs}
-	d.store = platform.NewStoreClient(d.storeLink.roundTrip)
-	d.directStore = platform.NewStoreClient(d.storeLink.directOnly)
+	store := platform.NewStoreClient(d.storeLink.roundTrip)
+	d.store, d.directStore = store, store.WithTransport(d.storeLink.directOnly)
 	d.members = newMemberWriter(d)
 	d.backend = newBackend(d)
 	d.control = newControl(d)
--- a/sidecar/harness_test.go
+++ b/sidecar/harness_test.go
@@ -31,6 +31,7 @@
 	t       *testing.T
 	store   *platformtest.Store
 	records *platformtest.Records
+	held    *platformtest.Holdings // of keyedService
 	nodes   []*testNode
 	version int
 }
@@ -39,6 +40,7 @@
 type testNode struct {
 	settings *platform.Settings
 	target   *platformtest.Target
+	log      *zap.Logger
 	daemon   *Daemon
 	stop     context.CancelFunc
 	done     chan error
@@ -64,8 +66,9 @@
 // deployWith is deploy with a function that changes each node before it starts.
 func deployWith(t *testing.T, tune func(*testNode), services ...string) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: platformtest.NewStore(), records: new(platformtest.Records)}
+	d := &deployment{t: t, store: platformtest.NewStore(), records: new(platformtest.Records), held: new(platformtest.Holdings)}
 	t.Cleanup(d.close)
+	d.store.SetEra(firstEra)
 	d.configure("")
 	for i, service := range services {
 		n := d.newNode(i, service)
@@ -112,13 +115,16 @@
 		ID: fmt.Sprintf("t-%d", i), Service: service, Addr: s.TargetAddr, Control: s.ControlAddr, Keyed: service == keyedService,
 		Slots: 8, ProcessingTime: 5 * time.Millisecond, HeartbeatInterval: s.HeartbeatInterval, Records: d.records,
 	}
-	return &testNode{settings: s, target: target}
+	if target.Keyed {
+		target.Holdings = d.held
+	}
+	return &testNode{settings: s, target: target, log: zap.NewNop()}
 }
 
 func (n *testNode) start(t *testing.T) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
-	n.daemon, n.stop, n.done = New(n.settings, zap.NewNop(), func() uint64 { return 0 }), cancel, make(chan error, 1)
+	n.daemon, n.stop, n.done = New(n.settings, n.log, func() uint64 { return 0 }), cancel, make(chan error, 1)
 	daemon, done := n.daemon, n.done
 	go func() { done <- daemon.Run(ctx) }()
 }
@@ -126,11 +132,18 @@
 // configure writes the next configuration. It has one route to each service, and one
 // more if extra is not empty.
 func (d *deployment) configure(extra string) {
-	d.version++
-	routes := []platformtest.Route{{Prefix: "/view/", Idempotent: true, Service: keyedService}, {Prefix: "/book/", Service: plainService}}
-	if extra != "" {
-		routes = append(routes, platformtest.Route{Prefix: extra, Service: plainService})
+	if extra == "" {
+		d.configureRoutes()
+		return
 	}
+	d.configureRoutes(platformtest.Route{Prefix: extra, Service: plainService})
+}
+
+// configureRoutes writes the next configuration. It has one route to each service, and
+// the extra ones.
+func (d *deployment) configureRoutes(extra ...platformtest.Route) {
+	d.version++
+	routes := append([]platformtest.Route{{Prefix: "/view/", Idempotent: true, Service: keyedService}, {Prefix: "/book/", Service: plainService}}, extra...)
 	d.store.Configure(d.version, host, routes, keyedService)
 }
 
@@ -139,6 +152,31 @@
 	return platformtest.Call(n.settings.CallerAddr, host, method, path, id, key)
 }
 
+// awaitConfirmed waits until the daemon knows that its configuration is the newest one.
+func (n *testNode) awaitConfirmed(t *testing.T) {
+	t.Helper()
+	eventually(t, "the configuration is confirmed", func() bool {
+		v := n.daemon.control.view.Load()
+		return v.routes != nil && n.daemon.configurationConfirmed(v)
+	})
+}
+
+// rawCall sends the bytes of a request through the daemon and returns the response.
+func (n *testNode) rawCall(t *testing.T, request string) (int, http.Header) {
+	t.Helper()
+	status, header, err := platformtest.RawCall(n.settings.CallerAddr, request)
+	if err != nil {
+		t.Fatalf("%.80q: %v", request, err)
+	}
+	return status, header
+}
+
+// head returns the head of a request with a new ID and more header lines, each ended by
+// \r\n.
+func head(method, path, lines string) string {
+	return platformtest.Head(host, method, path, newID(), lines)
+}
+
 // metrics returns the text of the daemon's metrics.
 func (n *testNode) metrics(t *testing.T) string {
 	t.Helper()
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -8,6 +8,8 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/outcome"
+	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
 // metricSet is the set of metrics of the daemon.
@@ -25,6 +27,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("parsley_store_calls_total{result=%q}", result)).Inc()
 }
 
+// countOversize counts a message that was not received completely because of its size.
+func (m *metricSet) countOversize(source recvlimit.Source) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("parsley_messages_too_large_total{source=%q}", string(source))).Inc()
+}
+
 func (m *metricSet) observeStoreCall(d time.Duration) { m.storeTime.Update(max(d, 0).Seconds()) }
 
 func (m *metricSet) observeRequest(route, outcome, reason string, took time.Duration) {
@@ -32,6 +39,16 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("parsley_request_duration_seconds{route=%q,outcome=%q}", route, outcome)).Update(took.Seconds())
 }
 
+// countRejection counts a response with a 4xx status of the daemon's own.
+func (m *metricSet) countRejection(status int, reason outcome.Reason) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`parsley_requests_rejected_total{status="%d",reason=%q}`, status, reason)).Inc()
+}
+
+// countRows counts routes and services of a configuration that could not be decoded.
+func (m *metricSet) countRows(n int) {
+	m.set.GetOrCreateCounter("parsley_configuration_rows_rejected_total").Add(n)
+}
+
 func (m *metricSet) count(name string) { m.set.GetOrCreateCounter(name).Inc() }
 
 // Counters without labels.
@@ -40,7 +57,9 @@
 	metricBudgetDenied = "parsley_resend_budget_denied_total"
 	metricTargetFailed = "parsley_target_failures_total"
 	metricNoGrants     = "parsley_heartbeats_without_grants_total"
-	metricLinesDropped = "parsley_log_lines_dropped_total"
+	// metricConfigRejected counts configurations of which nothing could be decoded.
+	metricConfigRejected = "parsley_configurations_rejected_total"
+	metricLinesDropped   = "parsley_log_lines_dropped_total"
 )
 
 // registerGauges registers gauges that read the state of the daemon.
@@ -60,6 +79,8 @@
 	gauge("parsley_target_waiting", func() float64 { return float64(d.backend.load().Waiting) })
 	gauge("parsley_target_limit", func() float64 { return float64(d.backend.load().Limit) })
 	gauge("parsley_target_offered_ratio", func() float64 { return d.backend.load().OfferedRatio })
+	gauge(`parsley_receive_memory_bytes{source="target"}`, func() float64 { return float64(d.budgets.target.Used()) })
+	gauge(`parsley_receive_memory_bytes{source="store"}`, func() float64 { return float64(d.budgets.store.Used()) })
 	gauge("parsley_store_reached", func() float64 {
 		if d.storeLink.reachable() {
 			return 1
--- a/standin/tcprelay/example_test.go
+++ b/standin/tcprelay/example_test.go
@@ -2,19 +2,37 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 
 	"github.com/parsleystack/parsleystack/standin/tcprelay"
 )
 
-// A relay listens at an address of its own.
+// A connection through a relay reaches the server behind it.
 func Example() {
-	r, err := tcprelay.Listen("127.0.0.1:0", "127.0.0.1:1")
+	server, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
-	defer r.Close()
-	r.Silence(tcprelay.Both)
-	fmt.Println(r.Addr() != "")
-	// Output: true
+	go func() {
+		if c, err := server.Accept(); err == nil {
+			_, _ = io.WriteString(c, "hello") // a failure shows in the output
+			_ = c.Close()
+		}
+	}()
+	relay, err := tcprelay.Listen("127.0.0.1:0", server.Addr().String())
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer relay.Close()
+	c, err := net.Dial("tcp", relay.Addr())
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	b, err := io.ReadAll(c)
+	fmt.Println(string(b), err)
+	// Output: hello <nil>
 }
