fleet: the age of the configuration follows the status, so that both versions read it

Two elements were added to the tuple of a status. A tuple is read only with its exact number of elements, so daemons of the version before would have dropped the statuses of this one, and this one theirs: during an upgrade in turn, each half of a fleet would have suspected the other. Read from the generated code; two versions were not run together. The age and the number of hops now follow the tuple as bytes that the version before ignores, which TestStatusesOfTwoVersions holds.

--- /dev/null
+++ b/fleet/extension_test.go
@@ -0,0 +1,29 @@
+package fleet
+
+import "testing"
+
+// During an upgrade, daemons of two versions exchange statuses. The age of the
+// configuration must not make a status unreadable to the earlier version, which reads
+// only the tuple, and a status without it must not claim a confirmed configuration.
+func TestStatusesOfTwoVersions(t *testing.T) {
+	sent := &Status{Seq: 3, Config: 7, Member: Member{Instance: "a", Revision: 1}, ConfigAgeMS: 250, ConfigHops: 2}
+	got, err := DecodeStatus(sent.Encode())
+	if err != nil || got.ConfigAgeMS != 250 || got.ConfigHops != 2 || got.Config != 7 {
+		t.Errorf("%+v, %v", got, err)
+	}
+	var earlier Status
+	rest, err := earlier.UnmarshalMsg(sent.Encode())
+	if err != nil || earlier.Config != 7 || len(rest) == 0 {
+		t.Errorf("as an earlier version reads it: %+v, %v", earlier, err)
+	}
+	tuple, err := sent.MarshalMsg(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := DecodeStatus(tuple); err != nil || got.ConfigAgeMS != UnknownAge || got.Config != 7 {
+		t.Errorf("of an earlier version: %+v, %v", got, err)
+	}
+	if _, err := DecodeStatus(append(tuple, 0xc1)); err == nil {
+		t.Error("a damaged extension was accepted")
+	}
+}
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -1,6 +1,8 @@
 package fleet
 
-//msgp:tuple Status Load
+import "math"
+
+//msgp:tuple Status Load statusExtension
 
 // Load is the load of a target as measured by its daemon.
 type Load struct {
@@ -29,15 +31,28 @@
 	// IntervalMS is the time until the next status to the receiver, in milliseconds.
 	IntervalMS uint32 `msg:"v"`
 	// ConfigAgeMS is the time since Config was known to be the operator's newest
-	// version, in milliseconds; the maximum value if that is not known.
-	ConfigAgeMS uint32 `msg:"a"`
+	// version, in milliseconds; UnknownAge if that is not known.
+	ConfigAgeMS uint32 `msg:"-"`
 	// ConfigHops is the number of daemons that have passed this age on.
-	ConfigHops uint8 `msg:"h"`
+	ConfigHops uint8 `msg:"-"`
+}
+
+// UnknownAge is the age of a configuration that was not confirmed.
+const UnknownAge = math.MaxUint32
+
+// statusExtension follows the encoded Status. Daemons of earlier versions ignore it,
+// while a further element of the tuple would make the status unreadable to them.
+type statusExtension struct {
+	ConfigAgeMS uint32 `msg:"a"`
+	ConfigHops  uint8  `msg:"h"`
 }
 
 // Encode returns the encoded status.
 func (s *Status) Encode() []byte {
 	b, err := s.MarshalMsg(nil)
+	if err == nil {
+		b, err = (&statusExtension{ConfigAgeMS: s.ConfigAgeMS, ConfigHops: s.ConfigHops}).MarshalMsg(b)
+	}
 	if err != nil {
 		panic("fleet: cannot encode status: " + err.Error())
 	}
@@ -46,9 +61,18 @@
 
 // DecodeStatus decodes a status. Its errors are of type *MemberError.
 func DecodeStatus(b []byte) (*Status, error) {
-	s := new(Status)
-	if _, err := s.UnmarshalMsg(b); err != nil {
+	s := &Status{ConfigAgeMS: UnknownAge}
+	rest, err := s.UnmarshalMsg(b)
+	if err != nil {
+		return nil, &MemberError{Reason: err.Error()}
+	}
+	if len(rest) == 0 {
+		return s, nil // of an earlier version
+	}
+	var x statusExtension
+	if _, err := x.UnmarshalMsg(rest); err != nil {
 		return nil, &MemberError{Reason: err.Error()}
 	}
+	s.ConfigAgeMS, s.ConfigHops = x.ConfigAgeMS, x.ConfigHops
 	return s, nil
 }
--- a/fleet/status_gen.go
+++ b/fleet/status_gen.go
@@ -75,8 +75,8 @@
 // MarshalMsg implements msgp.Marshaler
 func (z *Status) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
-	// array header, size 13
-	o = append(o, 0x9d)
+	// array header, size 11
+	o = append(o, 0x9b)
 	o = msgp.AppendUint64(o, z.Seq)
 	o = msgp.AppendUint64(o, z.Echo)
 	o = msgp.AppendUint64(o, z.EchoIncarnation)
@@ -99,8 +99,6 @@
 		o = msgp.AppendString(o, z.Suspects[za0001])
 	}
 	o = msgp.AppendUint32(o, z.IntervalMS)
-	o = msgp.AppendUint32(o, z.ConfigAgeMS)
-	o = msgp.AppendUint8(o, z.ConfigHops)
 	return
 }
 
@@ -112,8 +110,8 @@
 		err = msgp.WrapError(err)
 		return
 	}
-	if zb0001 != 13 {
-		err = msgp.ArrayError{Wanted: 13, Got: zb0001}
+	if zb0001 != 11 {
+		err = msgp.ArrayError{Wanted: 11, Got: zb0001}
 		return
 	}
 	z.Seq, bts, err = msgp.ReadUint64Bytes(bts)
@@ -188,6 +186,42 @@
 		err = msgp.WrapError(err, "IntervalMS")
 		return
 	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *Status) Msgsize() (s int) {
+	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.BoolSize + msgp.Uint64Size + msgp.Int64Size + z.Load.Msgsize() + z.Member.Msgsize() + msgp.ArrayHeaderSize
+	for za0001 := range z.Suspects {
+		s += msgp.StringPrefixSize + len(z.Suspects[za0001])
+	}
+	s += msgp.Uint32Size
+	return
+}
+
+// MarshalMsg implements msgp.Marshaler
+func (z statusExtension) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendUint32(o, z.ConfigAgeMS)
+	o = msgp.AppendUint8(o, z.ConfigHops)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *statusExtension) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
 	z.ConfigAgeMS, bts, err = msgp.ReadUint32Bytes(bts)
 	if err != nil {
 		err = msgp.WrapError(err, "ConfigAgeMS")
@@ -203,11 +237,7 @@
 }
 
 // Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
-func (z *Status) Msgsize() (s int) {
-	s = 1 + msgp.Uint64Size + msgp.Uint64Size + msgp.Uint64Size + msgp.BoolSize + msgp.BoolSize + msgp.Uint64Size + msgp.Int64Size + z.Load.Msgsize() + z.Member.Msgsize() + msgp.ArrayHeaderSize
-	for za0001 := range z.Suspects {
-		s += msgp.StringPrefixSize + len(z.Suspects[za0001])
-	}
-	s += msgp.Uint32Size + msgp.Uint32Size + msgp.Uint8Size
+func (z statusExtension) Msgsize() (s int) {
+	s = 1 + msgp.Uint32Size + msgp.Uint8Size
 	return
 }
--- a/sidecar/control_configuration.go
+++ b/sidecar/control_configuration.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -9,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/fleet"
 	"github.com/parsleystack/parsleystack/freshness"
 	"github.com/parsleystack/parsleystack/metastore"
 	"github.com/parsleystack/parsleystack/platform"
@@ -75,16 +75,13 @@
 	return now.Sub(clock.Time(c.config.asOf.Load()))
 }
 
-// unknownAge is the age in a status of a daemon that can't confirm its configuration.
-const unknownAge = math.MaxUint32
-
 // statusConfigurationAge returns the age for a status, in milliseconds. A daemon that
 // has yet to obtain the newest known version can't confirm its own.
 func (c *control) statusConfigurationAge(now clock.Time) uint32 {
 	if c.newestConfig > c.configVersion() {
-		return unknownAge
+		return fleet.UnknownAge
 	}
-	return uint32(min(c.configurationAge(now).Milliseconds()+1, unknownAge)) // rounded up
+	return uint32(min(c.configurationAge(now).Milliseconds()+1, fleet.UnknownAge)) // rounded up
 }
 
 // configurationStale reports whether a version that was acknowledged configApplyMs ago
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -173,7 +173,7 @@
 		p.Echo = s.Echo
 	}
 	c.peerLoad(name, p.Member.Slots).report(&s.Load)
-	if s.ConfigAgeMS != unknownAge {
+	if s.ConfigAgeMS != fleet.UnknownAge {
 		c.confirmConfiguration(now.Add(-time.Duration(s.ConfigAgeMS)*time.Millisecond), int(s.ConfigHops))
 	}
 	if s.LeaseExtension && s.EchoIncarnation == c.self.Incarnation && c.status.seq-s.Echo < sentAtSize && s.Echo > 0 {
