--- a/sidecar/configuration_check.go
+++ b/sidecar/configuration_check.go
@@ -114,6 +114,7 @@
 	value, err := d.peerLinks.Call(ctx, addr, callConfig, nil)
 	if err != nil {
 		logevent.Log(d.log, logevent.UpdateNotFetched, zap.String("from", addr), zap.Error(err))
+		d.peerLinks.Renew(addr) // its statuses arrive, but its answers may not
 	}
 	d.control.do(func() {
 		d.control.config.fetching--
--- a/sidecar/silent_connections_test.go
+++ b/sidecar/silent_connections_test.go
@@ -83,13 +83,14 @@
 		direction     tcprelay.Direction
 		neverAnswered []int // nodes whose new connections to the store are silent, too
 	}{
-		"store":                             {store: all, direction: tcprelay.Both},
-		"store's answers":                   {store: all, direction: tcprelay.ToClient},
-		"store of some":                     {store: []int{0, 2, 3}, direction: tcprelay.Both},
-		"store and links":                   {store: all, links: all, direction: tcprelay.Both},
-		"links":                             {links: all, direction: tcprelay.Both},
-		"store, new connections of one":     {store: all, direction: tcprelay.Both, neverAnswered: []int{1}},
-		"store and links, and one for good": {store: all, links: all, direction: tcprelay.Both, neverAnswered: []int{4}},
+		"store":                                 {store: all, direction: tcprelay.Both},
+		"store's answers":                       {store: all, direction: tcprelay.ToClient},
+		"store of some":                         {store: []int{0, 2, 3}, direction: tcprelay.Both},
+		"store and links":                       {store: all, links: all, direction: tcprelay.Both},
+		"links":                                 {links: all, direction: tcprelay.Both},
+		"store, new connections of one":         {store: all, direction: tcprelay.Both, neverAnswered: []int{1}},
+		"store and links, and one for good":     {store: all, links: all, direction: tcprelay.Both, neverAnswered: []int{4}},
+		"links' answers, one without the store": {store: []int{1}, links: all, direction: tcprelay.ToClient, neverAnswered: []int{1}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -132,3 +133,24 @@
 		eventually(t, "the poll returns the configuration with "+route, func() bool { return n.daemon.configurationPolled.next.Load() > polled })
 	}
 }
+
+// The answers of all links between daemons are lost, while statuses pass. A daemon
+// without the store must still fetch the configuration from another one.
+func TestConfigurationIsFetchedWhileAnswersOfLinksAreLost(t *testing.T) {
+	t.Parallel()
+	r := deployRelayed(t, plainService, plainService, plainService)
+	r.configure("/first/")
+	for _, n := range r.nodes {
+		n.awaitUnkeyedServing(t)
+	}
+	r.toStore[1].SilenceNew(tcprelay.Both)
+	r.toStore[1].Silence(tcprelay.Both)
+	for _, links := range r.toNode {
+		links.Silence(tcprelay.ToClient)
+	}
+	r.configure("/second/")
+	time.Sleep(stableWindow) // the bound that the users' pages state
+	if got := int(r.nodes[1].daemon.control.view.Load().routes.Version()); got != r.version {
+		t.Errorf("version %d is in force, want %d", got, r.version)
+	}
+}
