--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -20,7 +20,7 @@
 	StoreHistoryTruncated = define(7103, "store history truncated", info, "The store has removed the next records to read; the newest record of each key is read instead.", "")
 	RecordIgnored         = define(7104, "record ignored", warning, "A record in the store can't be decoded and is ignored.", "Find out which program writes to the topic.")
 	StoreCallFailed       = define(7105, "store call failed", warning, "A read or an append failed and is retried; logged once for each series of failures.", "Look for event 7101 (store unavailable) before this line; if there is none, the error has the store's answer.")
-	PollMissedRecords     = define(7108, "long poll missed records", info, "Another read found records that the long poll did not return; its connection is replaced.", "")
+	PollMissedRecords     = define(7120, "long poll missed records", info, "Another read found records that the long poll did not return; its connection is replaced.", "")
 	UpdateNotForwarded    = define(7107, "directory update not forwarded", routine, "A directory update could not be forwarded to another daemon; that daemon reads the store itself.", "")
 	RelayFailed           = define(7106, "relayed store call failed", routine, "No other daemon could relay a store call for this one.", "")
 
