--- a/sidecar/daemon_test.go
+++ b/sidecar/daemon_test.go
@@ -158,13 +158,25 @@
 // since lease extensions between the daemons keep the leases.
 func TestStoreUnreachable(t *testing.T) {
 	t.Parallel()
-	d := deploy(t, keyedService, keyedService, plainService)
+	deploy(t, keyedService, keyedService, plainService).checkServedWithoutStore()
+}
+
+// The same in a store that has gone back before.
+func TestStoreUnreachableInLaterEra(t *testing.T) {
+	t.Parallel()
+	deployInEra(t, keyedService, keyedService, plainService).checkServedWithoutStore()
+}
+
+// checkServedWithoutStore checks that all keys are served while the store refuses all
+// daemons for longer than a lease.
+func (d *deployment) checkServedWithoutStore() {
+	d.t.Helper()
 	d.awaitServing()
 	d.store.SetFault(platformtest.Unavailable)
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		for key := 100; key <= 65535; key += 8192 {
 			if a := d.nodes[2].call(http.MethodGet, "/view/a", newID(), key); a.Status != http.StatusOK {
-				t.Fatalf("key %d: %+v", key, a)
+				d.t.Fatalf("key %d: %+v", key, a)
 			}
 		}
 	}
