A request without a key is refused, not rejected, when its route moves to keyed services

A version that moves a route to a service divided by key met requests that callers had sent by the version before, without a key. They got 400, although every version that may be in force has the route, and a 4xx is never retried. Now they get 503 with a time to retry: not run. TestRequestWithoutKeyIsNotDeniedAfterAMove failed before: "status 400, Retry-After \"\", want 503 with a time".

The case missing-key of TestRejectionsNameTheirCause required the 400 and is replaced by that test, which names status and time.

--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -98,7 +98,9 @@
 	f.service, err = v.routes.PickService(f.route, f.headers.HasKey, random())
 	switch {
 	case errors.Is(err, routetable.ErrKeyRequired):
-		return f.rejectIfConfirmed(v, fasthttp.StatusBadRequest, outcome.MissingKey)
+		// The caller may have sent it by an earlier version, under which it was proper.
+		f.respond(outcome.Result{Kind: outcome.NotRun, Reason: outcome.MissingKey, RetryAfter: retryNotReady})
+		return false
 	case err != nil:
 		return f.rejectNotReady()
 	}
