--- a/recvlimit/budget.go
+++ b/recvlimit/budget.go
@@ -9,8 +9,6 @@
 const (
 	Target Source = "target"
 	Store  Source = "store"
-	Daemon Source = "daemon"
-	Caller Source = "caller"
 )
 
 // FreeBytes is the size up to which a message takes nothing from the budget, so that
