A restarted daemon keeps what was granted to a target that its record does not name

Only a target that this process has heard counts as replaced. The record that a restarted daemon reads may be older than its target: its append can have been refused, lost with a store that went back, or be overtaken by a late one. The daemon then took the present target for a new one without grants, and reported revoked shards as released while the target held them: two holders of a key. Found by review. TestGrantsOfEarlierProcessOutliveOutdatedRecord failed before: "1 shards count as released that the target lists as held".

--- a/sidecar/control_heartbeat.go
+++ b/sidecar/control_heartbeat.go
@@ -148,7 +148,7 @@
 		state = fleet.TargetLeaving
 	}
 	if hb.Target != c.target() {
-		if !c.target().IsZero() { // else an earlier process may have granted shards to it
+		if c.heartbeats.seq > 0 { // else an earlier process may have granted shards to this target
 			c.agent.TargetReplaced()
 		}
 		c.heartbeats.leavingSince = clock.Never
