A version that can't be obtained is not checked for without a pause

The pause after a failed check now applies to checks for a known version, too. TestUnobtainableVersionIsNotCheckedWithoutPause failed before: 1000 checks in 10 s.

--- a/freshness/example_test.go
+++ b/freshness/example_test.go
@@ -12,7 +12,7 @@
 func Example() {
 	t := freshness.NewTracker(freshness.NewPolicy(2 * time.Second))
 	now := clock.Time(time.Hour)
-	t.Started()
+	t.Started(now)
 	t.Succeeded(now, 0.5)
 	fmt.Println(t.Due(now.Add(500*time.Millisecond), false), t.Due(now.Add(time.Second), false))
 	// Output: false true
--- a/freshness/tracker.go
+++ b/freshness/tracker.go
@@ -28,13 +28,14 @@
 // Tracker tracks the time as of which one copy was known to be current. It is not
 // safe for concurrent use.
 type Tracker struct {
-	policy  Policy
-	asOf    clock.Time // Never before the first confirmation
-	hops    int        // processes that passed the confirmation on, 0 after a check of this process
-	checker bool       // asOf comes from a check of this process
-	jitter  time.Duration
-	running bool
-	retryAt clock.Time
+	policy    Policy
+	asOf      clock.Time // Never before the first confirmation
+	hops      int        // processes that passed the confirmation on, 0 after a check of this process
+	checker   bool       // asOf comes from a check of this process
+	jitter    time.Duration
+	startedAt clock.Time // of the newest check
+	running   bool
+	retryAt   clock.Time
 }
 
 // NewTracker returns the tracker of a copy that was never confirmed.
@@ -86,11 +87,14 @@
 	if t.checker {
 		limit = t.policy.Interval
 	}
-	return outdated || now.Sub(t.asOf) >= limit
+	if outdated && (t.startedAt == clock.Never || now.Sub(t.startedAt) >= t.policy.RetryPause) {
+		return true // not at each call, since the source may lack the newer version for long
+	}
+	return now.Sub(t.asOf) >= limit
 }
 
 // Started records the start of a check.
-func (t *Tracker) Started() { t.running = true }
+func (t *Tracker) Started(now clock.Time) { t.running, t.startedAt = true, now }
 
 // Succeeded records that a check sent at a time was answered.
 func (t *Tracker) Succeeded(sent clock.Time, random float64) {
--- a/freshness/tracker_test.go
+++ b/freshness/tracker_test.go
@@ -42,7 +42,7 @@
 				}
 			}
 			if p.Due(now, false) {
-				p.Started()
+				p.Started(now)
 				p.sent, p.checkEnds = now, now.Add(50*time.Millisecond)
 				checks++
 			}
@@ -98,7 +98,7 @@
 	if tr.Due(now, false) || !tr.Due(now, true) {
 		t.Error("a fresh copy is checked if and only if a newer version is known")
 	}
-	tr.Started()
+	tr.Started(now)
 	if tr.Due(now, true) {
 		t.Error("a second check starts while one is running")
 	}
@@ -107,3 +107,20 @@
 		t.Error("a failed check is repeated at once, or never")
 	}
 }
+
+// While a newer version is known that the source does not have, as after an unreadable
+// one, the source was checked again as soon as it had answered.
+func TestUnobtainableVersionIsNotCheckedWithoutPause(t *testing.T) {
+	tr := NewTracker(NewPolicy(bound))
+	checks := 0
+	for now := start; now < start.Add(10*time.Second); now = now.Add(step) {
+		if tr.Due(now, true) {
+			tr.Started(now)
+			tr.Succeeded(now, 0.5)
+			checks++
+		}
+	}
+	if most := int(10 * time.Second / (bound / 4)); checks > most {
+		t.Errorf("%d checks in 10 s, want at most %d", checks, most)
+	}
+}
--- a/sidecar/configuration_check.go
+++ b/sidecar/configuration_check.go
@@ -35,7 +35,7 @@
 	if !s.loaded || !s.tracker.Due(now, behind) {
 		return
 	}
-	s.tracker.Started()
+	s.tracker.Started(now)
 	go c.d.checkConfiguration(s.next)
 }
 
