A start is not taken for a silent long poll

While a daemon starts or another one reads for it, its follower has no read in progress, and records that other reads apply meanwhile were never returned to it. After 400 ms it logged event 7120 and replaced its healthy connections to the store. Progress now belongs to a read in progress. Found by review; TestStartIsNotASilentPoll failed in 2 of 2 runs before: "1 polls count as silent with a healthy store".

--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -12,7 +12,12 @@
 func (d *Daemon) directoryFollower() *follower {
 	return &follower{
 		store: d.store, partition: d.directory, log: d.log, pollTime: d.directoryPollTime,
-		awaitRead: d.awaitDirectoryRead,
+		awaitRead: func(ctx context.Context) metastore.Offset {
+			d.directoryPolled.idle()
+			from := d.awaitDirectoryRead(ctx)
+			d.directoryPolled.begins(from)
+			return from
+		},
 		apply: func(from metastore.Offset, b metastore.Batch, sent clock.Time, snapshot bool) {
 			d.directoryPolled.read(b, snapshot)
 			d.control.do(func() { d.control.applyDirectory(from, b, sent, snapshot) })
--- a/sidecar/missed_records.go
+++ b/sidecar/missed_records.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -14,9 +15,16 @@
 // has found.
 const pollGrace = 400 * time.Millisecond
 
-// pollProgress is the offset up to which a follower has read a partition.
+// pollProgress is the offset up to which a follower has read a partition, or that its
+// read in progress starts at.
 type pollProgress struct{ next atomic.Int64 }
 
+// idle records that no read is in progress, so that none can miss records.
+func (p *pollProgress) idle() { p.next.Store(math.MaxInt64) }
+
+// begins records that a read from an offset starts.
+func (p *pollProgress) begins(from metastore.Offset) { p.next.Store(int64(from)) }
+
 // read records what a follower has read.
 func (p *pollProgress) read(b metastore.Batch, snapshot bool) {
 	switch n := len(b.Records); {
