--- a/sidecar/configuration_apply.go
+++ b/sidecar/configuration_apply.go
@@ -19,14 +19,14 @@
 	if err != nil {
 		c.d.metrics.count(metricConfigRejected)
 		logevent.Log(c.log, logevent.ConfigRejected, zap.Uint64("version", uint64(cfg.Version)), zap.String("from", source), zap.Error(err))
-		c.heardOfConfiguration(uint64(cfg.Version), now) // its routes must not look absent
+		c.recordKnownVersion(uint64(cfg.Version), now) // its routes must not look absent
 		return
 	}
 	if c.routes != nil && cfg.Version <= c.routes.Version() {
 		return
 	}
 	c.routes, c.rawConfig = routetable.New(cfg), value
-	c.heardOfConfiguration(uint64(cfg.Version), now)
+	c.recordKnownVersion(uint64(cfg.Version), now)
 	c.viewStale, c.status.urgent = true, true
 	logevent.Log(c.log, logevent.RoutesInForce, zap.Uint64("version", uint64(cfg.Version)), zap.String("from", source), zap.Duration("after", now.Sub(c.config.newestAt)), zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)))
 	if n := len(cfg.RowErrors); n > 0 {
@@ -47,5 +47,5 @@
 	if v.configBehind || v.routes.Partial() || d.control.configurationStale() {
 		return false
 	}
-	return v.heardPeer || clock.Now().Sub(d.started) >= peerWait
+	return v.receivedStatus || clock.Now().Sub(d.started) >= peerWait
 }
--- a/sidecar/configuration_apply_test.go
+++ b/sidecar/configuration_apply_test.go
@@ -41,11 +41,11 @@
 		want     bool
 	}{
 		"new, no peer heard":         {view{routes: whole}, 0, true, false},
-		"new, peer heard":            {view{routes: whole, heardPeer: true}, 0, true, true},
+		"new, peer heard":            {view{routes: whole, receivedStatus: true}, 0, true, true},
 		"no peer for long":           {view{routes: whole}, clock.Time(peerWait), true, true},
-		"a peer is ahead":            {view{routes: whole, heardPeer: true, configBehind: true}, 0, true, false},
-		"the store does not answer":  {view{routes: whole, heardPeer: true}, 0, false, false},
-		"a route of unknown pattern": {view{routes: partial, heardPeer: true}, 0, true, false},
+		"a peer is ahead":            {view{routes: whole, receivedStatus: true, configBehind: true}, 0, true, false},
+		"the store does not answer":  {view{routes: whole, receivedStatus: true}, 0, false, false},
+		"a route of unknown pattern": {view{routes: partial, receivedStatus: true}, 0, true, false},
 	} {
 		d := &Daemon{started: clock.Now() - c.age, control: new(control)}
 		d.control.d = d
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -58,11 +58,11 @@
 	readsDirectory  atomic.Bool // copy of fanOut.ReadsStore
 	keyOffsets      map[string]metastore.Offset
 
-	routes       *routetable.Table
-	rawConfig    []byte // the encoded configuration, as the operator wrote it
-	newestConfig uint64 // newest configuration version that is known to exist
-	config       configurationState
-	heardPeer    bool // another daemon has sent a status to this process
+	routes         *routetable.Table
+	rawConfig      []byte // the encoded configuration, as the operator wrote it
+	newestConfig   uint64 // newest configuration version that is known to exist
+	config         configurationState
+	receivedStatus bool // another daemon has sent a status to this process
 
 	tables     map[ident.Service]*ownertable.Table
 	agent      *ownertable.Agent
--- a/sidecar/control_configuration.go
+++ b/sidecar/control_configuration.go
@@ -36,8 +36,8 @@
 	newest atomic.Uint64 // copy of control.newestConfig
 }
 
-// heardOfConfiguration records that a version exists.
-func (c *control) heardOfConfiguration(version uint64, now clock.Time) {
+// recordKnownVersion records that a version exists.
+func (c *control) recordKnownVersion(version uint64, now clock.Time) {
 	if version > c.newestConfig {
 		c.newestConfig, c.config.newestAt = version, now
 		c.config.newest.Store(version)
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -151,9 +151,9 @@
 		return
 	}
 	now := clock.Now()
-	c.heardOfConfiguration(s.Config, now)
-	c.viewStale = c.viewStale || !c.heardPeer
-	c.heardPeer = true
+	c.recordKnownVersion(s.Config, now)
+	c.viewStale = c.viewStale || !c.receivedStatus
+	c.receivedStatus = true
 	known := c.dir.Peer(ident.Instance(s.Member.Instance)) != nil
 	p, changed := c.dir.ApplyStatus(s, now)
 	if changed {
--- a/sidecar/control_view.go
+++ b/sidecar/control_view.go
@@ -15,7 +15,7 @@
 	c.viewStale = false
 	c.updateFanOut()
 	v := &view{routes: c.routes, services: make(map[ident.Service]*serviceView), daemons: 1, stopping: c.stopping}
-	v.heardPeer = c.heardPeer
+	v.receivedStatus = c.receivedStatus
 	v.configBehind = c.routes != nil && c.newestConfig > uint64(c.routes.Version())
 	if c.self.State != fleet.TargetUnknown {
 		v.add(c.targetView(&c.self, true, false, c.stopping))
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -81,10 +81,10 @@
 	directory metastore.Partition
 	storeLink *storeLink
 	// storeTransport holds the connections of direct calls.
-	storeTransport *platform.StoreTransport
-	// directoryPolled and configurationPolled are the progress of the followers.
-	directoryPolled, configurationPolled pollProgress
-	store                                metastore.Store
+	storeTransport      *platform.StoreTransport
+	directoryPolled     pollProgress // of the directory's follower
+	configurationPolled pollProgress // of the configuration's follower
+	store               metastore.Store
 	// directStore makes no relayed calls.
 	directStore metastore.Store
 	peerLinks   *transport.Pool
--- a/sidecar/heartbeat_service_test.go
+++ b/sidecar/heartbeat_service_test.go
@@ -42,7 +42,7 @@
 	if got := send(); got != http.StatusBadRequest {
 		t.Errorf("with the newest configuration: status %d, want 400", got)
 	}
-	n.daemon.control.do(func() { n.daemon.control.heardOfConfiguration(1000, 0) })
+	n.daemon.control.do(func() { n.daemon.control.recordKnownVersion(1000, 0) })
 	if got := send(); got != http.StatusServiceUnavailable {
 		t.Errorf("with an outdated configuration: status %d, want 503", got)
 	}
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -12,12 +12,12 @@
 // view is the state by which requests are routed. It is immutable except for the
 // loads.
 type view struct {
-	routes       *routetable.Table // nil until there is a configuration
-	services     map[ident.Service]*serviceView
-	daemons      int  // that are not suspected, including this one
-	configBehind bool // another daemon has a newer configuration
-	heardPeer    bool // another daemon has sent a status to this process
-	stopping     bool
+	routes         *routetable.Table // nil until there is a configuration
+	services       map[ident.Service]*serviceView
+	daemons        int  // that are not suspected, including this one
+	configBehind   bool // another daemon has a newer configuration
+	receivedStatus bool // another daemon has sent a status to this process
+	stopping       bool
 }
 
 // serviceView has the targets of one service and, if it is divided by key, its
--- a/standin/sidecarsoak/deployment.go
+++ b/standin/sidecarsoak/deployment.go
@@ -71,17 +71,11 @@
 func (n *instance) addr(port int) string { return fmt.Sprintf("%s:%d", n.ip, port) }
 
 func (n *instance) settings() string {
-	return fmt.Sprintf(`node: %q
-ip: %q
-zone: %q
-service: %q
-app: %q
-heartbeatMs: 870
-portRange: [%d, %d]
-listen: {outbound: %q, ready: %q, control: %q}
-bounds: ["drainMs=2000", "graceS=6", "configApplyMs=2000", "retryBudgetRatio=0.2", "budgetWindowS=10", "budgetSlack=62", "maxHoldMs=10000"]
-platform: {address: %q, parts: 32, writesPerS: 400, readsPerS: 2000, maxRecordBytes: 262144}
-`, n.name, n.ip, n.zone, n.service, n.addr(targetPort), firstLinkPort, lastLinkPort, n.addr(callerPort), n.addr(readyPort), n.addr(controlPort), n.store.Addr())
+	f := platformtest.SettingsFile{
+		Instance: n.name, IP: n.ip, Zone: n.zone, Service: n.service, Target: n.addr(targetPort), Callers: n.addr(callerPort),
+		Ready: n.addr(readyPort), Control: n.addr(controlPort), FirstPort: firstLinkPort, LastPort: lastLinkPort, Store: n.store.Addr(),
+	}
+	return f.Text()
 }
 
 // signal sends a signal to the daemon, or to the target beside it if what is "target".
