A route of an unknown kind is served, and downloads are a kind of their own

Cause: a row whose kind is not known was dropped as undecodable, so that each request of route artwork-pack (kind download) got 503. PROTOCOL.md: the kind says what may be repeated, and downloads are treated as safe.

Change: download is known (repeatable, large responses). A kind that is missing, unknown or not a string means that requests are not repeated, which holds for every kind; unknown fields were ignored already.

--- a/cli/args.go
+++ b/cli/args.go
@@ -66,8 +66,9 @@
 
 // CheckArgs holds the arguments of check.
 type CheckArgs struct {
-	Paths []string `arg:"positional,required" placeholder:"PATH" help:"service files, or directories that hold them"`
-	Dir   string   `arg:"--daemons,env:PARSLEY_DAEMONS" placeholder:"DIR" help:"also check the daemons' settings files in this directory"`
+	Paths         []string `arg:"positional" placeholder:"PATH" help:"service files, or directories that hold them"`
+	Dir           string   `arg:"--daemons,env:PARSLEY_DAEMONS" placeholder:"DIR" help:"also check the daemons' settings files in this directory"`
+	Configuration string   `arg:"--configuration" placeholder:"FILE" help:"check a configuration of the platform's operator (JSON)"`
 }
 
 // PlanArgs holds the arguments of plan.
--- a/cli/check.go
+++ b/cli/check.go
@@ -12,17 +12,18 @@
 	Services []string               `json:"services"`
 	Daemons  []string               `json:"daemons,omitempty"`
 	Faults   []*yamlfile.FieldError `json:"faults"`
+	// Configuration is set if a configuration of the platform was checked.
+	Configuration *configurationCheck `json:"configuration,omitempty"`
 }
 
 func (c *runner) check(a *CheckArgs) (int, error) {
+	if len(a.Paths) == 0 && a.Configuration == "" {
+		return ExitUsage, errors.New("nothing to check: name a PATH or --configuration FILE")
+	}
 	out := checkOutput{Faults: []*yamlfile.FieldError{}}
-	candidates, err := config.Collect(a.Paths...)
-	if err := out.addFaults(err); err != nil {
+	if err := out.checkServices(a.Paths); err != nil {
 		return ExitFailure, err
 	}
-	for i := range candidates {
-		out.Services = append(out.Services, string(candidates[i].Spec.Name))
-	}
 	if a.Dir != "" {
 		daemons, err := loadDaemons(a.Dir)
 		if err := out.addFaults(err); err != nil {
@@ -32,13 +33,34 @@
 			out.Daemons = append(out.Daemons, string(d.Instance))
 		}
 	}
+	if a.Configuration != "" {
+		var err error
+		if out.Configuration, err = checkConfiguration(a.Configuration); err != nil {
+			return ExitFailure, err
+		}
+	}
 	c.printCheck(&out)
-	if len(out.Faults) > 0 {
+	if len(out.Faults) > 0 || out.Configuration != nil && len(out.Configuration.Faults) > 0 {
 		return ExitBadFiles, nil
 	}
 	return ExitOK, nil
 }
 
+// checkServices records the services of the given files and their faults.
+func (o *checkOutput) checkServices(paths []string) error {
+	if len(paths) == 0 {
+		return nil
+	}
+	candidates, err := config.Collect(paths...)
+	if err := o.addFaults(err); err != nil {
+		return err
+	}
+	for i := range candidates {
+		o.Services = append(o.Services, string(candidates[i].Spec.Name))
+	}
+	return nil
+}
+
 // addFaults records the faults of files and returns any other error.
 func (o *checkOutput) addFaults(err error) error {
 	var faults yamlfile.Errors
@@ -54,6 +76,9 @@
 		c.printJSON(out)
 		return
 	}
+	if out.Configuration != nil {
+		c.printConfiguration(out.Configuration)
+	}
 	for _, f := range out.Faults {
 		c.printf("%v\n", f)
 	}
@@ -61,5 +86,8 @@
 		c.printf("%d faults\n", len(out.Faults))
 		return
 	}
+	if len(out.Services)+len(out.Daemons) == 0 && out.Configuration != nil {
+		return
+	}
 	c.printf("%d services and %d daemons, no faults\n", len(out.Services), len(out.Daemons))
 }
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -64,15 +64,18 @@
 		code int
 		text string
 	}{
-		"":                                  {ExitUsage, "Usage"},
-		"nonsense":                          {ExitUsage, "invalid subcommand"},
-		"check " + bad:                      {ExitBadFiles, "parsley.yaml:1: service:"},
-		"check /nonexistent":                {ExitFailure, "name an existing file"},
-		"plan --log x " + bad:               {ExitBadFiles, "lower-case"},
-		"plan " + sampleServices:            {ExitUsage, "--log"},
-		"publish --log x " + sampleServices: {ExitUsage, "--operator"},
-		"status":                            {ExitUsage, "--admin"},
-		"status --admin 127.0.0.1:1":        {ExitFailure, "listen.admin"},
+		"":                                   {ExitUsage, "Usage"},
+		"nonsense":                           {ExitUsage, "invalid subcommand"},
+		"check " + bad:                       {ExitBadFiles, "parsley.yaml:1: service:"},
+		"check /nonexistent":                 {ExitFailure, "name an existing file"},
+		"check":                              {ExitUsage, "--configuration"},
+		"check --configuration " + bad:       {ExitBadFiles, "configuration: body:"},
+		"check --configuration /nonexistent": {ExitFailure, "name an existing file"},
+		"plan --log x " + bad:                {ExitBadFiles, "lower-case"},
+		"plan " + sampleServices:             {ExitUsage, "--log"},
+		"publish --log x " + sampleServices:  {ExitUsage, "--operator"},
+		"status":                             {ExitUsage, "--admin"},
+		"status --admin 127.0.0.1:1":         {ExitFailure, "listen.admin"},
 		"explain --admin " + d.addrs[0] + " --service x k":                                {ExitFailure, "publish its file"},
 		"audit --log x --key k":                                                           {ExitUsage, "--service"},
 		"audit --log x --since yesterday":                                                 {ExitUsage, "2h"},
@@ -199,3 +202,21 @@
 		t.Error("the confirmation reached no daemon")
 	}
 }
+
+// An operator learns before writing a configuration which of its rows the daemons can't
+// use, and which routes they serve without repeating requests.
+func TestCheckOfConfigurationNamesItsRows(t *testing.T) {
+	d := newDeployment(t)
+	file := filepath.Join(t.TempDir(), "configuration.json")
+	text := `{"version":"r7","routes":{"columns":["name","host","pathPrefix","kind","timeoutMs","service"],
+		"rows":[["a","h","/a/","stream",100,"s"],["b","h","/b/","safe",0,"s"]]},"services":{"columns":["name"],"rows":[["s"]]}}`
+	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	code, out := d.run("check --configuration " + file)
+	for _, want := range []string{"warning: configuration: route a has the unknown kind", "route b lacks", "version 7: 1 routes and 1 services, 1 faults, 1 warnings"} {
+		if code != ExitBadFiles || !strings.Contains(out, want) {
+			t.Errorf("exit code %d, want %d and %q\n%s", code, ExitBadFiles, want, out)
+		}
+	}
+}
--- a/cli/help.go
+++ b/cli/help.go
@@ -7,6 +7,7 @@
 	"check": {
 		"parsley check deploy/perizia/services",
 		"parsley check deploy/perizia/services --daemons deploy/perizia/daemons",
+		"parsley check --configuration docs/operations/configuration.json",
 	},
 	"plan": {
 		"parsley plan --log 127.0.0.1:21900 deploy/perizia/services",
--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -31,6 +31,7 @@
 	ConfigurationUnconfirmed = define(7203, "configuration not confirmed", info, "The store did not answer the check whether the configuration in force is the newest; it is repeated.", "")
 	ConfigRejected           = define(7202, "configuration rejected", failure, "The operator's configuration is invalid; the version in force stays, and requests without a route in it get 503.", "Write a valid configuration.")
 	ConfigRowsRejected       = define(7204, "configuration rows rejected", failure, "Routes or services of the version in force can't be decoded; their requests get 503, all other rows are in force.", "Write a version with these rows corrected; the line has the first error.")
+	RouteKindsUnknown        = define(7205, "route kinds unknown", warning, "Routes of the version in force have a kind that this daemon does not know; their requests are served and not repeated.", "Update the daemons, or write a version with kinds that they know; the line has the first route.")
 
 	PeerJoined          = define(7301, "daemon joined", info, "The directory has a new daemon, or a change of a daemon's target.", "")
 	PeerSuspected       = define(7302, "daemon suspected", warning, "No status of a daemon has arrived within the timeout; it is suspected to have failed.", "Check whether its instance runs and is reachable; its keys are moved if no status arrives.")
--- a/routetable/configuration.go
+++ b/routetable/configuration.go
@@ -19,6 +19,9 @@
 	Unusable []Pattern
 	// RowErrors has the errors of routes and services that could not be decoded.
 	RowErrors []error
+	// UnknownKinds has an error for each route whose kind is not known. Its requests are
+	// not idempotent.
+	UnknownKinds []error
 }
 
 // Pattern selects the requests of a route. Both fields are empty if they are not known.
@@ -29,15 +32,18 @@
 
 // Route assigns the requests of one host and path prefix to services.
 type Route struct {
-	Name        string
-	Host        string
-	PathPrefix  string // begins and ends with a slash
-	Idempotent  bool   // a request may run more than once
-	Timeout     time.Duration
-	Objective   time.Duration // target response time
-	Priority    int           // 0 is the most urgent
-	MaxAttempts int           // largest number of targets that one request is sent to
-	Clusters    []Cluster     // the weights are positive; none if the route could not be decoded
+	Name       string
+	Host       string
+	PathPrefix string // begins and ends with a slash
+	Idempotent bool   // a request may run more than once
+	// LargeResponses is set if responses are large compared with what a link carries
+	// within Objective.
+	LargeResponses bool
+	Timeout        time.Duration
+	Objective      time.Duration // target response time
+	Priority       int           // 0 is the most urgent
+	MaxAttempts    int           // largest number of targets that one request is sent to
+	Clusters       []Cluster     // the weights are positive; none if the route could not be decoded
 }
 
 // Cluster is a service that receives a share of a route's requests, in
--- a/sidecar/configuration_apply.go
+++ b/sidecar/configuration_apply.go
@@ -33,6 +33,10 @@
 		c.d.metrics.countRows(n)
 		logevent.Log(c.log, logevent.ConfigRowsRejected, zap.Uint64("version", uint64(cfg.Version)), zap.Int("rows", n), zap.NamedError("first", cfg.RowErrors[0]))
 	}
+	if n := len(cfg.UnknownKinds); n > 0 {
+		c.d.metrics.set.GetOrCreateCounter(metricUnknownKinds).Add(n)
+		logevent.Log(c.log, logevent.RouteKindsUnknown, zap.Uint64("version", uint64(cfg.Version)), zap.Int("routes", n), zap.NamedError("first", cfg.UnknownKinds[0]))
+	}
 }
 
 // peerWait is how long a new process waits for a status of another daemon, which may name
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -60,7 +60,9 @@
 	metricNoGrants     = "parsley_heartbeats_without_grants_total"
 	// metricConfigRejected counts configurations of which nothing could be decoded.
 	metricConfigRejected = "parsley_configurations_rejected_total"
-	metricLinesDropped   = "parsley_log_lines_dropped_total"
+	// metricUnknownKinds counts routes of configurations whose kind is not known.
+	metricUnknownKinds = "parsley_configuration_kinds_unknown_total"
+	metricLinesDropped = "parsley_log_lines_dropped_total"
 )
 
 // registerGauges registers gauges that read the state of the daemon.
