Large responses share the link with small ones by segments, and admission knows its backlog

Cause: on links of 10 Mbit/s an answer of 90 KB occupies the link for 72 ms and one of 540 KB for 0.43 s.

Change: package egress schedules what an instance sends. Small messages are written at once; large frames go by connections of ClassBulk, in segments of 8 ms of the link, one transfer after the other, while the link is idle. Requests of routes with large responses use these connections. A response whose caller has left is dropped if its sending has not begun. The admission queue estimates when the link would deliver a large response, from the backlog and the mean size by class, and refuses at once what would be late.

--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -207,13 +207,7 @@
 // use, and which routes they serve without repeating requests.
 func TestCheckOfConfigurationNamesItsRows(t *testing.T) {
 	d := newDeployment(t)
-	file := filepath.Join(t.TempDir(), "configuration.json")
-	text := `{"version":"r7","routes":{"columns":["name","host","pathPrefix","kind","timeoutMs","service"],
-		"rows":[["a","h","/a/","stream",100,"s"],["b","h","/b/","safe",0,"s"]]},"services":{"columns":["name"],"rows":[["s"]]}}`
-	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
-		t.Fatal(err)
-	}
-	code, out := d.run("check --configuration " + file)
+	code, out := d.run("check --configuration testdata/bad-configuration.json")
 	for _, want := range []string{"warning: configuration: route a has the unknown kind", "route b lacks", "version 7: 1 routes and 1 services, 1 faults, 1 warnings"} {
 		if code != ExitBadFiles || !strings.Contains(out, want) {
 			t.Errorf("exit code %d, want %d and %q\n%s", code, ExitBadFiles, want, out)
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -138,13 +138,14 @@
 	return lo < len(g.ranges) && g.ranges[lo].Contains(key)
 }
 
-// load returns the load of the target, as reported to other daemons.
+// load returns the load of the target, as reported to other daemons. Responses that wait
+// for the link count as waiting requests.
 func (b *backend) load() fleet.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	running, waiting, limit := b.queue.Load()
 	latencyRatio, failureRatio := b.queue.TargetStats()
-	return fleet.Load{Running: running, Waiting: waiting, Limit: limit, LatencyRatio: latencyRatio, FailureRatio: failureRatio, OfferedRatio: b.queue.OfferedLoad(clock.Now())}
+	return fleet.Load{Running: running, Waiting: waiting + b.d.egress.Transfers(), Limit: limit, LatencyRatio: latencyRatio, FailureRatio: failureRatio, OfferedRatio: b.queue.OfferedLoad(clock.Now())}
 }
 
 // canceler cancels a request whose caller has disconnected. Its methods may be called at
@@ -174,8 +175,9 @@
 	return !c.canceled
 }
 
-// serve runs a request at the target and fills resp.
-func (b *backend) serve(req *wire.Request, resp *wire.Response, c *canceler) {
+// serve runs a request at the target and fills resp. link carries the response; it is
+// zero for a request that arrived on this instance.
+func (b *backend) serve(req *wire.Request, resp *wire.Response, c *canceler, link workqueue.Link) {
 	now := clock.Now()
 	if req.Keyed {
 		b.keyLoads.count(uint32(req.Point), now)
@@ -184,7 +186,7 @@
 		b: b, req: req, resp: resp, cancel: c, incarnation: b.incarnation.Load(),
 		item: workqueue.Item{
 			Class: string(req.Class), Priority: req.Priority, Arrived: now,
-			Objective: now.Add(req.Objective), Deadline: now.Add(req.Timeout),
+			Objective: now.Add(req.Objective), Deadline: now.Add(req.Timeout), Link: link,
 		},
 	}
 	r.serve()
@@ -266,10 +268,15 @@
 	}
 }
 
-func (b *backend) finish(id uint64, completion workqueue.Completion, took time.Duration) {
+// finish records the end of an item that was started. bytes is the size of the response,
+// if there is one.
+func (b *backend) finish(item *workqueue.Item, completion workqueue.Completion, took time.Duration, bytes int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.applyDecisions(b.queue.Finish(id, completion, took, clock.Now()))
+	if completion == workqueue.Answered {
+		b.queue.ObserveResponse(item.Class, bytes)
+	}
+	b.applyDecisions(b.queue.Finish(item.ID, completion, took, clock.Now()))
 }
 
 // close refuses the waiting requests and all later ones.
@@ -309,7 +316,7 @@
 	var resp wire.Response
 	c := new(canceler)
 	e.OnCancel(c)
-	d.backend.serve(&e.Request, &resp, c)
+	d.backend.serve(&e.Request, &resp, c, workqueue.Link{BytesPerSecond: d.egress.Rate(), Backlog: d.egress.Backlog()})
 	e.OnCancel(nil)
 	defer resp.Release()
 	if err := e.Respond(&resp); err != nil {
--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -19,6 +19,7 @@
 	"github.com/parsleystack/parsleystack/resend"
 	"github.com/parsleystack/parsleystack/routetable"
 	"github.com/parsleystack/parsleystack/wire"
+	"github.com/parsleystack/parsleystack/workqueue"
 )
 
 const (
@@ -130,6 +131,7 @@
 		Priority:   uint8(maxWirePriority - min(max(f.route.Priority, 0), maxWirePriority)),
 		Idempotent: f.route.Idempotent, Method: h.Method(), URI: originForm(h.RequestURI()), RequestID: []byte(f.headers.RequestID),
 		Class: []byte(f.route.Name), Caller: f.ingress.d.settings().Service, Body: f.httpCtx.Request.Body(),
+		LargeResponse: f.route.LargeResponses,
 	}
 	named := httpfield.Value(h, fasthttp.HeaderConnection)
 	for name, value := range h.All() {
@@ -221,7 +223,7 @@
 	if t.local {
 		c := new(canceler)
 		stop := context.AfterFunc(f.ctx, c.Cancel)
-		f.ingress.d.backend.serve(&f.req, &f.resp, c)
+		f.ingress.d.backend.serve(&f.req, &f.resp, c, workqueue.Link{})
 		stop()
 		t.load.inFlight.Store(int64(f.resp.InFlight))
 		return f.attemptResult()
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/parsleystack/parsleystack/admin"
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/egress"
 	"github.com/parsleystack/parsleystack/fleet"
 	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/logevent"
@@ -88,6 +89,7 @@
 	// directStore makes no relayed calls.
 	directStore metastore.Store
 	peerLinks   *transport.Pool
+	egress      *egress.Link // nil if the rate of the instance's link is not known
 	server      *transport.Server
 	control     *control
 	members     *memberWriter
@@ -120,8 +122,10 @@
 	d.control = newControl(d)
 	d.ingress = newIngress(d)
 	hello := wire.NewHello(s.Service, ident.Node{Instance: s.Instance, Incarnation: ident.Incarnation(d.control.self.Incarnation)}, s.Zone)
-	d.peerLinks = transport.NewPool(transport.Config{Hello: hello, MaxFrame: maxCallerBody + maxCallerHeader})
-	d.server = transport.NewServer(transport.Config{Hello: hello, MaxFrame: maxCallerBody + maxCallerHeader}, d, log)
+	d.egress = egress.NewLink(s.LinkRate)
+	links := transport.Config{Hello: hello, MaxFrame: maxCallerBody + maxCallerHeader, Egress: d.egress}
+	d.peerLinks = transport.NewPool(links)
+	d.server = transport.NewServer(links, d, log)
 	d.storeLink.links = d.peerLinks
 	d.operators = admin.NewHandler(&operator{d})
 	d.metrics.registerGauges(d)
--- a/sidecar/target_request.go
+++ b/sidecar/target_request.go
@@ -65,7 +65,7 @@
 	if r.admit(!r.b.finishesBeforeStop(&r.item)) {
 		completion = r.execute()
 	}
-	r.b.finish(r.item.ID, completion, clock.Now().Sub(started))
+	r.b.finish(&r.item, completion, clock.Now().Sub(started), len(r.resp.Body))
 }
 
 // admit reports whether the target may receive the request, and refuses it
--- a/transport/class.go
+++ b/transport/class.go
@@ -1,5 +1,7 @@
 package transport
 
+import "github.com/parsleystack/parsleystack/wire"
+
 // Class is a traffic class. Each class uses its own connection to a peer, so that
 // traffic of one class does not wait behind that of another.
 type Class uint8
@@ -9,7 +11,7 @@
 	ClassControl Class = 1
 	// ClassRequest carries callers' requests with small bodies.
 	ClassRequest Class = 2
-	// ClassBulk carries callers' requests with large bodies.
+	// ClassBulk carries callers' requests with large bodies or large responses.
 	ClassBulk Class = 3
 )
 
@@ -22,8 +24,8 @@
 
 func (c Class) valid() bool { return c >= ClassControl && c <= ClassBulk }
 
-func classOf(body []byte) Class {
-	if len(body) >= minBulkBody {
+func classOf(req *wire.Request) Class {
+	if len(req.Body) >= minBulkBody || req.LargeResponse {
 		return ClassBulk
 	}
 	return ClassRequest
--- a/transport/clientconn.go
+++ b/transport/clientconn.go
@@ -49,7 +49,7 @@
 func newClientConn(addr string, class Class, conn net.Conn, reader *wire.Reader, cfg *Config, counters *Counters) *clientConn {
 	return &clientConn{
 		addr: addr, class: class, conn: conn, reader: reader, counters: counters,
-		writer: newWriter(conn, cfg), pending: make(map[uint64]*waiter),
+		writer: newWriter(conn, class, cfg), pending: make(map[uint64]*waiter),
 	}
 }
 
--- a/transport/config.go
+++ b/transport/config.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"time"
 
+	"github.com/parsleystack/parsleystack/egress"
 	"github.com/parsleystack/parsleystack/wire"
 )
 
@@ -33,6 +34,9 @@
 	// FrameTimeout bounds the time from the first byte of a frame to its last;
 	// DefaultFrameTimeout if 0.
 	FrameTimeout time.Duration
+	// Egress schedules what is sent over the instance's link; nil if the link's rate is
+	// not bounded. Large frames of ClassBulk are sent in segments.
+	Egress *egress.Link
 	// MinBackoff and MaxBackoff bound the jittered pause between failed dials;
 	// DefaultMinBackoff and DefaultMaxBackoff if 0.
 	MinBackoff time.Duration
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -77,13 +77,13 @@
 // written. If ctx ends first, Do sends a cancel frame to the peer and returns the
 // cause of ctx.
 func (p *Pool) Do(ctx context.Context, addr string, req *wire.Request, resp *wire.Response) (sent bool, err error) {
-	conn, err := p.peer(addr, classOf(req.Body)).get(ctx)
+	conn, err := p.peer(addr, classOf(req)).get(ctx)
 	if err != nil {
 		return false, err
 	}
 	f, sent, err := conn.roundTrip(ctx, wire.KindRequest, wire.KindResponse, req)
 	if errors.Is(err, ErrGoaway) && !sent { // the connection began to drain after get; try once more
-		if conn, err = p.peer(addr, classOf(req.Body)).get(ctx); err != nil {
+		if conn, err = p.peer(addr, classOf(req)).get(ctx); err != nil {
 			return false, err
 		}
 		f, sent, err = conn.roundTrip(ctx, wire.KindRequest, wire.KindResponse, req)
--- a/transport/server.go
+++ b/transport/server.go
@@ -98,7 +98,7 @@
 		return
 	}
 	c := &serverConn{server: s, conn: conn, peerHello: peer, class: Class(peer.Class), reader: reader, exchanges: make(map[uint64]*Exchange)}
-	c.writer = newWriter(conn, &s.cfg)
+	c.writer = newWriter(conn, c.class, &s.cfg)
 	setUserTimeout(conn)
 	c.ctx, c.cancel = context.WithCancel(s.ctx)
 	if !s.track(c) {
--- a/transport/serverconn.go
+++ b/transport/serverconn.go
@@ -126,6 +126,7 @@
 		e.cancel()
 	}
 	c.mu.Unlock()
+	c.writer.dropResponse(id)
 }
 
 // respond queues a response and removes its exchange. It returns an error only for
--- a/transport/writer.go
+++ b/transport/writer.go
@@ -8,6 +8,7 @@
 
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/parsleystack/parsleystack/egress"
 	"github.com/parsleystack/parsleystack/wire"
 )
 
@@ -26,22 +27,35 @@
 	maxBacklog int // bytes that may be queued
 	maxFrame   int // size limit of a frame, in bytes
 
-	wake chan struct{}
+	// egress schedules the frames of a connection for large ones. Other connections only
+	// report what they send.
+	egress    *egress.Link
+	scheduled bool
+
+	wake   chan struct{}
+	failed chan struct{} // closed by fail
 
 	mu        sync.Mutex
 	pending   []byte
-	endPos    uint64 // stream position after the last queued byte
-	submitted uint64 // stream position up to which bytes were passed to the socket
+	frames    []queuedFrame // in place of pending if scheduled
+	endPos    uint64        // stream position after the last queued byte
+	submitted uint64        // stream position up to which bytes were passed to the socket
 	err       error
 }
 
-func newWriter(conn net.Conn, cfg *Config) *writer {
-	return &writer{conn: conn, timeout: cfg.WriteTimeout, maxBacklog: cfg.MaxBacklog, maxFrame: cfg.MaxFrame, wake: make(chan struct{}, 1)}
+func newWriter(conn net.Conn, class Class, cfg *Config) *writer {
+	return &writer{
+		conn: conn, timeout: cfg.WriteTimeout, maxBacklog: cfg.MaxBacklog, maxFrame: cfg.MaxFrame,
+		egress: cfg.Egress, scheduled: class == ClassBulk, wake: make(chan struct{}, 1), failed: make(chan struct{}),
+	}
 }
 
 // writeFrame encodes and queues a frame. If it returns an error, no byte of the
 // frame was or will be written.
 func (w *writer) writeFrame(kind wire.Kind, id uint64, m msgp.Marshaler) error {
+	if w.scheduled {
+		return w.writeScheduledFrame(kind, id, m)
+	}
 	s := newScratch()
 	defer s.release()
 	if err := s.encode(kind, id, m, w.maxFrame); err != nil {
@@ -59,6 +73,9 @@
 	if err := w.checkLocked(); err != nil {
 		return 0, err
 	}
+	if w.scheduled {
+		return w.queueFrameLocked(append([]byte(nil), frame...)), nil
+	}
 	before := len(w.pending)
 	w.pending = append(w.pending, frame...)
 	return w.finishAppend(before, nil)
@@ -72,6 +89,13 @@
 	if err := w.checkLocked(); err != nil {
 		return 0, err
 	}
+	if w.scheduled {
+		frame, err := wire.AppendRaw(nil, kind, id, body, w.maxFrame)
+		if err != nil {
+			return 0, err
+		}
+		return w.queueFrameLocked(frame), nil
+	}
 	before := len(w.pending)
 	pending, err := wire.AppendRaw(w.pending, kind, id, body, w.maxFrame)
 	w.pending = pending
@@ -83,7 +107,7 @@
 	if w.err != nil {
 		return w.err
 	}
-	if len(w.pending) > w.maxBacklog {
+	if w.queuedLocked() > w.maxBacklog {
 		return ErrBacklog
 	}
 	return nil
@@ -124,6 +148,8 @@
 	w.mu.Lock()
 	if w.err == nil {
 		w.err = err
+		close(w.failed)
+		w.dropFramesLocked()
 	}
 	w.mu.Unlock()
 	w.signal()
@@ -145,6 +171,9 @@
 // run writes queued frames until fail is called or a write fails, and returns the
 // error. It calls count with the size of each batch.
 func (w *writer) run(count func(bytes int)) error {
+	if w.scheduled {
+		return w.runScheduled(count)
+	}
 	var spare []byte
 	var retention bufferRetention
 	for range w.wake {
@@ -161,6 +190,7 @@
 			return err
 		}
 		count(len(batch))
+		w.egress.Sent(len(batch))
 		spare = retention.retain(batch)
 	}
 	return nil
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -53,6 +53,12 @@
 	return finishFrame(dst, start, limit)
 }
 
+// KindAndID returns the kind and the correlation id of the encoded frame at the start
+// of b.
+func KindAndID(b []byte) (Kind, uint64) {
+	return Kind(b[lengthSize]), binary.BigEndian.Uint64(b[lengthSize+kindSize:])
+}
+
 // SetID sets the correlation id of the encoded frame at the start of b.
 func SetID(b []byte, id uint64) {
 	binary.BigEndian.PutUint64(b[lengthSize+kindSize:], id)
--- a/wire/request.go
+++ b/wire/request.go
@@ -34,6 +34,10 @@
 	Caller         ident.Service      `msg:"l"`          // service of the instance where the request originated
 	Headers        []Header           `msg:"h,limit=128"`
 	Body           []byte             `msg:"b,zerocopy"`
+
+	// LargeResponse is set by the sender if the response is expected to be large. It is
+	// not sent; it selects the connection.
+	LargeResponse bool `msg:"-"`
 }
 
 // Reset clears r for reuse and keeps its header slice.
--- a/workqueue/estimator.go
+++ b/workqueue/estimator.go
@@ -34,6 +34,7 @@
 // estimator estimates the service times, failure ratio and arriving work of a target.
 type estimator struct {
 	classes          map[string]float64 // mean service time in seconds
+	responseBytes    map[string]float64 // mean size of the responses of a class
 	latencyRatio     float64            // mean service time as a share of the objective
 	failureRatio     float64            // moving average of failed requests
 	arrivals         [math.MaxUint8 + 1]arrivalRate
@@ -49,7 +50,7 @@
 }
 
 func newEstimator() estimator {
-	return estimator{classes: make(map[string]float64), latencyRatio: initialLatencyRatio}
+	return estimator{classes: make(map[string]float64), responseBytes: make(map[string]float64), latencyRatio: initialLatencyRatio}
 }
 
 func (e *estimator) observeArrival(item *Item, now clock.Time) {
--- a/workqueue/item.go
+++ b/workqueue/item.go
@@ -14,6 +14,14 @@
 	Arrived   clock.Time
 	Objective clock.Time // time by which the response should be complete
 	Deadline  clock.Time // time after which the caller no longer waits
+	Link      Link
+}
+
+// Link is the state of the link that carries an item's response when the item arrives.
+// It is zero for a response that crosses no link, or one of unknown rate.
+type Link struct {
+	BytesPerSecond float64
+	Backlog        time.Duration // time in which the link sends the responses that are ready
 }
 
 // before reports whether x should run before y. Requests that targets send while
--- a/workqueue/queue.go
+++ b/workqueue/queue.go
@@ -105,12 +105,15 @@
 		if now.Add(took).Sub(item.Deadline) > 0 && len(q.running) > 0 {
 			return Refuse, Refusal{ID: item.ID, RetryAfter: q.retryAfter(&item, minRetryAfter), Late: true}
 		}
+		if late, refuse := q.refuseForLink(&item, took, now); refuse {
+			return Refuse, Refusal{ID: item.ID, RetryAfter: q.retryAfter(&item, late)}
+		}
 		q.start(item, now)
 		return Start, Refusal{}
 	}
 	wait := q.expectedWait(&item, slowdown)
-	done := now.Add(wait + took)
-	late := now.Add(time.Duration(waitMargin*float64(wait) + runMargin*float64(took))).Sub(item.Objective)
+	done := q.delivered(&item, now.Add(wait+took), now)
+	late := q.delivered(&item, now.Add(time.Duration(waitMargin*float64(wait)+runMargin*float64(took))), now).Sub(item.Objective)
 	switch {
 	case len(q.waiting) >= maxWaiting, done.Add(replyMargin).Sub(item.Deadline) > 0:
 		return Refuse, Refusal{ID: item.ID, RetryAfter: q.retryAfter(&item, wait), Late: true}
