Transfers that would be late yield to those in time; local responses cross no link

On a saturated link one late transfer made each later one late. The scheduler sends first what can be complete when it is due (the end of the request's latency objective), the admission queue allows for responses larger than the mean, and an entry judges the target on its own instance by fresh figures without the backlog of the link, which its responses do not cross.

--- a/egress/link.go
+++ b/egress/link.go
@@ -94,12 +94,14 @@
 type Transfer struct {
 	link   *Link
 	order  uint64
+	due    clock.Time
 	queued int // bytes without a grant
 	ended  bool
 }
 
-// Queue adds a transfer of a number of bytes after those that were queued before.
-func (l *Link) Queue(bytes int) *Transfer {
+// Queue adds a transfer of a number of bytes. due is when it should be sent completely;
+// Never if there is no such time.
+func (l *Link) Queue(bytes int, due clock.Time) *Transfer {
 	if l == nil {
 		return &Transfer{}
 	}
@@ -108,7 +110,7 @@
 	l.transfers++
 	l.active++
 	l.queued += bytes
-	return &Transfer{link: l, order: l.transfers, queued: bytes}
+	return &Transfer{link: l, order: l.transfers, due: due, queued: bytes}
 }
 
 // Await waits until the next segment of the transfer may be sent. It returns false if
@@ -147,12 +149,13 @@
 func (l *Link) offer(t *Transfer, bytes int) <-chan struct{} {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	taken := min(bytes, t.queued)
+	left := t.queued
+	taken := min(bytes, left)
 	l.queued -= taken
 	t.queued -= taken
 	granted := make(chan struct{})
 	l.granted[t.order] = granted
-	l.scheduler.Offer(Segment{Transfer: t.order, Bytes: bytes})
+	l.scheduler.Offer(Segment{Transfer: t.order, Bytes: bytes, Left: left, Due: t.due})
 	l.advanceLocked()
 	return granted
 }
--- a/egress/link_test.go
+++ b/egress/link_test.go
@@ -4,6 +4,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/parsleystack/parsleystack/clock"
 )
 
 // Many transfers at once must all end, keep to the rate of the link and leave no backlog.
@@ -12,7 +14,7 @@
 	const transfers, size = 20, 50_000
 	var queued []*Transfer
 	for range transfers {
-		queued = append(queued, l.Queue(size))
+		queued = append(queued, l.Queue(size, clock.Never))
 	}
 	if backlog, all := l.Backlog(), l.Duration(transfers*size); backlog != all {
 		t.Errorf("the backlog is %v, the transfers take %v", backlog, all)
@@ -43,13 +45,13 @@
 func TestTransferOfFailedConnectionEnds(t *testing.T) {
 	l := NewLink(1 * mbit)
 	l.Sent(100_000) // the link is busy for almost a second
-	failed, done := l.Queue(1000), make(chan struct{})
+	failed, done := l.Queue(1000, clock.Never), make(chan struct{})
 	close(done)
 	if failed.Await(1000, done) {
 		t.Error("the segment of a failed connection was granted")
 	}
 	failed.End()
-	next := l.Queue(1000)
+	next := l.Queue(1000, clock.Never)
 	if !next.Await(1000, nil) {
 		t.Error("the transfer behind it was not granted")
 	}
@@ -59,7 +61,7 @@
 // A daemon that does not know the rate of its link sends everything at once.
 func TestUnknownRateIsUnlimited(t *testing.T) {
 	l := NewLink(0)
-	tr := l.Queue(1 << 30)
+	tr := l.Queue(1<<30, clock.Never)
 	if !tr.Await(1<<30, nil) || l.Backlog() != 0 || l.Duration(1<<30) != 0 || l.SegmentBytes() <= 0 {
 		t.Errorf("backlog %v, segment %d", l.Backlog(), l.SegmentBytes())
 	}
--- a/egress/scheduler.go
+++ b/egress/scheduler.go
@@ -19,10 +19,12 @@
 	maxUnsent = 3 * time.Millisecond
 )
 
-// Segment is a part of a transfer that waits to be sent.
+// Segment is the next part of a transfer that waits to be sent.
 type Segment struct {
-	Transfer uint64 // transfers are sent in ascending order
+	Transfer uint64 // in the order in which the transfers were queued
 	Bytes    int
+	Left     int        // bytes of the transfer that are not sent, with those of the segment
+	Due      clock.Time // when the transfer should be sent completely; Never if there is no such time
 }
 
 // Scheduler decides when the segments of transfers are sent. It must be used by one
@@ -93,8 +95,23 @@
 	if unsent := s.Unsent(now); unsent > maxUnsent {
 		return Segment{}, unsent - maxUnsent, false
 	}
-	next = s.waiting[0]
-	s.waiting = slices.Delete(s.waiting, 0, 1)
+	i := s.first(now)
+	next = s.waiting[i]
+	s.waiting = slices.Delete(s.waiting, i, i+1)
 	s.Sent(next.Bytes, now)
 	return next, 0, true
 }
+
+// first returns the index of the segment to send: that of the first transfer which can
+// be complete when it is due. Transfers that are late anyway are sent when no other
+// waits, since the link would otherwise make one transfer after the other late.
+func (s *Scheduler) first(now clock.Time) int {
+	idle := now.Add(s.Unsent(now))
+	for i := range s.waiting {
+		x := &s.waiting[i]
+		if x.Due == clock.Never || !x.Due.Before(idle.Add(s.Duration(x.Left))) {
+			return i
+		}
+	}
+	return 0
+}
--- a/egress/scheduler_test.go
+++ b/egress/scheduler_test.go
@@ -27,6 +27,7 @@
 type download struct {
 	transfer uint64
 	left     int
+	due      clock.Time
 	offered  bool
 	done     clock.Time
 }
@@ -43,7 +44,7 @@
 		left := false
 		for _, d := range downloads {
 			if d.left > 0 && !d.offered {
-				s.Offer(Segment{Transfer: d.transfer, Bytes: min(d.left, s.SegmentBytes())})
+				s.Offer(Segment{Transfer: d.transfer, Bytes: min(d.left, s.SegmentBytes()), Left: d.left, Due: d.due})
 				d.offered = true
 			}
 			left = left || d.left > 0
@@ -94,6 +95,36 @@
 	}
 }
 
+// 20 downloads at once that are due within 0.8 s, on a link that sends 11 of 90 KB in that
+// time: once the first large one had made the next late, each later one was late, too.
+func TestLateTransfersYield(t *testing.T) {
+	s := NewScheduler(10 * mbit)
+	var downloads []*download
+	for i := range 20 {
+		size := 50_000
+		if i%4 == 0 {
+			size = 210_000
+		}
+		downloads = append(downloads, &download{transfer: uint64(i + 1), left: size, due: start.Add(800 * time.Millisecond)})
+	}
+	// Five more arrive with a later due time than the link needs for those before them.
+	for range 5 {
+		downloads = append(downloads, &download{transfer: uint64(len(downloads) + 1), left: 50_000, due: start.Add(1200 * time.Millisecond)})
+	}
+	replay(s, downloads, 0)
+	inTime := 0
+	for _, d := range downloads {
+		if !d.due.Before(d.done.Add(-5 * time.Millisecond)) {
+			inTime++
+		}
+	}
+	// In the order of arrival 10 of 25 are in time: 800 ms of the link for the first
+	// twenty, and none of the last five.
+	if inTime < 14 {
+		t.Errorf("%d of 25 downloads are in time, want 14", inTime)
+	}
+}
+
 // A transfer that is given up must not hold back those behind it.
 func TestWithdrawnTransferIsSkipped(t *testing.T) {
 	s := NewScheduler(10 * mbit)
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -148,6 +148,14 @@
 	return fleet.Load{Running: running, Waiting: waiting + b.d.egress.Transfers(), Limit: limit, LatencyRatio: latencyRatio, FailureRatio: failureRatio, OfferedRatio: b.queue.OfferedLoad(clock.Now())}
 }
 
+// inFlight returns the number of requests that run or wait at the target.
+func (b *backend) inFlight() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	running, waiting, _ := b.queue.Load()
+	return running + waiting
+}
+
 // canceler cancels a request whose caller has disconnected. Its methods may be called at
 // any time, from any goroutine.
 type canceler struct {
--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -225,7 +225,6 @@
 		stop := context.AfterFunc(f.ctx, c.Cancel)
 		f.ingress.d.backend.serve(&f.req, &f.resp, c, workqueue.Link{})
 		stop()
-		t.load.inFlight.Store(int64(f.resp.InFlight))
 		return f.attemptResult()
 	}
 	sent, err := f.ingress.d.peerLinks.Do(f.ctx, t.addr, &f.req, &f.resp)
--- a/sidecar/caller_request_target.go
+++ b/sidecar/caller_request_target.go
@@ -39,6 +39,9 @@
 	var candidates [64]placement.Candidate
 	n := min(len(s.targets), len(candidates))
 	for i, t := range s.targets[:n] {
+		if t.local {
+			t.load.inFlight.Store(int64(f.ingress.d.backend.inFlight()))
+		}
 		candidates[i] = placement.Candidate{
 			InFlight: int(t.load.inFlight.Load()), Limit: int(t.load.limit.Load()),
 			LatencyRatio: float64(t.load.latencyRatio.Load()) / ratioScale, FailureRatio: float64(t.load.failureRatio.Load()) / ratioScale,
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/wire"
 )
@@ -23,6 +24,7 @@
 	conn  *serverConn
 	id    uint64
 	frame wire.Frame
+	due   clock.Time // end of the request's latency objective; Never if there is none
 
 	mu       sync.Mutex
 	canceled bool
@@ -64,7 +66,7 @@
 // may be used afterwards. If the response exceeds the size limit, Respond returns
 // a *wire.OversizeError, and the caller must call it again with a smaller one.
 func (e *Exchange) Respond(resp *wire.Response) error {
-	if err := e.conn.respond(e.id, resp); err != nil {
+	if err := e.conn.respond(e.id, resp, e.due); err != nil {
 		return err
 	}
 	e.recycle()
@@ -76,7 +78,7 @@
 	e.frame.Release()
 	e.Request.Reset()
 	e.mu.Lock()
-	e.conn, e.id, e.From = nil, 0, ident.Node{}
+	e.conn, e.id, e.From, e.due = nil, 0, ident.Node{}, clock.Never
 	e.canceled, e.canceler = false, nil
 	e.mu.Unlock()
 	exchangePool.Put(e)
--- a/transport/scheduled_writer.go
+++ b/transport/scheduled_writer.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/egress"
 	"github.com/parsleystack/parsleystack/wire"
 )
@@ -29,7 +30,8 @@
 
 // writeScheduledFrame is writeFrame for a connection whose frames are scheduled. The
 // encoded frame is queued without another copy.
-func (w *writer) writeScheduledFrame(kind wire.Kind, id uint64, m msgp.Marshaler) error {
+// due is when the frame should be sent completely; Never if there is no such time.
+func (w *writer) writeScheduledFrame(kind wire.Kind, id uint64, m msgp.Marshaler, due clock.Time) error {
 	frame, err := wire.Append(nil, kind, id, m, w.maxFrame)
 	if err != nil {
 		return err
@@ -39,17 +41,17 @@
 	if err := w.checkLocked(); err != nil {
 		return err
 	}
-	w.queueFrameLocked(frame)
+	w.queueFrameLocked(frame, due)
 	return nil
 }
 
 // queueFrameLocked queues a frame, which it keeps, and returns its stream position.
-func (w *writer) queueFrameLocked(frame []byte) uint64 {
+func (w *writer) queueFrameLocked(frame []byte, due clock.Time) uint64 {
 	start := w.endPos
 	w.endPos += uint64(len(frame))
 	f := queuedFrame{b: frame, endPos: w.endPos}
 	if len(frame) > unscheduledFrame {
-		f.transfer = w.egress.Queue(len(frame))
+		f.transfer = w.egress.Queue(len(frame), due)
 	}
 	w.frames = append(w.frames, f)
 	if len(w.frames) == 1 {
--- a/transport/serverconn.go
+++ b/transport/serverconn.go
@@ -7,6 +7,7 @@
 	"net"
 	"sync"
 
+	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/wire"
 )
 
@@ -87,6 +88,9 @@
 		return err
 	}
 	e.conn, e.id, e.frame, e.From = c, f.ID, f, c.peerHello.Node
+	if e.Request.Objective > 0 {
+		e.due = clock.Now().Add(e.Request.Objective)
+	}
 	c.mu.Lock()
 	c.exchanges[f.ID] = e
 	c.mu.Unlock()
@@ -130,9 +134,15 @@
 }
 
 // respond queues a response and removes its exchange. It returns an error only for
-// an oversize response; a response to a peer that has disconnected is dropped.
-func (c *serverConn) respond(id uint64, resp *wire.Response) error {
-	err := c.writer.writeFrame(wire.KindResponse, id, resp)
+// an oversize response; a response to a peer that has disconnected is dropped. due is
+// when the response should be sent; Never if there is no such time.
+func (c *serverConn) respond(id uint64, resp *wire.Response, due clock.Time) error {
+	var err error
+	if c.writer.scheduled {
+		err = c.writer.writeScheduledFrame(wire.KindResponse, id, resp, due)
+	} else {
+		err = c.writer.writeFrame(wire.KindResponse, id, resp)
+	}
 	var oversize *wire.OversizeError
 	if errors.As(err, &oversize) {
 		return err
--- a/transport/writer.go
+++ b/transport/writer.go
@@ -8,6 +8,7 @@
 
 	"github.com/tinylib/msgp/msgp"
 
+	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/egress"
 	"github.com/parsleystack/parsleystack/wire"
 )
@@ -54,7 +55,7 @@
 // frame was or will be written.
 func (w *writer) writeFrame(kind wire.Kind, id uint64, m msgp.Marshaler) error {
 	if w.scheduled {
-		return w.writeScheduledFrame(kind, id, m)
+		return w.writeScheduledFrame(kind, id, m, clock.Never)
 	}
 	s := newScratch()
 	defer s.release()
@@ -74,7 +75,7 @@
 		return 0, err
 	}
 	if w.scheduled {
-		return w.queueFrameLocked(append([]byte(nil), frame...)), nil
+		return w.queueFrameLocked(append([]byte(nil), frame...), clock.Never), nil
 	}
 	before := len(w.pending)
 	w.pending = append(w.pending, frame...)
@@ -94,7 +95,7 @@
 		if err != nil {
 			return 0, err
 		}
-		return w.queueFrameLocked(frame), nil
+		return w.queueFrameLocked(frame, clock.Never), nil
 	}
 	before := len(w.pending)
 	pending, err := wire.AppendRaw(w.pending, kind, id, body, w.maxFrame)
--- a/workqueue/transfer.go
+++ b/workqueue/transfer.go
@@ -10,6 +10,10 @@
 // for one another on the link. Smaller ones are sent at once.
 const minLargeResponse = 16 << 10
 
+// linkMargin scales up the estimate of the time on the link, because half of all
+// responses are larger than estimated.
+const linkMargin = 1.25
+
 // ObserveResponse records the size of a response in bytes.
 func (q *Queue) ObserveResponse(class string, bytes int) {
 	mean, ok := q.estimator.responseBytes[class]
@@ -45,11 +49,11 @@
 			ahead += q.estimator.largeBytes(&q.waiting[i])
 		}
 	}
-	sent := now.Add(item.Link.Backlog + item.Link.duration(ahead))
+	sent := now.Add(scale(item.Link.Backlog+item.Link.duration(ahead), linkMargin))
 	if sent.Before(ready) {
 		sent = ready
 	}
-	return sent.Add(item.Link.duration(bytes))
+	return sent.Add(scale(item.Link.duration(bytes), linkMargin))
 }
 
 // refuseForLink reports whether the link would deliver the response of an item, which
@@ -67,3 +71,7 @@
 func (l *Link) duration(bytes float64) time.Duration {
 	return time.Duration(bytes / l.BytesPerSecond * float64(time.Second))
 }
+
+func scale(d time.Duration, factor float64) time.Duration {
+	return time.Duration(factor * float64(d))
+}
