Records of the directory come from other daemons, and only readers poll for the configuration

Change: each daemon keeps the newest records that it has applied (256 KB, without gaps). One that is behind and does not read the directory itself waits 250 ms for the forwarded update and then fetches what it lacks from a daemon that is ahead, of its own zone if it can, and from the store if that fails. Such records do not confirm a lease, like forwarded ones. Daemons that do not read the directory do not poll for the configuration either: statuses name a new version, and the check of its age stays as it was.

--- a/sidecar/caller_request_target.go
+++ b/sidecar/caller_request_target.go
@@ -33,23 +33,26 @@
 	return t, true
 }
 
+// stackCandidates is the number of candidates for which no memory is allocated.
+const stackCandidates = 80
+
 // chooseAnyTarget returns the best target that was not tried yet. It is for services
 // that are not divided by key.
 func (f *callerRequest) chooseAnyTarget(s *serviceView) *targetView {
-	var candidates [64]placement.Candidate
-	n := min(len(s.targets), len(candidates))
-	for i, t := range s.targets[:n] {
+	var buffer [stackCandidates]placement.Candidate
+	candidates := buffer[:0]
+	for _, t := range s.targets {
 		if t.local {
 			t.load.inFlight.Store(int64(f.ingress.d.backend.inFlight()))
 		}
-		candidates[i] = placement.Candidate{
+		candidates = append(candidates, placement.Candidate{
 			InFlight: int(t.load.inFlight.Load()), Limit: int(t.load.limit.Load()),
 			LatencyRatio: float64(t.load.latencyRatio.Load()) / ratioScale, FailureRatio: float64(t.load.failureRatio.Load()) / ratioScale,
 			SameZone: t.zone == f.ingress.d.settings().Zone, SameInstance: t.local, Suspected: t.suspected,
 			Excluded: !t.ready || f.hasTried(t),
-		}
+		})
 	}
-	if i := placement.Choose(candidates[:n], random); i >= 0 {
+	if i := placement.Choose(candidates, placement.Request{LargeResponse: f.route.LargeResponses}, random); i >= 0 {
 		return s.targets[i]
 	}
 	return nil
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -57,6 +57,7 @@
 	fanOut          fleet.Fanout
 	readsDirectory  atomic.Bool // copy of fanOut.ReadsStore
 	keyOffsets      map[string]metastore.Offset
+	history         recordHistory
 
 	routes         *routetable.Table
 	rawConfig      []byte // the encoded configuration, as the operator wrote it
@@ -184,7 +185,10 @@
 	for i := range b.Records {
 		c.applyRecord(&b.Records[i])
 	}
-	if !snapshot {
+	if snapshot {
+		c.history.restart(next)
+	} else {
+		c.history.add(from, b.Records)
 		c.forwardUpdates(from, b.Records)
 	}
 	c.advance(next)
--- a/sidecar/control_plan.go
+++ b/sidecar/control_plan.go
@@ -121,6 +121,7 @@
 		record.Offset = at
 		c.agent.Proposed(uint64(at), ownertable.Accepted, now)
 		c.applyRecord(&record)
+		c.history.add(at, []metastore.Record{record})
 		c.advance(at + 1)
 		return
 	}
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -260,11 +260,10 @@
 	if st.behindSince == clock.Never {
 		st.behindSince = now
 	}
-	if st.fetching || now.Sub(st.behindSince) < catchUpAfter && !c.peerInLaterEra() {
+	if st.fetching || now.Sub(st.behindSince) < c.catchUpDelay() && !c.peerInLaterEra() {
 		return
 	}
-	st.fetching, st.behindSince = true, clock.Never
-	go c.d.readDirectory()
+	c.startCatchUp()
 }
 
 // peerInLaterEra reports whether a daemon has read the directory in a later era of the
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -206,6 +206,7 @@
 	select {
 	case <-ctx.Done():
 		d.stop()
+		d.shutdownLinks()
 	case <-work.Done():
 	}
 	end()
@@ -220,6 +221,17 @@
 	return err
 }
 
+// shutdownLinks lets other daemons receive the answers to the requests that they have
+// sent, refusals included, and sends them to other connections. A request on a link that
+// is closed without an answer would have an unknown outcome.
+func (d *Daemon) shutdownLinks() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := d.server.Shutdown(ctx); err != nil {
+		logevent.Log(d.log, logevent.StopIncomplete, zap.Int("in_flight", d.ingress.inFlight()), zap.Error(err))
+	}
+}
+
 // reportDropped logs and counts dropped log lines until ctx ends.
 func (d *Daemon) reportDropped(ctx context.Context) error {
 	ticker := time.NewTicker(dropReportInterval)
@@ -272,6 +284,8 @@
 		return value, nil
 	case callDirectoryUpdate:
 		return nil, d.serveDirectoryUpdate(body)
+	case callDirectoryRecords:
+		return d.serveRecords(ctx, body)
 	}
 	return nil, errors.New("unknown call kind; run the same version on all daemons")
 }
--- a/sidecar/directory_update.go
+++ b/sidecar/directory_update.go
@@ -35,6 +35,17 @@
 	if len(records) == 0 || len(c.fanOut.ForwardTo) == 0 {
 		return
 	}
+	body := encodeUpdate(from, records)
+	for _, name := range c.fanOut.ForwardTo {
+		p := c.dir.Peer(name)
+		if p == nil || p.Offset > int64(records[len(records)-1].Offset) {
+			continue
+		}
+		go c.d.forwardUpdate(p.Member.Addr, body)
+	}
+}
+
+func encodeUpdate(from metastore.Offset, records []metastore.Record) []byte {
 	update := directoryUpdate{From: int64(from)}
 	for i := range records {
 		r := &records[i]
@@ -44,13 +55,7 @@
 	if err != nil {
 		panic("sidecar: cannot encode directory update: " + err.Error())
 	}
-	for _, name := range c.fanOut.ForwardTo {
-		p := c.dir.Peer(name)
-		if p == nil || p.Offset > int64(records[len(records)-1].Offset) {
-			continue
-		}
-		go c.d.forwardUpdate(p.Member.Addr, body)
-	}
+	return body
 }
 
 // forwardUpdate sends an encoded directoryUpdate to one daemon. If the call fails, the
@@ -83,10 +88,13 @@
 	if !c.directoryLoaded || from > c.applied || from.Era() != c.era() || len(update.Records) == 0 {
 		return
 	}
+	records := make([]metastore.Record, 0, len(update.Records))
 	for i := range update.Records {
 		r := &update.Records[i]
-		c.applyRecord(&metastore.Record{Key: r.Key, Value: r.Value, Offset: metastore.Offset(r.Offset)})
+		records = append(records, metastore.Record{Key: r.Key, Value: r.Value, Offset: metastore.Offset(r.Offset)})
+		c.applyRecord(&records[i])
 	}
+	c.history.add(from, records)
 	c.advance(metastore.Offset(update.Records[len(update.Records)-1].Offset) + 1)
 	c.agent.Applied(uint64(c.applied), clock.Never, false)
 	c.plan(clock.Now())
--- a/sidecar/storelink.go
+++ b/sidecar/storelink.go
@@ -21,12 +21,14 @@
 	callStore           wire.CallKind = 1 // relay a call to the store
 	callConfig          wire.CallKind = 2 // return the encoded configuration
 	callDirectoryUpdate wire.CallKind = 3 // apply forwarded records of the directory
+	// callDirectoryRecords returns the records of the directory from an offset on
+	callDirectoryRecords wire.CallKind = 4
 )
 
 const (
 	// relayAfter is the time after a failed direct call in which calls are relayed
-	// by other daemons first.
-	relayAfter = 2 * time.Second
+	// by other daemons first. The return of the store must be noticed within two seconds.
+	relayAfter = 1600 * time.Millisecond
 	// directRetryInterval is the shortest time between direct calls while they fail
 	// and no other daemon reaches the store either. It bounds how late the daemon
 	// notices that the store is back.
