The shards of a table grow with the number of targets

A table had 240 shards whatever the size of the service: three for each of 71 targets, so that a failed target's keys went to three others, and none for some past 240 targets. The bound is now max(240, 6 for each target); what guards the reply to a heartbeat is the number of shards of one owner, which did not change.

--- a/ownertable/grant_tracker.go
+++ b/ownertable/grant_tracker.go
@@ -201,7 +201,7 @@
 }
 
 // maxHandovers is the largest number of released ranges that are kept.
-const maxHandovers = 4 * MaxShards
+const maxHandovers = 4 * smallTableShards
 
 // prune removes the oldest handovers and the state of shards that the target no
 // longer owns and whose grants have expired, once there are too many of either.
@@ -209,7 +209,7 @@
 	if n := len(t.handovers) - maxHandovers; n > 0 {
 		t.handovers = append(t.handovers[:0], t.handovers[n:]...)
 	}
-	if len(t.grants) <= 2*len(shards)+MaxShards {
+	if len(t.grants) <= 2*len(shards)+smallTableShards {
 		return
 	}
 	live := make(map[ShardID]*trackedGrant, len(shards))
--- a/ownertable/plan.go
+++ b/ownertable/plan.go
@@ -11,13 +11,19 @@
 )
 
 const (
-	// MaxShards is the largest number of shards in a table. It is chosen so that the
-	// shards of a target fit in the reply to a heartbeat (4 KiB, about 30 bytes
-	// per shard) together with those of a failed peer.
-	MaxShards = 240
-	// shardsPerTarget is the initial number of shards per target. Busy keys are
-	// adjacent, so many short shards distribute them.
+	// smallTableShards is the number of shards in the table of a small service. The
+	// shards of a target then fit in the reply to a heartbeat (4 KiB, about 30 bytes
+	// per shard) together with those of a failed peer; see maxShardsPerOwner for those
+	// of many failed ones.
+	smallTableShards = 240
+	// shardsPerTarget is the initial number of shards per target of a small service.
+	// Busy keys are adjacent, so many short shards distribute them.
 	shardsPerTarget = 48
+	// minShardsPerTarget is the initial number of shards per target of a large service:
+	// the keys of a failed target go to as many others, and a busy shard has neighbours
+	// that can leave. Each shard takes about 5 bytes of a table, which is sent to every
+	// daemon.
+	minShardsPerTarget = 6
 	// rebalanceThreshold is the share of its fair share of keys below which a target
 	// that has joined receives shards of others.
 	rebalanceThreshold = 0.5
@@ -168,9 +174,13 @@
 	}
 }
 
+// MaxShards returns the largest number of shards in the first table of a service, or of
+// an era of the store.
+func MaxShards(targets int) int { return max(smallTableShards, minShardsPerTarget*targets) }
+
 // initialShards returns short shards without owners that together contain all keys.
 func (p *planner) initialShards() []Shard {
-	n := min(shardsPerTarget*len(p.ready), MaxShards)
+	n := min(shardsPerTarget*len(p.ready), MaxShards(len(p.ready)))
 	shards := make([]Shard, n)
 	for i := range shards {
 		shards[i].From = uint32(i * (MaxKey + 1) / n)
--- a/ownertable/recovery_plan.go
+++ b/ownertable/recovery_plan.go
@@ -75,7 +75,7 @@
 
 // mergeToFit merges adjacent shards of the same owner while there are too many.
 func (p *planner) mergeToFit() {
-	for i := len(p.shards) - 1; i > 0 && len(p.shards) > MaxShards; i-- {
+	for i := len(p.shards) - 1; i > 0 && len(p.shards) > MaxShards(len(p.ready)); i-- {
 		a, b := &p.shards[i-1], &p.shards[i]
 		if a.Owner == b.Owner && a.NextOwner == b.NextOwner && a.Revoked == b.Revoked {
 			a.To = b.To
