Leases are confirmed by the store later, and daemons without a lease read the directory once a minute

Change: the threshold is 45 % of the lease; a grant of the remaining 1.3 s still spans a heartbeat interval. A daemon of a service without keys has no lease that depends on reads and waits up to a minute.

Tried and taken back: no poll for the configuration during the first 3 s (188 calls less) starts the poll after records were found, so that a silent connection is not noticed (TestLongPollContinuesAfterItsConnectionWentSilent).

--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -28,6 +28,11 @@
 	// catchUpAfter is how long another daemon may be ahead before the missing
 	// records or configuration are fetched.
 	catchUpAfter = 150 * time.Millisecond
+	// confirmBelow is the remaining time of the lease below which it is confirmed by a
+	// read of the store. Two status intervals of a large service pass between a status
+	// and its echo, which leaves 1.4 s of the lease. A grant of that length lasts until
+	// the next heartbeat of the target.
+	confirmBelow = ownertable.LeaseTime * 45 / 100
 	// confirmInterval is the time between reads that confirm a lease which is about
 	// to expire.
 	confirmInterval = 400 * time.Millisecond
@@ -217,7 +222,7 @@
 // return too late.
 func (c *control) confirmLease(now clock.Time) {
 	st := &c.status
-	if !c.keyed() || st.fetching || now.Before(st.nextConfirm) || c.agent.LeaseLeft(c.otherMembers(), now) > ownertable.LeaseTime/2 {
+	if !c.keyed() || st.fetching || now.Before(st.nextConfirm) || c.agent.LeaseLeft(c.otherMembers(), now) > confirmBelow {
 		return
 	}
 	st.fetching, st.nextConfirm = true, now.Add(confirmInterval)
--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -25,16 +25,25 @@
 	}
 }
 
+// unkeyedReadInterval is the longest time between reads of the directory by a daemon
+// that gets its records from others and has no lease to confirm.
+const unkeyedReadInterval = time.Minute
+
 // awaitDirectoryRead waits while another daemon reads the directory and forwards
 // records to this one, for at most about twice the time of a read of an idle
-// partition. It returns the offset after the newest applied record.
+// partition, or longer if no lease depends on reads. It returns the offset after the
+// newest applied record.
 func (d *Daemon) awaitDirectoryRead(ctx context.Context) metastore.Offset {
 	c := d.control
 	if clock.Now().Sub(d.started) < startupPeriod {
 		sleep(ctx, startupReadInterval)
 	}
 	_, laterEra := d.store.Era()
-	for end := clock.Now().Add(jittered(2 * d.idlePollTime(maxPoll))); !c.readsDirectory.Load() && clock.Now().Before(end) && ctx.Err() == nil; {
+	longest := 2 * d.idlePollTime(maxPoll)
+	if !d.ownServiceKeyed() {
+		longest = 2 * d.idlePollTime(unkeyedReadInterval/2)
+	}
+	for end := clock.Now().Add(jittered(longest)); !c.readsDirectory.Load() && clock.Now().Before(end) && ctx.Err() == nil; {
 		select {
 		case <-laterEra:
 			return metastore.Offset(c.appliedShared.Load())
@@ -45,6 +54,17 @@
 	return metastore.Offset(c.appliedShared.Load())
 }
 
+// ownServiceKeyed reports whether the service of the local target is divided by key, or
+// is not known yet.
+func (d *Daemon) ownServiceKeyed() bool {
+	v := d.control.view.Load()
+	if v.routes == nil {
+		return true
+	}
+	s, ok := v.routes.Service(d.settings().Service)
+	return !ok || s.Keyed
+}
+
 func (d *Daemon) configurationFollower() *follower {
 	partition, _ := platform.ConfigurationPartition()
 	return &follower{
