Stand-ins and the soak of real processes know downloads

The stand-in target answers paths below /pack/ with 90 KB that depend on the request's id, the soak's operator publishes that route as a download, its daemons schedule by links of 10 Mbit/s, and the judge compares every byte. Tests of package transport hold that small responses pass large ones and that a large response whose caller has left is not sent.

--- a/standin/sidecarsoak/callers.go
+++ b/standin/sidecarsoak/callers.go
@@ -27,7 +27,7 @@
 
 // run sends requests through one daemon until ctx ends.
 func (c *callers) run(ctx context.Context, daemon int, random *rand.Rand) {
-	for kind := 0; ctx.Err() == nil; kind = (kind + 1) % 3 {
+	for kind := 0; ctx.Err() == nil; kind = (kind + 1) % 4 {
 		switch kind {
 		case 0:
 			c.send(daemon, http.MethodGet, "/view/a", random.IntN(1<<16), 0)
@@ -35,6 +35,8 @@
 			c.send(daemon, http.MethodPost, "/book/a", platformtest.NoKey, 0)
 		case 2:
 			c.send(daemon, http.MethodPost, "/pay/a", platformtest.NoKey, 0)
+		case 3:
+			c.send(daemon, http.MethodGet, platformtest.LargePrefix+"a", platformtest.NoKey, 0)
 		}
 		pause(ctx, requestPause)
 	}
@@ -53,7 +55,7 @@
 
 func (c *callers) send(daemon int, method, path string, key, route int) {
 	id := fmt.Sprintf("req-%d", c.lastID.Add(1))
-	o := observation{daemon: daemon, id: id, unsafe: method == http.MethodPost, route: route, sent: time.Now()}
+	o := observation{daemon: daemon, id: id, path: path, unsafe: method == http.MethodPost, route: route, sent: time.Now()}
 	o.answer = platformtest.Call(c.d.instances[daemon].addr(callerPort), host, method, path, id, key)
 	o.ended = time.Now()
 	c.judge.observe(o)
--- a/standin/sidecarsoak/deployment.go
+++ b/standin/sidecarsoak/deployment.go
@@ -18,6 +18,10 @@
 	paymentService = "payments"
 	host           = "soak.example"
 
+	// linkMbps is the rate that the daemons schedule large answers by: one of them takes
+	// 72 ms.
+	linkMbps = 10
+
 	callerPort, readyPort, controlPort, targetPort = 8304, 8302, 8306, 8301
 	firstLinkPort, lastLinkPort, relayPort         = 7620, 7635, 7700
 )
@@ -73,7 +77,7 @@
 func (n *instance) settings() string {
 	f := platformtest.SettingsFile{
 		Instance: n.name, IP: n.ip, Zone: n.zone, Service: n.service, Target: n.addr(targetPort), Callers: n.addr(callerPort),
-		Ready: n.addr(readyPort), Control: n.addr(controlPort), FirstPort: firstLinkPort, LastPort: lastLinkPort, Store: n.store.Addr(),
+		Ready: n.addr(readyPort), Control: n.addr(controlPort), FirstPort: firstLinkPort, LastPort: lastLinkPort, Store: n.store.Addr(), LinkMbps: linkMbps,
 	}
 	return f.Text()
 }
--- a/standin/sidecarsoak/judge.go
+++ b/standin/sidecarsoak/judge.go
@@ -21,6 +21,7 @@
 type observation struct {
 	daemon      int
 	id          string
+	path        string
 	unsafe      bool
 	route       int // number of an added route; 0 for a route of all versions
 	sent, ended time.Time
@@ -74,7 +75,9 @@
 func (j *judge) observe(o observation) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.answers[o.id] = o
+	kept := o
+	kept.answer.Body = "" // checked below; those of downloads would fill the memory
+	j.answers[o.id] = kept
 	inTouch := o.sent.After(j.disturbed[o.daemon].Add(stableWindow)) && o.ended.After(j.disturbed[o.daemon])
 	status := o.answer.Status
 	calm := "disturbed"
@@ -86,7 +89,7 @@
 		kind = "added"
 	}
 	j.counts[fmt.Sprintf("%s %s %d", calm, kind, status)]++
-	if status == http.StatusOK && (o.answer.Body != "body of "+o.id || !o.answer.Signed) {
+	if status == http.StatusOK && (o.answer.Body != platformtest.AnswerBody(o.path, o.id) || !o.answer.Signed) {
 		j.violateLocked("MIXED", "%s at daemon %d: 200 with the body %.60q", o.id, o.daemon, o.answer.Body)
 	}
 	if o.route == 0 {
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -54,12 +54,18 @@
 	return wire.NewHello("s", ident.Node{Instance: ident.Instance(name), Incarnation: 1}, "z")
 }
 
-func start(t testing.TB, h *echo) (*Server, string) {
+func start(t testing.TB, h *echo) (*Server, string) { return startHandler(t, h, nil) }
+
+func startHandler(t testing.TB, h Handler, change func(*Config)) (*Server, string) {
+	cfg := Config{Hello: hello("server")}
+	if change != nil {
+		change(&cfg)
+	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := NewServer(Config{Hello: hello("server")}, h, nil)
+	s := NewServer(cfg, h, nil)
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(s.Close)
 	return s, l.Addr().String()
