--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -82,6 +82,8 @@
 	gauge("parsley_target_waiting", func() float64 { return float64(d.backend.load().Waiting) })
 	gauge("parsley_target_limit", func() float64 { return float64(d.backend.load().Limit) })
 	gauge("parsley_target_offered_ratio", func() float64 { return d.backend.load().OfferedRatio })
+	gauge("parsley_egress_backlog_seconds", func() float64 { return d.egress.Backlog().Seconds() })
+	gauge("parsley_egress_transfers", func() float64 { return float64(d.egress.Transfers()) })
 	gauge(`parsley_receive_memory_bytes{source="target"}`, func() float64 { return float64(d.budgets.target.Used()) })
 	gauge("parsley_store_reached", func() float64 {
 		if d.storeLink.reachable() {
