--- a/sidecar/follow.go
+++ b/sidecar/follow.go
@@ -69,7 +69,6 @@
 	partition, _ := platform.ConfigurationPartition()
 	return &follower{
 		store: d.store, partition: partition, log: d.log, pollTime: func() time.Duration { return configurationPoll },
-		awaitRead: d.awaitConfigurationRead,
 		apply: func(_ metastore.Offset, b metastore.Batch, sent clock.Time, snapshot bool) {
 			d.configurationPolled.read(b, snapshot)
 			d.control.do(func() { d.control.configurationRead(b, sent, fromStorePoll, snapshot) })
@@ -77,24 +76,6 @@
 	}
 }
 
-// awaitConfigurationRead waits while other daemons read the directory for this one. They
-// poll for the configuration, too; this daemon fetches a new version from them when a
-// status names one, and checkConfiguration bounds its age. The offset is that of no
-// record, since the follower keeps its own.
-func (d *Daemon) awaitConfigurationRead(ctx context.Context) metastore.Offset {
-	_, laterEra := d.store.Era()
-	defer d.configurationPolled.suspend()()
-	for !d.control.readsDirectory.Load() && d.control.view.Load().routes != nil && ctx.Err() == nil {
-		select {
-		case <-laterEra:
-			return 0
-		default:
-		}
-		sleep(ctx, readerCheckInterval)
-	}
-	return 0
-}
-
 // idlePollTime returns how long a read of an idle partition waits. It grows with
 // the number of daemons, since their statuses and forwarded records cover the time
 // between reads.
--- a/sidecar/missed_records.go
+++ b/sidecar/missed_records.go
@@ -22,12 +22,6 @@
 // idle records that no read is in progress, so that none can miss records.
 func (p *pollProgress) idle() { p.next.Store(math.MaxInt64) }
 
-// suspend is idle until the returned function is called, which restores the offset.
-func (p *pollProgress) suspend() (resume func()) {
-	before := p.next.Swap(math.MaxInt64)
-	return func() { p.next.CompareAndSwap(math.MaxInt64, before) }
-}
-
 // begins records that a read from an offset starts.
 func (p *pollProgress) begins(from metastore.Offset) { p.next.Store(int64(from)) }
 
--- a/transport/scheduled_writer.go
+++ b/transport/scheduled_writer.go
@@ -29,8 +29,8 @@
 }
 
 // writeScheduledFrame is writeFrame for a connection whose frames are scheduled. The
-// encoded frame is queued without another copy.
-// due is when the frame should be sent completely; Never if there is no such time.
+// encoded frame is queued without another copy. due is when the frame should be sent
+// completely; Never if there is no such time.
 func (w *writer) writeScheduledFrame(kind wire.Kind, id uint64, m msgp.Marshaler, due clock.Time) error {
 	frame, err := wire.Append(nil, kind, id, m, w.maxFrame)
 	if err != nil {
--- a/workqueue/estimator.go
+++ b/workqueue/estimator.go
@@ -87,8 +87,8 @@
 	return sum
 }
 
-// waitFactor returns the factor by which more urgent requests, which run first, extend the wait of an item at a target that runs limit requests
-// concurrently.
+// waitFactor returns the factor by which more urgent requests, which run first, extend
+// the wait of an item at a target that runs limit requests concurrently.
 func (e *estimator) waitFactor(item *Item, limit int) float64 {
 	available := 1 - e.moreUrgentWork(item.urgency())/float64(limit)
 	return min(1/max(available, 1/maxWaitFactor), maxWaitFactor)
