--- a/workqueue/queue.go
+++ b/workqueue/queue.go
@@ -1,7 +1,6 @@
 package workqueue
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -256,7 +255,7 @@
 // cannot be preempted.
 func (q *Queue) availableSlots(u urgency) int {
 	reserved := min(q.estimator.moreUrgentWork(u)*reserveMargin, float64(q.limit)*maxReservedShare)
-	return q.limit - int(math.Round(reserved))
+	return q.limit - int(reserved)
 }
 
 func (q *Queue) start(item Item, now clock.Time) {
