--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -29,9 +29,9 @@
 	// records or configuration are fetched.
 	catchUpAfter = 150 * time.Millisecond
 	// confirmBelow is the remaining time of the lease below which it is confirmed by a
-	// read of the store. Two status intervals of a large service pass between a status
-	// and its echo, which leaves 1.4 s of the lease. A grant of that length lasts until
-	// the next heartbeat of the target.
+	// read of the store. Two status intervals pass between a status and its echo, which
+	// leaves 1.4 s of the lease in a service of 71; larger ones read the store. A grant of
+	// that length lasts until the next heartbeat of the target.
 	confirmBelow = ownertable.LeaseTime * 45 / 100
 	// confirmInterval is the time between reads that confirm a lease which is about
 	// to expire.
