What targets state about themselves in responses is logged and counted

The daemon beside a target now decodes a stated limit or departure (package platform) and logs when it begins, changes and ends (7313, 7314), with the request whose response stated it, and what can't be read (7315). Metrics: the limit, requests to the target and malformed statements. Package ratelimit holds the order of the statements: responses on parallel connections overtake each other, so only a response to a request that was sent after the limit was last confirmed raises or withdraws it. Nothing acts on a limit yet.

--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -72,6 +72,8 @@
 	queue   *workqueue.Queue
 	nextID  uint64
 	tickets map[uint64]*ticket // of waiting requests, by item ID
+
+	announced announcementState
 }
 
 // ticket holds the queue's decision on one request.
@@ -108,6 +110,7 @@
 	b.mu.Lock()
 	if replaced {
 		b.queue = b.queue.ForNewIncarnation(m.Slots)
+		b.announced = announcementState{}
 	}
 	b.queue.SetSlots(m.Slots)
 	if m.State == fleet.TargetEnded {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -58,6 +58,11 @@
 	metricBudgetDenied = "parsley_resend_budget_denied_total"
 	metricTargetFailed = "parsley_target_failures_total"
 	metricNoGrants     = "parsley_heartbeats_without_grants_total"
+	// metricTargetRequests counts attempts to send a request to the target.
+	metricTargetRequests = "parsley_target_requests_total"
+	// metricAnnouncementsIgnored counts responses of the target in which a statement about
+	// itself can't be read.
+	metricAnnouncementsIgnored = "parsley_target_announcements_ignored_total"
 	// metricConfigRejected counts configurations of which nothing could be decoded.
 	metricConfigRejected = "parsley_configurations_rejected_total"
 	// metricUnknownKinds counts routes of configurations whose kind is not known.
@@ -81,6 +86,13 @@
 	gauge("parsley_target_running", func() float64 { return float64(d.backend.load().Running) })
 	gauge("parsley_target_waiting", func() float64 { return float64(d.backend.load().Waiting) })
 	gauge("parsley_target_limit", func() float64 { return float64(d.backend.load().Limit) })
+	gauge("parsley_target_rate_limited", func() float64 {
+		if d.backend.statedLimit().Limited {
+			return 1
+		}
+		return 0
+	})
+	gauge("parsley_target_rate_limit", func() float64 { return d.backend.statedLimit().Rate })
 	gauge("parsley_target_offered_ratio", func() float64 { return d.backend.load().OfferedRatio })
 	gauge("parsley_egress_backlog_seconds", func() float64 { return d.egress.Backlog().Seconds() })
 	gauge("parsley_egress_transfers", func() float64 { return float64(d.egress.Transfers()) })
--- a/sidecar/target_request.go
+++ b/sidecar/target_request.go
@@ -118,11 +118,14 @@
 		r.refuse(outcome.Canceled, 0)
 		return workqueue.NotSent
 	}
+	sentAt := clock.Now()
+	r.b.d.metrics.count(metricTargetRequests)
 	sent, err := r.incarnation.client.Do(&r.call)
 	r.cancel.setOnCancel(nil)
 	if err != nil {
 		return r.handleFailure(sent, err)
 	}
+	r.b.observeAnnouncement(r, sentAt)
 	completion := r.handleResponse()
 	if r.resp.Kind != outcome.Done {
 		r.call.Release()
