Requests to a target are paced by the limit that it states

Callers saw: a target in need that named a limit of 20 requests a second in its responses got over 100, up to 135 once keys moved to it, and its requests ended late or failed.

Cause: nothing read the limit; the response was passed on with it. The class is a signal that a target gives and nobody acts on. Besides, a limited target has free slots, so placement and the owners' plan took it for idle.

All requests to a target pass its own daemon, which now takes each of them from a token bucket (package ratelimit): the stated rate, with a burst of half a second, and at least one request in 4 s, so that a target with a limit of 0 can state that it is well again. The admission queue (workqueue) orders what waits by urgency, keeps part of the burst for more urgent arrivals, and refuses at once, with the reason rate-limited, what the rate can't serve in time. The load that other daemons see is the rate times the service time in slots, and the offered requests as a share of the rate, so less is sent there and keys move away, and do not move back before the limit ends. A restarted daemon has forgotten the limit; the entries that passed it on send it along with their requests until the target has answered itself. Costs 10 bytes in each status of a limited target, 70 in its requests and responses, nothing otherwise.

--- a/fleet/extension_test.go
+++ b/fleet/extension_test.go
@@ -16,6 +16,17 @@
 	if err != nil || earlier.Config != 7 || len(rest) == 0 {
 		t.Errorf("as an earlier version reads it: %+v, %v", earlier, err)
 	}
+	if got.Load.RateLimited {
+		t.Errorf("a status without a rate limit has one: %+v", got.Load)
+	}
+	limited := *sent
+	limited.Load.RateLimited, limited.Load.RateLimit = true, 0.3
+	if got, err := DecodeStatus(limited.Encode()); err != nil || !got.Load.RateLimited || got.Load.RateLimit != 0.3 || got.ConfigAgeMS != 250 {
+		t.Errorf("with a rate limit: %+v, %v", got, err)
+	}
+	if extra := len(limited.Encode()) - len(sent.Encode()); extra > 10 {
+		t.Errorf("a rate limit takes %d bytes of each status", extra)
+	}
 	tuple, err := sent.MarshalMsg(nil)
 	if err != nil {
 		t.Fatal(err)
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -2,7 +2,7 @@
 
 import "math"
 
-//msgp:tuple Status Load statusExtension
+//msgp:tuple Status Load statusExtension rateExtension
 
 // Load is the load of a target as measured by its daemon.
 type Load struct {
@@ -12,6 +12,10 @@
 	LatencyRatio float64 `msg:"p"` // mean latency of requests relative to their objectives
 	OfferedRatio float64 `msg:"o"` // arriving work relative to the capacity of the slots
 	FailureRatio float64 `msg:"f"` // fraction of requests that fail at the target
+
+	// RateLimited is set if the target has stated a limit of requests a second, RateLimit.
+	RateLimited bool    `msg:"-"`
+	RateLimit   float64 `msg:"-"`
 }
 
 // Status is the message that a daemon sends to every other daemon at short
@@ -47,12 +51,20 @@
 	ConfigHops  uint8  `msg:"h"`
 }
 
+// rateExtension follows the statusExtension of a daemon whose target has a rate limit.
+type rateExtension struct {
+	RateLimit float64 `msg:"r"`
+}
+
 // Encode returns the encoded status.
 func (s *Status) Encode() []byte {
 	b, err := s.MarshalMsg(nil)
 	if err == nil {
 		b, err = (&statusExtension{ConfigAgeMS: s.ConfigAgeMS, ConfigHops: s.ConfigHops}).MarshalMsg(b)
 	}
+	if err == nil && s.Load.RateLimited {
+		b, err = (&rateExtension{RateLimit: s.Load.RateLimit}).MarshalMsg(b)
+	}
 	if err != nil {
 		panic("fleet: cannot encode status: " + err.Error())
 	}
@@ -67,8 +79,13 @@
 		return nil, &MemberError{Reason: err.Error()}
 	}
 	var x statusExtension
-	if _, err := x.UnmarshalMsg(rest); err == nil { // else of another version
-		s.ConfigAgeMS, s.ConfigHops = x.ConfigAgeMS, x.ConfigHops
+	if rest, err = x.UnmarshalMsg(rest); err != nil { // of another version
+		return s, nil
+	}
+	s.ConfigAgeMS, s.ConfigHops = x.ConfigAgeMS, x.ConfigHops
+	var r rateExtension
+	if _, err := r.UnmarshalMsg(rest); err == nil && r.RateLimit >= 0 {
+		s.Load.RateLimited, s.Load.RateLimit = true, r.RateLimit
 	}
 	return s, nil
 }
--- a/fleet/status_gen.go
+++ b/fleet/status_gen.go
@@ -200,6 +200,42 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z rateExtension) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 1
+	o = append(o, 0x91)
+	o = msgp.AppendFloat64(o, z.RateLimit)
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *rateExtension) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 1 {
+		err = msgp.ArrayError{Wanted: 1, Got: zb0001}
+		return
+	}
+	z.RateLimit, bts, err = msgp.ReadFloat64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "RateLimit")
+		return
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z rateExtension) Msgsize() (s int) {
+	s = 1 + msgp.Float64Size
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z statusExtension) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/logtrace/trace.go
+++ b/logtrace/trace.go
@@ -75,6 +75,7 @@
 // where to look further.
 var explanations = map[string]string{
 	"overloaded":        "the target had more queued work than the request's objective allows; look at load and retry_after, and at other targets of the service",
+	"rate-limited":      "the target has stated a limit of requests a second, and the request would have waited too long for it; look for event 7313 (target limit changed) and at other targets of the service",
 	"deadline-exceeded": "the request could not be completed before its deadline; look for a slow target or a late arrival",
 	"no-owner":          "no target was available for the request; look below for daemons without recent status and targets that left",
 	"wrong-owner":       "the target did not hold the key yet, or no longer; look below for assignment tables and heartbeats that renewed nothing",
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -87,13 +87,15 @@
 	RequestTimeout Reason = 23
 	// UnknownRoute means that the active configuration has no route for the request.
 	UnknownRoute Reason = 24
+	// RateLimited means that the target accepts no more requests a second.
+	RateLimited Reason = 25
 
 	// LastReason is the largest reason of this version.
-	LastReason = UnknownRoute
+	LastReason = RateLimited
 )
 
 var reasonNames = [...]string{"none", "wrong-owner", "moving", "no-owner", "overloaded", "deadline-exceeded", "draining", "stale-config", "lease-expired", "connection-lost", "canceled", "target-shed", "retry-budget", "unknown-service", "bad-request", "not-ready", "duplicate",
-	"malformed-deadline", "malformed-key", "missing-key", "body-too-large", "header-too-large", "malformed-request", "request-timeout", "unknown-route"}
+	"malformed-deadline", "malformed-key", "missing-key", "body-too-large", "header-too-large", "malformed-request", "request-timeout", "unknown-route", "rate-limited"}
 
 // String returns the name that callers see in the Parsley-Reason header.
 func (r Reason) String() string {
--- a/sidecar/announcement.go
+++ b/sidecar/announcement.go
@@ -9,6 +9,7 @@
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/ratelimit"
+	"github.com/parsleystack/parsleystack/wire"
 )
 
 // announcementLogInterval is the shortest time between two lines about changed limits, or
@@ -17,10 +18,11 @@
 
 // announcementState is what the local target has stated about itself. backend.mu guards it.
 type announcementState struct {
-	limit           ratelimit.Stated
-	nextChangeLog   clock.Time
-	nextIgnoredLog  clock.Time
-	leavingObserved bool
+	limit          ratelimit.Stated
+	answered       bool       // this process has received a response of the target
+	leavingSince   clock.Time // when its departure was learned of; Never if it has stated none
+	nextChangeLog  clock.Time
+	nextIgnoredLog clock.Time
 }
 
 // observeAnnouncement applies what the target states about itself in its response to r,
@@ -33,33 +35,73 @@
 	now := clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if current := b.incarnation.Load(); current.target != r.incarnation.target {
+	if b.incarnation.Load().target != r.incarnation.target {
 		return
 	}
+	b.announced.answered = true
 	if err != nil {
 		b.ignoreAnnouncement(r, err, now)
 	}
 	if a.Limited || !a.Malformed {
-		b.observeLimit(r, a, sent, now)
+		b.observeLimit(r.req.RequestID, ratelimit.Stated{Limited: a.Limited, Rate: a.Rate}, sent, now)
 	}
-	if a.Leaving && !b.announced.leavingObserved {
-		b.announced.leavingObserved = true
+	if a.Leaving && b.announced.leavingSince == clock.Never {
+		b.announced.leavingSince = now
 		logevent.Log(b.d.log, logevent.TargetStatesLeaving, zap.ByteString("request", r.req.RequestID), zap.String("target", r.incarnation.target.ID))
 	}
 }
 
-// observeLimit applies the limit in a response, or its absence. The caller holds b.mu.
-func (b *backend) observeLimit(r *targetRequest, a platform.Announcement, sent, now clock.Time) {
+// adoptStatement applies what the entry of a request knows of the target from a response
+// that an earlier process of this daemon has forwarded. The responses that this process
+// receives itself are newer.
+func (b *backend) adoptStatement(req *wire.Request) {
+	value := statementField(req.Headers)
+	if value == nil {
+		return
+	}
+	now := clock.Now()
+	s, err := decodeStatement(value, now)
+	if err != nil {
+		b.d.metrics.count(metricAnnouncementsIgnored)
+		return // of another version of the daemon; the response to this request tells what holds
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if current := b.incarnation.Load(); b.announced.answered || current == nil || current.target != s.target {
+		return
+	}
+	if s.limited {
+		b.observeLimit(req.RequestID, ratelimit.Stated{Limited: true, Rate: s.rate}, clock.Never, now)
+	}
+}
+
+// statement returns what the local target has stated about itself. The daemon must know the
+// target.
+func (b *backend) statement() targetStatement {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return targetStatement{target: b.incarnation.Load().target, limited: b.announced.limit.Limited, rate: b.announced.limit.Rate, leavingSince: b.announced.leavingSince}
+}
+
+// observeLimit applies the limit in the response to a request, or its absence, and paces
+// the requests to the target by it. The caller holds b.mu.
+func (b *backend) observeLimit(requestID []byte, stated ratelimit.Stated, sent, now clock.Time) {
 	s := &b.announced
 	old := s.limit
-	if !s.limit.Observe(a.Limited, a.Rate, sent, now) {
+	if !s.limit.Observe(stated.Limited, stated.Rate, sent, now) {
 		return
 	}
+	if s.limit.Limited {
+		b.applyDecisions(b.queue.SetRateLimit(s.limit.Rate, now))
+	} else {
+		b.applyDecisions(b.queue.RemoveRateLimit(now))
+	}
+	b.scheduleAdvance(now)
 	if old.Limited && s.limit.Limited && now.Before(s.nextChangeLog) {
 		return
 	}
 	s.nextChangeLog = now.Add(announcementLogInterval)
-	fields := []zap.Field{zap.ByteString("request", r.req.RequestID), zap.String("target", r.incarnation.target.ID), zap.Bool("limited", s.limit.Limited)}
+	fields := []zap.Field{zap.ByteString("request", requestID), zap.String("target", b.incarnation.Load().target.ID), zap.Bool("limited", s.limit.Limited)}
 	if s.limit.Limited {
 		fields = append(fields, zap.Float64("per_second", s.limit.Rate))
 	}
@@ -80,9 +122,23 @@
 	logevent.Log(b.d.log, logevent.AnnouncementIgnored, zap.ByteString("request", r.req.RequestID), zap.String("target", r.incarnation.target.ID), zap.Error(err))
 }
 
-// statedLimit returns the limit that the target has stated, if there is one.
-func (b *backend) statedLimit() ratelimit.Stated {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.announced.limit
+// scheduleAdvance arranges that the queue is advanced when the rate limit lets the next
+// waiting request start. The caller holds b.mu.
+func (b *backend) scheduleAdvance(now clock.Time) {
+	wait, ok := b.queue.NextStart(now)
+	if !ok || b.advanceScheduled {
+		return
+	}
+	b.advanceScheduled = true
+	time.AfterFunc(max(wait, minAdvanceWait), func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.advanceScheduled = false
+		now := clock.Now()
+		b.applyDecisions(b.queue.Advance(now))
+		b.scheduleAdvance(now)
+	})
 }
+
+// minAdvanceWait bounds the rate of advances by scheduleAdvance.
+const minAdvanceWait = time.Millisecond
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -73,7 +73,8 @@
 	nextID  uint64
 	tickets map[uint64]*ticket // of waiting requests, by item ID
 
-	announced announcementState
+	announced        announcementState
+	advanceScheduled bool // a timer of scheduleAdvance runs
 }
 
 // ticket holds the queue's decision on one request.
@@ -142,21 +143,27 @@
 }
 
 // load returns the load of the target, as reported to other daemons. Responses that wait
-// for the link count as waiting requests.
+// for the link count as waiting requests, and slots that a rate limit keeps empty as
+// running ones.
 func (b *backend) load() fleet.Load {
+	now := clock.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	running, waiting, limit := b.queue.Load()
+	_, waiting, _ := b.queue.Load()
+	occupied, slots := b.queue.Occupancy(now)
 	latencyRatio, failureRatio := b.queue.TargetStats()
-	return fleet.Load{Running: running, Waiting: waiting + b.d.egress.Transfers(), Limit: limit, LatencyRatio: latencyRatio, FailureRatio: failureRatio, OfferedRatio: b.queue.OfferedLoad(clock.Now())}
+	return fleet.Load{
+		Running: occupied, Waiting: waiting + b.d.egress.Transfers(), Limit: slots, LatencyRatio: latencyRatio, FailureRatio: failureRatio,
+		OfferedRatio: b.queue.OfferedLoad(now), RateLimited: b.announced.limit.Limited, RateLimit: b.announced.limit.Rate,
+	}
 }
 
-// inFlight returns the number of requests that run or wait at the target.
-func (b *backend) inFlight() int {
+// requests returns the numbers of requests that run at the target and wait for it, and the
+// largest number that runs concurrently.
+func (b *backend) requests() (running, waiting, limit int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	running, waiting, _ := b.queue.Load()
-	return running + waiting
+	return b.queue.Load()
 }
 
 // canceler cancels a request whose caller has disconnected. Its methods may be called at
@@ -190,6 +197,7 @@
 // zero for a request that arrived on this instance.
 func (b *backend) serve(req *wire.Request, resp *wire.Response, c *canceler, link workqueue.Link) {
 	now := clock.Now()
+	b.adoptStatement(req)
 	if req.Keyed {
 		b.keyLoads.count(uint32(req.Point), now)
 	}
@@ -224,6 +232,7 @@
 	}
 	t.done = make(chan struct{})
 	b.tickets[t.id] = t
+	b.scheduleAdvance(clock.Now())
 	b.mu.Unlock()
 	if !c.setOnCancel(func() { b.removeWaiting(t) }) {
 		b.removeWaiting(t)
@@ -244,7 +253,9 @@
 			return
 		case <-timer.C:
 			b.mu.Lock()
-			b.applyDecisions(b.queue.Advance(clock.Now()))
+			now := clock.Now()
+			b.applyDecisions(b.queue.Advance(now))
+			b.scheduleAdvance(now)
 			b.mu.Unlock()
 			timer.Reset(time.Millisecond)
 		}
@@ -287,7 +298,9 @@
 	if completion == workqueue.Answered {
 		b.queue.ObserveResponse(item.Class, bytes)
 	}
-	b.applyDecisions(b.queue.Finish(item.ID, completion, took, clock.Now()))
+	now := clock.Now()
+	b.applyDecisions(b.queue.Finish(item.ID, completion, took, now))
+	b.scheduleAdvance(now)
 }
 
 // close refuses the waiting requests and all later ones.
--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -54,6 +54,7 @@
 	owner           ident.Instance // owner of the key at the last attempt
 	budgetedTargets int            // value of resends.Reached for which the retry budget was last charged
 	lastTarget      *targetView
+	callerHeaders   int // length of req.Headers without fields of this daemon's own
 }
 
 func newCallerRequest(in *ingress, ctx *fasthttp.RequestCtx) *callerRequest {
@@ -135,11 +136,12 @@
 	}
 	named := httpfield.Value(h, fasthttp.HeaderConnection)
 	for name, value := range h.All() {
-		if singleHop(name) || httpfield.ListedInConnection(named, name) || platform.IsDaemonHeader(string(name)) {
+		if singleHop(name) || isStatementHeader(name) || httpfield.ListedInConnection(named, name) || platform.IsDaemonHeader(string(name)) {
 			continue
 		}
 		f.req.Headers = append(f.req.Headers, wire.Header{Name: name, Value: value})
 	}
+	f.callerHeaders = len(f.req.Headers)
 }
 
 // singleHop reports whether a header field applies to one connection only.
@@ -227,6 +229,7 @@
 		stop()
 		return f.attemptResult()
 	}
+	f.addStatement(t)
 	sent, err := f.ingress.d.peerLinks.Do(f.ctx, t.addr, &f.req, &f.resp)
 	if err != nil {
 		t.load.inFlight.Add(-1)
@@ -241,9 +244,20 @@
 	}
 	t.load.inFlight.Store(int64(f.resp.InFlight))
 	t.load.limit.Store(int64(f.resp.Capacity))
+	if f.resp.Kind == outcome.Done {
+		t.load.observeStatement(f.resp.Headers, clock.Now())
+	}
 	return f.attemptResult()
 }
 
+// addStatement adds to the request what the target has stated to this daemon.
+func (f *callerRequest) addStatement(t *targetView) {
+	f.req.Headers = f.req.Headers[:f.callerHeaders]
+	if s := t.load.stated.Load(); s != nil && s.target == t.target && len(f.req.Headers) < wire.MaxHeaders {
+		f.req.Headers = append(f.req.Headers, wire.Header{Name: statementHeader, Value: s.encode(clock.Now())})
+	}
+}
+
 // abortedResult returns the result of a request that ended because its caller
 // disconnected or its deadline passed.
 func (f *callerRequest) abortedResult(cause error, sent bool) outcome.Result {
--- a/sidecar/caller_request_answer.go
+++ b/sidecar/caller_request_answer.go
@@ -18,6 +18,9 @@
 		status = int(f.resp.Status)
 		out.SetStatusCode(status)
 		for i := range f.resp.Headers {
+			if isStatementHeader(f.resp.Headers[i].Name) {
+				continue
+			}
 			out.Header.AddBytesKV(f.resp.Headers[i].Name, f.resp.Headers[i].Value)
 		}
 		out.SetBody(f.resp.Body)
--- a/sidecar/control_plan.go
+++ b/sidecar/control_plan.go
@@ -58,9 +58,13 @@
 }
 
 func candidate(m *fleet.Member, load *fleet.Load, suspected, responded bool) ownertable.Candidate {
+	slots := m.Slots
+	if load.RateLimited {
+		slots = min(slots, load.Limit) // it runs no more at a time, so more keys would not be served
+	}
 	return ownertable.Candidate{
 		Owner: ownertable.Owner{Instance: ident.Instance(m.Instance), Target: ownertable.Target{ID: m.TargetID, StartTime: m.TargetStartMS}},
-		Slots: m.Slots, Load: load.OfferedRatio, LatencyRatio: load.LatencyRatio, Ready: m.State == fleet.TargetReady, Ended: m.State == fleet.TargetEnded, Suspected: suspected, Responded: responded,
+		Slots: slots, Load: load.OfferedRatio, LatencyRatio: load.LatencyRatio, Ready: m.State == fleet.TargetReady, Ended: m.State == fleet.TargetEnded, Suspected: suspected, Responded: responded,
 	}
 }
 
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -60,6 +60,8 @@
 	metricNoGrants     = "parsley_heartbeats_without_grants_total"
 	// metricTargetRequests counts attempts to send a request to the target.
 	metricTargetRequests = "parsley_target_requests_total"
+	// metricRateRefused counts requests that were refused because of the target's rate limit.
+	metricRateRefused = "parsley_target_rate_refused_total"
 	// metricAnnouncementsIgnored counts responses of the target in which a statement about
 	// itself can't be read.
 	metricAnnouncementsIgnored = "parsley_target_announcements_ignored_total"
@@ -83,16 +85,16 @@
 	gauge("parsley_configuration_age_seconds", func() float64 { return d.control.configurationAge(clock.Now()).Seconds() })
 	gauge("parsley_daemons", func() float64 { return float64(d.control.view.Load().daemons) })
 	gauge("parsley_callers_in_flight", func() float64 { return float64(d.ingress.inFlight()) })
-	gauge("parsley_target_running", func() float64 { return float64(d.backend.load().Running) })
+	gauge("parsley_target_running", func() float64 { running, _, _ := d.backend.requests(); return float64(running) })
 	gauge("parsley_target_waiting", func() float64 { return float64(d.backend.load().Waiting) })
-	gauge("parsley_target_limit", func() float64 { return float64(d.backend.load().Limit) })
+	gauge("parsley_target_limit", func() float64 { _, _, limit := d.backend.requests(); return float64(limit) })
 	gauge("parsley_target_rate_limited", func() float64 {
-		if d.backend.statedLimit().Limited {
+		if d.backend.load().RateLimited {
 			return 1
 		}
 		return 0
 	})
-	gauge("parsley_target_rate_limit", func() float64 { return d.backend.statedLimit().Rate })
+	gauge("parsley_target_rate_limit", func() float64 { return d.backend.load().RateLimit })
 	gauge("parsley_target_offered_ratio", func() float64 { return d.backend.load().OfferedRatio })
 	gauge("parsley_egress_backlog_seconds", func() float64 { return d.egress.Backlog().Seconds() })
 	gauge("parsley_egress_transfers", func() float64 { return float64(d.egress.Transfers()) })
--- a/sidecar/operator.go
+++ b/sidecar/operator.go
@@ -177,12 +177,24 @@
 	if c.routes != nil && c.newestConfig > c.configVersion() {
 		list = append(list, fmt.Sprintf("another daemon has configuration %d", c.newestConfig))
 	}
+	if load := c.d.backend.load(); load.RateLimited {
+		list = append(list, limitWarning(c.self.TargetID, c.self.Service, load.RateLimit))
+	}
+	for _, p := range c.dir.Peers() {
+		if p.Load.RateLimited {
+			list = append(list, limitWarning(p.Member.TargetID, p.Member.Service, p.Load.RateLimit))
+		}
+	}
 	if c.keyed() && c.agent.LeaseLeft(c.otherMembers(), now) <= 0 {
 		list = append(list, "the lease is not confirmed, so the target is granted no keys")
 	}
 	return list
 }
 
+func limitWarning(target, service string, perSecond float64) string {
+	return fmt.Sprintf("target %s of %s states that it accepts %v requests a second", target, service, perSecond)
+}
+
 // explain returns the owner of a key and, if the key is not served, the reason.
 func (c *control) explain(svc ident.Service, key uint32) (*admin.Explanation, error) {
 	if c.routes == nil {
--- a/sidecar/target_request.go
+++ b/sidecar/target_request.go
@@ -54,6 +54,9 @@
 		switch {
 		case r.b.closing.Load():
 			reason = outcome.Draining
+		case t.refusal.RateLimited:
+			reason = outcome.RateLimited
+			r.b.d.metrics.count(metricRateRefused)
 		case t.refusal.Late:
 			reason = outcome.DeadlineExceeded
 		}
@@ -119,7 +122,7 @@
 		return workqueue.NotSent
 	}
 	sentAt := clock.Now()
-	r.b.d.metrics.count(metricTargetRequests)
+	r.b.d.metrics.count(metricTargetRequests) // also those that the target refuses
 	sent, err := r.incarnation.client.Do(&r.call)
 	r.cancel.setOnCancel(nil)
 	if err != nil {
@@ -127,7 +130,9 @@
 	}
 	r.b.observeAnnouncement(r, sentAt)
 	completion := r.handleResponse()
-	if r.resp.Kind != outcome.Done {
+	if r.resp.Kind == outcome.Done {
+		r.addStatement()
+	} else {
 		r.call.Release()
 	}
 	return completion
@@ -152,6 +157,9 @@
 	h.SetRequestURIBytes(r.req.URI)
 	for i := range r.req.Headers {
 		f := &r.req.Headers[i]
+		if isStatementHeader(f.Name) {
+			continue
+		}
 		if string(f.Name) == fasthttp.HeaderHost {
 			h.SetHostBytes(f.Value)
 			continue
@@ -188,6 +196,16 @@
 	return workqueue.Failed
 }
 
+// addStatement adds to the response what the target has stated about itself.
+func (r *targetRequest) addStatement() {
+	if len(r.resp.Headers) >= wire.MaxHeaders {
+		return
+	}
+	if s := r.b.statement(); !s.empty() && s.target == r.incarnation.target {
+		r.resp.Headers = append(r.resp.Headers, wire.Header{Name: statementHeader, Value: s.encode(clock.Now())})
+	}
+}
+
 // handleResponse fills resp from the response of the target.
 func (r *targetRequest) handleResponse() workqueue.Completion {
 	resp := &r.httpResp
@@ -204,7 +222,7 @@
 	}
 	r.resp.Kind, r.resp.Status = outcome.Done, uint16(resp.StatusCode())
 	for name, value := range resp.Header.All() {
-		if !singleHop(name) {
+		if !singleHop(name) && !isStatementHeader(name) {
 			r.resp.Headers = append(r.resp.Headers, wire.Header{Name: name, Value: value})
 		}
 	}
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -3,10 +3,12 @@
 import (
 	"sync/atomic"
 
+	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/fleet"
 	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/ownertable"
 	"github.com/parsleystack/parsleystack/routetable"
+	"github.com/parsleystack/parsleystack/wire"
 )
 
 // view is the state by which requests are routed. It is immutable except for the
@@ -46,6 +48,9 @@
 	limit        atomic.Int64
 	latencyRatio atomic.Uint64 // in units of 1/ratioScale
 	failureRatio atomic.Uint64 // in units of 1/ratioScale
+	// stated is what the target has stated in the newest response that this daemon passed
+	// on; nil if nothing. It may be of an earlier target of the instance.
+	stated atomic.Pointer[targetStatement]
 }
 
 // ready reports whether callers can be served.
@@ -61,6 +66,36 @@
 	l.failureRatio.Store(uint64(load.FailureRatio * ratioScale))
 }
 
+// observeStatement records what the target states in a response that is passed on to a
+// caller, or that it states nothing any more. A departure is final.
+func (l *targetLoad) observeStatement(headers []wire.Header, now clock.Time) {
+	value := statementField(headers)
+	for {
+		old := l.stated.Load()
+		if value == nil && (old == nil || !old.limited) {
+			return
+		}
+		next := new(targetStatement)
+		if value != nil {
+			var err error
+			if next, err = decodeStatement(value, now); err != nil {
+				return // of another version of the daemon
+			}
+		} else {
+			next.target = old.target
+		}
+		if old != nil && old.target == next.target && old.leavingSince != clock.Never {
+			next.leavingSince = old.leavingSince
+		}
+		if next.empty() {
+			next = nil
+		}
+		if l.stated.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
 // owner returns the target that owns a key, or nil if it is not known or was
 // replaced.
 func (s *serviceView) owner(key uint32) *targetView {
--- a/workqueue/estimator.go
+++ b/workqueue/estimator.go
@@ -42,13 +42,13 @@
 	arrivals      []arrivalRate      // in ascending order of urgency
 }
 
-// arrivalRate is the work that arrives with one urgency, in seconds of service time
-// per second: a moving average in which the weight of an arrival halves every
-// arrivalHalfLife.
+// arrivalRate is what arrives with one urgency: moving averages in which the weight of
+// an arrival halves every arrivalHalfLife.
 type arrivalRate struct {
-	urgency urgency
-	rate    float64
-	at      clock.Time
+	urgency  urgency
+	rate     float64 // work, in seconds of service time per second
+	requests float64 // per second
+	at       clock.Time
 }
 
 func newEstimator() estimator {
@@ -58,7 +58,9 @@
 func (e *estimator) observeArrival(item *Item, now clock.Time) {
 	a := e.arrivalRate(item.urgency(), now)
 	a.decay(now)
-	a.rate += e.meanTime(item).Seconds() * math.Ln2 / arrivalHalfLife.Seconds()
+	weight := math.Ln2 / arrivalHalfLife.Seconds()
+	a.rate += e.meanTime(item).Seconds() * weight
+	a.requests += weight
 }
 
 // arrivalRate returns the rate of an urgency, which it adds at its first arrival.
@@ -72,7 +74,9 @@
 
 func (a *arrivalRate) decay(now clock.Time) {
 	if elapsed := now.Sub(a.at); elapsed > 0 {
-		a.rate *= math.Exp2(-elapsed.Seconds() / arrivalHalfLife.Seconds())
+		factor := math.Exp2(-elapsed.Seconds() / arrivalHalfLife.Seconds())
+		a.rate *= factor
+		a.requests *= factor
 		a.at = now
 	}
 }
@@ -87,6 +91,43 @@
 	return sum
 }
 
+// offeredRequests returns the arriving requests a second, as of the last offeredWork.
+func (e *estimator) offeredRequests() float64 {
+	sum := 0.0
+	for i := range e.arrivals {
+		sum += e.arrivals[i].requests
+	}
+	return sum
+}
+
+// meanWork returns the mean service time of the arriving requests, in seconds; 0 if none
+// have arrived.
+func (e *estimator) meanWork(now clock.Time) float64 {
+	work, requests := e.offeredWork(now), e.offeredRequests()
+	if requests <= 0 {
+		return 0
+	}
+	return work / requests
+}
+
+// pacedWaitFactor returns the factor by which more urgent requests, which run first,
+// extend the wait of an item for a rate limit.
+func (e *estimator) pacedWaitFactor(item *Item, rate float64) float64 {
+	available := 1 - e.moreUrgentRequests(item.urgency())/rate
+	return min(1/max(available, 1/maxWaitFactor), maxWaitFactor)
+}
+
+// moreUrgentRequests returns the arriving requests a second that are more urgent than u.
+func (e *estimator) moreUrgentRequests(u urgency) float64 {
+	sum := 0.0
+	for i := range e.arrivals {
+		if e.arrivals[i].urgency > u {
+			sum += e.arrivals[i].requests
+		}
+	}
+	return sum
+}
+
 // waitFactor returns the factor by which more urgent requests, which run first, extend
 // the wait of an item at a target that runs limit requests concurrently.
 func (e *estimator) waitFactor(item *Item, limit int) float64 {
--- a/workqueue/item.go
+++ b/workqueue/item.go
@@ -75,6 +75,8 @@
 	ID         uint64
 	RetryAfter time.Duration
 	Late       bool // the item cannot meet its deadline
+	// RateLimited is set if the rate limit of the target is why the item would wait too long.
+	RateLimited bool
 }
 
 // Completion says how an item that was started ended.
--- a/workqueue/queue.go
+++ b/workqueue/queue.go
@@ -1,10 +1,12 @@
 package workqueue
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/ratelimit"
 )
 
 const (
@@ -32,9 +34,12 @@
 	// reserveMargin is the ratio of the slots that are reserved for more urgent items
 	// to those that they occupy on average.
 	reserveMargin = 1.0
-	// maxReservedShare is the largest share of the slots that is reserved, so that
-	// no class starves.
+	// maxReservedShare is the largest share of the slots, or of the requests that a rate
+	// limit lets through at once, that is reserved, so that no class starves.
 	maxReservedShare = 0.75
+	// pacedReserveTime is the time whose more urgent arrivals are reserved for in a rate
+	// limit.
+	pacedReserveTime = 300 * time.Millisecond
 )
 
 // running is an item at the target.
@@ -48,6 +53,7 @@
 	slots           int
 	limit           int
 	limitChangedAt  clock.Time
+	pacer           ratelimit.Pacer // by the requests a second that the target accepts
 	estimator       estimator
 	running         []running
 	waiting         []Item // sorted by the order in which they run
@@ -85,9 +91,56 @@
 	return q.estimator.expectedTime(item, q.estimator.slowdown(q.running, now))
 }
 
-// OfferedLoad returns the arriving work as a share of what the slots can run.
+// OfferedLoad returns the arriving work as a share of what the slots can run or, if that
+// is more, the arriving requests as a share of the target's rate limit.
 func (q *Queue) OfferedLoad(now clock.Time) float64 {
-	return q.estimator.offeredWork(now) / float64(q.slots)
+	load := q.estimator.offeredWork(now) / float64(q.slots)
+	if q.pacer.Limited() {
+		load = max(load, q.estimator.offeredRequests()/q.pacer.Rate())
+	}
+	return load
+}
+
+// SetRateLimit sets the number of requests a second that the target accepts. It returns
+// the items to start and to refuse now, as Finish does.
+func (q *Queue) SetRateLimit(perSecond float64, now clock.Time) ([]uint64, []Refusal) {
+	q.pacer.SetLimit(perSecond, now)
+	return q.advance(now)
+}
+
+// RemoveRateLimit withdraws the limit of SetRateLimit. It returns the items to start and
+// to refuse now, as Finish does.
+func (q *Queue) RemoveRateLimit(now clock.Time) ([]uint64, []Refusal) {
+	q.pacer.Unlimit()
+	return q.advance(now)
+}
+
+// RateLimited reports whether the target has a rate limit.
+func (q *Queue) RateLimited() bool { return q.pacer.Limited() }
+
+// NextStart returns the time until the rate limit lets the next waiting item start, and
+// false if no item waits for that. Advance must be called then.
+func (q *Queue) NextStart(now clock.Time) (time.Duration, bool) {
+	if len(q.waiting) == 0 {
+		return 0, false
+	}
+	wait := q.pacedWait(&q.waiting[0], 0, now)
+	return wait, wait > 0
+}
+
+// Occupancy returns the load of the target for a comparison with others: the running items
+// and the number that it can run concurrently, which by Little's law is its rate limit
+// times the mean service time. While the limit lets no item start, all slots count as
+// occupied.
+func (q *Queue) Occupancy(now clock.Time) (occupied, slots int) {
+	if !q.pacer.Limited() {
+		return len(q.running), q.limit
+	}
+	slots = min(q.limit, max(int(math.Ceil(q.pacer.Rate()*q.estimator.meanWork(now))), 1))
+	if q.pacer.Ready(now) {
+		return len(q.running), slots
+	}
+	return max(len(q.running), slots), slots
 }
 
 // Arrive decides whether a new item starts, waits or is refused. It never
@@ -99,7 +152,7 @@
 	}
 	slowdown := q.estimator.slowdown(q.running, now)
 	took := q.estimator.expectedTime(&item, slowdown)
-	if q.mayStart(&item) && (len(q.waiting) == 0 || item.before(&q.waiting[0])) {
+	if q.pacedWait(&item, 0, now) == 0 && q.mayStart(&item) && (len(q.waiting) == 0 || item.before(&q.waiting[0])) {
 		// An idle target receives the request even if it is expected to be late,
 		// so that a recovered target is detected.
 		if now.Add(took).Sub(item.Deadline) > 0 && len(q.running) > 0 {
@@ -111,14 +164,16 @@
 		q.start(item, now)
 		return Start, Refusal{}
 	}
-	wait := q.expectedWait(&item, slowdown)
+	wait, paced := q.expectedWait(&item, slowdown), q.expectedPacedWait(&item, now)
+	rateLimited := paced > wait
+	wait = max(wait, paced)
 	done := q.delivered(&item, now.Add(wait+took), now)
 	late := q.delivered(&item, now.Add(time.Duration(waitMargin*float64(wait)+runMargin*float64(took))), now).Sub(item.Objective)
 	switch {
 	case len(q.waiting) >= maxWaiting, done.Add(replyMargin).Sub(item.Deadline) > 0:
-		return Refuse, Refusal{ID: item.ID, RetryAfter: q.retryAfter(&item, wait), Late: true}
+		return Refuse, Refusal{ID: item.ID, RetryAfter: q.retryAfter(&item, wait), Late: true, RateLimited: rateLimited}
 	case late > 0 && now.Before(item.Objective):
-		return Refuse, Refusal{ID: item.ID, RetryAfter: q.retryAfter(&item, late)}
+		return Refuse, Refusal{ID: item.ID, RetryAfter: q.retryAfter(&item, late), RateLimited: rateLimited}
 	}
 	index, _ := slices.BinarySearchFunc(q.waiting, item, func(x, y Item) int {
 		if x.before(&y) {
@@ -138,6 +193,9 @@
 	if i >= 0 {
 		q.estimator.observeEnd(&q.running[i].item, completion, took)
 		q.running = slices.Delete(q.running, i, i+1)
+		if completion == NotSent {
+			q.pacer.Return(now)
+		}
 		q.adjustLimit(completion, now)
 	}
 	return q.advance(now)
@@ -183,7 +241,7 @@
 func (q *Queue) advance(now clock.Time) ([]uint64, []Refusal) {
 	q.started, q.refused = q.started[:0], q.refused[:0]
 	q.refuseUnmeetable(now)
-	for len(q.waiting) > 0 && q.mayStart(&q.waiting[0]) {
+	for len(q.waiting) > 0 && q.pacedWait(&q.waiting[0], 0, now) == 0 && q.mayStart(&q.waiting[0]) {
 		i := q.nextIndex()
 		if !q.mayStart(&q.waiting[i]) {
 			i = 0
@@ -197,13 +255,16 @@
 }
 
 // refuseUnmeetable refuses waiting items that would miss their deadline even if they
-// started now.
+// started now, or as soon as the rate limit lets them.
 func (q *Queue) refuseUnmeetable(now clock.Time) {
+	kept := 0
 	q.waiting = slices.DeleteFunc(q.waiting, func(x Item) bool {
-		if now.Add(q.estimator.meanTime(&x)).Sub(x.Deadline) <= 0 {
+		paced := q.pacedWait(&x, kept, now)
+		if now.Add(paced+q.estimator.meanTime(&x)).Sub(x.Deadline) <= 0 {
+			kept++
 			return false
 		}
-		q.refused = append(q.refused, Refusal{ID: x.ID, RetryAfter: q.retryAfter(&x, minRetryAfter), Late: true})
+		q.refused = append(q.refused, Refusal{ID: x.ID, RetryAfter: q.retryAfter(&x, max(paced, minRetryAfter)), Late: true, RateLimited: paced > 0})
 		return true
 	})
 }
@@ -259,6 +320,7 @@
 }
 
 func (q *Queue) start(item Item, now clock.Time) {
+	q.pacer.Take(now)
 	q.running = append(q.running, running{item: item, since: now})
 }
 
@@ -294,6 +356,33 @@
 	return time.Duration(min(wait, maxWaitSeconds) * float64(time.Second))
 }
 
+// pacedWait returns the time until the rate limit lets an item start after some others, if
+// nothing arrives meanwhile. A part of the requests that may be sent at once is reserved for
+// more urgent arrivals.
+func (q *Queue) pacedWait(item *Item, ahead int, now clock.Time) time.Duration {
+	if !q.pacer.Limited() {
+		return 0
+	}
+	reserved := min(q.estimator.moreUrgentRequests(item.urgency())*pacedReserveTime.Seconds(), (q.pacer.Burst()-1)*maxReservedShare)
+	return q.pacer.Wait(float64(ahead+1)+reserved, now)
+}
+
+// expectedPacedWait estimates the time until the rate limit lets an item start that arrives
+// now.
+func (q *Queue) expectedPacedWait(item *Item, now clock.Time) time.Duration {
+	ahead := 0
+	for i := range q.waiting {
+		if q.waiting[i].before(item) {
+			ahead++
+		}
+	}
+	wait := q.pacedWait(item, ahead, now).Seconds()
+	if wait > 0 {
+		wait *= q.estimator.pacedWaitFactor(item, q.pacer.Rate())
+	}
+	return time.Duration(min(wait, maxWaitSeconds) * float64(time.Second))
+}
+
 const (
 	// minSeconds and maxWaitSeconds keep the estimates finite.
 	minSeconds     = 0.001
--- a/workqueue/replay_test.go
+++ b/workqueue/replay_test.go
@@ -28,13 +28,15 @@
 
 func (t classCounts) served() float64 { return float64(t.inTime+t.late) / float64(t.arrived) }
 
-// replayEvent is an arrival, or the end of an item at the target.
+// replayEvent is an arrival, the end of an item at the target, or the time at which the
+// rate limit lets the next item start.
 type replayEvent struct {
-	at   clock.Time
-	kind int
-	id   uint64
-	took time.Duration
-	ends bool
+	at       clock.Time
+	kind     int
+	id       uint64
+	took     time.Duration
+	ends     bool
+	advances bool
 }
 
 type eventHeap []replayEvent
@@ -57,14 +59,20 @@
 	items     map[uint64]replayEvent
 	countFrom clock.Time // arrivals before this time are not counted
 	counts    []classCounts
+	starts    []clock.Time // of all items
 }
 
 // replay simulates a load for the given length. The first quarter is a warm-up
 // for the estimates of the queue and is not counted.
 func replay(slots int, length time.Duration, kinds ...workload) []classCounts {
+	return replayOn(New(slots), length, kinds...).counts
+}
+
+// replayOn is replay on a queue. It returns the simulator after the load.
+func replayOn(queue *Queue, length time.Duration, kinds ...workload) *simulator {
 	rng := rand.New(rand.NewPCG(7, 9))
-	start := clock.Time(time.Hour)
-	p := &simulator{kinds: kinds, queue: New(slots), items: make(map[uint64]replayEvent), countFrom: start.Add(length / 4), counts: make([]classCounts, len(kinds))}
+	start := replayStart
+	p := &simulator{kinds: kinds, queue: queue, items: make(map[uint64]replayEvent), countFrom: start.Add(length / 4), counts: make([]classCounts, len(kinds))}
 	for k := range kinds {
 		for at := start; at < start.Add(length); {
 			at = at.Add(time.Duration(rng.ExpFloat64() / kinds[k].perSecond * float64(time.Second)))
@@ -72,17 +80,40 @@
 		}
 	}
 	for next := uint64(1); len(p.events) > 0; next++ {
-		if e := heap.Pop(&p.events).(replayEvent); e.ends {
+		e := heap.Pop(&p.events).(replayEvent)
+		switch {
+		case e.advances:
+			p.decide(e.at)(p.queue.Advance(e.at))
+		case e.ends:
 			p.end(e)
-		} else {
+		default:
 			p.arrive(next, e)
 		}
+		if wait, ok := p.queue.NextStart(e.at); ok {
+			heap.Push(&p.events, replayEvent{at: e.at.Add(wait + time.Microsecond), advances: true})
+		}
+	}
+	return p
+}
+
+// replayStart is when a simulated load begins.
+const replayStart = clock.Time(time.Hour)
+
+// decide returns a function that applies decisions of the queue.
+func (p *simulator) decide(now clock.Time) func(started []uint64, refused []Refusal) {
+	return func(started []uint64, refused []Refusal) {
+		for _, id := range started {
+			p.begin(id, now)
+		}
+		for _, r := range refused {
+			p.refuse(r.ID)
+		}
 	}
-	return p.counts
 }
 
 func (p *simulator) begin(id uint64, now clock.Time) {
 	e := p.items[id]
+	p.starts = append(p.starts, now)
 	heap.Push(&p.events, replayEvent{at: now.Add(e.took), kind: e.kind, id: id, took: e.took, ends: true})
 }
 
@@ -100,13 +131,7 @@
 			p.counts[e.kind].late++
 		}
 	}
-	started, refused := p.queue.Finish(e.id, Answered, e.took, e.at)
-	for _, id := range started {
-		p.begin(id, e.at)
-	}
-	for _, r := range refused {
-		p.refuse(r.ID)
-	}
+	p.decide(e.at)(p.queue.Finish(e.id, Answered, e.took, e.at))
 }
 
 func (p *simulator) arrive(id uint64, e replayEvent) {
