Targets that state their departure in responses get no new requests

So a restarted daemon, whose target's heartbeats still say ready, refuses the first request already. Refusal does not wait for the control goroutine: a test run showed one request let through in between.

--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -47,7 +47,7 @@
 	GrantsNotRenewed    = define(7309, "grants not renewed", warning, "A heartbeat was answered without grants, since the lease of the daemon is not confirmed.", "Look for events 7101 (store unavailable) and 7302 (daemon suspected) before this line.")
 
 	TargetLimitChanged  = define(7313, "target limit changed", info, "A response of the target states a limit of requests a second, another one than before, or none any more.", "")
-	TargetStatesLeaving = define(7314, "target states its departure", info, "A response of the target states that it leaves.", "")
+	TargetStatesLeaving = define(7314, "target states its departure", info, "A response of the target states that it leaves; it gets no new requests, and its keys move.", "")
 	AnnouncementIgnored = define(7315, "announcement ignored", warning, "A response of the target has a limit or a departure that can't be read; what it stated before stays in force.", "Correct the target; the error has the value.")
 
 	TableProposed       = define(7401, "assignment table proposed", info, "This daemon appends a new assignment table.", "")
--- a/sidecar/announcement.go
+++ b/sidecar/announcement.go
@@ -7,6 +7,7 @@
 
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/logevent"
+	"github.com/parsleystack/parsleystack/ownertable"
 	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/ratelimit"
 	"github.com/parsleystack/parsleystack/wire"
@@ -33,10 +34,18 @@
 	}
 	a, err := platform.ReadAnnouncement(r.httpResp.Header.All())
 	now := clock.Now()
+	if b.applyAnnouncement(r, a, err, sent, now) {
+		b.leavingStated(r.req.RequestID, r.incarnation.target, now)
+	}
+}
+
+// applyAnnouncement applies a response's announcement, which was read with the given error.
+// It reports whether the response is the first that states the target's departure.
+func (b *backend) applyAnnouncement(r *targetRequest, a platform.Announcement, err error, sent, now clock.Time) (leaves bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.incarnation.Load().target != r.incarnation.target {
-		return
+		return false
 	}
 	b.announced.answered = true
 	if err != nil {
@@ -45,15 +54,23 @@
 	if a.Limited || !a.Malformed {
 		b.observeLimit(r.req.RequestID, ratelimit.Stated{Limited: a.Limited, Rate: a.Rate}, sent, now)
 	}
-	if a.Leaving && b.announced.leavingSince == clock.Never {
-		b.announced.leavingSince = now
-		logevent.Log(b.d.log, logevent.TargetStatesLeaving, zap.ByteString("request", r.req.RequestID), zap.String("target", r.incarnation.target.ID))
+	if !a.Leaving || b.announced.leavingSince != clock.Never {
+		return false
 	}
+	b.setLeavingSince(now)
+	return true
+}
+
+// leavingStated makes the target leave that has stated its departure in the response to a
+// request. since is when it was learned of. The caller does not hold b.mu.
+func (b *backend) leavingStated(requestID []byte, t ownertable.Target, since clock.Time) {
+	logevent.Log(b.d.log, logevent.TargetStatesLeaving, zap.ByteString("request", requestID), zap.String("target", t.ID), zap.Duration("ago", clock.Now().Sub(since)))
+	b.d.control.do(func() { b.d.control.targetStatesLeaving(t, since) })
 }
 
 // adoptStatement applies what the entry of a request knows of the target from a response
-// that an earlier process of this daemon has forwarded. The responses that this process
-// receives itself are newer.
+// that an earlier process of this daemon has forwarded. A limit in the responses that this
+// process receives itself is newer; a departure is final.
 func (b *backend) adoptStatement(req *wire.Request) {
 	value := statementField(req.Headers)
 	if value == nil {
@@ -65,14 +82,28 @@
 		b.d.metrics.count(metricAnnouncementsIgnored)
 		return // of another version of the daemon; the response to this request tells what holds
 	}
+	if b.applyStatement(s, req.RequestID, now) {
+		b.leavingStated(req.RequestID, s.target, s.leavingSince)
+	}
+}
+
+// applyStatement applies what the entry of a request knows of the target. It reports whether
+// that the target leaves is new.
+func (b *backend) applyStatement(s *targetStatement, requestID []byte, now clock.Time) (leaves bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if current := b.incarnation.Load(); b.announced.answered || current == nil || current.target != s.target {
-		return
+	if current := b.incarnation.Load(); current == nil || current.target != s.target {
+		return false
+	}
+	if s.limited && !b.announced.answered {
+		b.observeLimit(requestID, ratelimit.Stated{Limited: true, Rate: s.rate}, clock.Never, now)
 	}
-	if s.limited {
-		b.observeLimit(req.RequestID, ratelimit.Stated{Limited: true, Rate: s.rate}, clock.Never, now)
+	if s.leavingSince == clock.Never || b.announced.leavingSince != clock.Never && !s.leavingSince.Before(b.announced.leavingSince) {
+		return false
 	}
+	leaves = b.announced.leavingSince == clock.Never
+	b.setLeavingSince(s.leavingSince)
+	return leaves
 }
 
 // statement returns what the local target has stated about itself. The daemon must know the
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -94,11 +94,13 @@
 // departure, or Never.
 func (b *backend) setTarget(m *fleet.Member, leaving clock.Time) {
 	current := &targetIncarnation{service: ident.Service(m.Service), target: ownertable.Target{ID: m.TargetID, StartTime: m.TargetStartMS}, state: m.State}
-	if leaving != clock.Never {
-		current.refuseFrom = leaving.Add(time.Duration(leavingServeFraction * float64(b.d.settings().DrainTime)))
-	}
+	b.mu.Lock()
 	old := b.incarnation.Load()
 	replaced := old == nil || old.target != current.target
+	if stated := b.announced.leavingSince; !replaced && stated != clock.Never && (leaving == clock.Never || stated.Before(leaving)) {
+		leaving = stated
+	}
+	current.refuseFrom = b.refuseFrom(leaving)
 	if replaced {
 		current.client = target.New(target.Config{
 			Addr: b.d.settings().TargetAddr, MaxConns: m.Slots + spareConns, WarmConns: 1, MaxBody: maxTargetBody, Budget: b.d.budgets.target,
@@ -108,7 +110,6 @@
 		current.client = old.client
 	}
 	b.incarnation.Store(current)
-	b.mu.Lock()
 	if replaced {
 		b.queue = b.queue.ForNewIncarnation(m.Slots)
 		b.announced = announcementState{}
@@ -123,6 +124,27 @@
 	}
 }
 
+// refuseFrom returns the time from which on requests are refused to a target that leaves
+// since a time, or Never.
+func (b *backend) refuseFrom(leaving clock.Time) clock.Time {
+	if leaving == clock.Never {
+		return clock.Never
+	}
+	return leaving.Add(time.Duration(leavingServeFraction * float64(b.d.settings().DrainTime)))
+}
+
+// setLeavingSince records since when the current target leaves by its own statement, so that
+// requests are refused in time even before the control goroutine knows. The caller holds
+// b.mu.
+func (b *backend) setLeavingSince(t clock.Time) {
+	b.announced.leavingSince = t
+	current := *b.incarnation.Load()
+	if from := b.refuseFrom(t); current.refuseFrom == clock.Never || from.Before(current.refuseFrom) {
+		current.refuseFrom = from
+	}
+	b.incarnation.Store(&current)
+}
+
 // setGrant sets the ranges that the current incarnation may serve until a time.
 func (b *backend) setGrant(grants []ownertable.Grant, until clock.Time) {
 	current := b.incarnation.Load()
--- a/sidecar/control_heartbeat.go
+++ b/sidecar/control_heartbeat.go
@@ -243,6 +243,20 @@
 	return heartbeatResponse{status: 200, body: platform.AppendAcknowledgement(nil)}
 }
 
+// targetStatesLeaving handles the departure that the target has stated in a response, since
+// a time. Its heartbeats may not say so yet, or never.
+func (c *control) targetStatesLeaving(t ownertable.Target, since clock.Time) {
+	if t != c.target() || c.heartbeats.leavingSince != clock.Never && !since.Before(c.heartbeats.leavingSince) {
+		return
+	}
+	c.heartbeats.leavingSince = since
+	m := c.self
+	if m.State == fleet.TargetReady {
+		m.State = fleet.TargetLeaving
+	}
+	c.setTarget(m, "response")
+}
+
 // targetRefused handles a refused connection to the target, which then counts as
 // ended. A leaving target may accept no new connections while it still works on its
 // keys, so its shards stay with it until it releases them or its grant expires.
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -96,6 +96,13 @@
 	}
 }
 
+// statesLeaving reports whether the target has stated its departure in a response that
+// this daemon passed on.
+func (l *targetLoad) statesLeaving(t ownertable.Target) bool {
+	s := l.stated.Load()
+	return s != nil && s.target == t && s.leavingSince != clock.Never
+}
+
 // owner returns the target that owns a key, or nil if it is not known or was
 // replaced.
 func (s *serviceView) owner(key uint32) *targetView {
