--- a/cmd/standin-platform-target/main.go
+++ b/cmd/standin-platform-target/main.go
@@ -26,8 +26,13 @@
 	Heartbeat time.Duration `arg:"--heartbeat" default:"870ms"`
 	Work      time.Duration `arg:"--work" default:"20ms" help:"processing time of a request"`
 	Runs      string        `arg:"--runs,required" placeholder:"FILE" help:"file to which each run is appended"`
+	Arrivals  string        `arg:"--arrivals,required" placeholder:"FILE" help:"file to which each request that arrives is appended"`
+	Statement string        `arg:"--statement" placeholder:"FILE" help:"file with what it states about itself, read again every 20 ms"`
 }
 
+// statementInterval is the time between two reads of the statement.
+const statementInterval = 20 * time.Millisecond
+
 func main() {
 	var a args
 	arg.MustParse(&a)
@@ -43,16 +48,43 @@
 		return err
 	}
 	defer func() { _ = file.Close() }() // each line was written on its own
+	arrivals, err := os.OpenFile(a.Arrivals, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = arrivals.Close() }() // as above
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	t := &platformtest.Target{
 		ID: fmt.Sprintf("%s-%d", a.Name, time.Now().UnixNano()), Service: a.Service, Zone: a.Zone, Addr: a.Listen, Control: a.Control, Keyed: a.Keyed,
-		Slots: a.Slots, ProcessingTime: a.Work, HeartbeatInterval: a.Heartbeat, Records: &platformtest.Records{Sink: file},
+		Slots: a.Slots, ProcessingTime: a.Work, HeartbeatInterval: a.Heartbeat, Records: &platformtest.Records{Sink: file, ArrivalSink: arrivals},
 	}
 	if err := t.Start(); err != nil {
 		return err
 	}
+	if a.Statement != "" {
+		followStatement(ctx, t, a.Statement)
+	}
 	<-ctx.Done()
 	t.Stop()
 	return nil
 }
+
+// followStatement makes the target state what a file has, until ctx ends.
+func followStatement(ctx context.Context, t *platformtest.Target, path string) {
+	ticker := time.NewTicker(statementInterval)
+	defer ticker.Stop()
+	for {
+		s, err := platformtest.ReadStatement(path)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "standin-platform-target: statement:", err)
+		} else {
+			t.State(s)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/standin/sidecarsoak/faults.go
+++ b/standin/sidecarsoak/faults.go
@@ -42,6 +42,7 @@
 	daemons []int // all if nil
 	length  time.Duration
 	restart bool // the daemons' processes end
+	pauses  bool // the daemons' processes are stopped for a while
 	begin   func()
 	end     func() // nil if the fault ends by itself
 }
@@ -77,6 +78,11 @@
 		x.end()
 	}
 	disturb(time.Now())
+	if x.restart || x.pauses {
+		for _, i := range x.daemons {
+			f.judge.resume(i)
+		}
+	}
 }
 
 func contains(list []int, x int) bool {
@@ -136,7 +142,7 @@
 	case 9:
 		return fault{name: "SIGTERM", daemons: one, length: graceTime + startTime, restart: true, begin: each(one, signal("daemon", syscall.SIGTERM))}
 	case 10:
-		return fault{name: "SIGSTOP", daemons: some, length: length, begin: each(some, signal("daemon", syscall.SIGSTOP)), end: each(some, signal("daemon", syscall.SIGCONT))}
+		return fault{name: "SIGSTOP", daemons: some, length: length, pauses: true, begin: each(some, signal("daemon", syscall.SIGSTOP)), end: each(some, signal("daemon", syscall.SIGCONT))}
 	}
 	return fault{name: "SIGKILL of the target and SIGHUP", daemons: one, length: startTime, begin: func() { each(one, signal("target", syscall.SIGKILL))(); each(some, signal("daemon", syscall.SIGHUP))() }}
 }
--- a/standin/sidecarsoak/judge.go
+++ b/standin/sidecarsoak/judge.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,6 +14,7 @@
 const (
 	configApplyTime = 2 * time.Second
 	stableWindow    = 3 * time.Second
+	drainTime       = 2 * time.Second
 	rollbackSlack   = 250 * time.Millisecond
 	shownPerRule    = 5 // violations of a rule that are printed
 )
@@ -34,8 +36,9 @@
 	history *history
 
 	mu         sync.Mutex
-	disturbed  []time.Time // by daemon, end of its last disturbance
-	proven     []proof     // by daemon, since its start
+	disturbed  []time.Time         // by daemon, end of its last disturbance
+	proven     []proof             // by daemon, since its start
+	resumed    map[int][]time.Time // by daemon, the ends of its restarts and pauses
 	answers    map[string]observation
 	counts     map[string]int // by outcome
 	violations map[string][]string
@@ -50,7 +53,7 @@
 func newJudge(h *history, daemons int) *judge {
 	return &judge{
 		history: h, disturbed: make([]time.Time, daemons), proven: make([]proof, daemons),
-		answers: make(map[string]observation), counts: make(map[string]int), violations: make(map[string][]string),
+		resumed: make(map[int][]time.Time), answers: make(map[string]observation), counts: make(map[string]int), violations: make(map[string][]string),
 	}
 }
 
@@ -164,6 +167,32 @@
 	j.counts["runs"] = len(runs)
 }
 
+// resume records that a daemon runs again after a restart or a pause.
+func (j *judge) resume(daemon int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.resumed[daemon] = append(j.resumed[daemon], time.Now())
+}
+
+// checkStatements checks that the requests to targets followed what these stated about
+// themselves.
+func (j *judge) checkStatements(arrivals []platformtest.Arrival) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	observations := make([]platformtest.Observation, 0, len(j.answers))
+	for _, o := range j.answers {
+		observations = append(observations, platformtest.Observation{RequestID: o.id, Entry: o.daemon, Sent: o.sent, Ended: o.ended, Answer: o.answer})
+		if (o.answer.Stated != platformtest.Statement{}) {
+			j.counts["answers with statements"]++
+		}
+	}
+	check := platformtest.StatementJudge{StableWindow: stableWindow, DrainTime: drainTime, Restarts: j.resumed}
+	for _, v := range check.Check(arrivals, observations) {
+		rule, _, _ := strings.Cut(v, ":")
+		j.violateLocked(rule, "%s", v)
+	}
+}
+
 // report returns the counts and the violations as text, and the number of violations.
 func (j *judge) report() (text string, violations int) {
 	j.mu.Lock()
--- a/standin/sidecarsoak/soak.go
+++ b/standin/sidecarsoak/soak.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -65,6 +66,10 @@
 		}
 		all.Go(func() { c.probe(load, i, rand.New(rand.NewPCG(o.Seed, uint64(i)<<8+9))) })
 	}
+	all.Go(func() {
+		s := &statements{d: d, random: rand.New(rand.NewPCG(o.Seed, 1)), log: o.Log, start: f.start}
+		s.run(load)
+	})
 	pause(ctx, settleTime)
 	for end := time.Now().Add(o.Length); time.Now().Before(end) && ctx.Err() == nil; {
 		next := time.Now().Add(roundTime)
@@ -85,6 +90,11 @@
 		return 0, err
 	}
 	j.checkRuns(runs)
+	arrivals, err := d.arrivals()
+	if err != nil {
+		return 0, err
+	}
+	j.checkStatements(arrivals)
 	text, violations := j.report()
 	_, _ = fmt.Fprintf(o.Log, "%d versions, %d store calls\n%s", len(h.versions), d.store.AllCalls(), text)
 	return violations, nil
@@ -94,7 +104,8 @@
 // starts its target and its daemon with, and then the file "ready".
 func (d *deployment) writeStartLines() error {
 	for _, n := range d.instances {
-		target := fmt.Sprintf("--name %s --service %s --zone %s --listen %s --control %s --runs %s", n.name, n.service, n.zone, n.addr(targetPort), n.addr(controlPort), filepath.Join(d.dir, n.name+".runs"))
+		target := fmt.Sprintf("--name %s --service %s --zone %s --listen %s --control %s --runs %s --arrivals %s --statement %s", n.name, n.service, n.zone, n.addr(targetPort), n.addr(controlPort),
+			filepath.Join(d.dir, n.name+".runs"), filepath.Join(d.dir, n.name+".arrivals"), d.statementFile(n))
 		if n.service == keyedService {
 			target += " --keyed"
 		}
@@ -127,19 +138,35 @@
 	}
 }
 
+// statementFile is the path of the file with what the target of an instance states.
+func (d *deployment) statementFile(n *instance) string {
+	return filepath.Join(d.dir, n.name+".statement")
+}
+
 // runs reads what all targets have run, without the requests before the load.
 func (d *deployment) runs() ([]platformtest.Run, error) {
-	var all []platformtest.Run
+	all, err := readLines[platformtest.Run](d, ".runs")
+	return slices.DeleteFunc(all, func(r platformtest.Run) bool { return strings.HasPrefix(r.RequestID, "start-") }), err
+}
+
+// arrivals reads all requests that arrived at targets.
+func (d *deployment) arrivals() ([]platformtest.Arrival, error) {
+	return readLines[platformtest.Arrival](d, ".arrivals")
+}
+
+// readLines reads the lines of JSON in the files of all instances with an extension.
+func readLines[T any](d *deployment, extension string) ([]T, error) {
+	var all []T
 	for _, n := range d.instances {
-		file, err := os.Open(filepath.Join(d.dir, n.name+".runs"))
+		file, err := os.Open(filepath.Join(d.dir, n.name+extension))
 		if err != nil {
 			return nil, err
 		}
 		lines := bufio.NewScanner(file)
 		for lines.Scan() {
-			var r platformtest.Run
-			if json.Unmarshal(lines.Bytes(), &r) == nil && !strings.HasPrefix(r.RequestID, "start-") { // a killed target may leave half a line
-				all = append(all, r)
+			var x T
+			if json.Unmarshal(lines.Bytes(), &x) == nil { // a killed target may leave half a line
+				all = append(all, x)
 			}
 		}
 		_ = file.Close() // it was only read
