Retry-After of a target that refuses a request reaches the caller

Callers saw: 503 with Retry-After 0.1 whatever the target had named, so they came back while it still wanted none. The refusal now names the later of both times, at most a minute; a time that can't be read counts as none. TestRetryAfterOfATargetReachesTheCaller fails without it.

--- a/sidecar/target_request.go
+++ b/sidecar/target_request.go
@@ -214,7 +214,7 @@
 		r.refuse(outcome.LeaseExpired, retryRefused)
 		return workqueue.Shed
 	case platform.NotRunByTarget(resp):
-		r.refuse(outcome.TargetShed, retryRefused)
+		r.refuse(outcome.TargetShed, max(retryRefused, platform.RetryAfter(&resp.Header)))
 		return workqueue.Shed
 	case !platform.Signed(resp):
 		r.resp.Kind, r.resp.Reason = outcome.Unknown, outcome.ConnectionLost
--- a/sidecar/target_status_test.go
+++ b/sidecar/target_status_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/parsleystack/parsleystack/outcome"
 	"github.com/parsleystack/parsleystack/platform/platformtest"
@@ -30,6 +31,25 @@
 	}
 }
 
+// A target that refuses a request may name the time after which it can be asked again. Its
+// callers must not come back before.
+func TestRetryAfterOfATargetReachesTheCaller(t *testing.T) {
+	t.Parallel()
+	for value, want := range map[string]time.Duration{
+		"": retryRefused, "2": 2 * time.Second, "0.25": 250 * time.Millisecond, "0": retryRefused, "-1": retryRefused, "NaN": retryRefused,
+		"soon": retryRefused, "1e300": time.Minute,
+	} {
+		r := &targetRequest{resp: new(wire.Response)}
+		r.httpResp.SetStatusCode(503)
+		r.httpResp.Header.Set(platformtest.NotRunHeader, "1")
+		r.httpResp.Header.Set("Retry-After", value)
+		r.handleResponse()
+		if r.resp.Kind != outcome.NotRun || r.resp.RetryAfter != want {
+			t.Errorf("%q: retry after %v, want %v", value, r.resp.RetryAfter, want)
+		}
+	}
+}
+
 // Whatever a daemon reports of a request that was not completed, its caller gets a 5xx.
 func TestIncompleteRequestsAreNeverRejected(t *testing.T) {
 	t.Parallel()
