--- a/sidecar/silent_connections_test.go
+++ b/sidecar/silent_connections_test.go
@@ -154,3 +154,40 @@
 		t.Errorf("version %d is in force, want %d", got, r.version)
 	}
 }
+
+// The connections of most daemons to the store go silent, and
+// 4.5 s later a configuration changes and a target leaves. Both must take effect in time.
+func TestChangesTakeEffectAfterStoreConnectionsWentSilent(t *testing.T) {
+	t.Parallel()
+	r := deployRelayed(t, keyedService, keyedService, plainService, plainService, plainService)
+	r.configure("/first/")
+	r.awaitServing()
+	for _, i := range []int{0, 1, 2} {
+		r.toStore[i].Silence(tcprelay.Both)
+	}
+	fault := time.Now()
+	time.Sleep(4500 * time.Millisecond)
+	leaving := r.nodes[2].target
+	leaving.Drain()
+	if err := leaving.SendHeartbeat(); err != nil {
+		t.Fatalf("the departure is not acknowledged: %v", err)
+	}
+	acknowledged := time.Now()
+	r.checkAppliedInTime(fault, "/second/", "/first/")
+	time.Sleep(time.Until(acknowledged.Add(r.nodes[2].settings.DrainTime)))
+	sent := make(map[string]bool)
+	for range 20 {
+		for i, n := range r.nodes {
+			id := newID()
+			sent[id] = true
+			if a := n.call(http.MethodPost, "/book/a", id, platformtest.NoKey); a.Status != http.StatusOK {
+				t.Errorf("node %d: %d %v after one of three targets has left", i, a.Status, a.Err)
+			}
+		}
+	}
+	for _, a := range r.records.Arrivals() {
+		if a.Target == leaving.ID && sent[a.RequestID] {
+			t.Errorf("%s reached the target %v after its departure was acknowledged", a.RequestID, a.At.Sub(acknowledged))
+		}
+	}
+}
