Connections to a target follow its slots and the configured maximum

Callers saw: when a running target states more slots, requests beyond its first number of slots and eight were refused (15 of 24 at 24 free slots). And a target of a service with a small maxConnections would get more connections than it accepts and reset some.

Cause: the same class. Slots that change were followed by the queue, not by the connection pool; maxConnections was decoded and used by nobody. Both now bound slots and pool, also when a configuration changes.

--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -91,8 +91,13 @@
 
 // setTarget updates the target's state. A new incarnation gets a new client, and the
 // waiting requests stay in the queue. leaving is when the target announced its
-// departure, or Never.
-func (b *backend) setTarget(m *fleet.Member, leaving clock.Time) {
+// departure, or Never. maxConns is the number of connections that the target accepts, 0 if
+// that is not known.
+func (b *backend) setTarget(m *fleet.Member, leaving clock.Time, maxConns int) {
+	slots, conns := m.Slots, m.Slots+spareConns
+	if maxConns > 0 {
+		slots, conns = min(slots, maxConns), min(conns, maxConns)
+	}
 	current := &targetIncarnation{service: ident.Service(m.Service), target: ownertable.Target{ID: m.TargetID, StartTime: m.TargetStartMS}, state: m.State}
 	b.mu.Lock()
 	old := b.incarnation.Load()
@@ -103,18 +108,19 @@
 	current.refuseFrom = b.refuseFrom(leaving)
 	if replaced {
 		current.client = target.New(target.Config{
-			Addr: b.d.settings().TargetAddr, MaxConns: m.Slots + spareConns, WarmConns: 1, MaxBody: maxTargetBody, Budget: b.d.budgets.target,
+			Addr: b.d.settings().TargetAddr, MaxConns: conns, WarmConns: 1, MaxBody: maxTargetBody, Budget: b.d.budgets.target,
 			DialTimeout: targetDialTimeout, AllowCloseDelimited: true, MaxIdle: targetMaxIdle,
 		})
 	} else {
 		current.client = old.client
+		current.client.SetMaxConns(conns)
 	}
 	b.incarnation.Store(current)
 	if replaced {
-		b.queue = b.queue.ForNewIncarnation(m.Slots)
+		b.queue = b.queue.ForNewIncarnation(slots)
 		b.announced = announcementState{}
 	}
-	b.queue.SetSlots(m.Slots)
+	b.queue.SetSlots(slots)
 	if m.State == fleet.TargetEnded {
 		b.applyDecisions(nil, b.queue.Close())
 	}
--- a/sidecar/configuration_apply.go
+++ b/sidecar/configuration_apply.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/fleet"
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/routetable"
@@ -28,6 +29,9 @@
 	c.routes, c.rawConfig = routetable.New(cfg), value
 	c.recordKnownVersion(uint64(cfg.Version), now)
 	c.viewStale, c.status.urgent = true, true
+	if c.self.State != fleet.TargetUnknown {
+		c.d.backend.setTarget(&c.self, c.heartbeats.leavingSince, c.targetMaxConns())
+	}
 	logevent.Log(c.log, logevent.RoutesInForce, zap.Uint64("version", uint64(cfg.Version)), zap.String("from", source), zap.Duration("after", now.Sub(c.config.newestAt)), zap.Int("routes", len(cfg.Routes)), zap.Int("services", len(cfg.Services)))
 	if n := len(cfg.RowErrors); n > 0 {
 		c.d.metrics.countRows(n)
--- a/sidecar/control_heartbeat.go
+++ b/sidecar/control_heartbeat.go
@@ -173,11 +173,21 @@
 		c.changeService()
 	}
 	c.selfChanged()
-	c.d.backend.setTarget(&c.self, c.heartbeats.leavingSince)
+	c.d.backend.setTarget(&c.self, c.heartbeats.leavingSince, c.targetMaxConns())
 	logevent.Log(c.log, logevent.TargetChanged, zap.String("cause", cause), zap.String("service", m.Service), zap.String("target", m.TargetID),
 		zap.Int64("born", m.TargetStartMS), zap.Stringer("state", m.State), zap.Int("slots", m.Slots))
 }
 
+// targetMaxConns returns the number of connections that a target of the own service accepts
+// by the configuration, 0 if that is not known.
+func (c *control) targetMaxConns() int {
+	if c.routes == nil {
+		return 0
+	}
+	s, _ := c.routes.Service(ident.Service(c.self.Service))
+	return s.MaxConnections
+}
+
 // changeService makes this daemon a new member of the service that its record names
 // since a moment ago.
 func (c *control) changeService() {
--- a/sidecar/control_members.go
+++ b/sidecar/control_members.go
@@ -103,7 +103,7 @@
 	c.self.Service, c.self.TargetID, c.self.TargetStartMS, c.self.Slots, c.self.State = m.Service, m.TargetID, m.TargetStartMS, m.Slots, m.State
 	c.heartbeats.targetInherited(clock.Now())
 	c.selfChanged()
-	c.d.backend.setTarget(&c.self, clock.Never)
+	c.d.backend.setTarget(&c.self, clock.Never, c.targetMaxConns())
 }
 
 // selfChanged starts a new revision of the own record and distributes it.
--- a/target/client.go
+++ b/target/client.go
@@ -206,6 +206,10 @@
 // are idle.
 func (c *Client) Conns() (open, idle int) { return c.pool.size() }
 
+// SetMaxConns changes the maximum number of connections for requests. Connections beyond it
+// stay open until they are idle for too long or end.
+func (c *Client) SetMaxConns(n int) { c.pool.setMaxConns(n) }
+
 // Close closes idle connections. Connections in use are closed when their call
 // ends.
 func (c *Client) Close() {
--- a/target/pool.go
+++ b/target/pool.go
@@ -10,10 +10,10 @@
 // connection is used first.
 type pool struct {
 	addr        string
-	maxConns    int
 	dialTimeout time.Duration
 
 	mu         sync.Mutex
+	maxConns   int
 	idle       []*conn
 	open       int // number of connections that are idle, in use or being dialed
 	closed     bool
@@ -24,6 +24,12 @@
 	return &pool{addr: addr, maxConns: maxConns, dialTimeout: dialTimeout, connClosed: make(chan struct{}, 1)}
 }
 
+func (p *pool) setMaxConns(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.maxConns = n
+}
+
 // get returns an idle connection, or a new one. It probes an idle connection first:
 // if the target has closed it, the outcome of the request would be unknown; if it
 // holds surplus bytes, the request would get another request's response.
