--- a/sidecar/announcement.go
+++ b/sidecar/announcement.go
@@ -157,18 +157,24 @@
 // waiting request start. The caller holds b.mu.
 func (b *backend) scheduleAdvance(now clock.Time) {
 	wait, ok := b.queue.NextStart(now)
-	if !ok || b.advanceScheduled {
+	if !ok {
 		return
 	}
-	b.advanceScheduled = true
-	time.AfterFunc(max(wait, minAdvanceWait), func() {
-		b.mu.Lock()
-		defer b.mu.Unlock()
-		b.advanceScheduled = false
-		now := clock.Now()
-		b.applyDecisions(b.queue.Advance(now))
-		b.scheduleAdvance(now)
-	})
+	wait = max(wait, minAdvanceWait)
+	if at := now.Add(wait); b.advanceAt == clock.Never || at.Before(b.advanceAt) { // a more urgent request may start earlier
+		b.advanceAt = at
+		time.AfterFunc(wait, b.advance)
+	}
+}
+
+// advance advances the queue at the time that scheduleAdvance has set.
+func (b *backend) advance() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := clock.Now()
+	b.advanceAt = clock.Never
+	b.applyDecisions(b.queue.Advance(now))
+	b.scheduleAdvance(now)
 }
 
 // minAdvanceWait bounds the rate of advances by scheduleAdvance.
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -73,8 +73,8 @@
 	nextID  uint64
 	tickets map[uint64]*ticket // of waiting requests, by item ID
 
-	announced        announcementState
-	advanceScheduled bool // a timer of scheduleAdvance runs
+	announced announcementState
+	advanceAt clock.Time // when a timer of scheduleAdvance fires; Never if none runs
 }
 
 // ticket holds the queue's decision on one request.
