Test: statuses pass before the answers of links are lost

Trace of a failed run: the daemon that loses the store has not read the record of any other one, and its own is not stored; 'own record stored' of the two others follows 0.2 s after the fault, its own never. No status was ever exchanged, so there is no path on which it could learn of the version, and no line 7311 (update not fetched) appears. The test says that statuses pass: it now waits for those of all daemons before the fault.

--- a/sidecar/harness_test.go
+++ b/sidecar/harness_test.go
@@ -164,6 +164,25 @@
 	return platformtest.Call(n.settings.CallerAddr, host, method, path, id, key)
 }
 
+// awaitPeers waits until statuses of a number of other daemons have arrived.
+func (n *testNode) awaitPeers(t *testing.T, want int) {
+	t.Helper()
+	control := n.daemon.control
+	eventually(t, fmt.Sprintf("statuses of %d daemons have arrived", want), func() bool {
+		responded := make(chan int)
+		control.do(func() {
+			count := 0
+			for _, p := range control.dir.Peers() {
+				if p.Responded {
+					count++
+				}
+			}
+			responded <- count
+		})
+		return <-responded == want
+	})
+}
+
 // awaitConfirmed waits until the daemon knows that its configuration is the newest one.
 func (n *testNode) awaitConfirmed(t *testing.T) {
 	t.Helper()
--- a/sidecar/silent_connections_test.go
+++ b/sidecar/silent_connections_test.go
@@ -142,6 +142,7 @@
 	r.configure("/first/")
 	for _, n := range r.nodes {
 		n.awaitUnkeyedServing(t)
+		n.awaitPeers(t, len(r.nodes)-1)
 	}
 	r.toStore[1].SilenceNew(tcprelay.Both)
 	r.toStore[1].Silence(tcprelay.Both)
