One word for what targets state; a malformed response does not hide the entries' limit

What a target says about itself in its responses was an announcement in one package and a statement in the other. It is a statement everywhere.

--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -48,7 +48,7 @@
 
 	TargetLimitChanged  = define(7313, "target limit changed", info, "A response of the target states a limit of requests a second, another one than before, or none any more.", "")
 	TargetStatesLeaving = define(7314, "target states its departure", info, "A response of the target states that it leaves; it gets no new requests, and its keys move.", "")
-	AnnouncementIgnored = define(7315, "announcement ignored", warning, "A response of the target has a limit or a departure that can't be read; what it stated before stays in force.", "Correct the target; the error has the value.")
+	StatementIgnored    = define(7315, "statement ignored", warning, "A response of the target has a limit or a departure that can't be read; what it stated before stays in force.", "Correct the target; the error has the value.")
 
 	TableProposed       = define(7401, "assignment table proposed", info, "This daemon appends a new assignment table.", "")
 	TableProposalFailed = define(7402, "assignment table proposal failed", info, "The append of the proposed table was rejected or its outcome is indeterminate; a new table is planned from the records in the store.", "")
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -73,7 +73,7 @@
 	nextID  uint64
 	tickets map[uint64]*ticket // of waiting requests, by item ID
 
-	announced announcementState
+	stated    statementState
 	advanceAt clock.Time // when a timer of scheduleAdvance fires; Never if none runs
 }
 
@@ -102,7 +102,7 @@
 	b.mu.Lock()
 	old := b.incarnation.Load()
 	replaced := old == nil || old.target != current.target
-	if stated := b.announced.leavingSince; !replaced && stated != clock.Never && (leaving == clock.Never || stated.Before(leaving)) {
+	if stated := b.stated.leavingSince; !replaced && stated != clock.Never && (leaving == clock.Never || stated.Before(leaving)) {
 		leaving = stated
 	}
 	current.refuseFrom = b.refuseFrom(leaving)
@@ -118,7 +118,7 @@
 	b.incarnation.Store(current)
 	if replaced {
 		b.queue = b.queue.ForNewIncarnation(slots)
-		b.announced = announcementState{}
+		b.stated = statementState{}
 	}
 	b.queue.SetSlots(slots)
 	if m.State == fleet.TargetEnded {
@@ -143,7 +143,7 @@
 // requests are refused in time even before the control goroutine knows. The caller holds
 // b.mu.
 func (b *backend) setLeavingSince(t clock.Time) {
-	b.announced.leavingSince = t
+	b.stated.leavingSince = t
 	current := *b.incarnation.Load()
 	if from := b.refuseFrom(t); current.refuseFrom == clock.Never || from.Before(current.refuseFrom) {
 		current.refuseFrom = from
@@ -182,10 +182,19 @@
 	latencyRatio, failureRatio := b.queue.TargetStats()
 	return fleet.Load{
 		Running: occupied, Waiting: waiting + b.d.egress.Transfers(), Limit: slots, LatencyRatio: latencyRatio, FailureRatio: failureRatio,
-		OfferedRatio: b.queue.OfferedLoad(now), RateLimited: b.announced.limit.Limited, RateLimit: b.announced.limit.Rate,
+		OfferedRatio: b.queue.OfferedLoad(now), RateLimited: b.stated.limit.Limited, RateLimit: b.stated.limit.Rate,
 	}
 }
 
+// localLoad is load for requests on this instance, whose responses don't wait for the link.
+func (b *backend) localLoad() (inFlight, slots int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, waiting, _ := b.queue.Load()
+	occupied, slots := b.queue.Occupancy(clock.Now())
+	return occupied + waiting, slots
+}
+
 // requests returns the numbers of requests that run at the target and wait for it, and the
 // largest number that runs concurrently.
 func (b *backend) requests() (running, waiting, limit int) {
--- a/sidecar/announcement.go
+++ b/sidecar/backend_statement.go
@@ -13,48 +13,48 @@
 	"github.com/parsleystack/parsleystack/wire"
 )
 
-// announcementLogInterval is the shortest time between two lines about changed limits, or
-// about malformed announcements. A target in need may state another limit in each response.
-const announcementLogInterval = time.Second
+// statementLogInterval is the shortest time between two lines about changed limits, or
+// about malformed statements. A target in need may state another limit in each response.
+const statementLogInterval = time.Second
 
-// announcementState is what the local target has stated about itself. backend.mu guards it.
-type announcementState struct {
+// statementState is what the local target has stated about itself. backend.mu guards it.
+type statementState struct {
 	limit          ratelimit.Stated
-	answered       bool       // this process has received a response of the target
+	answered       bool       // this process knows from a response whether there is a limit
 	leavingSince   clock.Time // when its departure was learned of; Never if it has stated none
 	nextChangeLog  clock.Time
 	nextIgnoredLog clock.Time
 }
 
-// observeAnnouncement applies what the target states about itself in its response to r,
+// observeResponse applies what the target states about itself in its response to r,
 // which was sent no earlier than sent.
-func (b *backend) observeAnnouncement(r *targetRequest, sent clock.Time) {
+func (b *backend) observeResponse(r *targetRequest, sent clock.Time) {
 	if platform.WrongTarget(&r.httpResp) {
 		return // another target at the same address may have sent it
 	}
-	a, err := platform.ReadAnnouncement(r.httpResp.Header.All())
+	a, err := platform.ReadStatement(r.httpResp.Header.All())
 	now := clock.Now()
-	if b.applyAnnouncement(r, a, err, sent, now) {
+	if b.applyResponse(r, a, err, sent, now) {
 		b.leavingStated(r.req.RequestID, r.incarnation.target, now)
 	}
 }
 
-// applyAnnouncement applies a response's announcement, which was read with the given error.
+// applyResponse applies a response's statement, which was read with the given error.
 // It reports whether the response is the first that states the target's departure.
-func (b *backend) applyAnnouncement(r *targetRequest, a platform.Announcement, err error, sent, now clock.Time) (leaves bool) {
+func (b *backend) applyResponse(r *targetRequest, a platform.Statement, err error, sent, now clock.Time) (leaves bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.incarnation.Load().target != r.incarnation.target {
 		return false
 	}
-	b.announced.answered = true
+	b.stated.answered = b.stated.answered || a.Limited || !a.Malformed
 	if err != nil {
-		b.ignoreAnnouncement(r, err, now)
+		b.ignoreStatement(r, err, now)
 	}
 	if a.Limited || !a.Malformed {
 		b.observeLimit(r.req.RequestID, ratelimit.Stated{Limited: a.Limited, Rate: a.Rate}, sent, now)
 	}
-	if !a.Leaving || b.announced.leavingSince != clock.Never {
+	if !a.Leaving || b.stated.leavingSince != clock.Never {
 		return false
 	}
 	b.setLeavingSince(now)
@@ -79,29 +79,29 @@
 	now := clock.Now()
 	s, err := decodeStatement(value, now)
 	if err != nil {
-		b.d.metrics.count(metricAnnouncementsIgnored)
+		b.d.metrics.count(metricStatementsIgnored)
 		return // of another version of the daemon; the response to this request tells what holds
 	}
-	if b.applyStatement(s, req.RequestID, now) {
+	if b.applyForwarded(s, req.RequestID, now) {
 		b.leavingStated(req.RequestID, s.target, s.leavingSince)
 	}
 }
 
-// applyStatement applies what the entry of a request knows of the target. It reports whether
+// applyForwarded applies what the entry of a request knows of the target. It reports whether
 // that the target leaves is new.
-func (b *backend) applyStatement(s *targetStatement, requestID []byte, now clock.Time) (leaves bool) {
+func (b *backend) applyForwarded(s *targetStatement, requestID []byte, now clock.Time) (leaves bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if current := b.incarnation.Load(); current == nil || current.target != s.target {
 		return false
 	}
-	if s.limited && !b.announced.answered {
+	if s.limited && !b.stated.answered {
 		b.observeLimit(requestID, ratelimit.Stated{Limited: true, Rate: s.rate}, clock.Never, now)
 	}
-	if s.leavingSince == clock.Never || b.announced.leavingSince != clock.Never && !s.leavingSince.Before(b.announced.leavingSince) {
+	if s.leavingSince == clock.Never || b.stated.leavingSince != clock.Never && !s.leavingSince.Before(b.stated.leavingSince) {
 		return false
 	}
-	leaves = b.announced.leavingSince == clock.Never
+	leaves = b.stated.leavingSince == clock.Never
 	b.setLeavingSince(s.leavingSince)
 	return leaves
 }
@@ -111,13 +111,13 @@
 func (b *backend) statement() targetStatement {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return targetStatement{target: b.incarnation.Load().target, limited: b.announced.limit.Limited, rate: b.announced.limit.Rate, leavingSince: b.announced.leavingSince}
+	return targetStatement{target: b.incarnation.Load().target, limited: b.stated.limit.Limited, rate: b.stated.limit.Rate, leavingSince: b.stated.leavingSince}
 }
 
 // observeLimit applies the limit in the response to a request, or its absence, and paces
 // the requests to the target by it. The caller holds b.mu.
 func (b *backend) observeLimit(requestID []byte, stated ratelimit.Stated, sent, now clock.Time) {
-	s := &b.announced
+	s := &b.stated
 	old := s.limit
 	if !s.limit.Observe(stated.Limited, stated.Rate, sent, now) {
 		return
@@ -131,7 +131,7 @@
 	if old.Limited && s.limit.Limited && now.Before(s.nextChangeLog) {
 		return
 	}
-	s.nextChangeLog = now.Add(announcementLogInterval)
+	s.nextChangeLog = now.Add(statementLogInterval)
 	fields := []zap.Field{zap.ByteString("request", requestID), zap.String("target", b.incarnation.Load().target.ID), zap.Bool("limited", s.limit.Limited)}
 	if s.limit.Limited {
 		fields = append(fields, zap.Float64("per_second", s.limit.Rate))
@@ -142,15 +142,15 @@
 	logevent.Log(b.d.log, logevent.TargetLimitChanged, fields...)
 }
 
-// ignoreAnnouncement logs and counts an announcement that can't be read. The caller holds
+// ignoreStatement logs and counts a statement that can't be read. The caller holds
 // b.mu.
-func (b *backend) ignoreAnnouncement(r *targetRequest, err error, now clock.Time) {
-	b.d.metrics.count(metricAnnouncementsIgnored)
-	if now.Before(b.announced.nextIgnoredLog) {
+func (b *backend) ignoreStatement(r *targetRequest, err error, now clock.Time) {
+	b.d.metrics.count(metricStatementsIgnored)
+	if now.Before(b.stated.nextIgnoredLog) {
 		return
 	}
-	b.announced.nextIgnoredLog = now.Add(announcementLogInterval)
-	logevent.Log(b.d.log, logevent.AnnouncementIgnored, zap.ByteString("request", r.req.RequestID), zap.String("target", r.incarnation.target.ID), zap.Error(err))
+	b.stated.nextIgnoredLog = now.Add(statementLogInterval)
+	logevent.Log(b.d.log, logevent.StatementIgnored, zap.ByteString("request", r.req.RequestID), zap.String("target", r.incarnation.target.ID), zap.Error(err))
 }
 
 // scheduleAdvance arranges that the queue is advanced when the rate limit lets the next
--- a/sidecar/caller_request_target.go
+++ b/sidecar/caller_request_target.go
@@ -43,9 +43,9 @@
 	candidates := buffer[:0]
 	for _, t := range s.targets {
 		if t.local {
-			load := f.ingress.d.backend.load()
-			t.load.inFlight.Store(int64(load.Running + load.Waiting))
-			t.load.limit.Store(int64(load.Limit))
+			inFlight, slots := f.ingress.d.backend.localLoad()
+			t.load.inFlight.Store(int64(inFlight))
+			t.load.limit.Store(int64(slots))
 		}
 		candidates = append(candidates, placement.Candidate{
 			InFlight: int(t.load.inFlight.Load()), Limit: int(t.load.limit.Load()),
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -62,9 +62,9 @@
 	metricTargetRequests = "parsley_target_requests_total"
 	// metricRateRefused counts requests that were refused because of the target's rate limit.
 	metricRateRefused = "parsley_target_rate_refused_total"
-	// metricAnnouncementsIgnored counts responses of the target in which a statement about
+	// metricStatementsIgnored counts responses of the target in which a statement about
 	// itself can't be read.
-	metricAnnouncementsIgnored = "parsley_target_announcements_ignored_total"
+	metricStatementsIgnored = "parsley_target_statements_ignored_total"
 	// metricConfigRejected counts configurations of which nothing could be decoded.
 	metricConfigRejected = "parsley_configurations_rejected_total"
 	// metricUnknownKinds counts routes of configurations whose kind is not known.
--- a/sidecar/statements_test.go
+++ b/sidecar/statements_test.go
@@ -152,14 +152,22 @@
 // that passed the limit on are still bound by it.
 func TestLimitHoldsAfterARestartOfTheTargetsDaemon(t *testing.T) {
 	t.Parallel()
-	for _, limit := range []string{"0.3", "20"} {
-		t.Run(limit, func(t *testing.T) {
+	for name, limit := range map[string]struct{ first, later string }{
+		"below one a second": {"0.3", "0.3"}, "steady": {"20", "20"}, "malformed since before the restart": {"5", "many"},
+	} {
+		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			d := deployForStatements(t)
+			l := startStatedLoad(d)
+			start := time.Now()
 			for _, i := range []int{0, 2} {
-				d.nodes[i].target.State(platformtest.Statement{Limit: limit})
+				d.nodes[i].target.SetStating(func() platformtest.Statement {
+					if time.Since(start) < 2*time.Second {
+						return platformtest.Statement{Limit: limit.first}
+					}
+					return platformtest.Statement{Limit: limit.later}
+				})
 			}
-			l := startStatedLoad(d)
 			for range 3 {
 				time.Sleep(4 * time.Second)
 				l.restart(t, 0)
--- a/sidecar/target_request.go
+++ b/sidecar/target_request.go
@@ -128,7 +128,7 @@
 	if err != nil {
 		return r.handleFailure(sent, err)
 	}
-	r.b.observeAnnouncement(r, sentAt)
+	r.b.observeResponse(r, sentAt)
 	completion := r.handleResponse()
 	if r.resp.Kind == outcome.Done {
 		r.addStatement()
