--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Runs the tests with the race detector. Skips the tests listed in KNOWN-RED.txt
-# and prints them.
+# Runs the tests with the race detector, and a short seeded soak of parsley-sidecar. Skips
+# the tests listed in KNOWN-RED.txt and prints them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -13,4 +13,6 @@
     sed -e 's/[[:space:]]*$//' -e 's/[.]/\\./g' -e 's#[^/]*#^&$#g' | paste -sd'|')"
   skip=(-skip "$pattern")
 fi
-exec "${GO:-go}" test -race "${skip[@]}" ./...
+"${GO:-go}" test -race "${skip[@]}" ./...
+"${GO:-go}" build -o bin/ ./cmd/...
+BIN=bin SEED=1 MINUTES=0.5 ./scripts/sidecar-faults.sh
