Test: a late refusal states by how much goroutines were delayed

TestStopAnswersRequestsAwaitingOwner failed once on a busy machine and is not traced. Its message now tells a slow daemon from a delayed goroutine.

--- a/sidecar/harness_test.go
+++ b/sidecar/harness_test.go
@@ -234,6 +234,27 @@
 	t.Fatalf("after %v still not: %s", eventuallyTimeout, what)
 }
 
+// schedulingDelay measures, until stop is called, by how much a goroutine that sleeps for a
+// millisecond is woken too late at most. It tells a slow daemon from a busy machine in the
+// message of a test that fails.
+func schedulingDelay() (stop func() time.Duration) {
+	done, worst := make(chan struct{}), make(chan time.Duration)
+	go func() {
+		longest := time.Duration(0)
+		for {
+			start := time.Now()
+			select {
+			case <-done:
+				worst <- longest
+				return
+			case <-time.After(time.Millisecond):
+			}
+			longest = max(longest, time.Since(start)-time.Millisecond)
+		}
+	}()
+	return func() time.Duration { close(done); return <-worst }
+}
+
 var (
 	idMu   sync.Mutex
 	lastID int
--- a/sidecar/stop_test.go
+++ b/sidecar/stop_test.go
@@ -60,14 +60,15 @@
 	stopped := time.Now()
 	time.AfterFunc(callerDrainTime-200*time.Millisecond, func() { view(newID()) }) // keeps the target busy
 	for time.Since(stopped) < callerDrainTime+targetDrainTime+time.Second {
-		sent := time.Now()
+		sent, delay := time.Now(), schedulingDelay()
 		a := view(newID())
+		delayed := delay()
 		if after := sent.Sub(stopped); after > callerDrainTime+targetDrainTime+100*time.Millisecond {
 			if a.Err == nil && a.Status == http.StatusOK {
 				t.Errorf("a request %v after the stop was accepted", after)
 			}
 			if took := time.Since(sent); took > 100*time.Millisecond {
-				t.Errorf("a request %v after the stop waited for %v", after, took)
+				t.Errorf("a request %v after the stop waited for %v, of which goroutines were delayed by up to %v: %+v", after, took, delayed, a)
 			}
 		}
 		time.Sleep(40 * time.Millisecond)
