Test: a message that the transport may lose is sent again

TestControlDoesNotWaitForRequests waited without end for one message, which Send loses if the connection can't be opened in time, as its comment says (peer.send queues for the dial in progress, and drops during the backoff).

--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -148,8 +148,7 @@
 			_, _ = p.Do(ctxFor(t, 2*time.Second), addr, &wire.Request{URI: []byte("/wait"), Body: make([]byte, 1<<20)}, &resp)
 		}()
 	}
-	p.Send(addr, []byte("beat"))
-	if got := <-h.messages; got != "client#1 beat" {
+	if got := sendUntilReceived(t, p, addr, "beat", h.messages); got != "client#1 beat" {
 		t.Errorf("message %q", got)
 	}
 	if got, err := p.Call(ctxFor(t, time.Second), addr, 3, []byte("x")); err != nil || string(got) != "\x03x" {
@@ -161,6 +160,30 @@
 	}
 }
 
+// sendUntilReceived sends a message again until one arrives, and returns that one. A message
+// is lost if the connection can't be opened in time.
+func sendUntilReceived(t *testing.T, p *Pool, addr, body string, received <-chan string) string {
+	t.Helper()
+	for range 100 {
+		p.Send(addr, []byte(body))
+		select {
+		case got := <-received:
+			go func() { // later copies must not block the receiver
+				for t.Context().Err() == nil {
+					select {
+					case <-received:
+					case <-t.Context().Done():
+					}
+				}
+			}()
+			return got
+		case <-time.After(200 * time.Millisecond):
+		}
+	}
+	t.Fatal("no message has arrived within 20 s")
+	return ""
+}
+
 // TestServeAfterClose guards against a listener that stays open, and accepts
 // connections that nobody serves, because Serve is called after Close.
 func TestServeAfterClose(t *testing.T) {
