Soak: an entry is excused from the start of its new process, not from the end of the fault

Trace: in each case that entry's process had been killed and started again before (event 7001, 0.2 to 1.4 s before the request), and the judge counted the restart from the end of the fault's two seconds. It now counts from the change of the process ID, which is earlier for the new process and leaves the old one bound until its end.

--- a/standin/sidecarsoak/faults.go
+++ b/standin/sidecarsoak/faults.go
@@ -72,19 +72,50 @@
 		}
 	}
 	disturb(time.Now().Add(x.length))
+	ended := make(chan struct{})
+	var watchers sync.WaitGroup
+	if x.restart {
+		for _, i := range x.daemons {
+			watchers.Go(func() { f.watchRestarts(i, ended) })
+		}
+	}
 	x.begin()
 	pause(ctx, x.length)
 	if x.end != nil {
 		x.end()
 	}
+	close(ended)
+	watchers.Wait()
 	disturb(time.Now())
-	if x.restart || x.pauses {
+	if x.pauses {
 		for _, i := range x.daemons {
 			f.judge.resume(i)
 		}
 	}
 }
 
+// restartPoll is the time between two checks for a new process. A daemon takes longer to
+// start than that.
+const restartPoll = 20 * time.Millisecond
+
+// watchRestarts reports each new process of a daemon to the judge until the channel ended is
+// closed.
+func (f *faults) watchRestarts(daemon int, ended <-chan struct{}) {
+	n := f.d.instances[daemon]
+	last, _ := f.d.processID(n, "daemon") // 0 if it can't be read: the next one is new
+	for {
+		if pid, err := f.d.processID(n, "daemon"); err == nil && pid != last {
+			last = pid
+			f.judge.resume(daemon)
+		}
+		select {
+		case <-ended:
+			return
+		case <-time.After(restartPoll):
+		}
+	}
+}
+
 func contains(list []int, x int) bool {
 	for _, y := range list {
 		if x == y {
