--- a/workqueue/estimator.go
+++ b/workqueue/estimator.go
@@ -113,8 +113,7 @@
 // pacedWaitFactor returns the factor by which more urgent requests, which run first,
 // extend the wait of an item for a rate limit.
 func (e *estimator) pacedWaitFactor(item *Item, rate float64) float64 {
-	available := 1 - e.moreUrgentRequests(item.urgency())/rate
-	return min(1/max(available, 1/maxWaitFactor), maxWaitFactor)
+	return extension(e.moreUrgentRequests(item.urgency()) / rate)
 }
 
 // moreUrgentRequests returns the arriving requests a second that are more urgent than u.
@@ -131,8 +130,13 @@
 // waitFactor returns the factor by which more urgent requests, which run first, extend
 // the wait of an item at a target that runs limit requests concurrently.
 func (e *estimator) waitFactor(item *Item, limit int) float64 {
-	available := 1 - e.moreUrgentWork(item.urgency())/float64(limit)
-	return min(1/max(available, 1/maxWaitFactor), maxWaitFactor)
+	return extension(e.moreUrgentWork(item.urgency()) / float64(limit))
+}
+
+// extension returns the factor by which a wait is extended if more urgent requests use a
+// share of the target.
+func extension(urgentShare float64) float64 {
+	return min(1/max(1-urgentShare, 1/maxWaitFactor), maxWaitFactor)
 }
 
 // moreUrgentWork returns the arriving work that is more urgent than u, in seconds of
--- a/workqueue/queue.go
+++ b/workqueue/queue.go
@@ -1,7 +1,6 @@
 package workqueue
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -37,9 +36,6 @@
 	// maxReservedShare is the largest share of the slots, or of the requests that a rate
 	// limit lets through at once, that is reserved, so that no class starves.
 	maxReservedShare = 0.75
-	// pacedReserveTime is the time whose more urgent arrivals are reserved for in a rate
-	// limit.
-	pacedReserveTime = 300 * time.Millisecond
 )
 
 // running is an item at the target.
@@ -101,48 +97,6 @@
 	return load
 }
 
-// SetRateLimit sets the number of requests a second that the target accepts. It returns
-// the items to start and to refuse now, as Finish does.
-func (q *Queue) SetRateLimit(perSecond float64, now clock.Time) ([]uint64, []Refusal) {
-	q.pacer.SetLimit(perSecond, now)
-	return q.advance(now)
-}
-
-// RemoveRateLimit withdraws the limit of SetRateLimit. It returns the items to start and
-// to refuse now, as Finish does.
-func (q *Queue) RemoveRateLimit(now clock.Time) ([]uint64, []Refusal) {
-	q.pacer.Unlimit()
-	return q.advance(now)
-}
-
-// RateLimited reports whether the target has a rate limit.
-func (q *Queue) RateLimited() bool { return q.pacer.Limited() }
-
-// NextStart returns the time until the rate limit lets the next waiting item start, and
-// false if no item waits for that. Advance must be called then.
-func (q *Queue) NextStart(now clock.Time) (time.Duration, bool) {
-	if len(q.waiting) == 0 {
-		return 0, false
-	}
-	wait := q.pacedWait(&q.waiting[0], 0, now)
-	return wait, wait > 0
-}
-
-// Occupancy returns the load of the target for a comparison with others: the running items
-// and the number that it can run concurrently, which by Little's law is its rate limit
-// times the mean service time. While the limit lets no item start, all slots count as
-// occupied.
-func (q *Queue) Occupancy(now clock.Time) (occupied, slots int) {
-	if !q.pacer.Limited() {
-		return len(q.running), q.limit
-	}
-	slots = min(q.limit, max(int(math.Ceil(q.pacer.Rate()*q.estimator.meanWork(now))), 1))
-	if q.pacer.Ready(now) {
-		return len(q.running), slots
-	}
-	return max(len(q.running), slots), slots
-}
-
 // Arrive decides whether a new item starts, waits or is refused. It never
 // displaces items that already run or wait.
 func (q *Queue) Arrive(item Item, now clock.Time) (Verdict, Refusal) {
@@ -356,33 +310,6 @@
 	return time.Duration(min(wait, maxWaitSeconds) * float64(time.Second))
 }
 
-// pacedWait returns the time until the rate limit lets an item start after some others, if
-// nothing arrives meanwhile. A part of the requests that may be sent at once is reserved for
-// more urgent arrivals.
-func (q *Queue) pacedWait(item *Item, ahead int, now clock.Time) time.Duration {
-	if !q.pacer.Limited() {
-		return 0
-	}
-	reserved := min(q.estimator.moreUrgentRequests(item.urgency())*pacedReserveTime.Seconds(), (q.pacer.Burst()-1)*maxReservedShare)
-	return q.pacer.Wait(float64(ahead+1)+reserved, now)
-}
-
-// expectedPacedWait estimates the time until the rate limit lets an item start that arrives
-// now.
-func (q *Queue) expectedPacedWait(item *Item, now clock.Time) time.Duration {
-	ahead := 0
-	for i := range q.waiting {
-		if q.waiting[i].before(item) {
-			ahead++
-		}
-	}
-	wait := q.pacedWait(item, ahead, now).Seconds()
-	if wait > 0 {
-		wait *= q.estimator.pacedWaitFactor(item, q.pacer.Rate())
-	}
-	return time.Duration(min(wait, maxWaitSeconds) * float64(time.Second))
-}
-
 const (
 	// minSeconds and maxWaitSeconds keep the estimates finite.
 	minSeconds     = 0.001
