--- a/sidecar/statements_test.go
+++ b/sidecar/statements_test.go
@@ -108,7 +108,7 @@
 	return d
 }
 
-// Found on perizia-mesh: a target that stated a limit of 20 requests a second got 111.
+// A target that stated a limit of 20 requests a second got 111.
 func TestTargetsGetNoMoreRequestsThanTheyStateAsTheirLimit(t *testing.T) {
 	t.Parallel()
 	steady := func(limit string) func(time.Duration) string {
