--- a/review/testdata/standins/backend.go
+++ b/review/testdata/standins/backend.go
@@ -25,10 +25,24 @@
 	conns    map[net.Conn]struct{}
 	seq      int
 	silent   bool // it sends no more heartbeats
+	finished bool // it does not start again
 	running  int
 	arrived  map[string]time.Time // by request id, when it began to run
 	answered map[string]time.Time // by request id, when its answer was written
 	stop     chan struct{}
+
+	// deadly is the path of the request that crashes the backend, crashAfter after it began
+	// to run it. The backend is back after crashTime.
+	deadly                string
+	crashAfter, crashTime time.Duration
+	deaths                []death
+}
+
+// death is a run of the deadly request.
+type death struct {
+	id         string
+	began, end time.Time
+	lost       int // other requests that the crash interrupted
 }
 
 func newBackend(m *machine) *backend {
@@ -43,9 +57,12 @@
 	if err != nil {
 		return err
 	}
+	b.mu.Lock()
 	b.listener, b.born = l, time.Now().UnixMilli()
-	go b.accept()
-	go b.sendHeartbeats()
+	stop := b.stop
+	b.mu.Unlock()
+	go b.accept(l)
+	go b.sendHeartbeats(stop)
 	return nil
 }
 
@@ -53,6 +70,7 @@
 func (b *backend) end() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.finished = true
 	if b.listener == nil {
 		return
 	}
@@ -64,8 +82,7 @@
 	}
 }
 
-func (b *backend) accept() {
-	l := b.listener
+func (b *backend) accept(l net.Listener) {
 	for {
 		conn, err := l.Accept()
 		if err != nil {
@@ -107,20 +124,30 @@
 // answer runs a request and returns its answer.
 func (b *backend) answer(req *http.Request) []byte {
 	id := req.Header.Get("Request-Id")
-	if want := req.Header.Get("Expected-Instance"); want != "" && want != b.id {
-		return fmt.Appendf(nil, "HTTP/1.1 421 Misdirected Request\r\nRequest-Id: %s\r\nInstance-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id, b.id)
+	b.mu.Lock()
+	instance := b.id
+	b.mu.Unlock()
+	if want := req.Header.Get(name("expected")); want != "" && want != instance {
+		return notExecuted("421 Misdirected Request", id, instance)
 	}
 	if !b.begin(id) {
-		b.m.c.record.add("%s: backend %s rejects %s", b.m.name, b.id, id)
-		return fmt.Appendf(nil, "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: %s\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+		b.m.c.record.add("%s: backend %s rejects %s", b.m.name, instance, id)
+		return notExecuted("503 Service Unavailable", id, instance)
+	}
+	b.m.c.record.add("%s: backend %s runs %s", b.m.name, instance, id)
+	if b.deadly != "" && req.URL.Path == b.deadly {
+		began := time.Now()
+		time.Sleep(b.crashAfter)
+		b.crash(id, began)
+		return nil
 	}
-	b.m.c.record.add("%s: backend %s runs %s", b.m.name, b.id, id)
 	time.Sleep(b.work)
 	b.mu.Lock()
-	b.running--
+	if b.id == instance { // else it has crashed meanwhile
+		b.running--
+	}
 	b.mu.Unlock()
-	body := "body of " + id
-	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: stamp.%s\r\nKeep-Alive: timeout=10\r\nContent-Length: %d\r\n\r\n%s", id, b.id, len(body), body)
+	return success(id, instance)
 }
 
 // begin takes a slot. It reports false if none is free.
@@ -137,7 +164,7 @@
 
 var heartbeatClient = &http.Client{Timeout: time.Second}
 
-func (b *backend) sendHeartbeats() {
+func (b *backend) sendHeartbeats(stop <-chan struct{}) {
 	for {
 		b.mu.Lock()
 		silent := b.silent
@@ -145,12 +172,12 @@
 		if silent {
 			return
 		}
-		pause := heartbeatEvery
+		pause := b.m.c.site.heartbeat
 		if err := b.sendHeartbeat(); err != nil {
 			pause = 200 * time.Millisecond
 		}
 		select {
-		case <-b.stop:
+		case <-stop:
 			return
 		case <-time.After(pause):
 		}
@@ -160,17 +187,17 @@
 func (b *backend) sendHeartbeat() error {
 	b.mu.Lock()
 	b.seq++
-	seq := b.seq
+	id, born, seq := b.id, b.born, b.seq
 	b.mu.Unlock()
 	body, err := json.Marshal(map[string]any{
-		"address": b.m.addr(appPort), "born": b.born,
+		"address": b.m.addr(appPort), "born": born,
 		"info":   map[string]any{"service": b.m.service, "version": "v1", "zone": b.m.zone, "slots": slots},
-		"status": map[string]any{"state": "ready", "seq": seq, "coldRemainingMs": 0},
+		"status": map[string]any{"state": "ready", "seq": seq, name("warmup"): 0},
 	})
 	if err != nil {
 		return err
 	}
-	return b.tell(http.MethodPut, body)
+	return b.tell(http.MethodPut, id, body)
 }
 
 // leave sends the departure notice as a backend does that never reports draining: it is the
@@ -179,11 +206,11 @@
 	b.mu.Lock()
 	b.silent = true
 	b.mu.Unlock()
-	return b.tell(http.MethodDelete, nil)
+	return b.tell(http.MethodDelete, b.id, nil)
 }
 
-func (b *backend) tell(method string, body []byte) error {
-	req, err := http.NewRequest(method, "http://"+b.m.addr(controlPort)+"/api/instances/"+b.id, bytes.NewReader(body))
+func (b *backend) tell(method, id string, body []byte) error {
+	req, err := http.NewRequest(method, "http://"+b.m.addr(controlPort)+name("instances")+id, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/review/testdata/standins/client.go
+++ b/review/testdata/standins/client.go
@@ -17,6 +17,7 @@
 	id           string // drawn if it is empty
 	deadline     time.Duration
 	body         []byte
+	lines        string // further header fields, each with its line end
 }
 
 // result is what a client has seen of an attempt.
@@ -34,6 +35,7 @@
 // keeps.
 type client struct {
 	m      *machine
+	leave  time.Duration // after which it gives up, before its deadline; 0 if it does not
 	conn   net.Conn
 	reader *bufio.Reader
 	used   int // requests on the connection
@@ -73,11 +75,15 @@
 	}
 	res.kept = c.used > 0
 	c.used++
-	if err := c.conn.SetDeadline(begin.Add(r.deadline)); err != nil {
+	patience := r.deadline
+	if c.leave > 0 {
+		patience = min(patience, c.leave)
+	}
+	if err := c.conn.SetDeadline(begin.Add(patience)); err != nil {
 		return err
 	}
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nRequest-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n",
-		r.method, r.path, requestHost, r.id, r.deadline.Milliseconds(), len(r.body))
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n%s: %d\r\nContent-Length: %d\r\n%s\r\n",
+		r.method, r.path, requestHost, r.id, name("deadline"), r.deadline.Milliseconds(), len(r.body), r.lines)
 	if _, err := io.Copy(c.conn, io.MultiReader(strings.NewReader(head), strings.NewReader(string(r.body)))); err != nil {
 		return err
 	}
@@ -89,7 +95,7 @@
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		return err
 	}
-	res.status, res.stamped = resp.StatusCode, resp.Header.Get("Response-Stamp") != ""
+	res.status, res.stamped = resp.StatusCode, resp.Header.Get(name("stamp")) != ""
 	if resp.Close {
 		c.close()
 	}
--- a/review/testdata/standins/cluster.go
+++ b/review/testdata/standins/cluster.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/parsleystack/parsleystack/platform/platformtest"
@@ -20,19 +22,28 @@
 )
 
 const (
-	requestHost    = "review.example"
-	heartbeatEvery = 870 * time.Millisecond
-	slots          = 18
-	readyTimeout   = 20 * time.Second
+	requestHost  = "review.example"
+	slots        = 18
+	readyTimeout = 20 * time.Second
 )
 
 // cluster is a small deployment: machines with a daemon and a backend each, and the store.
 type cluster struct {
 	dir      string // temporary: settings and logs
+	network  string // first three numbers of the machines' addresses
 	record   *record
 	store    *platformtest.Store
+	mu       sync.Mutex
 	machines []*machine
 	memoryMB int // limit of each daemon
+	site     site
+	garble   garble
+
+	// Of the backends of a service that is divided by key: how long a request takes, and how
+	// long the answer to a heartbeat is under way.
+	backendWork, answerDelay time.Duration
+
+	sharded *holdJudge // not nil if the service of the backends is divided by key
 }
 
 // machine is one instance of the deployment.
@@ -42,6 +53,7 @@
 	storeAddr               string
 	daemon                  *daemonProcess
 	backend                 *backend
+	sharded                 *shardedBackend // in place of backend if the service is divided by key
 }
 
 func newCluster(recordFile string) (*cluster, error) {
@@ -53,13 +65,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &cluster{dir: dir, record: r, store: platformtest.NewStore(), memoryMB: 284}, nil
+	return &cluster{dir: dir, record: r, store: platformtest.NewStore(), memoryMB: 284, site: perizia}, nil
 }
 
 func (c *cluster) close() {
 	for _, m := range c.machines {
 		m.daemon.kill()
-		m.backend.end()
+		m.server().end()
 	}
 	c.store.Close()
 	if err := c.record.close(); err != nil {
@@ -74,34 +86,74 @@
 
 // addMachines adds a machine for each service and starts daemons and backends.
 func (c *cluster) addMachines(services ...string) error {
-	network := fmt.Sprintf("127.%d.%d", 64+rand.IntN(128), rand.IntN(256))
-	for i, service := range services {
-		storeAddr, err := c.store.Listen()
+	var added []*machine
+	for _, service := range services {
+		m, err := c.newMachine(service)
 		if err != nil {
 			return err
 		}
-		m := &machine{
-			c: c, name: fmt.Sprintf("sidecar-lombardia-%c-%d", 'a'+rune(i%3), i/3+1), ip: fmt.Sprintf("%s.%d", network, i+1),
-			zone: fmt.Sprintf("lombardia-%c", 'a'+rune(i%3)), service: service, storeAddr: storeAddr,
-		}
-		if err := m.checkPorts(); err != nil {
-			return err
-		}
-		if err := os.WriteFile(m.settingsFile(), []byte(m.settings()), 0o600); err != nil {
-			return err
-		}
-		m.daemon = &daemonProcess{m: m}
-		m.backend = newBackend(m)
-		c.machines = append(c.machines, m)
+		added = append(added, m)
 	}
-	for _, m := range c.machines {
-		if err := errors.Join(m.daemon.start(), m.backend.start()); err != nil {
+	for _, m := range added {
+		if err := errors.Join(m.daemon.start(), m.server().start()); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+func (c *cluster) newMachine(service string) (*machine, error) {
+	storeAddr, err := c.store.Listen()
+	if err != nil {
+		return nil, err
+	}
+	if c.network == "" {
+		c.network = fmt.Sprintf("127.%d.%d", 64+rand.IntN(128), rand.IntN(256))
+	}
+	i := len(c.machines)
+	zone := fmt.Sprintf("lombardia-%c", 'a'+rune(i%3))
+	m := &machine{
+		c: c, name: fmt.Sprintf("sidecar-%s-%d", zone, i/3+1), ip: fmt.Sprintf("%s.%d", c.network, i+1),
+		zone: zone, service: service, storeAddr: storeAddr,
+	}
+	if err := m.checkPorts(); err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(m.settingsFile(), []byte(m.settings()), 0o600); err != nil {
+		return nil, err
+	}
+	m.daemon = &daemonProcess{m: m}
+	if c.sharded != nil {
+		m.sharded = newShardedBackend(m)
+	} else {
+		m.backend = newBackend(m)
+	}
+	c.mu.Lock()
+	c.machines = append(c.machines, m)
+	c.mu.Unlock()
+	return m, nil
+}
+
+// all returns the machines that were added so far.
+func (c *cluster) all() []*machine {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.machines)
+}
+
+// server is the application backend of a machine.
+type server interface {
+	start() error
+	end()
+}
+
+func (m *machine) server() server {
+	if m.sharded != nil {
+		return m.sharded
+	}
+	return m.backend
+}
+
 // checkPorts reports an error if another process uses a port of the machine's address.
 func (m *machine) checkPorts() error {
 	for _, port := range []int{inboundPort, appPort, readyPort, outboundPort, controlPort, firstLinkPort, lastLinkPort} {
@@ -134,28 +186,25 @@
 seeds: []
 bootstrap: true
 faultCounted: false
-limits: {cpuShare: 0.32, cores: 1, memoryMb: %d, maxFds: 4100, linkMbps: 1000.0, diskMb: 0}
+limits: {cpuShare: 0.32, cores: 1, memoryMb: %d, maxFds: 4100, linkMbps: %d, diskMb: 0}
 dataDir: null
 discovery: "static"
 entry: "static"
 heartbeatMs: %d
 contracts: ["base", "drain", "config", "cost", "retry", "recover", "own", "platform"]
 tolerate: {machines: 2, zones: 0, regions: 0}
-bounds: ["seedLagS=3", "reuseAfterS=2", "stableWindowMs=3000", "ackMs=4000", "catchUpS=4", "drainMs=2000", "graceS=6", "lossSlackMs=200", "configApplyMs=2000", "rollbackSlackMs=250", "maxStretchMs=5000", "retryBudgetRatio=0.2", "budgetWindowS=10", "budgetSlack=62", "recoveryS=15", "maxHoldMs=10000", "thawMs=300"]
+bounds: [%s]
 grants: "heartbeat"
 app: %q
 service: %q
 platform: {address: %q, form: "log", writesPerS: 400, readsPerS: 2000, parts: 32, appendMs: 2.0, partitionMbS: 20.0, readMbS: 80.0, maxRecordBytes: 262144, maxRequestBytes: 2097152, keep_s: 300, partitionMb: 200, minTtlMs: 1000}
 `, m.name, m.ip, m.zone, m.addr(inboundPort), m.addr(outboundPort), m.addr(readyPort), m.addr(controlPort), firstLinkPort, lastLinkPort,
-		m.c.memoryMB, heartbeatEvery.Milliseconds(), m.addr(appPort), m.service, m.storeAddr)
+		m.c.memoryMB, m.c.site.linkMbps, m.c.site.heartbeat.Milliseconds(), m.c.site.bounds, m.addr(appPort), m.service, m.storeAddr)
 }
 
 // configure writes the configuration, in the form and with the limits of the pages' example.
 func (c *cluster) configure() {
-	c.store.Put("keyed.op", "config", []byte(`{"version":"r7","routes":{"columns":["name","host","pathPrefix","kind","timeoutMs","targetLatencyMs","priority","weightedClusters","maxAttempts","service"],
-"rows":[["r-book","`+requestHost+`","/book/","unsafe",20000,10000,1,null,2,"bookings"],["r-pay","`+requestHost+`","/pay/","unsafe",1000,400,1,null,2,"payments"]]},
-"services":{"columns":["name","healthPath","maxConnections","protocol","tls","sharded","warmS","grants"],"rows":[["bookings","/healthz",130,"h1",false,null,null,null],["payments","/healthz",130,"h1",false,null,null,null]]},
-"limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000},"baseVersion":"r5"}`))
+	c.putConfiguration("unsharded.json")
 }
 
 // awaitReady waits until all daemons are ready and a request succeeds at each of them.
@@ -176,7 +225,7 @@
 
 // ready asks the daemon as the platform does.
 func (m *machine) ready() bool {
-	resp, err := readyClient.Get("http://" + m.addr(readyPort) + "/api/readiness")
+	resp, err := readyClient.Get("http://" + m.addr(readyPort) + name("readiness"))
 	if err != nil {
 		return false
 	}
