--- a/review/testdata/standins/main.go
+++ b/review/testdata/standins/main.go
@@ -31,6 +31,7 @@
 	"uploads":     runUploads,
 	"departure":   runDeparture,
 	"connections": runConnections,
+	"refusal":     runRefusal,
 }
 
 func main() {
