--- a/review/testdata/standins/main.go
+++ b/review/testdata/standins/main.go
@@ -32,6 +32,7 @@
 	"departure":   runDeparture,
 	"connections": runConnections,
 	"refusal":     runRefusal,
+	"extra":       runExtra,
 }
 
 func main() {
