--- a/review/testdata/standins/main.go
+++ b/review/testdata/standins/main.go
@@ -33,6 +33,7 @@
 	"connections": runConnections,
 	"refusal":     runRefusal,
 	"extra":       runExtra,
+	"poison":      runPoison,
 }
 
 func main() {
