--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -8,4 +8,4 @@
   [ -x "$program" ] || { echo "$program is missing: run the build of deploy/system.toml and review/build.sh"; exit 2; }
 done
 export TROUBLE="${TROUBLE:-1}"
-exec target/bin/review-standins uploads "$dir/record.txt"
+exec target/bin/review-standins fields "$dir/record.txt"
--- a/review/testdata/standins/main.go
+++ b/review/testdata/standins/main.go
@@ -34,6 +34,7 @@
 	"refusal":     runRefusal,
 	"extra":       runExtra,
 	"poison":      runPoison,
+	"fields":      runFields,
 }
 
 func main() {
