--- a/review/testdata/standins/extra.go
+++ b/review/testdata/standins/extra.go
@@ -14,7 +14,7 @@
 	releaseWork    = 290 * time.Millisecond
 	releaseTime    = 2 * time.Second // deadline
 	answerDelay    = 40 * time.Millisecond
-	replaceRounds  = 9
+	replaceRounds  = 10
 	roundTime      = 5 * time.Second
 	departureLimit = 6 * time.Second
 )
