A refused connection no longer frees the keys of a target (OWNER)

Callers and targets saw: a slow target of a divided service that resets further connections while its queue is long was taken for ended at the first refusal.

Cause: control.targetRefused turned ECONNREFUSED into the state "ended", the planner took that for "holds no keys", and backend.setTarget closed the admission queue of the incarnation for good. A refusal shows only that no connection is accepted now.

Change: keys are freed by a later incarnation at the same address, a release or the end of the grants, nothing else. A refusal while no connection is open makes the target unreachable: no requests until its next heartbeat, keys stay, requests for them are refused at once. The state has a new value, as earlier versions would reassign the keys of an ended target.

Tests: TestBusyTargetThatRefusesConnectionsKeepsItsKeys failed before (t-1 got keys for 2.66 s that t-0 held for 1.39 s more; not served again within 20 s); also TestUnreachableTargetKeepsItsShards and TestRefusedConnectionDoesNotEndATarget. The former TestRefusalDoesNotEndALeavingTarget asserted the refuted conclusion for a ready target, and is replaced.

--- a/fleet/member.go
+++ b/fleet/member.go
@@ -14,8 +14,13 @@
 	TargetReady TargetState = 1
 	// TargetLeaving means that the target accepts no new requests.
 	TargetLeaving TargetState = 2
-	// TargetEnded means that the target runs no requests and holds no keys.
+	// TargetEnded is what daemons of earlier versions report of a target that has refused
+	// a connection. It does not prove that the target has released its keys.
 	TargetEnded TargetState = 3
+	// TargetUnreachable means that the target refused a connection while none was open. It
+	// gets no requests until its next heartbeat, and keeps its keys: it may have ended, or
+	// accept no further connections while it works on earlier requests.
+	TargetUnreachable TargetState = 4
 )
 
 // String returns the name of the state.
@@ -29,10 +34,16 @@
 		return "leaving"
 	case TargetEnded:
 		return "ended"
+	case TargetUnreachable:
+		return "unreachable"
 	}
 	return "invalid"
 }
 
+// Serving reports whether the target is a member of its service that is not known to leave.
+// It keeps its keys.
+func (s TargetState) Serving() bool { return s == TargetReady || s == TargetUnreachable }
+
 // Member is a daemon's record of itself and of the target beside it.
 type Member struct {
 	Schema        uint        `msg:"v"`
--- a/ownertable/agent.go
+++ b/ownertable/agent.go
@@ -285,9 +285,6 @@
 	if !a.IsMember() || a.proposal.inFlight || now.Before(a.nextProposalAt) {
 		return nil
 	}
-	if s.Self.Ended {
-		a.TargetEnded()
-	}
 	input := PlanInput{
 		Now: now, Candidates: s.Candidates, Released: a.released, RevokedAt: a.revokedSince, Self: s.Self.Owner,
 		TakeoverWait: TakeoverWait(a.established(now)), MembershipStable: now.Sub(a.membershipChangedAt) > membershipStableTime,
--- a/ownertable/plan.go
+++ b/ownertable/plan.go
@@ -35,11 +35,11 @@
 	Slots        int
 	Load         float64 // offered load as a share of what the slots can run
 	LatencyRatio float64 // mean response time as a share of the requests' objectives
-	// Ready is false for a target that is draining or has exited.
+	// Ready is false for a target that is draining or sends no heartbeats.
 	Ready bool
-	// Ended is set if the target's daemon reports that the target has exited and
-	// holds no keys.
-	Ended bool
+	// Unreachable is set while a target refuses connections. It keeps its keys and
+	// receives no others.
+	Unreachable bool
 	// Suspected is set while the target's daemon does not respond.
 	Suspected bool
 	// Responded is set if the target's daemon has responded at least once since
@@ -124,7 +124,7 @@
 		if cur := p.newest[c.Instance]; cur == nil || cur.Target.StartTime < c.Target.StartTime {
 			p.newest[c.Instance] = c
 		}
-		if c.Ready && !c.Suspected {
+		if c.Ready && !c.Suspected && !c.Unreachable {
 			p.ready = append(p.ready, c)
 			p.keyCounts[c.Owner] = 0
 		}
@@ -239,12 +239,12 @@
 	return r.Revoked == RevokedSuspected && c != nil && c.Ready && !c.Suspected && c.Responded
 }
 
-// ownerEnded reports whether the owner of a shard has ended and holds no keys:
-// either its daemon reports this, or there is a later incarnation of a target
-// at the same instance.
+// ownerEnded reports whether the owner of a shard has ended and holds no keys. Only a
+// later incarnation of a target at the same instance proves this; connections are also
+// refused by targets that are busy.
 func (p *planner) ownerEnded(r *Shard) bool {
-	if c := p.candidates[r.Owner]; c != nil {
-		return c.Ended
+	if p.candidates[r.Owner] != nil {
+		return false
 	}
 	later, ok := p.newest[r.Owner.Instance]
 	return ok && later.Target.StartTime > r.Owner.Target.StartTime
--- a/ownertable/recovery.go
+++ b/ownertable/recovery.go
@@ -35,9 +35,6 @@
 	if era <= a.era {
 		return false
 	}
-	if self.Ended {
-		a.TargetEnded()
-	}
 	report := &HoldReport{Era: era, Owner: self.Owner, Process: int64(a.started), Rows: a.heldRows(self.Owner, now), UnreportedFor: max(a.grants.lastExpiry().Sub(now), 0)}
 	older := a.recovery.older
 	if a.table != nil {
@@ -58,9 +55,6 @@
 // Recovering reports whether the first table of the store's era has not been read.
 func (a *Agent) Recovering() bool { return a.era > 0 && a.table == nil }
 
-// TargetEnded records that the target has ended and holds no keys.
-func (a *Agent) TargetEnded() { a.grants.forgetOwnGrants() }
-
 // ReportDue returns the report that must be appended to the store, or nil if the
 // store contains it or it is not needed. It may be appended more than once.
 func (a *Agent) ReportDue() *HoldReport {
@@ -231,10 +225,3 @@
 	}
 	return last
 }
-
-// forgetOwnGrants makes MayHold false for everything that was granted so far.
-func (t *GrantTracker) forgetOwnGrants() {
-	for _, g := range t.grants {
-		g.ownExpiry = clock.Never
-	}
-}
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -125,8 +125,8 @@
 		b.stated = statementState{}
 	}
 	b.queue.SetSlots(slots)
-	if m.State == fleet.TargetEnded {
-		b.applyDecisions(nil, b.queue.Close())
+	if m.State == fleet.TargetUnreachable {
+		b.applyDecisions(nil, b.queue.RefuseWaiting())
 	}
 	b.mu.Unlock()
 	if replaced && old != nil {
@@ -370,13 +370,13 @@
 	return now.Add(time.Duration(slowRunFactor * float64(b.queue.ExpectedTime(item, now)))).Before(end)
 }
 
-// recordFailure logs and counts an attempt that got no response from the target. A
-// refused connection may end the target.
+// recordFailure logs and counts an attempt that got no response from the target. The
+// target is unreachable if it refuses connections and none is open.
 func (b *backend) recordFailure(incarnation *targetIncarnation, id []byte, sent bool, err error) {
 	b.d.metrics.count(metricTargetFailed)
 	b.d.recordOversize(err)
 	logevent.Log(b.d.log, logevent.TargetFailed, zap.ByteString("request", id), zap.String("target", incarnation.target.ID), zap.Bool("sent", sent), zap.Error(err))
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	if open, _ := incarnation.client.Conns(); open == 0 && errors.Is(err, syscall.ECONNREFUSED) {
 		b.d.control.do(func() { b.d.control.targetRefused(incarnation.target.ID) })
 	}
 }
--- a/sidecar/caller_request_target.go
+++ b/sidecar/caller_request_target.go
@@ -23,7 +23,7 @@
 }
 
 // chooseOwnerTarget returns the target that owns the key, unless its daemon is
-// suspected.
+// suspected or the target is unreachable.
 func (f *callerRequest) chooseOwnerTarget(s *serviceView) (t *targetView, pending bool) {
 	if s.table == nil {
 		return nil, false
@@ -31,7 +31,7 @@
 	shard := s.table.Find(f.headers.Key)
 	f.owner = shard.Owner.Instance
 	t = s.owner(f.headers.Key)
-	if t == nil || t.suspected {
+	if t == nil || t.suspected || t.unreachable {
 		return nil, t == nil && !shard.Unassigned()
 	}
 	return t, true
--- a/sidecar/control_heartbeat.go
+++ b/sidecar/control_heartbeat.go
@@ -26,7 +26,7 @@
 	// deferred answer is sent.
 	deferMargin = 200 * time.Millisecond
 	// refusedAfter is the least time since its last heartbeat after which a target
-	// that refuses connections counts as ended.
+	// that refuses connections counts as unreachable.
 	refusedAfter = 100 * time.Millisecond
 )
 
@@ -245,7 +245,7 @@
 	if c.heartbeats.leavingSince == clock.Never {
 		c.heartbeats.leavingSince = clock.Now()
 	}
-	if c.self.State == fleet.TargetReady {
+	if c.self.State.Serving() {
 		m := c.self
 		m.State = fleet.TargetLeaving
 		c.setTarget(m, "departure")
@@ -261,28 +261,28 @@
 	}
 	c.heartbeats.leavingSince = since
 	m := c.self
-	if m.State == fleet.TargetReady {
+	if m.State.Serving() {
 		m.State = fleet.TargetLeaving
 	}
 	c.setTarget(m, "response")
 }
 
-// targetRefused handles a refused connection to the target, which then counts as
-// ended. A leaving target may accept no new connections while it still works on its
-// keys, so its shards stay with it until it releases them or its grant expires.
+// targetRefused handles a refused connection to the target while no other one is open. It
+// then gets no requests until its next heartbeat. Its shards stay with it: a target that is
+// busy or leaving may refuse connections while it works on its keys.
 func (c *control) targetRefused(id string) {
 	now := clock.Now()
 	if id != c.self.TargetID || c.self.State != fleet.TargetReady || now.Sub(c.heartbeats.lastAt) < refusedAfter {
 		return
 	}
 	m := c.self
-	m.State = fleet.TargetEnded
+	m.State = fleet.TargetUnreachable
 	c.setTarget(m, "connection refused")
 }
 
 // checkTargetHeartbeats marks a target without recent heartbeats as leaving.
 func (c *control) checkTargetHeartbeats(now clock.Time) {
-	if c.self.State != fleet.TargetReady || !c.keyed() {
+	if !c.self.State.Serving() || !c.keyed() {
 		return
 	}
 	if now.Sub(c.heartbeats.lastAt) > time.Duration(missedIntervals*float64(c.d.settings().HeartbeatInterval)) {
--- a/sidecar/control_plan.go
+++ b/sidecar/control_plan.go
@@ -64,7 +64,7 @@
 	}
 	return ownertable.Candidate{
 		Owner: ownertable.Owner{Instance: ident.Instance(m.Instance), Target: ownertable.Target{ID: m.TargetID, StartTime: m.TargetStartMS}},
-		Slots: slots, Load: load.OfferedRatio, LatencyRatio: load.LatencyRatio, Ready: m.State == fleet.TargetReady, Ended: m.State == fleet.TargetEnded, Suspected: suspected, Responded: responded,
+		Slots: slots, Load: load.OfferedRatio, LatencyRatio: load.LatencyRatio, Ready: m.State.Serving(), Unreachable: m.State == fleet.TargetUnreachable, Suspected: suspected, Responded: responded,
 	}
 }
 
--- a/sidecar/control_view.go
+++ b/sidecar/control_view.go
@@ -56,14 +56,15 @@
 func (c *control) targetView(m *fleet.Member, local, suspected, stopping bool) (*targetView, ident.Service) {
 	name := ident.Instance(m.Instance)
 	return &targetView{
-		instance:  name,
-		target:    ownertable.Target{ID: m.TargetID, StartTime: m.TargetStartMS},
-		addr:      m.Addr,
-		zone:      ident.Zone(m.Zone),
-		local:     local,
-		ready:     m.State == fleet.TargetReady && !stopping,
-		suspected: suspected,
-		load:      c.peerLoad(name, m.Slots),
+		instance:    name,
+		target:      ownertable.Target{ID: m.TargetID, StartTime: m.TargetStartMS},
+		addr:        m.Addr,
+		zone:        ident.Zone(m.Zone),
+		local:       local,
+		ready:       m.State == fleet.TargetReady && !stopping,
+		unreachable: m.State == fleet.TargetUnreachable,
+		suspected:   suspected,
+		load:        c.peerLoad(name, m.Slots),
 	}, ident.Service(m.Service)
 }
 
--- a/sidecar/target_request.go
+++ b/sidecar/target_request.go
@@ -108,7 +108,7 @@
 		return r.refuse(outcome.NotReady, retryRefused)
 	case current.service != r.req.Service:
 		return r.refuse(outcome.UnknownService, retryRefused)
-	case closing, current.state == fleet.TargetEnded, current.refuseFrom != clock.Never && !now.Before(current.refuseFrom):
+	case closing, current.state == fleet.TargetUnreachable, current.refuseFrom != clock.Never && !now.Before(current.refuseFrom):
 		return r.refuse(outcome.Draining, retryRefused)
 	case r.req.Keyed && !r.keyGranted(now):
 		return r.refuse(outcome.WrongOwner, retryRefused)
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -32,14 +32,17 @@
 
 // targetView is the state of one target and its daemon.
 type targetView struct {
-	instance  ident.Instance
-	target    ownertable.Target
-	addr      string
-	zone      ident.Zone
-	local     bool
-	ready     bool
-	suspected bool
-	load      *targetLoad
+	instance ident.Instance
+	target   ownertable.Target
+	addr     string
+	zone     ident.Zone
+	local    bool
+	ready    bool
+	// unreachable is set while the target refuses connections. It owns its keys, and serves
+	// none.
+	unreachable bool
+	suspected   bool
+	load        *targetLoad
 }
 
 // targetLoad is the newest load of a target. It is shared by successive views.
--- a/target/pool.go
+++ b/target/pool.go
@@ -142,6 +142,12 @@
 func (p *pool) close() {
 	p.mu.Lock()
 	p.closed = true
+	p.mu.Unlock()
+	p.closeIdle()
+}
+
+func (p *pool) closeIdle() {
+	p.mu.Lock()
 	idle := p.idle
 	p.idle = nil
 	p.mu.Unlock()
--- a/workqueue/queue.go
+++ b/workqueue/queue.go
@@ -195,6 +195,11 @@
 // Close refuses all waiting items. All items that arrive later are refused.
 func (q *Queue) Close() []Refusal {
 	q.closed = true
+	return q.RefuseWaiting()
+}
+
+// RefuseWaiting refuses all waiting items.
+func (q *Queue) RefuseWaiting() []Refusal {
 	q.refused = q.refused[:0]
 	for i := range q.waiting {
 		q.refused = append(q.refused, Refusal{ID: q.waiting[i].ID, RetryAfter: minRetryAfter})
