A message that cannot be decoded ends only its own exchange (LOST)

Cause: the bound of 128 header fields was checked by the decoder only; the receiver closed the connection for it and canceled every exchange, the sender failed all that were pending.

Statuses leave out suspects beyond their receivers' bound.

--- a/entry/activerequest.go
+++ b/entry/activerequest.go
@@ -24,6 +24,7 @@
 	headerTimeout        = "Parsley-Timeout-Ms"
 	headerAttempt        = "Parsley-Attempt"
 	maxIdempotencyKey    = 255 // bytes
+	maxCallerFields      = 128 // header fields of a request
 )
 
 // rootPath stands for an empty path below the service's prefix.
@@ -186,7 +187,7 @@
 // undivided service has a point only if it has an idempotency key, so that its
 // repeats reach the same daemon.
 func (r *activeRequest) fillKey() *problem {
-	if len(r.req.Headers) > wire.MaxHeaders {
+	if len(r.req.Headers) > maxCallerFields {
 		return problemHeaderTooLarge
 	}
 	key, ok := r.key.Header(headerIdempotencyKey)
--- a/fleet/extension_test.go
+++ b/fleet/extension_test.go
@@ -38,3 +38,13 @@
 		t.Errorf("with another extension: %+v, %v", got, err)
 	}
 }
+
+// A status with more suspects than its receivers accept would be dropped, and its sender
+// suspected by all.
+func TestStatusWithManySuspectsIsReadable(t *testing.T) {
+	s := Status{Seq: 1, Member: member(1, 1), Suspects: make([]string, 2*maxSuspects)}
+	got, err := DecodeStatus(s.Encode())
+	if err != nil || len(got.Suspects) != maxSuspects {
+		t.Fatalf("got %+v, %v", got, err)
+	}
+}
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -56,8 +56,16 @@
 	RateLimit float64 `msg:"r"`
 }
 
-// Encode returns the encoded status.
+// maxSuspects is the largest number of suspected daemons in a status.
+const maxSuspects = 4096
+
+// Encode returns the encoded status. Suspects beyond maxSuspects are left out.
 func (s *Status) Encode() []byte {
+	if len(s.Suspects) > maxSuspects {
+		short := *s
+		short.Suspects = s.Suspects[:maxSuspects]
+		s = &short
+	}
 	b, err := s.MarshalMsg(nil)
 	if err == nil {
 		b, err = (&statusExtension{ConfigAgeMS: s.ConfigAgeMS, ConfigHops: s.ConfigHops}).MarshalMsg(b)
--- a/transport/exchange.go
+++ b/transport/exchange.go
@@ -63,8 +63,9 @@
 }
 
 // Respond sends the response and ends the exchange; neither e nor its request
-// may be used afterwards. If the response exceeds the size limit, Respond returns
-// a *wire.OversizeError, and the caller must call it again with a smaller one.
+// may be used afterwards. If the response exceeds a limit, Respond returns a
+// *wire.OversizeError or a *wire.HeaderCountError, and the caller must call it again with
+// a smaller one.
 func (e *Exchange) Respond(resp *wire.Response) error {
 	if err := e.conn.respond(e.id, resp, e.due); err != nil {
 		return err
--- a/transport/metrics.go
+++ b/transport/metrics.go
@@ -18,6 +18,7 @@
 	}
 	outcomestat.Register(set, prefix+"_late_answers_total", c.LateAnswers.Load)
 	outcomestat.Register(set, prefix+"_bad_connections_total", c.BadConns.Load)
+	outcomestat.Register(set, prefix+"_bad_messages_total", c.BadMessages.Load)
 	outcomestat.Register(set, prefix+"_silent_connections_total", c.SilentConns.Load)
 	outcomestat.Register(set, prefix+"_dials_total", c.Dials.Load)
 	outcomestat.Register(set, prefix+"_failed_dials_total", c.FailedDials.Load)
--- a/transport/server.go
+++ b/transport/server.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/wire"
 )
@@ -150,6 +151,12 @@
 	logevent.Log(s.log, logevent.PeerConnClosed, zap.Stringer("peer", conn.RemoteAddr()), zap.Error(err))
 }
 
+// recordBadMessage counts and logs a message that could not be decoded.
+func (s *Server) recordBadMessage(from ident.Node, err error) {
+	s.counters.BadMessages.Add(1)
+	logevent.Log(s.log, logevent.PeerMessageMalformed, zap.Stringer("daemon", from), zap.Error(err))
+}
+
 // startHandler runs the request handler in its own goroutine.
 func (s *Server) startHandler(e *Exchange) {
 	s.wg.Add(1)
--- a/transport/serverconn.go
+++ b/transport/serverconn.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/outcome"
 	"github.com/parsleystack/parsleystack/wire"
 )
 
@@ -50,6 +51,8 @@
 	}
 }
 
+// dispatch handles a frame. An error ends the connection; a message in a valid frame that
+// cannot be decoded ends only its own exchange.
 func (c *serverConn) dispatch(f wire.Frame) error {
 	switch f.Kind {
 	case wire.KindRequest:
@@ -85,7 +88,11 @@
 	}
 	e := exchangePool.Get().(*Exchange)
 	if err := f.Decode(&e.Request); err != nil {
-		return err
+		e.Request.Reset()
+		exchangePool.Put(e)
+		c.server.recordBadMessage(c.peerHello.Node, err)
+		f.Release()
+		return c.respond(f.ID, &wire.Response{Kind: outcome.NotRun, Reason: outcome.ConnectionLost}, clock.Never) // another daemon may understand it
 	}
 	e.conn, e.id, e.frame, e.From = c, f.ID, f, c.peerHello.Node
 	if e.Request.Objective > 0 {
@@ -104,7 +111,10 @@
 	}
 	var call wire.Call
 	if err := f.Decode(&call); err != nil {
-		return err
+		c.server.recordBadMessage(c.peerHello.Node, err)
+		f.Release()
+		_ = c.writer.writeFrame(wire.KindReply, f.ID, &wire.Reply{Error: err.Error()}) // to a peer that has disconnected
+		return nil
 	}
 	id := f.ID
 	f.Release()
@@ -133,8 +143,8 @@
 	c.writer.dropResponse(id)
 }
 
-// respond queues a response and removes its exchange. It returns an error only for
-// an oversize response; a response to a peer that has disconnected is dropped. due is
+// respond queues a response and removes its exchange. It returns an error only for a
+// response that exceeds a limit; one to a peer that has disconnected is dropped. due is
 // when the response should be sent; Never if there is no such time.
 func (c *serverConn) respond(id uint64, resp *wire.Response, due clock.Time) error {
 	var err error
--- a/wire/errors.go
+++ b/wire/errors.go
@@ -23,6 +23,15 @@
 	return fmt.Sprintf("wire: frame of %d bytes exceeds the limit of %d; send a smaller body or raise the limit on both sides", e.Size, e.Limit)
 }
 
+// HeaderCountError reports a message with more than MaxHeaders header fields.
+type HeaderCountError struct {
+	Count int
+}
+
+func (e *HeaderCountError) Error() string {
+	return fmt.Sprintf("wire: message with %d header fields exceeds the limit of %d; send fewer", e.Count, MaxHeaders)
+}
+
 // TruncatedError reports a connection that closed in the middle of a frame.
 type TruncatedError struct {
 	Err error // cause
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -39,10 +39,15 @@
 }
 
 // Append appends a frame with the message m as its body to dst. If m is nil, the
-// body is empty. It returns an OversizeError, and dst unchanged, if the frame
-// exceeds limit bytes.
+// body is empty. It returns dst unchanged with an OversizeError if the frame exceeds
+// limit bytes, and with a HeaderCountError if the message has too many header fields.
 func Append(dst []byte, kind Kind, id uint64, m msgp.Marshaler, limit int) ([]byte, error) {
 	start := len(dst)
+	if b, ok := m.(bounded); ok {
+		if err := b.checkBounds(); err != nil {
+			return dst, err
+		}
+	}
 	dst = appendPrefix(dst, kind, id)
 	if m != nil {
 		var err error
--- a/wire/request.go
+++ b/wire/request.go
@@ -32,7 +32,7 @@
 	IdempotencyKey []byte             `msg:"y,zerocopy"`
 	Class          []byte             `msg:"c,zerocopy"` // class of requests with similar service times
 	Caller         ident.Service      `msg:"l"`          // service of the instance where the request originated
-	Headers        []Header           `msg:"h,limit=128"`
+	Headers        []Header           `msg:"h,limit=8192"`
 	Body           []byte             `msg:"b,zerocopy"`
 
 	// LargeResponse is set by the sender if the response is expected to be large. It is
@@ -40,8 +40,8 @@
 	LargeResponse bool `msg:"-"`
 }
 
-// Reset clears r for reuse and keeps its header slice.
-func (r *Request) Reset() {
-	headers := r.Headers[:0]
-	*r = Request{Headers: headers}
-}
+// checkBounds implements bounded.
+func (r *Request) checkBounds() error { return checkHeaderCount(r.Headers) }
+
+// Reset clears r for reuse and keeps its header slice, unless it is large.
+func (r *Request) Reset() { *r = Request{Headers: reusableHeaders(r.Headers)} }
--- a/wire/request_gen.go
+++ b/wire/request_gen.go
@@ -158,7 +158,7 @@
 		err = msgp.WrapError(err, "Headers")
 		return
 	}
-	if zb0003 > 128 {
+	if zb0003 > 8192 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
--- a/wire/response.go
+++ b/wire/response.go
@@ -37,7 +37,7 @@
 	Capacity   uint32         `msg:"c"` // maximum number of requests that it runs concurrently
 	Hint       Hint           `msg:"t"`
 	Status     uint16         `msg:"s"`
-	Headers    []Header       `msg:"h,limit=128"`
+	Headers    []Header       `msg:"h,limit=8192"`
 	Body       []byte         `msg:"b,zerocopy"`
 
 	frame   Frame
@@ -68,8 +68,8 @@
 	r.Headers = r.Headers[:0]
 }
 
-// Reset clears r for reuse and keeps its header slice.
-func (r *Response) Reset() {
-	headers := r.Headers[:0]
-	*r = Response{Headers: headers}
-}
+// checkBounds implements bounded.
+func (r *Response) checkBounds() error { return checkHeaderCount(r.Headers) }
+
+// Reset clears r for reuse and keeps its header slice, unless it is large.
+func (r *Response) Reset() { *r = Response{Headers: reusableHeaders(r.Headers)} }
--- a/wire/response_gen.go
+++ b/wire/response_gen.go
@@ -172,7 +172,7 @@
 		err = msgp.WrapError(err, "Headers")
 		return
 	}
-	if zb0004 > 128 {
+	if zb0004 > 8192 {
 		err = msgp.ErrLimitExceeded
 		return
 	}
