A request is sent once at most on a connection to its target (REFUSED)

Other operators reported the same of an earlier refusal that a faulty backend wrote once more on a kept connection.

Cause: a target's late copy of a rejection comes when the next response on the connection is expected. The second send of the rejected request used the same connection, the most recently used one, and the copy carries its id, so it was taken for the answer.

--- a/sidecar/target_request.go
+++ b/sidecar/target_request.go
@@ -140,6 +140,7 @@
 	r.buildRequest(left)
 	r.call.Request, r.call.Response = &r.httpReq, &r.httpResp
 	r.call.Deadline = time.Now().Add(left + answerMargin/2)
+	r.call.ID = r.req.RequestID
 	r.call.BeforeWrite = r.beforeWrite
 	r.call.Accept = func(resp *fasthttp.Response) bool {
 		return platform.AnswersRequest(&resp.Header, string(r.req.RequestID))
--- a/target/call.go
+++ b/target/call.go
@@ -19,6 +19,10 @@
 	Request  *fasthttp.Request
 	Response *fasthttp.Response
 	Deadline time.Time
+	// ID is what Accept matches responses by. Calls with the same ID use different
+	// connections, as a late copy of the response to one would be taken for the response
+	// to the other. If it is empty, any connection is used.
+	ID []byte
 	// BeforeWrite is called immediately before the request is written to the socket.
 	// If it returns an error, nothing is written and Do returns the error.
 	BeforeWrite func() error
@@ -26,6 +30,7 @@
 	// A nil Accept accepts the first response.
 	Accept func(*fasthttp.Response) bool
 
+	idHash   uint64                // of ID
 	reserved recvlimit.Reservation // memory of the response body
 
 	mu       sync.Mutex
@@ -54,10 +59,13 @@
 	c.mu.Lock()
 	c.canceled, c.conn = false, nil
 	c.mu.Unlock()
-	c.Request, c.Response, c.BeforeWrite, c.Accept = nil, nil, nil, nil
+	c.Request, c.Response, c.ID, c.BeforeWrite, c.Accept = nil, nil, nil, nil, nil
 	c.Deadline = time.Time{}
 }
 
+// mayUse reports whether the call's ID was not sent on the connection yet.
+func (c *Call) mayUse(conn *conn) bool { return len(c.ID) == 0 || !conn.sent.contains(c.idHash) }
+
 // attach sets the call's connection and the connection's deadlines. It returns
 // false if the call was canceled.
 func (c *Call) attach(conn *conn) bool {
--- a/target/client.go
+++ b/target/client.go
@@ -57,7 +57,8 @@
 // socket; the target did not run the request in that case. If sent is true and err
 // is not nil, the request may have run.
 func (c *Client) Do(call *Call) (sent bool, err error) {
-	conn, err := c.pool.get(call.Deadline)
+	call.idHash = hashID(call.ID)
+	conn, err := c.pool.get(call)
 	if err != nil {
 		return false, err
 	}
@@ -73,6 +74,9 @@
 			return false, err
 		}
 	}
+	if len(call.ID) > 0 {
+		conn.sent[call.idHash] = struct{}{}
+	}
 	sent, err = c.roundTrip(conn, call)
 	call.detach()
 	c.releaseConn(conn, call, err)
@@ -88,7 +92,7 @@
 // releaseConn returns the connection to the pool if the next request can use it, and
 // closes it otherwise.
 func (c *Client) releaseConn(conn *conn, call *Call, err error) {
-	if err == nil && !call.Response.ConnectionClose() && !conn.writeIncomplete && conn.reader.Buffered() == 0 {
+	if err == nil && !call.Response.ConnectionClose() && !conn.writeIncomplete && conn.reader.Buffered() == 0 && !conn.sent.full() {
 		if len(call.Request.Body()) > maxBufferedBody {
 			_ = conn.SetWriteDeadline(time.Time{})
 		}
--- a/target/conn.go
+++ b/target/conn.go
@@ -23,6 +23,7 @@
 	writer *bufio.Writer
 	wrote  atomic.Bool // bytes of the current request were written to the socket
 
+	sent            sentIDs
 	writeIncomplete bool      // the current request was not completely written
 	idleDeadline    time.Time // not reused after it; no limit if zero
 
@@ -32,7 +33,7 @@
 }
 
 func newConn(c net.Conn) (*conn, error) {
-	tc := &conn{Conn: c}
+	tc := &conn{Conn: c, sent: make(sentIDs)}
 	if sc, ok := c.(syscall.Conn); ok {
 		raw, err := sc.SyscallConn()
 		if err != nil {
--- a/target/pool.go
+++ b/target/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -32,15 +33,16 @@
 
 // get returns an idle connection, or a new one. It probes an idle connection first:
 // if the target has closed it, the outcome of the request would be unknown; if it
-// holds surplus bytes, the request would get another request's response.
-func (p *pool) get(deadline time.Time) (*conn, error) {
+// holds surplus bytes, the request would get another request's response. No connection is
+// used for two calls with the same ID.
+func (p *pool) get(call *Call) (*conn, error) {
 	for {
-		c, err := p.popOrReserve()
+		c, err := p.popOrReserve(call)
 		if err != nil {
 			return nil, err
 		}
 		if c == nil {
-			return p.dial(deadline)
+			return p.dial(call.Deadline)
 		}
 		if c.reusable() {
 			return c, nil
@@ -49,26 +51,43 @@
 	}
 }
 
-// popOrReserve returns an idle connection, or nil after reserving a slot for a new
-// one.
-func (p *pool) popOrReserve() (*conn, error) {
+// popOrReserve returns an idle connection, or nil after reserving a slot for a new one. If
+// the call's ID was sent on all idle connections of a full pool, the least recently used one
+// makes room.
+func (p *pool) popOrReserve(call *Call) (*conn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, ErrClosed
 	}
-	if n := len(p.idle); n > 0 {
-		c := p.idle[n-1]
-		p.idle = p.idle[:n-1]
+	if c := p.popUnsent(call); c != nil {
 		return c, nil
 	}
-	if p.open >= p.maxConns {
+	if p.open < p.maxConns {
+		p.open++
+		return nil, nil
+	}
+	if len(p.idle) == 0 {
 		return nil, ErrNoConn
 	}
-	p.open++
+	_ = p.idle[0].Close()
+	p.idle = slices.Delete(p.idle, 0, 1)
 	return nil, nil
 }
 
+// popUnsent returns the most recently used idle connection that the call may use, or nil. The caller holds p.mu.
+func (p *pool) popUnsent(call *Call) *conn {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		if !call.mayUse(c) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
+		return c
+	}
+	return nil
+}
+
 // dial opens a connection in a slot that was reserved before, and releases the slot
 // on failure.
 func (p *pool) dial(deadline time.Time) (*conn, error) {
