A departure is acknowledged once it outlives the daemon's process (DRAIN)

A notice that was the first that a new process heard of its target was acknowledged and dropped.

Cause: the acknowledgement was sent before the departure was kept anywhere. The next process took the older record, its own record undid the departure at all others, and "leaving" also meant "no heartbeats", so that a heartbeat undid what was inherited.

Change: the acknowledgement waits for the store or, after 100 ms, for two other daemons. Departures are final across processes of a daemon: others keep them, send no requests and remind the process. The own record is written again after a late append of an older one. A target that sends no heartbeats is silent, not leaving, and one that only a record names gets no requests after 1.7 intervals without a heartbeat.

--- a/fleet/directory.go
+++ b/fleet/directory.go
@@ -37,6 +37,17 @@
 	Suspects       []string      // daemons of its service that it suspects
 	StatusInterval time.Duration // interval of its statuses to this daemon, as it declares
 	RenewedAt      clock.Time    // when the connections to it were last replaced, Never if they were not
+	// ForgotDeparture is set while its process states that a target is present whose
+	// departure an earlier process had announced. Member.State stays TargetLeaving.
+	ForgotDeparture bool
+}
+
+// forgetsDeparture reports whether m, a newer record, lacks the departure of the target that
+// the present one states.
+func (p *Peer) forgetsDeparture(m *Member) bool {
+	sameTarget := m.Service == p.Member.Service && m.TargetID == p.Member.TargetID && m.TargetStartMS == p.Member.TargetStartMS
+	laterProcess := m.Incarnation != p.Member.Incarnation || p.ForgotDeparture
+	return sameTarget && laterProcess && p.Member.State == TargetLeaving && m.State != TargetLeaving
 }
 
 // Directory holds all daemons except this one. It is part of the control state
@@ -50,7 +61,8 @@
 func NewDirectory() *Directory { return &Directory{peers: make(map[ident.Instance]*Peer)} }
 
 // ApplyMember stores a member record. It reports whether the record is new, which it
-// is not if the directory has the same or a newer one.
+// is not if the directory has the same or a newer one. The departure of a target is final: a
+// later process of its daemon may have forgotten it.
 func (d *Directory) ApplyMember(m *Member, now clock.Time) bool {
 	name := ident.Instance(m.Instance)
 	p := d.peers[name]
@@ -62,11 +74,15 @@
 	if !m.Newer(&p.Member) {
 		return false
 	}
+	p.ForgotDeparture = p.forgetsDeparture(m)
 	if m.Incarnation != p.Member.Incarnation {
 		p.LastSeq, p.Responded, p.Stopping = 0, false, false
 		p.LastSeen = now
 	}
 	p.Member = *m
+	if p.ForgotDeparture {
+		p.Member.State = TargetLeaving
+	}
 	return true
 }
 
--- a/fleet/directory_test.go
+++ b/fleet/directory_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/ident"
 )
 
 func member(incarnation, revision uint64) Member {
@@ -61,3 +62,30 @@
 		_, _ = DecodeStatus(b)
 	})
 }
+
+// A daemon that was restarted before its target's departure was stored stated that the
+// target is ready, and all others sent requests to it again.
+func TestDepartureIsFinalForLaterProcesses(t *testing.T) {
+	d, now := NewDirectory(), clock.Now()
+	departed := member(1, 2)
+	departed.TargetID, departed.TargetStartMS, departed.State = "t", 5, TargetLeaving
+	d.ApplyMember(&departed, now)
+	p := d.Peer(ident.Instance(departed.Instance))
+	for revision := range uint64(2) {
+		forgot := departed
+		forgot.Incarnation, forgot.Revision, forgot.State = 2, 1+revision, TargetReady
+		if !d.ApplyMember(&forgot, now) || p.Member.State != TargetLeaving || !p.ForgotDeparture || p.Member.Incarnation != 2 {
+			t.Errorf("after record %d of the next process: %+v", revision+1, p)
+		}
+	}
+	reminded := departed
+	reminded.Incarnation, reminded.Revision = 2, 3
+	if d.ApplyMember(&reminded, now); p.ForgotDeparture || p.Member.State != TargetLeaving {
+		t.Errorf("after the process was reminded: %+v", p)
+	}
+	started := reminded
+	started.Revision, started.TargetStartMS, started.State = 4, 6, TargetReady
+	if d.ApplyMember(&started, now); p.Member.State != TargetReady {
+		t.Errorf("the next target is %v, want ready", p.Member.State)
+	}
+}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -12,7 +12,8 @@
 	TargetUnknown TargetState = 0
 	// TargetReady means that the target accepts requests.
 	TargetReady TargetState = 1
-	// TargetLeaving means that the target accepts no new requests.
+	// TargetLeaving means that the target has announced its departure, which is final. It
+	// accepts no new requests. Daemons of earlier versions report it of a silent target, too.
 	TargetLeaving TargetState = 2
 	// TargetEnded is what daemons of earlier versions report of a target that has refused
 	// a connection. It does not prove that the target has released its keys.
@@ -21,6 +22,9 @@
 	// gets no requests until its next heartbeat, and keeps its keys: it may have ended, or
 	// accept no further connections while it works on earlier requests.
 	TargetUnreachable TargetState = 4
+	// TargetSilent means that the target has sent no heartbeat for a time. Its keys are
+	// revoked; its next heartbeat makes it ready.
+	TargetSilent TargetState = 5
 )
 
 // String returns the name of the state.
@@ -36,6 +40,8 @@
 		return "ended"
 	case TargetUnreachable:
 		return "unreachable"
+	case TargetSilent:
+		return "silent"
 	}
 	return "invalid"
 }
--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -46,9 +46,10 @@
 	HeartbeatOutOfOrder = define(7308, "heartbeat out of order", info, "A heartbeat is older than one already processed; it renews no grant.", "")
 	GrantsNotRenewed    = define(7309, "grants not renewed", warning, "A heartbeat was answered without grants, since the lease of the daemon is not confirmed.", "Look for events 7101 (store unavailable) and 7302 (daemon suspected) before this line.")
 
-	TargetLimitChanged  = define(7313, "target limit changed", info, "A response of the target states a limit of requests a second, another one than before, or none any more.", "")
-	TargetStatesLeaving = define(7314, "target states its departure", info, "A response of the target states that it leaves; it gets no new requests, and its keys move.", "")
-	StatementIgnored    = define(7315, "statement ignored", warning, "A response of the target has a limit or a departure that can't be read; what it stated before stays in force.", "Correct the target; the error has the value.")
+	TargetLimitChanged    = define(7313, "target limit changed", info, "A response of the target states a limit of requests a second, another one than before, or none any more.", "")
+	DepartureAcknowledged = define(7320, "departure acknowledged", info, "A heartbeat that announces the departure of the target is acknowledged, since the store or other daemons keep it now.", "")
+	TargetStatesLeaving   = define(7314, "target states its departure", info, "A response of the target states that it leaves; it gets no new requests, and its keys move.", "")
+	StatementIgnored      = define(7315, "statement ignored", warning, "A response of the target has a limit or a departure that can't be read; what it stated before stays in force.", "Correct the target; the error has the value.")
 
 	TargetCrashed = define(7316, "target crashed", warning, "The target has ended without announcing it while requests were in progress; requests has the id and the content fingerprint of each that may have been the cause.", "Compare the fingerprints of several of these lines: one that is in all of them crashes its targets.")
 
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -157,6 +157,7 @@
 	c.renewSilentLinks(now)
 	c.checkTargetHeartbeats(now)
 	c.checkDeferred(now)
+	c.pushDeparture(now)
 	c.sendStatuses(now)
 	c.catchUp(now)
 	c.fetchConfiguration(now)
@@ -199,6 +200,7 @@
 	case !c.directoryLoaded:
 		c.directoryLoaded = true
 		c.registerSelf()
+		c.acknowledgeDeparture()
 	case entered:
 		c.writeSelfAgain(b.Records)
 	}
--- a/sidecar/control_era.go
+++ b/sidecar/control_era.go
@@ -26,6 +26,7 @@
 	clear(c.reports)
 	clear(c.crashes.stored)
 	c.nextReport = clock.Never
+	c.forgetRecord()
 	c.enterAgentEra(era)
 	c.status.behindSince = clock.Never
 	c.status.urgent = true
--- a/sidecar/control_heartbeat.go
+++ b/sidecar/control_heartbeat.go
@@ -34,9 +34,10 @@
 type heartbeatState struct {
 	seq          uint64
 	lastAt       clock.Time // when the newest heartbeat was received or the target was inherited
-	leavingSince clock.Time // when the target's departure was acknowledged; Never if it is not leaving
+	leavingSince clock.Time // when the target announced its departure; Never if it is not leaving
 	grantsExpire clock.Time // when the newest grants end
 	deferred     *deferredHeartbeat
+	departure    departureState
 }
 
 // deferredHeartbeat is a heartbeat whose answer waits for pending shards.
@@ -66,6 +67,10 @@
 	}
 	c.answerDeferred(now)
 	c.updateTarget(hb, now)
+	if hb.Draining && !c.departureKept() {
+		c.heartbeats.departure.heartbeat = &deferredHeartbeat{heartbeat: hb, received: now, reply: reply}
+		return
+	}
 	w := &deferredHeartbeat{heartbeat: hb, received: now, until: min(now.Add(maxDefer), c.heartbeats.grantsExpire.Add(-deferMargin)), reply: reply}
 	if c.shardsPending() && now.Before(w.until) {
 		c.heartbeats.deferred = w
@@ -155,6 +160,9 @@
 	} else if c.heartbeats.leavingSince != clock.Never {
 		state = fleet.TargetLeaving
 	}
+	if c.heartbeats.departure.announced(hb.Target) {
+		state = fleet.TargetLeaving
+	}
 	if state == fleet.TargetLeaving && c.heartbeats.leavingSince == clock.Never {
 		c.heartbeats.leavingSince = now
 	}
@@ -168,11 +176,15 @@
 
 func (c *control) setTarget(m fleet.Member, cause string) {
 	serviceChanged := m.Service != c.self.Service
+	departs := m.State == fleet.TargetLeaving && (c.self.State != fleet.TargetLeaving || m.TargetID != c.self.TargetID || m.TargetStartMS != c.self.TargetStartMS)
 	c.self = m
 	if serviceChanged {
 		c.changeService()
 	}
 	c.selfChanged()
+	if departs {
+		c.heartbeats.departure.begin(c.self.Revision)
+	}
 	c.d.backend.setTarget(&c.self, c.heartbeats.leavingSince, c.targetMaxConns())
 	logevent.Log(c.log, logevent.TargetChanged, zap.String("cause", cause), zap.String("service", m.Service), zap.String("target", m.TargetID),
 		zap.Int64("born", m.TargetStartMS), zap.Stringer("state", m.State), zap.Int("slots", m.Slots))
@@ -236,23 +248,6 @@
 	return ownertable.Owner{Instance: ident.Instance(c.self.Instance), Target: c.target()}
 }
 
-// handleDeparture handles a departure notice of the target. One of an earlier
-// incarnation changes nothing.
-func (c *control) handleDeparture(id string) heartbeatResponse {
-	if id != c.self.TargetID {
-		return heartbeatResponse{status: 200, body: platform.AppendAcknowledgement(nil)}
-	}
-	if c.heartbeats.leavingSince == clock.Never {
-		c.heartbeats.leavingSince = clock.Now()
-	}
-	if c.self.State.Serving() {
-		m := c.self
-		m.State = fleet.TargetLeaving
-		c.setTarget(m, "departure")
-	}
-	return heartbeatResponse{status: 200, body: platform.AppendAcknowledgement(nil)}
-}
-
 // targetStatesLeaving handles the departure that the target has stated in a response, since
 // a time. Its heartbeats may not say so yet, or never.
 func (c *control) targetStatesLeaving(t ownertable.Target, since clock.Time) {
@@ -261,9 +256,7 @@
 	}
 	c.heartbeats.leavingSince = since
 	m := c.self
-	if m.State.Serving() {
-		m.State = fleet.TargetLeaving
-	}
+	m.State = fleet.TargetLeaving
 	c.setTarget(m, "response")
 }
 
@@ -280,14 +273,15 @@
 	c.setTarget(m, "connection refused")
 }
 
-// checkTargetHeartbeats marks a target without recent heartbeats as leaving.
+// checkTargetHeartbeats marks a target without recent heartbeats as silent: one that may hold
+// keys, and one that only the record of an earlier process names.
 func (c *control) checkTargetHeartbeats(now clock.Time) {
-	if !c.self.State.Serving() || !c.keyed() {
+	if !c.self.State.Serving() || !c.keyed() && c.heartbeats.seq > 0 {
 		return
 	}
 	if now.Sub(c.heartbeats.lastAt) > time.Duration(missedIntervals*float64(c.d.settings().HeartbeatInterval)) {
 		m := c.self
-		m.State = fleet.TargetLeaving
+		m.State = fleet.TargetSilent
 		c.setTarget(m, "no heartbeat")
 	}
 }
--- a/sidecar/control_members.go
+++ b/sidecar/control_members.go
@@ -82,9 +82,13 @@
 // applyOwnMember applies this instance's record from the store, which may have been
 // written by an earlier process.
 func (c *control) applyOwnMember(m *fleet.Member) {
+	if !m.Removed {
+		c.recordRead(m)
+	}
 	switch {
 	case m.Removed:
 		c.agent.Left()
+		c.forgetRecord()
 		c.self.JoinedMS = time.Now().UnixMilli()
 		c.selfChanged()
 	case m.Incarnation == c.self.Incarnation:
@@ -94,6 +98,7 @@
 		}
 	case m.Newer(&c.self):
 		c.self.Incarnation = m.Incarnation + 1
+		c.forgetRecord()
 		c.inheritTarget(m)
 		c.selfChanged()
 	default:
@@ -108,12 +113,14 @@
 		c.self.JoinedMS = m.JoinedMS
 	}
 	if c.self.State != fleet.TargetUnknown {
+		c.inheritDepartureOfCurrent(m)
 		return
 	}
 	c.self.Service, c.self.TargetID, c.self.TargetStartMS, c.self.Slots, c.self.State = m.Service, m.TargetID, m.TargetStartMS, m.Slots, m.State
 	c.heartbeats.targetInherited(clock.Now())
+	c.inheritDeparture()
 	c.selfChanged()
-	c.d.backend.setTarget(&c.self, clock.Never, c.targetMaxConns())
+	c.d.backend.setTarget(&c.self, c.heartbeats.leavingSince, c.targetMaxConns())
 }
 
 // selfChanged starts a new revision of the own record and distributes it.
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -176,6 +176,7 @@
 	if joined {
 		c.introduceEvidence(p)
 	}
+	c.remindOfDeparture(p)
 	name := ident.Instance(s.Member.Instance)
 	p.Echo = 0
 	if s.EchoIncarnation == c.self.Incarnation {
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -292,6 +292,8 @@
 		return d.serveRecords(ctx, body)
 	case callEvidence:
 		return nil, d.serveEvidence(ctx, body)
+	case callDeparture:
+		return nil, d.serveDeparture(ctx, body)
 	}
 	return nil, errors.New("unknown call kind; run the same version on all daemons")
 }
--- a/sidecar/members.go
+++ b/sidecar/members.go
@@ -55,6 +55,7 @@
 	for failures := 1; ctx.Err() == nil; failures++ {
 		err := w.d.store.Append(ctx, w.d.directory, []metastore.Record{record})
 		if err == nil {
+			w.d.control.do(func() { w.d.control.recordStored(m.Incarnation, m.Revision) })
 			return
 		}
 		if failures == 1 {
--- a/sidecar/servers.go
+++ b/sidecar/servers.go
@@ -90,7 +90,7 @@
 		}
 		d.control.do(func() { d.control.handleHeartbeat(hb, reply) })
 	case http.MethodDelete:
-		d.control.do(func() { reply(d.control.handleDeparture(id)) })
+		d.control.do(func() { d.control.handleDeparture(id, reply) })
 	default:
 		ctx.SetStatusCode(http.StatusMethodNotAllowed)
 		return
--- a/sidecar/storelink.go
+++ b/sidecar/storelink.go
@@ -24,6 +24,7 @@
 	// callDirectoryRecords returns the records of the directory from an offset on
 	callDirectoryRecords wire.CallKind = 4
 	callEvidence         wire.CallKind = 5 // merge evidence about requests that crash targets
+	callDeparture        wire.CallKind = 6 // keep the departure of a target, a record of its daemon
 )
 
 const (
