Heartbeats and records with numbers out of range change nothing

Other operators reported that one odd entry of another writer ended the machines that read the list, or that these stopped following it. Here no process ended, but a heartbeat with a start in the future hid those of the true target for good (callers got 503), and slots of 10^18, the largest seq, keys above 65,535 (narrowed to 32 bits) and handovers of any length were applied; so were member records with the last incarnation or under the key of another instance.

Cause: decoders checked the form of a number, not its range. Change: they check both.

--- a/fleet/directory_test.go
+++ b/fleet/directory_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -89,3 +90,27 @@
 		t.Errorf("the next target is %v, want ready", p.Member.State)
 	}
 }
+
+// A record of another writer with a number out of its range was applied: slots that overflow
+// a sum, or an incarnation after which none can follow.
+func TestRecordsWithNumbersOutOfRangeAreRejected(t *testing.T) {
+	for name, change := range map[string]func(*Member){
+		"10^18 slots":         func(m *Member) { m.Slots = 1e18 },
+		"negative slots":      func(m *Member) { m.Slots = -1 },
+		"last incarnation":    func(m *Member) { m.Incarnation = math.MaxUint64 },
+		"last revision":       func(m *Member) { m.Revision = math.MaxUint64 },
+		"started before 1970": func(m *Member) { m.TargetStartMS = -1 },
+		"port out of range":   func(m *Member) { m.Addr = "127.0.0.1:70000" },
+		"name in the address": func(m *Member) { m.Addr = "localhost:80" },
+		"no instance":         func(m *Member) { m.Instance = "" },
+	} {
+		m := member(1, 1)
+		change(&m)
+		if got, err := DecodeMember(m.Encode()); err == nil {
+			t.Errorf("%s: decoded as %+v", name, got)
+		}
+		if got, err := DecodeStatus((&Status{Seq: 1, Member: m}).Encode()); err == nil {
+			t.Errorf("%s: decoded as %+v", name, got)
+		}
+	}
+}
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -2,7 +2,11 @@
 
 //msgp:tuple Member
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+	"net/netip"
+)
 
 // TargetState is the state of a target.
 type TargetState uint8
@@ -116,8 +120,28 @@
 	switch {
 	case m.Schema != memberSchema:
 		return nil, &MemberError{Reason: fmt.Sprintf("schema %d is unknown", m.Schema)}
-	case m.Instance == "" || m.Addr == "":
-		return nil, &MemberError{Reason: "it lacks the instance or the address"}
+	}
+	if err := m.check(); err != nil {
+		return nil, err
 	}
 	return m, nil
 }
+
+// maxSlots is the largest number of slots in a record.
+const maxSlots = 1 << 20
+
+// check returns a *MemberError if a field is out of its range.
+func (m *Member) check() error {
+	_, err := netip.ParseAddrPort(m.Addr)
+	switch {
+	case m.Instance == "" || m.Addr == "":
+		return &MemberError{Reason: "it lacks the instance or the address"}
+	case err != nil:
+		return &MemberError{Reason: "address: " + err.Error()}
+	case m.Incarnation > math.MaxInt64 || m.Revision > math.MaxInt64:
+		return &MemberError{Reason: "its incarnation or revision leaves no room for a later one"}
+	case m.Slots < 0 || m.Slots > maxSlots || m.TargetStartMS < 0 || m.JoinedMS < 0:
+		return &MemberError{Reason: "a number is out of its range"}
+	}
+	return nil
+}
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -86,6 +86,11 @@
 	if err != nil {
 		return nil, &MemberError{Reason: err.Error()}
 	}
+	if !s.Member.isReference() {
+		if err := s.Member.check(); err != nil {
+			return nil, err
+		}
+	}
 	var x statusExtension
 	if rest, err = x.UnmarshalMsg(rest); err != nil { // of another version
 		return s, nil
--- a/ownertable/grant_tracker.go
+++ b/ownertable/grant_tracker.go
@@ -83,10 +83,9 @@
 	// maxGrantBytes is the space for grants in a reply, without the fields around
 	// them.
 	maxGrantBytes = MaxAnswerBytes - 296
-	// grantBytes and handoverBytes are the largest sizes of a grant, without the
-	// digits of its token, and of its handover in the text encoding.
-	grantBytes    = 18
-	handoverBytes = 16
+	// grantBytes is the largest size of a grant in the text encoding, without the digits of
+	// its token and its handover.
+	grantBytes = 18
 )
 
 // trimHandovers drops handovers that do not fit in the reply. The keys of those
@@ -100,7 +99,7 @@
 		if reply.Grants[i].Handover == "" {
 			continue
 		}
-		if space -= handoverBytes; space < 0 {
+		if space -= len(strconv.Quote(reply.Grants[i].Handover)) - len(`""`); space < 0 {
 			reply.Grants[i].Handover = ""
 		}
 	}
--- a/sidecar/control_heartbeat.go
+++ b/sidecar/control_heartbeat.go
@@ -25,6 +25,9 @@
 	// deferMargin is the time that the grants of the target still have left when a
 	// deferred answer is sent.
 	deferMargin = 200 * time.Millisecond
+	// maxClockLead is how far in the future a target may state that it was started. Its clock
+	// is that of the instance, which may be set while it runs.
+	maxClockLead = time.Minute
 	// refusedAfter is the least time since its last heartbeat after which a target
 	// that refuses connections counts as unreachable.
 	refusedAfter = 100 * time.Millisecond
@@ -86,6 +89,10 @@
 		logevent.Log(c.log, logevent.HeartbeatIgnored, zap.String("target", hb.Target.ID), zap.String("address", hb.Addr), zap.String("want", c.d.settings().TargetAddr))
 		return heartbeatResponse{status: 400}, true
 	}
+	if start := time.UnixMilli(hb.Target.StartTime); time.Until(start) > maxClockLead { // it would hide the heartbeats of all later targets
+		logevent.Log(c.log, logevent.HeartbeatIgnored, zap.String("target", hb.Target.ID), zap.Time("born", start))
+		return heartbeatResponse{status: http.StatusBadRequest}, true
+	}
 	if !c.knowsService(hb.Service) {
 		status := http.StatusBadRequest
 		if c.newestConfig > c.configVersion() || c.configurationStale() {
--- a/sidecar/control_members.go
+++ b/sidecar/control_members.go
@@ -17,6 +17,9 @@
 	if err != nil {
 		return err
 	}
+	if r.Key != memberPrefix+m.Instance {
+		return &fleet.MemberError{Reason: "it names the instance " + m.Instance + ", whose key is another one"}
+	}
 	if m.Instance == c.self.Instance {
 		c.applyOwnMember(m)
 		return nil
--- a/sidecar/control_report.go
+++ b/sidecar/control_report.go
@@ -57,6 +57,9 @@
 	if err != nil {
 		return err
 	}
+	if !strings.HasSuffix(r.Key, "/"+report.Name()) {
+		return &ownertable.RecordError{Reason: "the report " + report.Name() + " has the key of another one"}
+	}
 	c.reports[r.Key] = storedReport{report, r.Offset}
 	if strings.HasPrefix(r.Key, c.reportKeys()) {
 		c.agent.ReportRead(report, uint64(r.Offset), clock.Now())
--- a/sidecar/daemon_test.go
+++ b/sidecar/daemon_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/parsleystack/parsleystack/fleet"
 	"github.com/parsleystack/parsleystack/platform/platformtest"
 )
 
@@ -216,6 +217,11 @@
 	if a := n.call(http.MethodPost, "/book/a", newID(), platformtest.NoKey); a.Status != http.StatusOK {
 		t.Errorf("after forged heartbeats: %+v", a)
 	}
+	n.target.Stop()
+	if err := n.target.Start(); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the heartbeats of the next target count", func() bool { return n.target.SendHeartbeat() == nil && n.targetState() == fleet.TargetReady })
 }
 
 // A target announces that it leaves. Its keys must move, and nothing may be sent to it
