A request may crash its target until its deadline, whatever ended it for the daemon (BUDGET)

Cause: canceled requests counted as suspects for 0.5 s only, others without an answer only if the target had answered nothing since; a target may go on until the deadline.

Change: every unanswered request counts until its deadline; if only the next incarnation shows the crash, every one whose deadline came after the last response or heartbeat. A trial that was canceled keeps the gate until its deadline.

--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -131,7 +131,7 @@
 	b.mu.Unlock()
 	if replaced && old != nil {
 		if old.refuseFrom == clock.Never { // it has not announced its departure
-			if crash, ok := b.targetCrashed(old.runs); ok {
+			if crash, ok := b.targetCrashed(old.runs, clock.Never); ok {
 				b.d.control.observeCrash(crash, nil)
 			}
 		}
@@ -139,6 +139,13 @@
 	}
 }
 
+// heartbeatReceived records a heartbeat of the current target.
+func (b *backend) heartbeatReceived(now clock.Time) {
+	if current := b.incarnation.Load(); current != nil {
+		current.runs.alive(now)
+	}
+}
+
 // refuseFrom returns the time from which on requests are refused to a target that leaves
 // since a time, or Never.
 func (b *backend) refuseFrom(leaving clock.Time) clock.Time {
--- a/sidecar/control_heartbeat.go
+++ b/sidecar/control_heartbeat.go
@@ -179,6 +179,7 @@
 	if m != c.self {
 		c.setTarget(m, "heartbeat")
 	}
+	c.d.backend.heartbeatReceived(now)
 }
 
 func (c *control) setTarget(m fleet.Member, cause string) {
--- a/sidecar/crashing_request_test.go
+++ b/sidecar/crashing_request_test.go
@@ -12,8 +12,11 @@
 	"time"
 
 	"github.com/parsleystack/parsleystack/admin"
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/ownertable"
 	"github.com/parsleystack/parsleystack/platform/platformtest"
 	"github.com/parsleystack/parsleystack/quarantine"
+	"github.com/parsleystack/parsleystack/wire"
 )
 
 // crashLoad is a load on all daemons of a deployment in which some requests crash the
@@ -120,10 +123,23 @@
 // sendDeadly sends copies of a deadly request through one daemon after the other until the
 // load ends.
 func (l *crashLoad) sendDeadly(path string, key int) {
+	l.sendDeadlyEvery(deadlyInterval, func(n *testNode) { n.call(http.MethodGet, path, newID(), key) })
+}
+
+// sendDeadlyAndLeave is sendDeadly for callers that leave after a time. The next copy is sent
+// after a pause, in which the target has crashed and started again.
+func (l *crashLoad) sendDeadlyAndLeave(path string, after, pause time.Duration) {
+	l.sendDeadlyEvery(pause, func(n *testNode) {
+		request := head(http.MethodGet, path, "Request-Deadline-Ms: 2000\r\n")
+		_ = platformtest.LeavingCall(n.settings.CallerAddr, request, after) // an error means that it crashed nothing
+	})
+}
+
+func (l *crashLoad) sendDeadlyEvery(pause time.Duration, send func(*testNode)) {
 	l.callers.Go(func() {
-		for i := 0; !l.stopped(deadlyInterval); i++ {
+		for i := 0; !l.stopped(pause); i++ {
 			n := l.d.nodes[i%len(l.d.nodes)]
-			l.callers.Go(func() { n.call(http.MethodGet, path, newID(), key) })
+			l.callers.Go(func() { send(n) })
 		}
 	})
 }
@@ -410,3 +426,55 @@
 	}
 	l.finish()
 }
+
+// A request whose caller had left half a second before the crash was never suspected, though
+// its target went on with it: it crashed a target each time it came.
+func TestRequestThatCrashesTargetsAfterItsCallerLeftStops(t *testing.T) {
+	t.Parallel()
+	const path = listPrefix + platformtest.CrashPrefix + "1"
+	crash := &platformtest.Crash{After: time.Second, Downtime: 500 * time.Millisecond}
+	d := deployForCrashes(t, crash)
+	l := startCrashLoad(d, crash)
+	l.sendDeadlyAndLeave(path, 200*time.Millisecond, 2*time.Second)
+	l.awaitThirdCrash(t, path)
+	time.Sleep(crashWindow + 5*2*time.Second) // for more copies than may be sent to targets
+	l.finish()
+	l.checkRetries(t, path)
+}
+
+// A target may go on with a request until the deadline that it was given, whatever ended the
+// request for its daemon.
+func TestRequestIsSuspectedUntilItsDeadline(t *testing.T) {
+	run := func(id string, deadline time.Duration) *targetRequest {
+		r := &targetRequest{req: &wire.Request{RequestID: []byte(id), URI: []byte("/" + id)}}
+		r.item.Deadline = clock.Time(1).Add(deadline)
+		return r
+	}
+	at := func(d time.Duration) clock.Time { return clock.Time(1).Add(d) }
+	for name, c := range map[string]struct {
+		after clock.Time
+		want  []string
+	}{
+		"observed at once":        {at(1500 * time.Millisecond), []string{"long", "running"}},
+		"seen by the next target": {clock.Never, []string{"long", "running", "short"}},
+	} {
+		runs := newRunTracker(ownertable.Target{ID: "t"})
+		over, short, long, running := run("over", 300*time.Millisecond), run("short", time.Second), run("long", 2500*time.Millisecond), run("running", 9*time.Second)
+		for _, r := range []*targetRequest{over, short, long, running} {
+			runs.begin(r)
+		}
+		runs.lost(over)
+		runs.lost(short)
+		runs.lost(long)
+		runs.alive(at(600 * time.Millisecond)) // so it has not crashed before
+		suspects, ok := runs.crash(c.after)
+		var got []string
+		for _, s := range suspects {
+			got = append(got, s.requestID)
+		}
+		slices.Sort(got)
+		if !ok || !slices.Equal(got, c.want) {
+			t.Errorf("%s: suspects %v, want %v", name, got, c.want)
+		}
+	}
+}
--- a/sidecar/run_tracker.go
+++ b/sidecar/run_tracker.go
@@ -10,12 +10,9 @@
 )
 
 const (
-	// lostTogether is the longest time between the last response of a target and the loss
-	// of a request to it that may have been in progress when the target crashed.
+	// lostTogether is the longest time between a crash and the loss of the requests that
+	// were in progress.
 	lostTogether = 50 * time.Millisecond
-	// canceledBefore is how long before a crash a request may have been canceled that may
-	// still have been in progress: its target may go on with it.
-	canceledBefore = 500 * time.Millisecond
 	// maxUnanswered bounds the requests without response that are kept; the oldest are
 	// dropped first.
 	maxUnanswered = quarantine.MaxSuspects
@@ -25,21 +22,21 @@
 // which of them have ended without a response, so that a crash shows which requests may
 // have caused it.
 type runTracker struct {
-	mu           sync.Mutex
-	target       ownertable.Target
-	inProgress   map[*targetRequest]struct{}
-	unanswered   []unansweredRun
-	lastResponse clock.Time
-	served       *quarantine.Served
-	crashed      bool        // the crash of this incarnation was observed
-	check        *crashCheck // in progress, or nil
+	mu         sync.Mutex
+	target     ownertable.Target
+	inProgress map[*targetRequest]struct{}
+	unanswered []unansweredRun
+	lastSign   clock.Time // newest response or heartbeat of the target
+	served     *quarantine.Served
+	crashed    bool        // the crash of this incarnation was observed
+	check      *crashCheck // in progress, or nil
 }
 
-// unansweredRun is a request that ended without a response.
+// unansweredRun is a request that ended without a response. Its target may go on with it
+// until the deadline, whether it was canceled, timed out or lost its connection.
 type unansweredRun struct {
 	crashSuspect
-	at       clock.Time
-	canceled bool
+	deadline clock.Time // the one that the target was given
 }
 
 // crashSuspect is a request that was in progress at a crash.
@@ -66,7 +63,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.inProgress, r)
-	t.lastResponse = now
+	t.lastSign = now
 	c := r.content()
 	t.served.Add(&c)
 }
@@ -78,15 +75,22 @@
 	delete(t.inProgress, r)
 }
 
+// alive records a heartbeat of the target.
+func (t *runTracker) alive(now clock.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lastSign = max(t.lastSign, now)
+}
+
 // lost records the end of a request without a response.
-func (t *runTracker) lost(r *targetRequest, canceled bool, now clock.Time) {
+func (t *runTracker) lost(r *targetRequest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.inProgress, r)
 	if len(t.unanswered) >= maxUnanswered {
 		t.unanswered = append(t.unanswered[:0], t.unanswered[len(t.unanswered)/2:]...)
 	}
-	t.unanswered = append(t.unanswered, unansweredRun{crashSuspect: t.suspect(r), at: now, canceled: canceled})
+	t.unanswered = append(t.unanswered, unansweredRun{crashSuspect: t.suspect(r), deadline: r.item.Deadline})
 }
 
 func (t *runTracker) suspect(r *targetRequest) crashSuspect {
@@ -104,18 +108,21 @@
 	return len(t.inProgress)
 }
 
-// crash records that the target has crashed and returns the requests that were in progress.
-// It reports false if that was recorded before.
-func (t *runTracker) crash(now clock.Time) (suspects []crashSuspect, ok bool) {
+// crash records that the target has crashed after a time and returns the requests that may
+// have been in progress. If that time is Never, the crash came after the target's last sign
+// of life. It reports false if a crash was recorded before.
+func (t *runTracker) crash(after clock.Time) (suspects []crashSuspect, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.crashed {
 		return nil, false
 	}
 	t.crashed = true
+	if after == clock.Never {
+		after = t.lastSign
+	}
 	for i := range t.unanswered {
-		u := &t.unanswered[i]
-		if u.canceled && now.Sub(u.at) <= canceledBefore || !u.canceled && t.lastResponse.Sub(u.at) <= lostTogether {
+		if u := &t.unanswered[i]; after.Before(u.deadline) {
 			suspects = append(suspects, u.crashSuspect)
 		}
 	}
--- a/sidecar/target_crash.go
+++ b/sidecar/target_crash.go
@@ -73,7 +73,7 @@
 		return
 	}
 	check.crashed = true
-	crash, ok := b.targetCrashed(t)
+	crash, ok := b.targetCrashed(t, clock.Now().Add(-lostTogether-crashDialTimeout))
 	if !ok {
 		return
 	}
@@ -85,10 +85,10 @@
 	}
 }
 
-// targetCrashed logs the crash of an incarnation of the target and returns the evidence. It
-// reports false if that was done before, or if there is none.
-func (b *backend) targetCrashed(t *runTracker) (quarantine.Crash, bool) {
-	suspects, ok := t.crash(clock.Now())
+// targetCrashed logs the crash of an incarnation of the target, which came after a time, and
+// returns the evidence. It reports false if that was done before, or if there is none.
+func (b *backend) targetCrashed(t *runTracker, after clock.Time) (quarantine.Crash, bool) {
+	suspects, ok := t.crash(after)
 	if !ok || len(suspects) == 0 {
 		return quarantine.Crash{}, false
 	}
--- a/sidecar/target_request.go
+++ b/sidecar/target_request.go
@@ -210,7 +210,7 @@
 		r.refuse(outcome.WrongOwner, retryRefused)
 		return workqueue.NotSent
 	case errors.Is(err, target.ErrCanceled):
-		r.ended(sent, true)
+		r.ended(sent)
 		r.pass.canceled = sent
 		r.resp.Kind, r.resp.Reason = outcome.Unknown, outcome.Canceled
 		if !sent {
@@ -219,7 +219,7 @@
 		return workqueue.Canceled
 	}
 	r.b.recordFailure(r.incarnation, r.req.RequestID, sent, err)
-	r.ended(sent, false)
+	r.ended(sent)
 	if !sent {
 		r.refuse(outcome.ConnectionLost, retryRefused)
 		return workqueue.Failed
@@ -239,12 +239,12 @@
 }
 
 // ended records the end of the request without a response.
-func (r *targetRequest) ended(sent, canceled bool) {
+func (r *targetRequest) ended(sent bool) {
 	if !sent {
 		r.incarnation.runs.notSent(r)
 		return
 	}
-	r.incarnation.runs.lost(r, canceled, clock.Now())
+	r.incarnation.runs.lost(r)
 }
 
 // addStatement adds to the response what the target has stated about itself.
--- a/sidecar/target_request_gate.go
+++ b/sidecar/target_request_gate.go
@@ -26,9 +26,6 @@
 	// maxHold is the longest time for which a trial that runs keeps other requests from the
 	// target.
 	maxHold = 1500 * time.Millisecond
-	// canceledLinger is how long a target may go on with a suspected request after it was
-	// canceled.
-	canceledLinger = 300 * time.Millisecond
 )
 
 // gatePass is the admission of one request through the gate for suspected ones.
@@ -156,7 +153,7 @@
 	}
 	linger := time.Duration(0)
 	if r.pass.canceled {
-		linger = canceledLinger
+		linger = max(r.item.Deadline.Sub(clock.Now()), 0) // its target may go on with it
 	}
 	if r.pass.resume != nil {
 		time.AfterFunc(linger, r.pass.resume)
