Soak: refusing targets, late copies, departures beside restarts, many fields, odd heartbeats

One kind for each class of the review's findings: targets that close and refuse connections while they live; non-idempotent requests with a key, of which targets reject one in 20 and send late copies of it; a departure while the store is away, with the daemon killed 0.7 s later; requests with up to 3,000 header fields; heartbeats of other writers. New judges: what targets were granted (OWNER), what departed targets got (DRAIN), accepted odd heartbeats (ENTRY), messages that daemons could not decode (LOST).

--- a/cmd/standin-platform-target/main.go
+++ b/cmd/standin-platform-target/main.go
@@ -27,10 +27,12 @@
 	Work      time.Duration `arg:"--work" default:"20ms" help:"processing time of a request"`
 	Runs      string        `arg:"--runs,required" placeholder:"FILE" help:"file to which each run is appended"`
 	Arrivals  string        `arg:"--arrivals,required" placeholder:"FILE" help:"file to which each request that arrives is appended"`
+	Grants    string        `arg:"--grants" placeholder:"FILE" help:"file to which the ranges that it holds are appended"`
 	Statement string        `arg:"--statement" placeholder:"FILE" help:"file with what it states about itself, read again every 20 ms"`
+	Behavior  string        `arg:"--behavior" placeholder:"FILE" help:"file with what it does besides serving, read again every 20 ms"`
 }
 
-// statementInterval is the time between two reads of the statement.
+// statementInterval is the time between two reads of the statement and the behavior.
 const statementInterval = 20 * time.Millisecond
 
 // crashCode is the exit code of a target that a request has crashed.
@@ -46,45 +48,63 @@
 }
 
 func run(a args) error {
-	file, err := os.OpenFile(a.Runs, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	file, err := openLines(a.Runs)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = file.Close() }() // each line was written on its own
-	arrivals, err := os.OpenFile(a.Arrivals, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	arrivals, err := openLines(a.Arrivals)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = arrivals.Close() }() // as above
+	var holdings *platformtest.Holdings
+	if a.Grants != "" {
+		grants, err := openLines(a.Grants)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = grants.Close() }() // as above
+		holdings = &platformtest.Holdings{Sink: grants}
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	t := &platformtest.Target{
 		ID: fmt.Sprintf("%s-%d", a.Name, time.Now().UnixNano()), Service: a.Service, Zone: a.Zone, Addr: a.Listen, Control: a.Control, Keyed: a.Keyed,
 		Slots: a.Slots, ProcessingTime: a.Work, HeartbeatInterval: a.Heartbeat, Records: &platformtest.Records{Sink: file, ArrivalSink: arrivals},
-		Crash: &platformtest.Crash{Exit: func() { os.Exit(crashCode) }},
+		Crash: &platformtest.Crash{Exit: func() { os.Exit(crashCode) }}, Holdings: holdings, RejectsSome: a.Keyed,
 	}
 	if err := t.Start(); err != nil {
 		return err
 	}
-	if a.Statement != "" {
-		followStatement(ctx, t, a.Statement)
-	}
-	<-ctx.Done()
+	follow(ctx, t, a)
 	t.Stop()
 	return nil
 }
 
-// followStatement makes the target state what a file has, until ctx ends.
-func followStatement(ctx context.Context, t *platformtest.Target, path string) {
+// openLines opens a file to which lines are appended.
+func openLines(path string) (*os.File, error) {
+	return os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+}
+
+// follow makes the target state and do what its files have, until ctx ends.
+func follow(ctx context.Context, t *platformtest.Target, a args) {
 	ticker := time.NewTicker(statementInterval)
 	defer ticker.Stop()
 	for {
-		s, err := platformtest.ReadStatement(path)
+		s, err := platformtest.ReadStatement(a.Statement)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "standin-platform-target: statement:", err)
 		} else {
 			t.State(s)
 		}
+		b, err := platformtest.ReadBehavior(a.Behavior)
+		if err == nil {
+			err = t.Behave(b)
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "standin-platform-target: behavior:", err)
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/sidecar/crashing_request_test.go
+++ b/sidecar/crashing_request_test.go
@@ -130,7 +130,7 @@
 // after a pause, in which the target has crashed and started again.
 func (l *crashLoad) sendDeadlyAndLeave(path string, after, pause time.Duration) {
 	l.sendDeadlyEvery(pause, func(n *testNode) {
-		request := head(http.MethodGet, path, "Request-Deadline-Ms: 2000\r\n")
+		request := head(http.MethodGet, path, platformtest.DeadlineHeader+": 2000\r\n")
 		_ = platformtest.LeavingCall(n.settings.CallerAddr, request, after) // an error means that it crashed nothing
 	})
 }
--- a/standin/sidecarsoak/callers.go
+++ b/standin/sidecarsoak/callers.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +16,10 @@
 	requestPause = 60 * time.Millisecond  // of a caller, between two requests
 	probePause   = 120 * time.Millisecond // between two requests for added or removed routes
 	probedRoutes = 6                      // newest added routes that are probed
+	claimPrefix  = "/claim/"              // of non-idempotent requests with a key
+	// maxFields is the largest number of header fields of a request. They fit in the
+	// smallest limit of configurations.
+	maxFields = 3000
 )
 
 // callers sends requests over open connections, as the callers beside each target do.
@@ -39,9 +44,29 @@
 			c.send(daemon, http.MethodGet, platformtest.LargePrefix+"a", platformtest.NoKey, 0)
 		}
 		pause(ctx, requestPause)
+		c.send(daemon, http.MethodPost, claimPrefix+"a", random.IntN(1<<16), 0)
+		pause(ctx, requestPause)
+		if random.IntN(fieldsOneOf) == 0 {
+			c.sendFields(daemon, 1+random.IntN(maxFields))
+		}
 	}
 }
 
+// fieldsOneOf is the number of a caller's rounds of which one has a request with many header
+// fields.
+const fieldsOneOf = 10
+
+// sendFields sends a request with many header fields. Only its status is judged.
+func (c *callers) sendFields(daemon, fields int) {
+	id := fmt.Sprintf("req-%d", c.lastID.Add(1))
+	o := observation{daemon: daemon, id: id, path: "/book/a", unsafe: true, sent: time.Now()}
+	request := platformtest.Head(host, http.MethodPost, o.path, id, platformtest.DeadlineHeader+": 2000\r\nContent-Length: 0\r\n"+strings.Repeat("a: b\r\n", fields))
+	o.answer.Status, _, o.answer.Err = platformtest.RawCall(c.d.instances[daemon].addr(callerPort), request)
+	o.answer.Body, o.answer.Signed = platformtest.AnswerBody(o.path, id), true
+	o.ended = time.Now()
+	c.judge.observe(o)
+}
+
 // probe sends requests on routes that were just added or removed.
 func (c *callers) probe(ctx context.Context, daemon int, random *rand.Rand) {
 	for ctx.Err() == nil {
--- a/standin/sidecarsoak/faults.go
+++ b/standin/sidecarsoak/faults.go
@@ -116,6 +116,39 @@
 	}
 }
 
+const (
+	// storeAway is the time without the store around a departure and a restart.
+	storeAway = 4500 * time.Millisecond
+	// departureToRestart is the time between them, in which the departure is acknowledged.
+	departureToRestart = 700 * time.Millisecond
+	// departedStay is how long a departed target goes on serving.
+	departedStay = 14 * time.Second
+)
+
+// behave returns a function that makes the target of an instance behave in a way.
+func (f *faults) behave(b platformtest.Behavior) func(*instance) {
+	return func(n *instance) {
+		if err := b.WriteFile(f.d.behaviorFile(n)); err != nil {
+			_, _ = fmt.Fprintf(f.log, "behavior of the target of %s: %v\n", n.name, err)
+		}
+	}
+}
+
+// departAndRestart takes the store away, makes a target announce its departure, and ends its
+// daemon a moment later. The target ends long after the store is back.
+func (f *faults) departAndRestart(daemon int, signal func(string, syscall.Signal) func(*instance)) {
+	n := f.d.instances[daemon]
+	f.d.store.SetFault(platformtest.Unavailable)
+	f.behave(platformtest.Behavior{Departs: true})(n)
+	f.judge.disturb(daemon, time.Now().Add(storeAway+startTime), true)
+	time.AfterFunc(departureToRestart, func() { signal("daemon", syscall.SIGKILL)(n) })
+	time.AfterFunc(departureToRestart+startTime, func() { f.judge.resume(daemon) })
+	time.AfterFunc(departedStay, func() {
+		f.behave(platformtest.Behavior{})(n)
+		signal("target", syscall.SIGKILL)(n)
+	})
+}
+
 func contains(list []int, x int) bool {
 	for _, y := range list {
 		if x == y {
@@ -153,7 +186,11 @@
 	silentLinks := func(n *instance) { n.links.Silence(direction) }
 	storeFault := []platformtest.Fault{platformtest.Unavailable, platformtest.Hanging, platformtest.DropsAnswers}[f.random.IntN(3)]
 	// Silent connections count as a disturbance of all daemons, faults of the store too.
-	switch f.random.IntN(12) {
+	switch f.random.IntN(16) {
+	case 12, 13:
+		return fault{name: "targets refuse connections", daemons: some, length: length, begin: each(some, f.behave(platformtest.Behavior{RefusesConnections: true})), end: each(some, f.behave(platformtest.Behavior{}))}
+	case 14, 15:
+		return fault{name: fmt.Sprintf("departure at %d and restart while the store is away", one[0]), length: storeAway, begin: func() { f.departAndRestart(one[0], signal) }, end: func() { d.store.SetFault(platformtest.NoFault) }}
 	case 0, 1:
 		return fault{name: "store connections silent", begin: each(all, silentStore)}
 	case 2:
--- a/standin/sidecarsoak/judge_test.go
+++ b/standin/sidecarsoak/judge_test.go
@@ -55,3 +55,26 @@
 		}
 	}
 }
+
+// A departed target that gets requests must be reported, unless the entry was disturbed.
+func TestJudgeOfDepartures(t *testing.T) {
+	start := time.Now()
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	for name, c := range map[string]struct {
+		arrives, disturbed float64
+		want               int
+	}{
+		"within the drain time": {arrives: 21.9},
+		"later":                 {arrives: 22.1, want: 1},
+		"entry out of touch":    {arrives: 22.1, disturbed: 19.5},
+	} {
+		j := newJudge(new(history), 1)
+		j.disturb(0, start, false)
+		j.periods[0][0] = period{from: start.Add(-time.Second), until: at(c.disturbed)}
+		j.observe(observation{id: "a", unsafe: true, sent: at(c.arrives - 0.01), ended: at(c.arrives + 0.01), answer: platformtest.Answer{Status: http.StatusBadGateway}})
+		j.checkDepartures([]platformtest.Arrival{{Incarnation: "t@1", At: at(20), Departed: true}, {Incarnation: "t@1", RequestID: "a", At: at(c.arrives)}, {Incarnation: "t@2", RequestID: "a", At: at(c.arrives)}})
+		if text, violations := j.report(); violations != c.want {
+			t.Errorf("%s: %d violations, want %d: %s", name, violations, c.want, text)
+		}
+	}
+}
--- a/standin/sidecarsoak/operator.go
+++ b/standin/sidecarsoak/operator.go
@@ -33,7 +33,7 @@
 			next.added = append(next.added, int(o.callers.routes.Load())+1)
 		}
 	}
-	routes := []platformtest.Route{{Prefix: "/view/", Idempotent: true, Service: keyedService}, {Prefix: "/book/", Service: bookingService}, {Prefix: "/pay/", Service: paymentService}, {Prefix: platformtest.LargePrefix, Kind: "download", Service: paymentService}}
+	routes := []platformtest.Route{{Prefix: "/view/", Idempotent: true, Service: keyedService}, {Prefix: "/book/", Service: bookingService}, {Prefix: "/pay/", Service: paymentService}, {Prefix: claimPrefix, Service: keyedService}, {Prefix: platformtest.LargePrefix, Kind: "download", Service: paymentService}}
 	for _, route := range next.added {
 		routes = append(routes, platformtest.Route{Prefix: prefix(route), Service: bookingService})
 	}
--- a/standin/sidecarsoak/soak.go
+++ b/standin/sidecarsoak/soak.go
@@ -70,6 +70,7 @@
 		s := &statements{d: d, random: rand.New(rand.NewPCG(o.Seed, 1)), log: o.Log, start: f.start}
 		s.run(load)
 	})
+	all.Go(func() { j.sendOddHeartbeats(load, d, rand.New(rand.NewPCG(o.Seed, 100))) })
 	for series := range deadlySeries {
 		all.Go(func() {
 			x := &deadly{callers: c, random: rand.New(rand.NewPCG(o.Seed, uint64(2+series))), log: o.Log, start: f.start}
@@ -102,6 +103,13 @@
 		return 0, err
 	}
 	j.checkStatements(arrivals)
+	j.checkDepartures(arrivals)
+	if err := j.checkHoldings(d); err != nil {
+		return 0, err
+	}
+	if err := j.checkLogs(d); err != nil {
+		return 0, err
+	}
 	text, violations := j.report()
 	_, _ = fmt.Fprintf(o.Log, "%d versions, %d store calls\n%s", len(h.versions), d.store.AllCalls(), text)
 	return violations, nil
@@ -111,8 +119,8 @@
 // starts its target and its daemon with, and then the file "ready".
 func (d *deployment) writeStartLines() error {
 	for _, n := range d.instances {
-		target := fmt.Sprintf("--name %s --service %s --zone %s --listen %s --control %s --runs %s --arrivals %s --statement %s", n.name, n.service, n.zone, n.addr(targetPort), n.addr(controlPort),
-			filepath.Join(d.dir, n.name+".runs"), filepath.Join(d.dir, n.name+".arrivals"), d.statementFile(n))
+		target := fmt.Sprintf("--name %s --service %s --zone %s --listen %s --control %s --runs %s --arrivals %s --statement %s --behavior %s --grants %s", n.name, n.service, n.zone, n.addr(targetPort), n.addr(controlPort),
+			filepath.Join(d.dir, n.name+".runs"), filepath.Join(d.dir, n.name+".arrivals"), d.statementFile(n), d.behaviorFile(n), filepath.Join(d.dir, n.name+".grants"))
 		if n.service == keyedService {
 			target += " --keyed"
 		}
@@ -150,6 +158,11 @@
 	return filepath.Join(d.dir, n.name+".statement")
 }
 
+// behaviorFile is the path of the file with what the target of an instance does.
+func (d *deployment) behaviorFile(n *instance) string {
+	return filepath.Join(d.dir, n.name+".behavior")
+}
+
 // runs reads what all targets have run, without the requests before the load.
 func (d *deployment) runs() ([]platformtest.Run, error) {
 	all, err := readLines[platformtest.Run](d, ".runs")
@@ -165,21 +178,33 @@
 func readLines[T any](d *deployment, extension string) ([]T, error) {
 	var all []T
 	for _, n := range d.instances {
-		file, err := os.Open(filepath.Join(d.dir, n.name+extension))
+		lines, err := readLinesOf[T](d, n, extension)
 		if err != nil {
 			return nil, err
 		}
-		lines := bufio.NewScanner(file)
-		for lines.Scan() {
-			var x T
-			if json.Unmarshal(lines.Bytes(), &x) == nil { // a killed target may leave half a line
-				all = append(all, x)
-			}
-		}
-		_ = file.Close() // it was only read
-		if err := lines.Err(); err != nil {
-			return nil, err
-		}
+		all = append(all, lines...)
 	}
 	return all, nil
 }
+
+// maxLine is the longest line in a file of an instance, in bytes.
+const maxLine = 1 << 20
+
+// readLinesOf reads the lines of JSON in the file of one instance with an extension.
+func readLinesOf[T any](d *deployment, n *instance, extension string) ([]T, error) {
+	file, err := os.Open(filepath.Join(d.dir, n.name+extension))
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }() // it was only read
+	var all []T
+	lines := bufio.NewScanner(file)
+	lines.Buffer(nil, maxLine)
+	for lines.Scan() {
+		var x T
+		if json.Unmarshal(lines.Bytes(), &x) == nil { // a killed target may leave half a line
+			all = append(all, x)
+		}
+	}
+	return all, lines.Err()
+}
--- a/target/truncated_test.go
+++ b/target/truncated_test.go
@@ -37,13 +37,13 @@
 // not be taken for one that sent a whole response without a body, nor one that stopped in the
 // middle of the body.
 func TestResponseThatEndsEarlyIsNotWhole(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nAnswer-To: a\r\nResponse-Stamp: s\r\nCache: x\r\n"
+	const head = "HTTP/1.1 200 OK\r\nAnswer-To: a\r\nSigned: s\r\nCache: x\r\n"
 	for name, c := range map[string]struct {
 		whole string
 		least int // bytes after which the response is whole as far as can be known
 	}{
 		"length":                  {head + "Content-Length: 5\r\n\r\nwhole", -1},
-		"length first":            {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nAnswer-To: a\r\nResponse-Stamp: s\r\n\r\nwhole", -1},
+		"length first":            {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nAnswer-To: a\r\nSigned: s\r\n\r\nwhole", -1},
 		"no body":                 {head + "Content-Length: 0\r\n\r\n", -1},
 		"chunks":                  {head + "Transfer-Encoding: chunked\r\n\r\n3\r\nwho\r\n2\r\nle\r\n0\r\n\r\n", -1},
 		"end of connection":       {head + "Connection: close\r\n\r\nwhole", len(head) + len("Connection: close\r\n\r\n")},
