--- a/daemon/run.go
+++ b/daemon/run.go
@@ -34,6 +34,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("daemon: %w", err)
 	}
+	for i, l := range ls {
+		ls[i] = listen.Tolerant(l, func(err error) { logevent.Log(d.log, logevent.AcceptFailed, zap.Error(err)) })
+	}
 	return &listeners{callers: ls[0], daemons: ls[1], admin: ls[2]}, nil
 }
 
--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -13,6 +13,7 @@
 	StopIncomplete   = define(7008, "stop incomplete", warning, "The grace period expired before all callers' connections were closed.", "Look for requests with long timeouts.")
 	SettingsReloaded = define(7005, "settings reloaded", info, "The settings file has changed; the fields that can change in a running process are applied.", "")
 	SettingsRejected = define(7006, "settings rejected", failure, "The changed settings file is invalid; the earlier settings stay in use.", "Correct the field named in the error.")
+	AcceptFailed     = define(7009, "accept failed", warning, "A connection could not be accepted, for lack of descriptors for example. Open connections are served, and accepting is tried again.", "Raise the limit of descriptors, or find out which clients keep many connections open.")
 	LinesDropped     = define(7007, "log lines dropped", warning, "Standard output was slower than the log; routine lines were dropped first.", "Make the collector read faster; the count says how many lines are missing.")
 
 	StoreUnavailable      = define(7101, "store unavailable", warning, "A direct call to the store failed or was rejected; calls are relayed by other daemons that can reach it.", "Check the store and the network path to it; other daemons extend the leases for a limited time.")
--- a/sidecar/ingress.go
+++ b/sidecar/ingress.go
@@ -26,6 +26,9 @@
 	// configuration. The limits of the configuration are checked in addition.
 	maxCallerHeader = 32 << 10
 	maxCallerBody   = 64 << 20
+	// minReservedFiles is the least number of descriptors that connections of callers leave
+	// for the target, other daemons, the store and files; a tenth in a larger process.
+	minReservedFiles = 256
 	// callerIdleTimeout is longer than callers keep an idle connection.
 	callerIdleTimeout = 120 * time.Second
 	// callerReadTimeout bounds the time to read one request.
@@ -58,6 +61,7 @@
 		ErrorHandler:                  in.handleReadError,
 		Name:                          "parsley",
 		ReadBufferSize:                maxCallerHeader,
+		Concurrency:                   maxCallerConns(d.settings().MaxFiles),
 		MaxRequestBodySize:            maxCallerBody,
 		ReadTimeout:                   callerReadTimeout,
 		IdleTimeout:                   callerIdleTimeout,
@@ -72,6 +76,16 @@
 	return in
 }
 
+// maxCallerConns returns the number of connections of callers that a process serves which may
+// have a number of descriptors. Further ones get 503 at once. It returns 0, which means the
+// default of the server, if that number is not known.
+func maxCallerConns(files int) int {
+	if files <= 0 {
+		return 0
+	}
+	return max(files-max(files/10, minReservedFiles), files/2)
+}
+
 // discardLogger drops the messages of fasthttp; each request has its own log line.
 type discardLogger struct{}
 
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -59,7 +59,9 @@
 	metricTargetFailed = "parsley_target_failures_total"
 	// metricTargetCrashes counts crashes of the target while requests were in progress.
 	metricTargetCrashes = "parsley_target_crashes_total"
-	metricNoGrants      = "parsley_heartbeats_without_grants_total"
+	// metricAcceptErrors counts connections that could not be accepted.
+	metricAcceptErrors = "parsley_accept_errors_total"
+	metricNoGrants     = "parsley_heartbeats_without_grants_total"
 	// metricTargetRequests counts attempts to send a request to the target.
 	metricTargetRequests = "parsley_target_requests_total"
 	// metricRateRefused counts requests that were refused because of the target's rate limit.
--- a/sidecar/servers.go
+++ b/sidecar/servers.go
@@ -25,9 +25,18 @@
 	if err != nil {
 		return nil, err
 	}
+	for i, l := range ls {
+		ls[i] = listen.Tolerant(l, d.recordAcceptError)
+	}
 	return &listeners{links: ls[0], callers: ls[1], control: ls[2], ready: ls[3], metrics: ls[4]}, nil
 }
 
+// recordAcceptError logs and counts a connection that could not be accepted.
+func (d *Daemon) recordAcceptError(err error) {
+	d.metrics.count(metricAcceptErrors)
+	logevent.Log(d.log, logevent.AcceptFailed, zap.Error(err))
+}
+
 func (l *listeners) close() error {
 	return listen.Close([]net.Listener{l.links, l.callers, l.control, l.ready, l.metrics})
 }
