The test of a refusing target closes connections on the target's side

The client had a method for this test only. The target stand-in's behavior closes the connections instead, as the soak does.

--- a/sidecar/refused_test.go
+++ b/sidecar/refused_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/parsleystack/parsleystack/fleet"
+	"github.com/parsleystack/parsleystack/platform/platformtest"
 )
 
 // targetState returns the state that the node's daemon reports of its target.
@@ -67,11 +68,10 @@
 			key = k
 		}
 	}
-	if err := busy.target.RefuseConnections(); err != nil {
+	if err := busy.target.Behave(platformtest.Behavior{RefusesConnections: true}); err != nil {
 		t.Fatal(err)
 	}
 	for end := time.Now().Add(4 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		busy.daemon.backend.incarnation.Load().client.CloseIdle() // as at the deadlines of slow requests
 		busy.call(http.MethodGet, "/view/a", newID(), key)
 	}
 	if v := d.held.Violations(); len(v) > 0 {
@@ -80,7 +80,7 @@
 	if !busy.target.Holds(int64(key)) {
 		t.Error("the target has lost its key")
 	}
-	if err := busy.target.AcceptConnections(); err != nil {
+	if err := busy.target.Behave(platformtest.Behavior{}); err != nil {
 		t.Fatal(err)
 	}
 	eventually(t, "the target serves its keys again", func() bool {
--- a/target/client.go
+++ b/target/client.go
@@ -214,9 +214,6 @@
 // stay open until they are idle for too long or end.
 func (c *Client) SetMaxConns(n int) { c.pool.setMaxConns(n) }
 
-// CloseIdle closes the idle connections.
-func (c *Client) CloseIdle() { c.pool.closeIdle() }
-
 // Close closes idle connections. Connections in use are closed when their call
 // ends.
 func (c *Client) Close() {
--- a/target/pool.go
+++ b/target/pool.go
@@ -75,7 +75,8 @@
 	return nil, nil
 }
 
-// popUnsent returns the most recently used idle connection that the call may use, or nil. The caller holds p.mu.
+// popUnsent returns the most recently used idle connection that the call may use, or nil. The
+// caller holds p.mu.
 func (p *pool) popUnsent(call *Call) *conn {
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
@@ -161,12 +162,6 @@
 func (p *pool) close() {
 	p.mu.Lock()
 	p.closed = true
-	p.mu.Unlock()
-	p.closeIdle()
-}
-
-func (p *pool) closeIdle() {
-	p.mu.Lock()
 	idle := p.idle
 	p.idle = nil
 	p.mu.Unlock()
