True refusals: requests that have reached no target end with 503

The entry waits up to 80 ms, after it has canceled a request at its deadline or at a stop, for the answer of the target's daemon. That daemon refuses waiting requests early enough for the refusal to arrive in time. A frame that was not written completely, or was withdrawn behind a stalled write, and a request on a connection that the target had reset, count as not sent.

--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -306,10 +306,13 @@
 	return t
 }
 
-// awaitDecision waits for the queue's decision. At the item's deadline it advances
-// the queue, which then refuses the item.
+// awaitDecision waits for the queue's decision. At the latest time at which the item may
+// start it advances the queue, which then refuses the item.
 func (b *backend) awaitDecision(t *ticket, item *workqueue.Item) {
-	timer := time.NewTimer(item.Deadline.Sub(clock.Now()))
+	b.mu.Lock()
+	latest := b.queue.LatestStart(item)
+	b.mu.Unlock()
+	timer := time.NewTimer(latest.Sub(clock.Now()) + time.Nanosecond)
 	defer timer.Stop()
 	for {
 		select {
@@ -320,8 +323,9 @@
 			now := clock.Now()
 			b.applyDecisions(b.queue.Advance(now))
 			b.scheduleAdvance(now)
+			latest = b.queue.LatestStart(item) // may have changed
 			b.mu.Unlock()
-			timer.Reset(time.Millisecond)
+			timer.Reset(max(latest.Sub(now), time.Millisecond))
 		}
 	}
 }
--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -317,14 +317,14 @@
 // attemptResult returns the result of an attempt from the response of its daemon.
 func (f *callerRequest) attemptResult() resend.Attempt {
 	a := resend.Attempt{Result: f.resp.Result()}
-	if cause := context.Cause(f.ctx); cause != nil && a.Result.Kind == outcome.Unknown {
-		a.Result = f.abortedResult(cause, true)
-	}
 	switch {
 	case a.Result.Kind != outcome.NotRun:
 		a.Reached = true
 	case a.Result.Reason == outcome.TargetShed, a.Result.Reason == outcome.LeaseExpired:
 		a.Reached = true
 	}
+	if cause := context.Cause(f.ctx); cause != nil && a.Result.Kind != outcome.Done {
+		a.Result = f.abortedResult(cause, a.Result.Kind != outcome.NotRun)
+	}
 	return a
 }
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -117,7 +117,7 @@
 	d.ingress = newIngress(d)
 	hello := wire.NewHello(s.Service, ident.Node{Instance: s.Instance, Incarnation: ident.Incarnation(d.control.self.Incarnation)}, s.Zone)
 	d.egress = egress.NewLink(s.LinkRate)
-	links := transport.Config{Hello: hello, MaxFrame: maxCallerBody + maxCallerHeader, Egress: d.egress}
+	links := transport.Config{Hello: hello, MaxFrame: maxCallerBody + maxCallerHeader, Egress: d.egress, VerdictWait: verdictWait}
 	d.peerLinks = transport.NewPool(links)
 	d.server = transport.NewServer(links, d, log)
 	d.storeLink.links = d.peerLinks
--- a/sidecar/ingress.go
+++ b/sidecar/ingress.go
@@ -34,6 +34,20 @@
 	callerReadTimeout = 60 * time.Second
 )
 
+// maxVerdictWait is how long the entry of a request that it has canceled waits for the answer
+// of the target's daemon, which knows whether the target has received the request. Without
+// it the request ends with a status that does not say so. Responses must be complete 250 ms
+// after a timeout; daemons on the slowest machines stand still for up to 80 ms.
+const maxVerdictWait = 80 * time.Millisecond
+
+// verdictWait implements transport.Config.VerdictWait. A caller that has left needs no answer.
+func verdictWait(cause error) time.Duration {
+	if errors.Is(cause, errTimeout) || errors.Is(cause, errStopping) {
+		return maxVerdictWait
+	}
+	return 0
+}
+
 var (
 	errCallerDisconnected = errors.New("the caller closed the connection")
 	errTimeout            = errors.New("the request's deadline has passed")
--- /dev/null
+++ b/sidecar/scripted_target_test.go
@@ -0,0 +1,104 @@
+package sidecar
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/parsleystack/parsleystack/platform/platformtest"
+)
+
+// scriptedTarget is a stand-in for a target that answers requests with given bytes.
+type scriptedTarget struct {
+	listener net.Listener
+
+	mu       sync.Mutex
+	answer   string // "ID" stands for the id of the request
+	received map[string]int
+	conns    int // that were accepted
+}
+
+// signedAnswer is the usual answer of a scriptedTarget.
+const signedAnswer = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n" + platformtest.StampHeader + ": s\r\nContent-Length: 5\r\n\r\nwhole"
+
+// deployScripted starts an entry and another daemon, which has a scripted target.
+func deployScripted(t *testing.T) (*deployment, *scriptedTarget) {
+	t.Helper()
+	s := &scriptedTarget{answer: signedAnswer, received: make(map[string]int)}
+	d := deployWith(t, func(n *testNode) {
+		if n.settings.Service != plainService {
+			return
+		}
+		n.target.ListenAddr = fmt.Sprintf("%s:%d", n.settings.IP, 7007)
+		var err error
+		if s.listener, err = net.Listen("tcp", n.settings.TargetAddr); err != nil {
+			t.Fatal(err)
+		}
+		go s.accept(s.listener)
+		t.Cleanup(func() { _ = s.listener.Close() })
+	}, keyedService, plainService)
+	for _, n := range d.nodes {
+		n.awaitUnkeyedServing(t)
+	}
+	return d, s
+}
+
+func (s *scriptedTarget) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns++
+		s.mu.Unlock()
+		go s.serve(c)
+	}
+}
+
+func (s *scriptedTarget) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		id := req.Header.Get("Request-Id")
+		s.mu.Lock()
+		s.received[id]++
+		answer := strings.ReplaceAll(s.answer, "ID", id)
+		s.mu.Unlock()
+		if _, err := c.Write([]byte(answer)); err != nil {
+			return
+		}
+		if err := req.Body.Close(); err != nil { // reads the rest of it
+			return
+		}
+	}
+}
+
+// set sets the answer to further requests.
+func (s *scriptedTarget) set(answer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answer = answer
+}
+
+// connections returns the number of connections that were accepted.
+func (s *scriptedTarget) connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns
+}
+
+// requests returns how often a request was received.
+func (s *scriptedTarget) requests(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.received[id]
+}
--- a/target/conn.go
+++ b/target/conn.go
@@ -47,10 +47,14 @@
 	return tc, nil
 }
 
-// Write records that bytes are written to the socket, and writes them.
+// Write writes bytes to the socket and records whether it has taken any. It takes none if the
+// target has reset the connection.
 func (c *conn) Write(b []byte) (int, error) {
-	c.wrote.Store(true)
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	if n > 0 {
+		c.wrote.Store(true)
+	}
+	return n, err
 }
 
 // reusable reports whether the next request can use the connection: its idle
--- a/transport/clientconn.go
+++ b/transport/clientconn.go
@@ -35,6 +35,8 @@
 	// are dropped.
 	onCellMessage func(from ident.Node, body []byte)
 
+	verdictWait func(cause error) time.Duration // Config.VerdictWait
+
 	lastReceived   atomic.Int64 // clock.Time of the newest frame
 	unusable       atomic.Bool  // err or draining is set
 	usedSinceSweep atomic.Bool  // an RPC was sent since the last sweep for idle connections
@@ -49,7 +51,7 @@
 func newClientConn(addr string, class Class, conn net.Conn, reader *wire.Reader, cfg *Config, counters *Counters) *clientConn {
 	return &clientConn{
 		addr: addr, class: class, conn: conn, reader: reader, counters: counters,
-		writer: newWriter(conn, class, cfg), pending: make(map[uint64]*waiter),
+		writer: newWriter(conn, class, cfg), pending: make(map[uint64]*waiter), verdictWait: cfg.VerdictWait,
 	}
 }
 
@@ -57,7 +59,7 @@
 func (c *clientConn) usable() bool { return !c.unusable.Load() }
 
 // roundTrip sends a frame and waits for the frame of kind want that answers it.
-// sent is false only if no byte of the frame was written.
+// sent is false only if the frame was not written completely: the peer can't have read it then.
 func (c *clientConn) roundTrip(ctx context.Context, kind, want wire.Kind, m msgp.Marshaler) (f wire.Frame, sent bool, err error) {
 	w := newWaiter(want)
 	id, err := c.enqueue(w, kind, m)
@@ -70,8 +72,7 @@
 		w.release()
 		return a.frame, a.sent, a.err
 	case <-ctx.Done():
-		sent, err := c.abandon(ctx, id, w, kind)
-		return wire.Frame{}, sent, err
+		return c.abandon(ctx, id, w, kind)
 	}
 }
 
@@ -96,7 +97,7 @@
 	if err != nil {
 		return 0, err
 	}
-	w.streamPos, w.sentAt = position, clock.Fast()
+	w.streamPos, w.streamEnd, w.sentAt = position, position+uint64(len(s.b)), clock.Fast()
 	if !c.usedSinceSweep.Load() {
 		c.usedSinceSweep.Store(true)
 	}
@@ -105,10 +106,25 @@
 	return c.nextID, nil
 }
 
-// abandon stops waiting for an answer and returns the cause of ctx. A request is withdrawn if
-// it is still queued as a whole, and canceled at the peer otherwise; sent is false only in the
-// former case. An answer that arrives later is dropped.
-func (c *clientConn) abandon(ctx context.Context, id uint64, w *waiter, kind wire.Kind) (sent bool, err error) {
+// abandon ends an RPC whose context has ended. A request is withdrawn if it is still queued as
+// a whole; sent is false only then. Otherwise it is canceled at the peer, whose answer is
+// returned if it arrives within Config.VerdictWait. A later answer is dropped.
+func (c *clientConn) abandon(ctx context.Context, id uint64, w *waiter, kind wire.Kind) (f wire.Frame, sent bool, err error) {
+	cause := context.Cause(ctx)
+	sent = true
+	if kind == wire.KindRequest {
+		sent = !c.writer.withdraw(id, w.streamPos)
+		if wait := c.verdictWait(cause); sent && wait > 0 {
+			timer := time.NewTimer(wait)
+			defer timer.Stop()
+			select {
+			case a := <-w.ch:
+				w.release()
+				return a.frame, a.sent, a.err
+			case <-timer.C:
+			}
+		}
+	}
 	c.mu.Lock()
 	_, pending := c.pending[id]
 	delete(c.pending, id)
@@ -120,16 +136,15 @@
 			c.drain()
 		}
 		w.release()
-		sent = true
-		if kind == wire.KindRequest {
-			sent = !c.writer.withdraw(id)
-		}
-		return sent, context.Cause(ctx)
+		return wire.Frame{}, sent, cause
 	}
 	a := <-w.ch
-	a.frame.Release()
 	w.release()
-	return true, context.Cause(ctx)
+	if a.err != nil {
+		return wire.Frame{}, sent && a.sent, cause
+	}
+	a.frame.Release()
+	return wire.Frame{}, true, cause
 }
 
 // silentSince reports whether an RPC that was sent at a time has waited for
@@ -242,7 +257,10 @@
 	c.mu.Unlock()
 	c.writer.fail(err)
 	_ = c.conn.Close()
+	if len(pending) > 0 {
+		<-c.writer.stopped // the number of written bytes is final then
+	}
 	for _, w := range pending {
-		w.ch <- answer{sent: c.writer.maybeSent(w.streamPos), err: &PeerError{Addr: c.addr, Err: err}}
+		w.ch <- answer{sent: c.writer.maybeSent(w.streamEnd), err: &PeerError{Addr: c.addr, Err: err}}
 	}
 }
--- a/transport/config.go
+++ b/transport/config.go
@@ -41,6 +41,10 @@
 	// DefaultMinBackoff and DefaultMaxBackoff if 0.
 	MinBackoff time.Duration
 	MaxBackoff time.Duration
+	// VerdictWait returns how long Do waits, after its context has ended with a cause, for the
+	// peer's answer to the request that it cancels: the peer knows whether the request was run.
+	// Do does not wait if it is nil.
+	VerdictWait func(cause error) time.Duration
 	// IdleTimeout is the minimum time without a request after which a request
 	// or bulk connection is closed; DefaultIdleTimeout if 0.
 	IdleTimeout time.Duration
@@ -73,5 +77,8 @@
 	c.MinBackoff = cmp.Or(c.MinBackoff, DefaultMinBackoff)
 	c.MaxBackoff = cmp.Or(c.MaxBackoff, DefaultMaxBackoff)
 	c.IdleTimeout = cmp.Or(c.IdleTimeout, DefaultIdleTimeout)
+	if c.VerdictWait == nil {
+		c.VerdictWait = func(error) time.Duration { return 0 }
+	}
 	return c
 }
--- a/transport/scheduled_writer.go
+++ b/transport/scheduled_writer.go
@@ -62,12 +62,13 @@
 	return start
 }
 
-// dropResponse removes the queued response with the given id, whose receiver no longer
-// waits for it. A response whose sending has begun stays.
+// dropResponse removes the queued large response with the given id, whose receiver no longer
+// waits for it. A response whose sending has begun stays, and so does a small one: the receiver
+// may wait for it to know whether the request was run.
 func (w *writer) dropResponse(id uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.removeFrameLocked(wire.KindResponse, id)
+	w.removeFrameLocked(wire.KindResponse, id, unscheduledFrame)
 }
 
 // withdrawScheduled is withdraw for a connection whose frames are scheduled. The cancel frame
@@ -75,7 +76,7 @@
 func (w *writer) withdrawScheduled(id uint64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.err != nil || w.removeFrameLocked(wire.KindRequest, id) {
+	if w.err != nil || w.removeFrameLocked(wire.KindRequest, id, 0) {
 		return w.err == nil
 	}
 	frame, err := wire.AppendRaw(nil, wire.KindCancel, id, nil, w.maxFrame)
@@ -87,11 +88,11 @@
 	return false
 }
 
-// removeFrameLocked removes a queued frame whose sending has not begun, and reports whether
-// there was one.
-func (w *writer) removeFrameLocked(kind wire.Kind, id uint64) bool {
+// removeFrameLocked removes a queued frame above a size whose sending has not begun, and
+// reports whether there was one.
+func (w *writer) removeFrameLocked(kind wire.Kind, id uint64, above int) bool {
 	for i := range w.frames {
-		if frameKind, frameID := wire.KindAndID(w.frames[i].b); frameKind == kind && frameID == id {
+		if frameKind, frameID := wire.KindAndID(w.frames[i].b); frameKind == kind && frameID == id && len(w.frames[i].b) > above {
 			w.frames[i].end()
 			w.frames = slices.Delete(w.frames, i, i+1)
 			return true
@@ -157,9 +158,11 @@
 	for b := f.b; len(b) > 0; {
 		n := min(w.egress.SegmentBytes(), len(b))
 		if !f.transfer.Await(n, w.failed) {
+			w.recordUnsent(len(b))
 			return w.failure()
 		}
 		if err := w.write(b[:n]); err != nil {
+			w.recordUnsent(len(b) - n)
 			return err
 		}
 		b = b[n:]
--- a/transport/waiter.go
+++ b/transport/waiter.go
@@ -10,7 +10,7 @@
 // answer is the result of an RPC: the frame that answers it, or an error.
 type answer struct {
 	frame wire.Frame
-	sent  bool // bytes of the RPC's frame may have been written
+	sent  bool // the RPC's frame may have been written completely
 	err   error
 }
 
@@ -20,6 +20,7 @@
 	wantKind  wire.Kind
 	sentAt    clock.Time
 	streamPos uint64 // where the RPC's frame starts in the outgoing byte stream
+	streamEnd uint64 // where the RPC's frame ends in the outgoing byte stream
 }
 
 var waiterPool = sync.Pool{New: func() any { return &waiter{ch: make(chan answer, 1)} }}
--- a/transport/writer.go
+++ b/transport/writer.go
@@ -33,21 +33,22 @@
 	egress    *egress.Link
 	scheduled bool
 
-	wake   chan struct{}
-	failed chan struct{} // closed by fail
+	wake    chan struct{}
+	failed  chan struct{} // closed by fail
+	stopped chan struct{} // closed at the end of run
 
 	mu        sync.Mutex
 	pending   []byte
 	frames    []queuedFrame // in place of pending if scheduled
 	endPos    uint64        // stream position after the last queued byte
-	submitted uint64        // stream position up to which bytes were passed to the socket
+	submitted uint64        // stream position up to which bytes are being or were passed to the socket
 	err       error
 }
 
 func newWriter(conn net.Conn, class Class, cfg *Config) *writer {
 	return &writer{
 		conn: conn, timeout: cfg.WriteTimeout, maxBacklog: cfg.MaxBacklog, maxFrame: cfg.MaxFrame,
-		egress: cfg.Egress, scheduled: class == ClassBulk, wake: make(chan struct{}, 1), failed: make(chan struct{}),
+		egress: cfg.Egress, scheduled: class == ClassBulk, wake: make(chan struct{}, 1), failed: make(chan struct{}), stopped: make(chan struct{}),
 	}
 }
 
@@ -103,16 +104,32 @@
 	return w.finishAppend(before, err)
 }
 
-// withdraw removes a queued request and returns true, or queues a cancel frame for it if its
-// sending may have begun.
-func (w *writer) withdraw(id uint64) bool {
+// withdraw withdraws the queued request whose frame starts at a position and returns true, or
+// queues a cancel frame for it if its sending may have begun.
+func (w *writer) withdraw(id, position uint64) bool {
 	if w.scheduled {
 		return w.withdrawScheduled(id)
 	}
+	if w.withdrawPending(position) {
+		return true
+	}
 	_, _ = w.appendRaw(wire.KindCancel, id, nil) // a connection that has failed ends the request as well
 	return false
 }
 
+// withdrawPending turns a queued request into a cancel frame, which the peer ignores as it
+// does not know the id. The frame keeps its bytes, since the positions of those behind it
+// depend on them. It returns false if the frame was passed to the socket.
+func (w *writer) withdrawPending(position uint64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.err != nil || position < w.submitted {
+		return false
+	}
+	wire.SetKind(w.pending[uint64(len(w.pending))-(w.endPos-position):], wire.KindCancel)
+	return true
+}
+
 // checkLocked returns an error if the connection has failed or the queue is full.
 func (w *writer) checkLocked() error {
 	if w.err != nil {
@@ -145,12 +162,12 @@
 	}
 }
 
-// maybeSent reports whether bytes of the frame at the given position may have
-// reached the peer. The result is final only after fail.
+// maybeSent reports whether the whole frame that ends at the given position may have reached
+// the peer. The result is final only at the end of run.
 func (w *writer) maybeSent(position uint64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return position < w.submitted
+	return position <= w.submitted
 }
 
 // fail makes later appends return err and stops run. Later calls of fail have no
@@ -179,9 +196,17 @@
 	return batch, nil
 }
 
+// recordUnsent records that the last bytes of what was passed to the socket were not written.
+func (w *writer) recordUnsent(bytes int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.submitted -= uint64(bytes)
+}
+
 // run writes queued frames until fail is called or a write fails, and returns the
 // error. It calls count with the size of each batch.
 func (w *writer) run(count func(bytes int)) error {
+	defer close(w.stopped)
 	if w.scheduled {
 		return w.runScheduled(count)
 	}
@@ -230,8 +255,12 @@
 
 func (w *writer) write(batch []byte) error {
 	if err := w.conn.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
+		w.recordUnsent(len(batch))
 		return err
 	}
-	_, err := w.conn.Write(batch)
+	n, err := w.conn.Write(batch)
+	if err != nil {
+		w.recordUnsent(len(batch) - n)
+	}
 	return err
 }
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -69,6 +69,9 @@
 	binary.BigEndian.PutUint64(b[lengthSize+kindSize:], id)
 }
 
+// SetKind sets the kind of the encoded frame at the start of b.
+func SetKind(b []byte, kind Kind) { b[lengthSize] = byte(kind) }
+
 // AppendRaw appends a frame with an encoded body to dst. It returns an
 // OversizeError, and dst unchanged, if the frame exceeds limit bytes.
 func AppendRaw(dst []byte, kind Kind, id uint64, body []byte, limit int) ([]byte, error) {
--- a/workqueue/queue.go
+++ b/workqueue/queue.go
@@ -224,13 +224,19 @@
 	return q.started, q.refused
 }
 
+// LatestStart returns the time after which an item that waits is refused, because its response
+// would be late. It is early enough for the refusal to arrive before the deadline.
+func (q *Queue) LatestStart(item *Item) clock.Time {
+	return item.Deadline.Add(-max(q.estimator.meanTime(item), replyMargin))
+}
+
 // refuseUnmeetable refuses waiting items that would miss their deadline even if they
 // started now, or as soon as the rate limit lets them.
 func (q *Queue) refuseUnmeetable(now clock.Time) {
 	kept := 0
 	q.waiting = slices.DeleteFunc(q.waiting, func(x Item) bool {
 		paced := q.pacedWait(&x, kept, now)
-		if now.Add(paced+q.estimator.meanTime(&x)).Sub(x.Deadline) <= 0 {
+		if now.Add(paced).Sub(q.LatestStart(&x)) <= 0 {
 			kept++
 			return false
 		}
