Responses with an unusable status have an unknown outcome

fasthttp reads the status 000 as 200; 600 and 999 reached the caller, and 001 and 099 were taken for interim responses. The status line is checked before it is parsed.

--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -75,5 +75,7 @@
 	RequestRejected = define(7508, "request rejected", info, "A request was answered with a 4xx status of the daemon's own, which callers never retry.", "If the request was well formed, compare config (in force here) with newest_config, and look for events 7201 and 7202.")
 	TargetFailed    = define(7507, "target failed", info, "A target returned no complete response.", "")
 
+	StatusUnusable = define(7509, "unusable status", warning, "A response of the target has a status that is not a number from 100 to 599 of three digits; the outcome of the request is unknown, and the connection is closed.", "Correct the target; the error has the status.")
+
 	MessageTooLarge = define(7601, "message too large", warning, "A message from the named source exceeded its size limit or the memory budget of its source; its connection was closed.", "Check why the source sends so much; the metric parsley_messages_too_large_total counts by source.")
 )
--- a/outcome/outcome.go
+++ b/outcome/outcome.go
@@ -97,13 +97,15 @@
 	// CrashSuspect means that the target ended while it ran this request alone, because it
 	// had been in progress at crashes before. It is not sent to another target.
 	CrashSuspect Reason = 28
+	// UnusableResponse means that the response of the target can't be used.
+	UnusableResponse Reason = 29
 
 	// LastReason is the largest reason of this version.
-	LastReason = CrashSuspect
+	LastReason = UnusableResponse
 )
 
 var reasonNames = [...]string{"none", "wrong-owner", "moving", "no-owner", "overloaded", "deadline-exceeded", "draining", "stale-config", "lease-expired", "connection-lost", "canceled", "target-shed", "retry-budget", "unknown-service", "bad-request", "not-ready", "duplicate",
-	"malformed-deadline", "malformed-key", "missing-key", "body-too-large", "header-too-large", "malformed-request", "request-timeout", "unknown-route", "rate-limited", "target-crashed", "quarantined", "crash-suspect"}
+	"malformed-deadline", "malformed-key", "missing-key", "body-too-large", "header-too-large", "malformed-request", "request-timeout", "unknown-route", "rate-limited", "target-crashed", "quarantined", "crash-suspect", "unusable-response"}
 
 // String returns the name that callers see in the Parsley-Reason header.
 func (r Reason) String() string {
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -407,6 +407,13 @@
 	}
 }
 
+// recordUnusableStatus logs and counts a response of the target whose status can't be used.
+func (d *Daemon) recordUnusableStatus(r *targetRequest, err error) {
+	d.metrics.count(metricTargetFailed)
+	d.metrics.count(metricStatusUnusable)
+	logevent.Log(d.log, logevent.StatusUnusable, zap.ByteString("request", r.req.RequestID), zap.String("target", r.incarnation.target.ID), zap.Error(err))
+}
+
 // ServeRequest implements transport.Handler.
 func (d *Daemon) ServeRequest(e *transport.Exchange) {
 	var resp wire.Response
--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -282,8 +282,7 @@
 		}
 		return resend.Attempt{Result: outcome.Result{Kind: kind, Reason: outcome.ConnectionLost, RetryAfter: retryRefused}, Reached: sent}
 	}
-	t.load.inFlight.Store(int64(f.resp.InFlight))
-	t.load.limit.Store(int64(f.resp.Capacity))
+	t.load.observeResponse(&f.resp)
 	if f.resp.Kind == outcome.Done {
 		t.load.observeStatement(f.resp.Headers, clock.Now())
 	}
@@ -317,6 +316,9 @@
 // attemptResult returns the result of an attempt from the response of its daemon.
 func (f *callerRequest) attemptResult() resend.Attempt {
 	a := resend.Attempt{Result: f.resp.Result()}
+	if !usableResponse(&f.resp) {
+		a.Result = outcome.Result{Kind: outcome.Unknown, Reason: outcome.UnusableResponse}
+	}
 	switch {
 	case a.Result.Kind != outcome.NotRun:
 		a.Reached = true
--- a/sidecar/control_heartbeat.go
+++ b/sidecar/control_heartbeat.go
@@ -35,7 +35,8 @@
 
 // heartbeatState is the state of the heartbeat exchange with the target.
 type heartbeatState struct {
-	seq          uint64
+	heard        bool            // a heartbeat was received
+	seq          uint64          // of the newest one
 	behind       heartbeatSeries // since seq was received
 	lastAt       clock.Time      // when the newest heartbeat was received or the target was inherited
 	leavingSince clock.Time      // when the target announced its departure; Never if it is not leaving
@@ -147,7 +148,7 @@
 	if hb.Target.StartTime != current.StartTime {
 		return hb.Target.StartTime > current.StartTime
 	}
-	return hb.Target.ID == current.ID && hb.Seq > c.heartbeats.seq
+	return hb.Target.ID == current.ID && (hb.Seq > c.heartbeats.seq || !c.heartbeats.heard)
 }
 
 // isTargetsSeries reports whether a heartbeat that is numbered below the newest one belongs to
@@ -171,7 +172,7 @@
 		state = fleet.TargetLeaving
 	}
 	if hb.Target != c.target() {
-		if c.heartbeats.seq > 0 { // else an earlier process may have granted shards to this target
+		if c.heartbeats.heard { // else an earlier process may have granted shards to this target
 			c.agent.TargetReplaced()
 		}
 		c.heartbeats.leavingSince = clock.Never
@@ -184,7 +185,7 @@
 	if state == fleet.TargetLeaving && c.heartbeats.leavingSince == clock.Never {
 		c.heartbeats.leavingSince = now
 	}
-	c.heartbeats.seq, c.heartbeats.lastAt, c.heartbeats.behind = hb.Seq, now, heartbeatSeries{}
+	c.heartbeats.heard, c.heartbeats.seq, c.heartbeats.lastAt, c.heartbeats.behind = true, hb.Seq, now, heartbeatSeries{}
 	m := c.self
 	m.Service, m.TargetID, m.TargetStartMS, m.Slots, m.State = string(hb.Service), hb.Target.ID, hb.Target.StartTime, hb.Slots, state
 	if m != c.self {
@@ -295,7 +296,7 @@
 // checkTargetHeartbeats marks a target without recent heartbeats as silent: one that may hold
 // keys, and one that only the record of an earlier process names.
 func (c *control) checkTargetHeartbeats(now clock.Time) {
-	if !c.self.State.Serving() || !c.keyed() && c.heartbeats.seq > 0 {
+	if !c.self.State.Serving() || !c.keyed() && c.heartbeats.heard {
 		return
 	}
 	if now.Sub(c.heartbeats.lastAt) > time.Duration(missedIntervals*float64(c.d.settings().HeartbeatInterval)) {
--- a/sidecar/control_plan.go
+++ b/sidecar/control_plan.go
@@ -40,7 +40,7 @@
 // meanwhile, the target refuses the request.
 func (c *control) resumeGrant(now clock.Time) {
 	until := c.d.started.Add(resumePeriod)
-	if c.heartbeats.seq == 0 && now.Before(until) && c.self.State == fleet.TargetReady {
+	if !c.heartbeats.heard && now.Before(until) && c.self.State == fleet.TargetReady {
 		c.d.backend.setGrant(c.agent.InheritedGrants(c.owner()), until)
 	}
 }
--- a/sidecar/target_request.go
+++ b/sidecar/target_request.go
@@ -222,6 +222,13 @@
 		r.b.d.metrics.count(metricCanceledSent)
 		return workqueue.Canceled
 	}
+	var status *target.StatusError
+	if errors.As(err, &status) {
+		r.b.d.recordUnusableStatus(r, err)
+		r.incarnation.runs.answered(r, clock.Now()) // it has ended, and the target lives
+		r.resp.Kind, r.resp.Reason = outcome.Unknown, outcome.UnusableResponse
+		return workqueue.Failed
+	}
 	r.b.recordFailure(r.incarnation, r.req.RequestID, sent, err)
 	r.ended(sent)
 	if !sent {
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -6,6 +6,7 @@
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/fleet"
 	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/outcome"
 	"github.com/parsleystack/parsleystack/ownertable"
 	"github.com/parsleystack/parsleystack/routetable"
 	"github.com/parsleystack/parsleystack/wire"
@@ -62,6 +63,29 @@
 // ratioScale converts the ratios of a load to integers.
 const ratioScale = 1000
 
+// observeResponse records the load that a response of the target's daemon states. Responses to
+// requests that the daemon has not admitted state none.
+func (l *targetLoad) observeResponse(resp *wire.Response) {
+	if resp.Capacity > 0 {
+		l.inFlight.Store(int64(resp.InFlight))
+		l.limit.Store(int64(resp.Capacity))
+		return
+	}
+	l.inFlight.Add(-1)
+}
+
+// usableResponse reports whether the response of another daemon has an outcome that this
+// version knows and, if the request ran, a status that a caller can use.
+func usableResponse(resp *wire.Response) bool {
+	switch resp.Kind {
+	case outcome.Done:
+		return 200 <= resp.Status && resp.Status <= 599
+	case outcome.NotRun, outcome.Unknown:
+		return true
+	}
+	return false
+}
+
 func (l *targetLoad) report(load *fleet.Load) {
 	l.inFlight.Store(int64(load.Running + load.Waiting))
 	l.limit.Store(int64(load.Limit))
--- a/target/client.go
+++ b/target/client.go
@@ -173,6 +173,9 @@
 // (1xx) response.
 func readFinalHeader(conn *conn, resp *fasthttp.Response) error {
 	for range maxInterim {
+		if err := checkStatus(conn.reader); err != nil {
+			return err
+		}
 		if err := resp.Header.Read(conn.reader); err != nil {
 			return err
 		}
