Calls get the priority and the deadline of the run that makes them

Package runcalls knows the requests that the target runs; a call whose id names one of them is marked on the link, goes ahead of other requests of the run's priority, and is refused only for its deadline. Its route has no priority, which had counted as the most urgent.

--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -269,7 +269,7 @@
 		b: b, req: req, resp: resp, cancel: c, incarnation: b.incarnation.Load(),
 		item: workqueue.Item{
 			Class: string(req.Class), Priority: req.Priority, Arrived: now,
-			Objective: now.Add(req.Objective), Deadline: now.Add(req.Timeout), Link: link,
+			Objective: now.Add(req.Objective), Deadline: now.Add(req.Timeout), Link: link, Call: isRunCall(req),
 		},
 	}
 	r.serve()
--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -61,7 +61,8 @@
 	lastTarget      *targetView
 	print           quarantine.Fingerprint // valid if there is evidence
 	evidence        quarantine.Evidence    // against the request, at the last attempt
-	callerHeaders   int                    // length of req.Headers without fields of this daemon's own
+	callerHeaders   int                    // length of req.Headers without fields that differ between attempts
+	run             bool                   // it is a call that a run at the local target makes
 }
 
 func newCallerRequest(in *ingress, ctx *fasthttp.RequestCtx) *callerRequest {
@@ -161,11 +162,14 @@
 	}
 	named := httpfield.Value(h, fasthttp.HeaderConnection)
 	for name, value := range h.All() {
-		if singleHop(name) || isStatementHeader(name) || httpfield.ListedInConnection(named, name) || platform.IsDaemonHeader(string(name)) {
+		if singleHop(name) || isLinkHeader(name) || httpfield.ListedInConnection(named, name) || platform.IsDaemonHeader(string(name)) {
 			continue
 		}
 		f.req.Headers = append(f.req.Headers, wire.Header{Name: name, Value: value})
 	}
+	if run, ok := f.ingress.d.backend.runOfCall(f.headers.RequestID); ok {
+		f.inherit(run)
+	}
 	f.callerHeaders = len(f.req.Headers)
 }
 
--- a/sidecar/caller_request_answer.go
+++ b/sidecar/caller_request_answer.go
@@ -19,7 +19,7 @@
 		status = int(f.resp.Status)
 		out.SetStatusCode(status)
 		for i := range f.resp.Headers {
-			if isStatementHeader(f.resp.Headers[i].Name) {
+			if isLinkHeader(f.resp.Headers[i].Name) {
 				continue
 			}
 			out.Header.AddBytesKV(f.resp.Headers[i].Name, f.resp.Headers[i].Value)
@@ -82,6 +82,9 @@
 	if r.Reason == outcome.UnknownService || r.Reason == outcome.NotReady || e == logevent.RequestRejected {
 		fields = append(fields, d.control.configurationFields()...)
 	}
+	if f.run {
+		fields = append(fields, zap.Bool("run_call", true), zap.Uint8("urgency", f.req.Priority))
+	}
 	if f.evidence.Verdict() != quarantine.Unsuspected {
 		fields = append(fields, zap.Stringer("fingerprint", f.print))
 	}
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -69,6 +69,8 @@
 	metricResent       = "parsley_requests_resent_total"
 	metricBudgetDenied = "parsley_resend_budget_denied_total"
 	metricTargetFailed = "parsley_target_failures_total"
+	// metricRunCalls counts calls that runs at the local target have made.
+	metricRunCalls = "parsley_run_calls_total"
 	// metricStatusUnusable counts responses of the target whose status can't be used.
 	metricStatusUnusable = "parsley_target_statuses_unusable_total"
 	// metricTargetCrashes counts crashes of the target while requests were in progress.
--- a/sidecar/run_tracker.go
+++ b/sidecar/run_tracker.go
@@ -6,7 +6,9 @@
 
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/ownertable"
+	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/quarantine"
+	"github.com/parsleystack/parsleystack/runcalls"
 )
 
 const (
@@ -25,6 +27,7 @@
 	mu         sync.Mutex
 	target     ownertable.Target
 	inProgress map[*targetRequest]struct{}
+	calls      *runcalls.Table // the same, by request id
 	unanswered []unansweredRun
 	lastSign   clock.Time // newest response or heartbeat of the target
 	served     *quarantine.Served
@@ -48,7 +51,7 @@
 }
 
 func newRunTracker(t ownertable.Target) *runTracker {
-	return &runTracker{target: t, inProgress: make(map[*targetRequest]struct{}), served: quarantine.NewServed()}
+	return &runTracker{target: t, inProgress: make(map[*targetRequest]struct{}), calls: runcalls.NewTable(), served: quarantine.NewServed()}
 }
 
 // begin records that a request is about to be written to the target.
@@ -56,13 +59,34 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.inProgress[r] = struct{}{}
+	t.calls.Begin(r.req.RequestID, r.run())
+}
+
+// end removes a request that is no longer in progress. The caller holds t.mu.
+func (t *runTracker) end(r *targetRequest) {
+	if _, ok := t.inProgress[r]; ok {
+		delete(t.inProgress, r)
+		t.calls.End(r.req.RequestID, r.run())
+	}
+}
+
+// run returns the request as a run that may make calls.
+func (r *targetRequest) run() runcalls.Run {
+	return runcalls.Run{Priority: r.item.Priority, Deadline: r.item.Deadline}
+}
+
+// runOfCall returns the request in progress that makes the call with an id.
+func (t *runTracker) runOfCall(requestID string) (runcalls.Run, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.calls.Find(platform.RunsOfCall(requestID))
 }
 
 // answered records the end of a request with a response.
 func (t *runTracker) answered(r *targetRequest, now clock.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.inProgress, r)
+	t.end(r)
 	t.lastSign = now
 	c := r.content()
 	t.served.Add(&c)
@@ -72,7 +96,7 @@
 func (t *runTracker) notSent(r *targetRequest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.inProgress, r)
+	t.end(r)
 }
 
 // alive records a heartbeat of the target.
@@ -86,7 +110,7 @@
 func (t *runTracker) lost(r *targetRequest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.inProgress, r)
+	t.end(r)
 	if len(t.unanswered) >= maxUnanswered {
 		t.unanswered = append(t.unanswered[:0], t.unanswered[len(t.unanswered)/2:]...)
 	}
--- a/sidecar/scripted_target_test.go
+++ b/sidecar/scripted_target_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -19,16 +20,20 @@
 	mu       sync.Mutex
 	answer   string // "ID" stands for the id of the request
 	received map[string]int
+	headers  map[string]http.Header
 	conns    int // that were accepted
 }
 
+// hangingPath is the path of requests that a scriptedTarget does not answer.
+const hangingPath = "/book/hang"
+
 // signedAnswer is the usual answer of a scriptedTarget.
 const signedAnswer = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n" + platformtest.StampHeader + ": s\r\nContent-Length: 5\r\n\r\nwhole"
 
 // deployScripted starts an entry and another daemon, which has a scripted target.
 func deployScripted(t *testing.T) (*deployment, *scriptedTarget) {
 	t.Helper()
-	s := &scriptedTarget{answer: signedAnswer, received: make(map[string]int)}
+	s := &scriptedTarget{answer: signedAnswer, received: make(map[string]int), headers: make(map[string]http.Header)}
 	d := deployWith(t, func(n *testNode) {
 		if n.settings.Service != plainService {
 			return
@@ -71,8 +76,13 @@
 		id := req.Header.Get("Request-Id")
 		s.mu.Lock()
 		s.received[id]++
+		s.headers[id] = req.Header
 		answer := strings.ReplaceAll(s.answer, "ID", id)
 		s.mu.Unlock()
+		if req.URL.Path == hangingPath {
+			_, _ = io.Copy(io.Discard, c) // until it is canceled
+			return
+		}
 		if _, err := c.Write([]byte(answer)); err != nil {
 			return
 		}
@@ -96,6 +106,13 @@
 	return s.conns
 }
 
+// header returns the header of a request that was received.
+func (s *scriptedTarget) header(id string) http.Header {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.headers[id]
+}
+
 // requests returns how often a request was received.
 func (s *scriptedTarget) requests(id string) int {
 	s.mu.Lock()
--- a/sidecar/target_request.go
+++ b/sidecar/target_request.go
@@ -190,7 +190,7 @@
 	h.SetRequestURIBytes(r.req.URI)
 	for i := range r.req.Headers {
 		f := &r.req.Headers[i]
-		if isStatementHeader(f.Name) {
+		if isLinkHeader(f.Name) {
 			continue
 		}
 		if string(f.Name) == fasthttp.HeaderHost {
@@ -284,7 +284,7 @@
 	}
 	r.resp.Kind, r.resp.Status = outcome.Done, uint16(resp.StatusCode())
 	for name, value := range resp.Header.All() {
-		if !singleHop(name) && !isStatementHeader(name) {
+		if !singleHop(name) && !isLinkHeader(name) {
 			r.resp.Headers = append(r.resp.Headers, wire.Header{Name: name, Value: value})
 		}
 	}
--- a/workqueue/item.go
+++ b/workqueue/item.go
@@ -17,6 +17,9 @@
 	Deadline  clock.Time // time after which the caller no longer waits
 	Link      Link
 	Exclusive bool // it may start while the queue is held
+	// Call is set for a call that a run makes which holds a slot at another target. It has the
+	// priority of that run, and is refused last of its priority.
+	Call bool
 }
 
 // Link is the state of the link that carries an item's response when the item arrives.
@@ -26,13 +29,16 @@
 	Backlog        time.Duration // time in which the link sends the responses that are ready
 }
 
-// before reports whether x should run before y. Requests that targets send while
-// they occupy a slot themselves have short objectives, so they run before other
-// requests of the same priority.
+// before reports whether x should run before y. Calls of runs, which occupy a slot
+// meanwhile, run before other requests of the same priority, and so do most calls of
+// unknown runs, because they have short objectives.
 func (x *Item) before(y *Item) bool {
 	if x.Priority != y.Priority {
 		return x.Priority > y.Priority
 	}
+	if x.Call != y.Call {
+		return x.Call
+	}
 	if x.Objective != y.Objective {
 		return x.Objective.Before(y.Objective)
 	}
@@ -40,23 +46,28 @@
 }
 
 // urgency orders the requests for which slots are reserved: by priority, and within one
-// priority by the length of their objectives, in steps of four times the length. Targets
-// send requests with short objectives while they occupy a slot themselves.
+// priority calls of runs first, and then by the length of their objectives, in steps of four
+// times the length. Targets send requests with short objectives while they occupy a slot
+// themselves.
 type urgency uint16
 
 const (
-	// objectiveSteps is the number of steps of one priority.
+	// objectiveSteps is the number of steps of one priority, without the one of calls.
 	objectiveSteps = 16
+	urgencySteps   = objectiveSteps + 1
 	// stepBits is the binary logarithm of the ratio between two steps.
 	stepBits = 2
 )
 
 func (x *Item) urgency() urgency {
+	if x.Call {
+		return urgency(x.Priority)*urgencySteps + objectiveSteps
+	}
 	step := objectiveSteps - 1 // no objective
 	if length := x.Objective.Sub(x.Arrived); length > 0 {
 		step = min(bits.Len64(uint64(length/time.Millisecond))/stepBits, objectiveSteps-1)
 	}
-	return urgency(x.Priority)*objectiveSteps + urgency(objectiveSteps-1-step)
+	return urgency(x.Priority)*urgencySteps + urgency(objectiveSteps-1-step)
 }
 
 // Verdict is the admission decision for an arriving item.
--- a/workqueue/queue.go
+++ b/workqueue/queue.go
@@ -127,7 +127,7 @@
 	switch {
 	case len(q.waiting) >= maxWaiting, done.Add(replyMargin).Sub(item.Deadline) > 0:
 		return Refuse, Refusal{ID: item.ID, RetryAfter: q.retryAfter(&item, wait), Late: true, RateLimited: rateLimited}
-	case late > 0 && now.Before(item.Objective):
+	case late > 0 && now.Before(item.Objective) && !item.Call:
 		return Refuse, Refusal{ID: item.ID, RetryAfter: q.retryAfter(&item, late), RateLimited: rateLimited}
 	}
 	index, _ := slices.BinarySearchFunc(q.waiting, item, func(x, y Item) int {
@@ -328,7 +328,10 @@
 	// The items ahead start one by one as running items end, or, if they are short, one
 	// after the other in the first slot that becomes available.
 	wait := min(float64(ahead)/completions, 1/completions+work)
-	wait *= factor * factor // squared because arrivals of a higher priority come in bursts
+	wait *= factor
+	if !item.Call { // a call that waits in vain loses no more than one that is refused at once
+		wait *= factor // again because arrivals of a higher priority come in bursts
+	}
 	return time.Duration(min(wait, maxWaitSeconds) * float64(time.Second))
 }
 
--- a/workqueue/replay_test.go
+++ b/workqueue/replay_test.go
@@ -17,6 +17,7 @@
 	priority  uint8
 	objective time.Duration
 	deadline  time.Duration
+	call      bool // of runs that hold slots of other targets
 }
 
 // classCounts counts the results of the requests of one class.
@@ -140,7 +141,7 @@
 	}
 	p.items[id] = e
 	k := &p.kinds[e.kind]
-	item := Item{ID: id, Class: k.name, Priority: k.priority, Arrived: e.at, Objective: e.at.Add(k.objective), Deadline: e.at.Add(k.deadline)}
+	item := Item{ID: id, Class: k.name, Priority: k.priority, Arrived: e.at, Objective: e.at.Add(k.objective), Deadline: e.at.Add(k.deadline), Call: k.call}
 	switch verdict, _ := p.queue.Arrive(item, e.at); verdict {
 	case Start:
 		p.begin(id, e.at)
--- a/workqueue/transfer.go
+++ b/workqueue/transfer.go
@@ -65,7 +65,7 @@
 		return 0, false
 	}
 	late = done.Sub(item.Objective)
-	return late, late > 0 && now.Before(item.Objective) || done.Add(replyMargin).Sub(item.Deadline) > 0
+	return late, late > 0 && now.Before(item.Objective) && !item.Call || done.Add(replyMargin).Sub(item.Deadline) > 0
 }
 
 func (l *Link) duration(bytes float64) time.Duration {
