--- a/workqueue/replay_test.go
+++ b/workqueue/replay_test.go
@@ -18,11 +18,15 @@
 	objective time.Duration
 	deadline  time.Duration
 	call      bool // of runs that hold slots of other targets
+	// from and until bound the arrivals after the start; all the time if until is 0.
+	from, until time.Duration
+	returns     bool // refused callers return once, at the stated time
 }
 
 // classCounts counts the results of the requests of one class.
 type classCounts struct {
 	arrived, inTime, late, refused int
+	refusedTwice                   int // of the refused
 }
 
 func (t classCounts) timely() float64 { return float64(t.inTime) / float64(t.arrived) }
@@ -38,6 +42,15 @@
 	took     time.Duration
 	ends     bool
 	advances bool
+	first    clock.Time // arrival of the refused request that returns; Never if it is the first one
+}
+
+// arrived returns when the request first arrived.
+func (e *replayEvent) arrived() clock.Time {
+	if e.first != clock.Never {
+		return e.first
+	}
+	return e.at
 }
 
 type eventHeap []replayEvent
@@ -75,7 +88,11 @@
 	start := replayStart
 	p := &simulator{kinds: kinds, queue: queue, items: make(map[uint64]replayEvent), countFrom: start.Add(length / 4), counts: make([]classCounts, len(kinds))}
 	for k := range kinds {
-		for at := start; at < start.Add(length); {
+		end := start.Add(length)
+		if kinds[k].until > 0 {
+			end = start.Add(kinds[k].until)
+		}
+		for at := start.Add(kinds[k].from); at < end; {
 			at = at.Add(time.Duration(rng.ExpFloat64() / kinds[k].perSecond * float64(time.Second)))
 			heap.Push(&p.events, replayEvent{at: at, kind: k, took: time.Duration((0.5 + rng.Float64()) * float64(kinds[k].work))})
 		}
@@ -107,7 +124,7 @@
 			p.begin(id, now)
 		}
 		for _, r := range refused {
-			p.refuse(r.ID)
+			p.refuse(r, now)
 		}
 	}
 }
@@ -118,14 +135,26 @@
 	heap.Push(&p.events, replayEvent{at: now.Add(e.took), kind: e.kind, id: id, took: e.took, ends: true})
 }
 
-func (p *simulator) refuse(id uint64) {
-	if e := p.items[id]; e.at >= p.countFrom {
+func (p *simulator) refuse(r Refusal, now clock.Time) {
+	e := p.items[r.ID]
+	k := &p.kinds[e.kind]
+	left := e.arrived().Add(k.deadline).Sub(now)
+	if k.returns && e.first == clock.Never {
+		wait := min(r.RetryAfter, left/3) // callers wait for no more than a third of their time
+		heap.Push(&p.events, replayEvent{at: now.Add(wait), kind: e.kind, took: e.took, first: e.at})
+		return
+	}
+	if e.arrived() >= p.countFrom {
 		p.counts[e.kind].refused++
+		if e.first != clock.Never {
+			p.counts[e.kind].refusedTwice++
+		}
 	}
 }
 
 func (p *simulator) end(e replayEvent) {
-	if arrived := p.items[e.id].at; arrived >= p.countFrom {
+	item := p.items[e.id]
+	if arrived := item.arrived(); arrived >= p.countFrom {
 		if e.at.Sub(arrived) <= p.kinds[e.kind].objective {
 			p.counts[e.kind].inTime++
 		} else {
@@ -136,17 +165,19 @@
 }
 
 func (p *simulator) arrive(id uint64, e replayEvent) {
-	if e.at >= p.countFrom {
+	if e.first == clock.Never && e.at >= p.countFrom {
 		p.counts[e.kind].arrived++
 	}
 	p.items[id] = e
 	k := &p.kinds[e.kind]
-	item := Item{ID: id, Class: k.name, Priority: k.priority, Arrived: e.at, Objective: e.at.Add(k.objective), Deadline: e.at.Add(k.deadline), Call: k.call}
-	switch verdict, _ := p.queue.Arrive(item, e.at); verdict {
+	arrived := e.arrived()
+	item := Item{ID: id, Class: k.name, Priority: k.priority, Arrived: e.at, Objective: e.at.Add(k.objective), Deadline: arrived.Add(k.deadline), Call: k.call}
+	switch verdict, refusal := p.queue.Arrive(item, e.at); verdict {
 	case Start:
 		p.begin(id, e.at)
 	case Refuse:
-		p.refuse(id)
+		refusal.ID = id
+		p.refuse(refusal, e.at)
 	}
 }
 
