--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -275,6 +275,7 @@
 	}
 	f.addStatement(t)
 	sent, err := f.ingress.d.peerLinks.Do(f.ctx, t.addr, &f.req, &f.resp)
+	f.countVerdict(sent, err)
 	if err != nil {
 		t.load.inFlight.Add(-1)
 		if cause := context.Cause(f.ctx); cause != nil {
@@ -293,6 +294,19 @@
 	return f.attemptResult()
 }
 
+// countVerdict counts what the target's daemon has answered to a request that was canceled
+// after it was sent to it.
+func (f *callerRequest) countVerdict(sent bool, err error) {
+	cause := context.Cause(f.ctx)
+	switch {
+	case cause == nil || !sent || verdictWait(cause) == 0:
+	case err != nil:
+		f.ingress.d.metrics.countVerdict("none")
+	default:
+		f.ingress.d.metrics.countVerdict(f.resp.Kind.String())
+	}
+}
+
 // addStatement adds to the request what the target has stated to this daemon.
 func (f *callerRequest) addStatement(t *targetView) {
 	f.req.Headers = f.req.Headers[:f.callerHeaders]
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -52,6 +52,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`parsley_callers_left_total{sent="%t"}`, sent)).Inc()
 }
 
+// countVerdict counts an answer of a target's daemon to a request that its entry had canceled,
+// or that there was none.
+func (m *metricSet) countVerdict(verdict string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("parsley_canceled_requests_total{verdict=%q}", verdict)).Inc()
+}
+
 // countRejection counts a response with a 4xx status of the daemon's own.
 func (m *metricSet) countRejection(status int, reason outcome.Reason) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`parsley_requests_rejected_total{status="%d",reason=%q}`, status, reason)).Inc()
