--- a/sidecar/run_call_test.go
+++ b/sidecar/run_call_test.go
@@ -105,7 +105,7 @@
 	defer all.Wait()
 	all.Go(func() {
 		_, _, _ = platformtest.RawCall(caller.settings.CallerAddr, platformtest.Head(host, http.MethodGet, "/view/a", run,
-			fmt.Sprintf("%s: %d\r\nShard-Key: 7\r\n", platformtest.DeadlineHeader, runDeadline.Milliseconds())))
+			fmt.Sprintf("%s: %d\r\n%s: 7\r\n", platformtest.DeadlineHeader, runDeadline.Milliseconds(), platformtest.KeyHeader)))
 	})
 	eventually(t, "the run is in progress", func() bool { return d.countRun([]string{run}) == 1 })
 	callee.daemon.backend.holdQueue()
--- a/transport/verdict_test.go
+++ b/transport/verdict_test.go
@@ -97,3 +97,32 @@
 		}
 	}
 }
+
+// A large request of which a part was written when its connection broke counted as one that may
+// have run, although its peer can't have read it.
+func TestRequestThatWasWrittenInPartIsNotSent(t *testing.T) {
+	for _, class := range []bool{false, true} { // of large responses
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			hello := hello("stalled")
+			if _, err := wire.NewReader(c, wire.MaxHello).Next(); err == nil && writeHello(c, &hello) == nil {
+				time.Sleep(200 * time.Millisecond) // without reading, until the socket takes no more
+			}
+			_ = c.Close() // a reset, since bytes are unread
+		}()
+		p := newTestPool(t, func(cfg *Config) { cfg.MaxFrame = 64 << 20 })
+		var resp wire.Response
+		sent, err := p.Do(ctxFor(t, 5*time.Second), l.Addr().String(), &wire.Request{Body: make([]byte, 32<<20), LargeResponse: class}, &resp)
+		if sent || err == nil {
+			t.Errorf("sent %t, error %v; want a request that was not sent", sent, err)
+		}
+		_ = l.Close()
+	}
+}
