--- a/transport/scheduled_writer.go
+++ b/transport/scheduled_writer.go
@@ -68,7 +68,7 @@
 func (w *writer) dropResponse(id uint64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.removeFrameLocked(wire.KindResponse, id, unscheduledFrame)
+	w.removeFrameLocked(wire.KindResponse, id, true)
 }
 
 // withdrawScheduled is withdraw for a connection whose frames are scheduled. The cancel frame
@@ -76,7 +76,7 @@
 func (w *writer) withdrawScheduled(id uint64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.err != nil || w.removeFrameLocked(wire.KindRequest, id, 0) {
+	if w.err != nil || w.removeFrameLocked(wire.KindRequest, id, false) {
 		return w.err == nil
 	}
 	frame, err := wire.AppendRaw(nil, wire.KindCancel, id, nil, w.maxFrame)
@@ -88,11 +88,11 @@
 	return false
 }
 
-// removeFrameLocked removes a queued frame above a size whose sending has not begun, and
-// reports whether there was one.
-func (w *writer) removeFrameLocked(kind wire.Kind, id uint64, above int) bool {
+// removeFrameLocked removes a queued frame whose sending has not begun, and reports whether
+// there was one; if largeOnly is set, only one that waits for its turn on the link.
+func (w *writer) removeFrameLocked(kind wire.Kind, id uint64, largeOnly bool) bool {
 	for i := range w.frames {
-		if frameKind, frameID := wire.KindAndID(w.frames[i].b); frameKind == kind && frameID == id && len(w.frames[i].b) > above {
+		if frameKind, frameID := wire.KindAndID(w.frames[i].b); frameKind == kind && frameID == id && (!largeOnly || w.frames[i].transfer != nil) {
 			w.frames[i].end()
 			w.frames = slices.Delete(w.frames, i, i+1)
 			return true
