Hold less garbage, and small read buffers for control connections

A trial that logged the runtime's figures shows 15 MB of live heap after 18 s of traffic, as much garbage again, and 9 to 16 collections in 28 s, in which 72 to 115 MB were allocated. The heap profile names read buffers of connections between daemons for 4 of 8 MB in use: 16 KiB each, of which a control connection needs a few hundred bytes.

A collection starts at 40% of garbage now, and the read buffer has 2 KiB, enlarged to 16 KiB for connections of requests, where a cancellation has to be seen with its request.

--- a/cmd/parsley-sidecar/main.go
+++ b/cmd/parsley-sidecar/main.go
@@ -68,6 +68,7 @@
 	log := zap.New(core, zap.Fields(zap.String("instance", string(s.Instance))))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	sidecar.LimitGarbage()
 	sidecar.LimitHeap(s.MemoryBytes)
 	d := sidecar.New(s, log, core.TakeDropped)
 	go reload(ctx, a.Settings, d, log)
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -27,6 +27,15 @@
 // included. The rest is for stacks, socket buffers and the program itself.
 const heapPart = 0.75
 
+// gcPercent is the garbage, as a share of the live heap in per cent, at which a collection
+// starts. A daemon allocates about 4 MB a second, so that the default of 100 collects only
+// every few seconds and holds as much garbage as live data.
+const gcPercent = 40
+
+// LimitGarbage makes the garbage collector run before the garbage exceeds gcPercent of the
+// live heap.
+func LimitGarbage() { debug.SetGCPercent(gcPercent) }
+
 // LimitHeap makes the garbage collector run more often when the heap approaches its
 // part of the process's memory, in bytes. It returns the earlier limit.
 func LimitHeap(memory int) (earlier int64) {
--- a/transport/handshake.go
+++ b/transport/handshake.go
@@ -59,9 +59,18 @@
 	if err := checkIdentity(conn, &peer); err != nil {
 		return nil, wire.Hello{}, err
 	}
+	configureReader(reader, conn, class, cfg)
+	return reader, peer, conn.SetDeadline(time.Time{})
+}
+
+// configureReader prepares the reader of a connection of a class for the frames after the
+// Hello.
+func configureReader(reader *wire.Reader, conn net.Conn, class Class, cfg *Config) {
+	if class != ClassControl {
+		reader.BufferRequests()
+	}
 	reader.SetLimit(cfg.MaxFrame)
 	reader.SetFrameTimeout(conn, cfg.FrameTimeout)
-	return reader, peer, conn.SetDeadline(time.Time{})
 }
 
 // serverHandshake exchanges Hellos on an accepted connection and checks the peer's
@@ -88,8 +97,7 @@
 	if !Class(peer.Class).valid() {
 		return nil, peer, &wire.MalformedError{Detail: "unknown traffic class"}
 	}
-	reader.SetLimit(cfg.MaxFrame)
-	reader.SetFrameTimeout(conn, cfg.FrameTimeout)
+	configureReader(reader, conn, Class(peer.Class), cfg)
 	return reader, peer, conn.SetDeadline(time.Time{})
 }
 
--- a/wire/frame_test.go
+++ b/wire/frame_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"slices"
 	"reflect"
 	"testing"
 	"testing/iotest"
@@ -184,3 +185,36 @@
 		_ = f.Decode(new(Reply))
 	}
 }
+
+// A frame that was read together with the Hello before it must not be lost when the buffer
+// is enlarged.
+func TestBufferRequestsKeepsBufferedFrames(t *testing.T) {
+	all := frames(t)
+	want := readKinds(t, NewReader(bytes.NewReader(all), DefaultMaxFrame))
+	r := NewReader(bytes.NewReader(all), DefaultMaxFrame)
+	first, err := r.Next()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.BufferRequests()
+	if got := append([]Kind{first.Kind}, readKinds(t, r)...); !slices.Equal(got, want) {
+		t.Errorf("frames %v, want %v", got, want)
+	}
+}
+
+// readKinds returns the kinds of the frames up to the end of r.
+func readKinds(t *testing.T, r *Reader) []Kind {
+	t.Helper()
+	var kinds []Kind
+	for {
+		f, err := r.Next()
+		if errors.Is(err, io.EOF) {
+			return kinds
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		kinds = append(kinds, f.Kind)
+		f.Release()
+	}
+}
--- a/wire/reader.go
+++ b/wire/reader.go
@@ -2,13 +2,21 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"io"
 	"time"
 )
 
-const readBufferSize = 16 << 10 // bytes
+const (
+	// initialBufferSize is the size in bytes of the read buffer of a new connection. Most
+	// connections of a large fleet carry small control messages only.
+	initialBufferSize = 2 << 10
+	// requestBufferSize is the size in bytes of the read buffer of a connection for requests,
+	// so that a cancellation that arrives with its request is seen before it is started.
+	requestBufferSize = 16 << 10
+)
 
 // maxAllocStep bounds the memory that is allocated because of a frame's length
 // prefix alone. Longer bodies are allocated in steps as their bytes arrive.
@@ -16,6 +24,7 @@
 
 // Reader reads frames from a connection. It is not safe for concurrent use.
 type Reader struct {
+	source    io.Reader
 	r         *bufio.Reader
 	limit     int
 	bytesRead uint64
@@ -30,7 +39,14 @@
 
 // NewReader returns a Reader that accepts frames of up to limit bytes.
 func NewReader(r io.Reader, limit int) *Reader {
-	return &Reader{r: bufio.NewReaderSize(r, readBufferSize), limit: limit}
+	return &Reader{source: r, r: bufio.NewReaderSize(r, initialBufferSize), limit: limit}
+}
+
+// BufferRequests enlarges the read buffer for a connection that carries requests. It keeps
+// the bytes that are buffered.
+func (r *Reader) BufferRequests() {
+	buffered, _ := r.r.Peek(r.r.Buffered()) // no error, since as many bytes are buffered
+	r.r = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), r.source), requestBufferSize)
 }
 
 // SetLimit sets the size limit, in bytes, of the frames that follow.
