--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -282,8 +282,7 @@
 		}
 		return resend.Attempt{Result: outcome.Result{Kind: kind, Reason: outcome.ConnectionLost, RetryAfter: retryRefused}, Reached: sent}
 	}
-	t.load.inFlight.Store(int64(f.resp.InFlight))
-	t.load.limit.Store(int64(f.resp.Capacity))
+	t.load.observeResponse(&f.resp)
 	if f.resp.Kind == outcome.Done {
 		t.load.observeStatement(f.resp.Headers, clock.Now())
 	}
@@ -317,8 +316,8 @@
 // attemptResult returns the result of an attempt from the response of its daemon.
 func (f *callerRequest) attemptResult() resend.Attempt {
 	a := resend.Attempt{Result: f.resp.Result()}
-	if cause := context.Cause(f.ctx); cause != nil && a.Result.Kind == outcome.Unknown {
-		a.Result = f.abortedResult(cause, true)
+	if !usableResponse(&f.resp) {
+		a.Result = outcome.Result{Kind: outcome.Unknown, Reason: outcome.UnusableResponse}
 	}
 	switch {
 	case a.Result.Kind != outcome.NotRun:
@@ -326,5 +325,8 @@
 	case a.Result.Reason == outcome.TargetShed, a.Result.Reason == outcome.LeaseExpired:
 		a.Reached = true
 	}
+	if cause := context.Cause(f.ctx); cause != nil && a.Result.Kind != outcome.Done {
+		a.Result = f.abortedResult(cause, a.Result.Kind != outcome.NotRun)
+	}
 	return a
 }
