--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -61,7 +61,8 @@
 	lastTarget      *targetView
 	print           quarantine.Fingerprint // valid if there is evidence
 	evidence        quarantine.Evidence    // against the request, at the last attempt
-	callerHeaders   int                    // length of req.Headers without fields of this daemon's own
+	callerHeaders   int                    // length of req.Headers without fields that differ between attempts
+	run             bool                   // it is a call that a run at the local target makes
 }
 
 func newCallerRequest(in *ingress, ctx *fasthttp.RequestCtx) *callerRequest {
@@ -161,11 +162,14 @@
 	}
 	named := httpfield.Value(h, fasthttp.HeaderConnection)
 	for name, value := range h.All() {
-		if singleHop(name) || isStatementHeader(name) || httpfield.ListedInConnection(named, name) || platform.IsDaemonHeader(string(name)) {
+		if singleHop(name) || isLinkHeader(name) || httpfield.ListedInConnection(named, name) || platform.IsDaemonHeader(string(name)) {
 			continue
 		}
 		f.req.Headers = append(f.req.Headers, wire.Header{Name: name, Value: value})
 	}
+	if run, ok := f.ingress.d.backend.runOfCall(f.headers.RequestID); ok {
+		f.inherit(run)
+	}
 	f.callerHeaders = len(f.req.Headers)
 }
 
@@ -271,6 +275,7 @@
 	}
 	f.addStatement(t)
 	sent, err := f.ingress.d.peerLinks.Do(f.ctx, t.addr, &f.req, &f.resp)
+	f.countVerdict(sent, err)
 	if err != nil {
 		t.load.inFlight.Add(-1)
 		if cause := context.Cause(f.ctx); cause != nil {
@@ -289,6 +294,19 @@
 	return f.attemptResult()
 }
 
+// countVerdict counts what the target's daemon has answered to a request that was canceled
+// after it was sent to it.
+func (f *callerRequest) countVerdict(sent bool, err error) {
+	cause := context.Cause(f.ctx)
+	switch {
+	case cause == nil || !sent || verdictWait(cause) == 0:
+	case err != nil:
+		f.ingress.d.metrics.countVerdict("none")
+	default:
+		f.ingress.d.metrics.countVerdict(f.resp.Kind.String())
+	}
+}
+
 // addStatement adds to the request what the target has stated to this daemon.
 func (f *callerRequest) addStatement(t *targetView) {
 	f.req.Headers = f.req.Headers[:f.callerHeaders]
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -52,6 +52,12 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`parsley_callers_left_total{sent="%t"}`, sent)).Inc()
 }
 
+// countVerdict counts an answer of a target's daemon to a request that its entry had canceled,
+// or that there was none.
+func (m *metricSet) countVerdict(verdict string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("parsley_canceled_requests_total{verdict=%q}", verdict)).Inc()
+}
+
 // countRejection counts a response with a 4xx status of the daemon's own.
 func (m *metricSet) countRejection(status int, reason outcome.Reason) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`parsley_requests_rejected_total{status="%d",reason=%q}`, status, reason)).Inc()
@@ -69,6 +75,8 @@
 	metricResent       = "parsley_requests_resent_total"
 	metricBudgetDenied = "parsley_resend_budget_denied_total"
 	metricTargetFailed = "parsley_target_failures_total"
+	// metricRunCalls counts calls that runs at the local target have made.
+	metricRunCalls = "parsley_run_calls_total"
 	// metricStatusUnusable counts responses of the target whose status can't be used.
 	metricStatusUnusable = "parsley_target_statuses_unusable_total"
 	// metricTargetCrashes counts crashes of the target while requests were in progress.
