coldstart: pace requests to targets in cold start

A second rule counts what may have arrived within the last second, since a target that does not read yet gets all at once later.

--- /dev/null
+++ b/coldstart/window.go
@@ -0,0 +1,125 @@
+package coldstart
+
+import (
+	"slices"
+	"time"
+
+	"github.com/parsleystack/parsleystack/clock"
+)
+
+// maxUnconfirmed is the time after which a request that was sent without any later sign of
+// the target is no longer counted. It keeps a target that never responds from getting no
+// request at all.
+const maxUnconfirmed = 10 * time.Second
+
+// send is one request that was written to a connection.
+type send struct {
+	id      uint64
+	written clock.Time
+	// confirmed is when a later sign of the target was received, so that the request had
+	// arrived by then; Never before that.
+	confirmed clock.Time
+}
+
+// arrivals counts the requests that may have arrived within the last second. A request
+// arrives between when it is written and when it is confirmed: the target accepts
+// connections and reads requests in their order, so a response to a request confirms all
+// that were written before it. If each request is started only while the count is below a
+// number, no more than that number arrive within any second, however long they take.
+type arrivals struct {
+	max      int      // number from which on the count does not matter
+	starting []uint64 // requests that are started and not written
+	sends    []send   // the newest, at most max, in the order in which they were written
+}
+
+// setMax sets the largest number of requests that is of interest; 0 if none is.
+func (a *arrivals) setMax(n int) {
+	a.max = n
+	a.sends = a.sends[max(len(a.sends)-n, 0):]
+	if n == 0 {
+		a.starting = a.starting[:0]
+	}
+}
+
+// leaves returns when a send no longer counts, if its confirmation arrives now or has arrived.
+func (s *send) leaves(now clock.Time) clock.Time {
+	if s.confirmed == clock.Never {
+		return now.Add(window)
+	}
+	return s.confirmed.Add(window)
+}
+
+// counts reports whether a send may have arrived within the last second, or still arrives.
+func (s *send) counts(now clock.Time) bool {
+	if s.confirmed == clock.Never {
+		return now.Sub(s.written) <= maxUnconfirmed
+	}
+	return now.Before(s.leaves(now))
+}
+
+// prune removes the sends that no longer count.
+func (a *arrivals) prune(now clock.Time) {
+	n := 0
+	for n < len(a.sends) && !a.sends[n].counts(now) {
+		n++
+	}
+	a.sends = slices.Delete(a.sends, 0, n)
+}
+
+// wait returns the time until n more requests may be started, if all requests in progress
+// are confirmed now.
+func (a *arrivals) wait(n int, now clock.Time) time.Duration {
+	a.prune(now)
+	tooMany := len(a.starting) + len(a.sends) + n - a.max
+	switch {
+	case tooMany <= 0:
+		return 0
+	case tooMany > len(a.sends): // some of these n, or of those that are not written, must leave, too
+		return time.Duration(1+tooMany/a.max) * window
+	}
+	return max(a.sends[tooMany-1].leaves(now).Sub(now), 1)
+}
+
+func (a *arrivals) start(id uint64) {
+	if a.max > 0 {
+		a.starting = append(a.starting, id)
+	}
+}
+
+// write records that a started request is written.
+func (a *arrivals) write(id uint64, now clock.Time) {
+	if !a.end(id) {
+		return
+	}
+	a.prune(now)
+	if len(a.sends) >= a.max {
+		a.sends = slices.Delete(a.sends, 0, len(a.sends)-a.max+1)
+	}
+	a.sends = append(a.sends, send{id: id, written: now})
+}
+
+// end removes a request that was not written. It reports false if it was written.
+func (a *arrivals) end(id uint64) bool {
+	i := slices.Index(a.starting, id)
+	if i < 0 {
+		return false
+	}
+	a.starting = slices.Delete(a.starting, i, i+1)
+	return true
+}
+
+// answered records that a response to a request was received.
+func (a *arrivals) answered(id uint64, now clock.Time) {
+	if i := slices.IndexFunc(a.sends, func(s send) bool { return s.id == id }); i >= 0 {
+		a.confirm(a.sends[i].written, now)
+	}
+}
+
+// confirm records that all requests written up to a time have arrived.
+func (a *arrivals) confirm(written, now clock.Time) {
+	for i := range a.sends {
+		if s := &a.sends[i]; s.written <= written && s.confirmed == clock.Never {
+			s.confirmed = now
+		}
+	}
+}
