sidecar: pace the requests to cold targets

After all instances had lost power at once, cold targets got 34 and 30 requests in one second where 27.5 are allowed.

--- a/coldstart/evidence.go
+++ b/coldstart/evidence.go
@@ -10,9 +10,11 @@
 	TargetReplaced Evidence = "target-replaced"
 	// ConnectionRefused means that the target refused a connection.
 	ConnectionRefused Evidence = "connection-refused"
-	// ConnectionReset means that the target closed a connection on which a request was sent,
-	// or an idle one.
+	// ConnectionReset means that the target closed a connection on which a request was sent.
 	ConnectionReset Evidence = "connection-reset"
+	// ConnectionClosed means that the target closed an idle connection. Targets do so after
+	// some time, and when they end.
+	ConnectionClosed Evidence = "connection-closed"
 	// EvacuationEnded means that the target was not used during an evacuation of its zone.
 	EvacuationEnded Evidence = "evacuation-ended"
 	// Heartbeat means that the target has stated it in a heartbeat.
--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -53,6 +53,10 @@
 	TargetStatesLeaving   = define(7314, "target states its departure", info, "A response of the target states that it leaves; it gets no new requests, and its keys move.", "")
 	StatementIgnored      = define(7315, "statement ignored", warning, "A response of the target has a limit or a departure that can't be read; what it stated before stays in force.", "Correct the target; the error has the value.")
 
+	TargetCold        = define(7322, "target cold", info, "The target is in cold start, or may be: since evidence it is not known. It gets no more requests a second than the configuration allows, until it is warm.", "")
+	TargetWarm        = define(7323, "target warm", info, "The target is no longer in cold start by what evidence names; held is the number of requests that have waited for it, refused that of those refused because of it.", "")
+	HealthCheckFailed = define(7324, "health check failed", info, "The response to a health check of the target does not say whether it is in cold start; the next heartbeat or health check does.", "")
+
 	TargetCrashed = define(7316, "target crashed", warning, "The target has ended without announcing it while requests were in progress; requests has the id and the content fingerprint of each that may have been the cause.", "Compare the fingerprints of several of these lines: one that is in all of them crashes its targets.")
 
 	RequestQuarantined = define(7317, "request quarantined", warning, "Requests of the content with this fingerprint have crashed several targets of the service, one of them alone; no daemon sends them to a target any more.", "Find the requests by the fingerprint in events 7316 (target crashed), and mend the service; then parsley release lets them through.")
--- a/routetable/configuration.go
+++ b/routetable/configuration.go
@@ -59,6 +59,10 @@
 	HealthPath     string
 	MaxConnections int  // connections that one target accepts from all callers
 	Keyed          bool // a target runs only requests whose keys it owns
+	// ColdStart is how long a target is cold after its start, and ColdPerSecond how many
+	// requests a second it tolerates during that time; 0 if there is no such limit.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Limits holds the size and time limits on requests of callers.
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -10,11 +10,13 @@
 	"go.uber.org/zap"
 
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/coldstart"
 	"github.com/parsleystack/parsleystack/fleet"
 	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/outcome"
 	"github.com/parsleystack/parsleystack/ownertable"
+	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/target"
 	"github.com/parsleystack/parsleystack/transport"
 	"github.com/parsleystack/parsleystack/wire"
@@ -74,6 +76,7 @@
 	gate *suspectGate
 
 	stated    statementState
+	cold      coldState
 	advanceAt clock.Time // when a timer of scheduleAdvance fires; Never if none runs
 }
 
@@ -86,7 +89,9 @@
 }
 
 func newBackend(d *Daemon) *backend {
-	return &backend{d: d, queue: workqueue.New(1), tickets: make(map[uint64]*ticket), gate: newSuspectGate()}
+	b := &backend{d: d, queue: workqueue.New(1), tickets: make(map[uint64]*ticket), gate: newSuspectGate(), cold: newColdState(clock.Now())}
+	b.queue.PaceCold(b.cold.tracker)
+	return b
 }
 
 // setTarget updates the target's state. A new incarnation gets a new client, and the
@@ -110,6 +115,7 @@
 		current.client = target.New(target.Config{
 			Addr: b.d.settings().TargetAddr, MaxConns: conns, WarmConns: 1, MaxBody: maxTargetBody, Budget: b.d.budgets.target,
 			DialTimeout: targetDialTimeout, AllowCloseDelimited: true, MaxIdle: targetMaxIdle,
+			OnClosed: func() { b.doubtCold(current, coldstart.ConnectionClosed) },
 		})
 		current.runs = newRunTracker(current.target)
 	} else {
@@ -120,6 +126,9 @@
 	if replaced {
 		b.queue = b.queue.ForNewIncarnation(slots)
 		b.stated = statementState{}
+		if old != nil {
+			b.cold.tracker.Replaced(clock.Now())
+		}
 	}
 	b.queue.SetSlots(slots)
 	if m.State == fleet.TargetUnreachable {
@@ -137,9 +146,10 @@
 }
 
 // heartbeatReceived records a heartbeat of the current target.
-func (b *backend) heartbeatReceived(now clock.Time) {
+func (b *backend) heartbeatReceived(hb *platform.Heartbeat, now clock.Time) {
 	if current := b.incarnation.Load(); current != nil {
 		current.runs.alive(now)
+		b.observeCold(coldstart.HeartbeatStatement(hb.WarmupStated, hb.WarmupRemaining, now), now)
 	}
 }
 
@@ -283,7 +293,8 @@
 	b.mu.Lock()
 	b.nextID++
 	item.ID, t.id = b.nextID, b.nextID
-	verdict, refusal := b.queue.Arrive(*item, clock.Now())
+	now := clock.Now()
+	verdict, refusal := b.queue.Arrive(*item, now)
 	switch verdict {
 	case workqueue.Start:
 		t.started = true
@@ -291,12 +302,16 @@
 		return t
 	case workqueue.Refuse:
 		t.refusal = refusal
+		if refusal.RateLimited {
+			b.countCold(true, now)
+		}
 		b.mu.Unlock()
 		return t
 	}
 	t.done = make(chan struct{})
 	b.tickets[t.id] = t
-	b.scheduleAdvance(clock.Now())
+	b.countCold(false, now)
+	b.scheduleAdvance(now)
 	b.mu.Unlock()
 	if !c.setOnCancel(func() { b.removeWaiting(t) }) {
 		b.removeWaiting(t)
@@ -397,6 +412,7 @@
 func (b *backend) recordFailure(incarnation *targetIncarnation, id []byte, sent bool, err error) {
 	b.d.metrics.count(metricTargetFailed)
 	b.d.recordOversize(err)
+	b.doubtColdAfter(incarnation, err)
 	logevent.Log(b.d.log, logevent.TargetFailed, zap.ByteString("request", id), zap.String("target", incarnation.target.ID), zap.Bool("sent", sent), zap.Error(err))
 	if open, _ := incarnation.client.Conns(); open == 0 && errors.Is(err, syscall.ECONNREFUSED) {
 		b.d.control.do(func() { b.d.control.targetRefused(incarnation.target.ID) })
--- a/sidecar/backend_statement.go
+++ b/sidecar/backend_statement.go
@@ -32,6 +32,9 @@
 	if platform.WrongTarget(&r.httpResp) {
 		return // another target at the same address may have sent it
 	}
+	if load, ok := platform.ReadLoad(&r.httpResp.Header); ok {
+		b.observeServerLoad(load)
+	}
 	a, err := platform.ReadStatement(r.httpResp.Header.All())
 	now := clock.Now()
 	if b.applyResponse(r, a, err, sent, now) {
--- a/sidecar/configuration_apply.go
+++ b/sidecar/configuration_apply.go
@@ -29,6 +29,7 @@
 	c.routes, c.rawConfig = routetable.New(cfg), value
 	c.recordKnownVersion(uint64(cfg.Version), now)
 	c.viewStale, c.status.urgent = true, true
+	c.d.backend.setColdLimit(c.coldLimit())
 	if c.self.State != fleet.TargetUnknown {
 		c.d.backend.setTarget(&c.self, c.heartbeats.leavingSince, c.targetMaxConns())
 	}
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -157,6 +157,7 @@
 	c.renewSilentLinks(now)
 	c.checkTargetHeartbeats(now)
 	c.checkDeferred(now)
+	c.checkCold(now)
 	c.pushDeparture(now)
 	c.sendStatuses(now)
 	c.catchUp(now)
--- a/sidecar/control_heartbeat.go
+++ b/sidecar/control_heartbeat.go
@@ -190,7 +190,7 @@
 	if m != c.self {
 		c.setTarget(m, "heartbeat")
 	}
-	c.d.backend.heartbeatReceived(now)
+	c.d.backend.heartbeatReceived(hb, now)
 }
 
 func (c *control) setTarget(m fleet.Member, cause string) {
@@ -205,6 +205,7 @@
 		c.heartbeats.departure.begin(c.self.Revision)
 	}
 	c.d.backend.setTarget(&c.self, c.heartbeats.leavingSince, c.targetMaxConns())
+	c.d.backend.setColdLimit(c.coldLimit())
 	logevent.Log(c.log, logevent.TargetChanged, zap.String("cause", cause), zap.String("service", m.Service), zap.String("target", m.TargetID),
 		zap.Int64("born", m.TargetStartMS), zap.Stringer("state", m.State), zap.Int("slots", m.Slots))
 }
--- a/sidecar/control_members.go
+++ b/sidecar/control_members.go
@@ -124,6 +124,7 @@
 	c.inheritDeparture()
 	c.selfChanged()
 	c.d.backend.setTarget(&c.self, c.heartbeats.leavingSince, c.targetMaxConns())
+	c.d.backend.setColdLimit(c.coldLimit())
 }
 
 // selfChanged starts a new revision of the own record and distributes it.
--- a/sidecar/harness_test.go
+++ b/sidecar/harness_test.go
@@ -120,7 +120,7 @@
 		Instance: ident.Instance(fmt.Sprintf("node-%d", i)), IP: netip.MustParseAddr(ip), Zone: "z", Service: ident.Service(service),
 		CallerAddr: addrOf(7001), ReadyAddr: addrOf(7002), ControlAddr: addrOf(7003), LinkAddr: addrOf(7004), MetricsAddr: addrOf(7005), TargetAddr: addrOf(7006),
 		HeartbeatInterval: 300 * time.Millisecond, DrainTime: 2 * time.Second, GraceTime: 6 * time.Second, MaxGrantTTL: 10 * time.Second, ConfigApplyTime: 2 * time.Second,
-		RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second,
+		RetryRatio: 0.2, RetrySlack: 60, RetryWindow: 10 * time.Second, ColdOverage: 1.5, ColdSlack: 8, EvacuateTime: 5 * time.Second,
 		Store: platform.StoreSettings{Addr: addr, Partitions: 32, WritesPerS: 400, ReadsPerS: 2000, MaxRecordBytes: 1 << 18},
 	}
 	target := &platformtest.Target{
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -57,6 +57,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`parsley_requests_rejected_total{status="%d",reason=%q}`, status, reason)).Inc()
 }
 
+// countHealthCheck counts a health check of the target.
+func (m *metricSet) countHealthCheck(result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("parsley_target_health_checks_total{result=%q}", result)).Inc()
+}
+
 // countRows counts routes and services of a configuration that could not be decoded.
 func (m *metricSet) countRows(n int) {
 	m.set.GetOrCreateCounter("parsley_configuration_rows_rejected_total").Add(n)
@@ -82,6 +87,10 @@
 	metricTargetRequests = "parsley_target_requests_total"
 	// metricRateRefused counts requests that were refused because of the target's rate limit.
 	metricRateRefused = "parsley_target_rate_refused_total"
+	// metricColdHeld counts requests that have waited for the target to be warm, and
+	// metricColdRefused those that were refused because it is cold.
+	metricColdHeld    = "parsley_target_cold_held_total"
+	metricColdRefused = "parsley_target_cold_refused_total"
 	// metricStatementsIgnored counts responses of the target in which a statement about
 	// itself can't be read.
 	metricStatementsIgnored = "parsley_target_statements_ignored_total"
@@ -114,6 +123,18 @@
 		}
 		return 0
 	})
+	gauge("parsley_target_cold", func() float64 {
+		if d.backend.coldTarget().Cold {
+			return 1
+		}
+		return 0
+	})
+	gauge("parsley_target_cold_unknown", func() float64 {
+		if d.backend.coldTarget().Unknown {
+			return 1
+		}
+		return 0
+	})
 	gauge("parsley_target_rate_limit", func() float64 { return d.backend.load().RateLimit })
 	gauge("parsley_target_offered_ratio", func() float64 { return d.backend.load().OfferedRatio })
 	gauge("parsley_requests_quarantined", func() float64 { return float64(len(d.suspects.Load().Quarantined())) })
--- a/sidecar/target_request.go
+++ b/sidecar/target_request.go
@@ -158,6 +158,7 @@
 		return r.handleFailure(sent, err)
 	}
 	r.incarnation.runs.answered(r, clock.Now())
+	r.b.answeredByTarget(r.item.ID)
 	r.b.observeResponse(r, sentAt)
 	completion := r.handleResponse()
 	if r.resp.Kind == outcome.Done {
@@ -177,6 +178,7 @@
 		return errKeyNotGranted
 	}
 	r.incarnation.runs.begin(r)
+	r.b.writtenToTarget(r.item.ID)
 	return nil
 }
 
--- a/target/client.go
+++ b/target/client.go
@@ -42,7 +42,7 @@
 	cfg = cfg.withDefaults()
 	return &Client{
 		cfg:  cfg,
-		pool: newPool(cfg.Addr, cfg.MaxConns, cfg.DialTimeout),
+		pool: newPool(cfg),
 		control: &fasthttp.HostClient{
 			Addr:                      cfg.Addr,
 			MaxConns:                  ControlConns,
--- a/target/config.go
+++ b/target/config.go
@@ -30,6 +30,9 @@
 	MaxIdle time.Duration
 	// DialTimeout bounds the dialing of a connection; DefaultDialTimeout if 0.
 	DialTimeout time.Duration
+	// OnClosed is called when an idle connection that a call would use was closed by the
+	// target; nil for no call.
+	OnClosed func()
 	// ControlTimeout bounds a control request; DefaultControlTimeout if 0.
 	ControlTimeout time.Duration
 }
--- a/target/conn.go
+++ b/target/conn.go
@@ -27,9 +27,11 @@
 	writeIncomplete bool      // the current request was not completely written
 	idleDeadline    time.Time // not reused after it; no limit if zero
 
-	probedIdle bool                  // result of probe: open, and no bytes to read
-	probeFn    func(fd uintptr) bool // probe as a function value, allocated once
-	probeBuf   [1]byte
+	probedIdle bool // result of probe: open, and no bytes to read
+	// probedClosed is set if the last probe has found that the target has closed the connection.
+	probedClosed bool
+	probeFn      func(fd uintptr) bool // probe as a function value, allocated once
+	probeBuf     [1]byte
 }
 
 func newConn(c net.Conn) (*conn, error) {
@@ -71,8 +73,9 @@
 
 // probe sets probedIdle without reading bytes and without blocking.
 func (c *conn) probe(fd uintptr) bool {
-	_, _, err := unix.Recvfrom(int(fd), c.probeBuf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	n, _, err := unix.Recvfrom(int(fd), c.probeBuf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	c.probedIdle = err == unix.EAGAIN
+	c.probedClosed = n == 0 && err == nil || err == unix.ECONNRESET
 	return true
 }
 
--- a/target/pool.go
+++ b/target/pool.go
@@ -12,6 +12,7 @@
 type pool struct {
 	addr        string
 	dialTimeout time.Duration
+	onClosed    func() // may be nil
 
 	mu         sync.Mutex
 	maxConns   int
@@ -21,8 +22,8 @@
 	connClosed chan struct{} // receives a value when a connection was closed
 }
 
-func newPool(addr string, maxConns int, dialTimeout time.Duration) *pool {
-	return &pool{addr: addr, maxConns: maxConns, dialTimeout: dialTimeout, connClosed: make(chan struct{}, 1)}
+func newPool(cfg Config) *pool {
+	return &pool{addr: cfg.Addr, maxConns: cfg.MaxConns, dialTimeout: cfg.DialTimeout, onClosed: cfg.OnClosed, connClosed: make(chan struct{}, 1)}
 }
 
 func (p *pool) setMaxConns(n int) {
@@ -48,6 +49,9 @@
 			return c, nil
 		}
 		p.discard(c)
+		if c.probedClosed && p.onClosed != nil {
+			p.onClosed()
+		}
 	}
 }
 
--- a/workqueue/queue.go
+++ b/workqueue/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/coldstart"
 	"github.com/parsleystack/parsleystack/ratelimit"
 )
 
@@ -49,7 +50,8 @@
 	slots           int
 	limit           int
 	limitChangedAt  clock.Time
-	pacer           ratelimit.Pacer // by the requests a second that the target accepts
+	pacer           ratelimit.Pacer    // by the requests a second that the target accepts
+	cold            *coldstart.Tracker // paces items while the target is cold; nil if it does not
 	estimator       estimator
 	running         []running
 	waiting         []Item // sorted by the order in which they run
@@ -153,6 +155,7 @@
 		}
 		q.adjustLimit(completion, now)
 	}
+	q.coldEnded(id, completion, now)
 	return q.advance(now)
 }
 
@@ -291,6 +294,7 @@
 
 func (q *Queue) start(item Item, now clock.Time) {
 	q.pacer.Take(now)
+	q.coldStarted(item.ID, now)
 	q.running = append(q.running, running{item: item, since: now})
 }
 
@@ -346,6 +350,6 @@
 // keeps the waiting items, drops the running ones and resets the estimates.
 func (q *Queue) ForNewIncarnation(slots int) *Queue {
 	n := New(slots)
-	n.waiting, n.held = q.waiting, q.held
+	n.waiting, n.held, n.cold = q.waiting, q.held, q.cold
 	return n
 }
--- a/workqueue/rate_limit.go
+++ b/workqueue/rate_limit.go
@@ -38,29 +38,31 @@
 }
 
 // Occupancy returns the load of the target for a comparison with others: the running items
-// and the number that it can run concurrently, which by Little's law is its rate limit
-// times the mean service time. While the limit lets no item start, all slots count as
-// occupied.
+// and the number that it can run concurrently, which by Little's law is its rate limit, or
+// that of its cold start, times the mean service time. While the limit lets no item start,
+// all slots count as occupied.
 func (q *Queue) Occupancy(now clock.Time) (occupied, slots int) {
-	if !q.pacer.Limited() {
+	rate, limited := q.pacedRate(now)
+	if !limited {
 		return len(q.running), q.limit
 	}
-	slots = min(q.limit, max(int(math.Ceil(q.pacer.Rate()*q.estimator.meanWork(now))), 1))
-	if q.pacer.Ready(now) {
+	slots = min(q.limit, max(int(math.Ceil(rate*q.estimator.meanWork(now))), 1))
+	if q.pacedReady(now) {
 		return len(q.running), slots
 	}
 	return max(len(q.running), slots), slots
 }
 
-// pacedWait returns the time until the rate limit lets an item start after some others, if
-// nothing arrives meanwhile. A part of the requests that may be sent at once is reserved for
-// more urgent arrivals.
+// pacedWait returns the time until the rate limit, and the cold start of the target, let an
+// item start after some others, if nothing arrives meanwhile. A part of the requests that may
+// be sent at once is reserved for more urgent arrivals.
 func (q *Queue) pacedWait(item *Item, ahead int, now clock.Time) time.Duration {
+	cold := q.coldWait(item, ahead, now)
 	if !q.pacer.Limited() {
-		return 0
+		return cold
 	}
 	reserved := min(q.estimator.moreUrgentRequests(item.urgency())*pacedReserveTime.Seconds(), (q.pacer.Burst()-1)*maxReservedShare)
-	return q.pacer.Wait(float64(ahead+1)+reserved, now)
+	return max(q.pacer.Wait(float64(ahead+1)+reserved, now), cold)
 }
 
 // expectedPacedWait estimates the time until the rate limit lets an item start that arrives
@@ -74,7 +76,8 @@
 	}
 	wait := q.pacedWait(item, ahead, now).Seconds()
 	if wait > 0 {
-		wait *= q.estimator.pacedWaitFactor(item, q.pacer.Rate())
+		rate, _ := q.pacedRate(now)
+		wait *= q.estimator.pacedWaitFactor(item, rate)
 	}
 	return time.Duration(min(wait, maxWaitSeconds) * float64(time.Second))
 }
