Server-Load: service times follow the speed that targets state

Times are learned as at the usual speed and predicted at the newest stated one, weighted by its age.

--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -280,6 +280,7 @@
 		item: workqueue.Item{
 			Class: string(req.Class), Priority: req.Priority, Arrived: now,
 			Objective: now.Add(req.Objective), Deadline: now.Add(req.Timeout), Link: link,
+			Movable: !req.Keyed && b.placeableElsewhere(),
 		},
 	}
 	r.serve()
@@ -305,6 +306,9 @@
 		if refusal.RateLimited {
 			b.countCold(true, now)
 		}
+		if refusal.Slow {
+			b.d.metrics.count(metricSlowRefused)
+		}
 		b.mu.Unlock()
 		return t
 	}
@@ -379,6 +383,7 @@
 		b.queue.ObserveResponse(item.Class, bytes)
 	}
 	now := clock.Now()
+	b.suspectCold(item, completion, took, now)
 	b.applyDecisions(b.queue.Finish(item.ID, completion, took, now))
 	b.scheduleAdvance(now)
 }
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -91,6 +91,9 @@
 	// metricColdRefused those that were refused because it is cold.
 	metricColdHeld    = "parsley_target_cold_held_total"
 	metricColdRefused = "parsley_target_cold_refused_total"
+	// metricSlowRefused counts requests that were refused because the target is slow by its
+	// own statement, while others can run them.
+	metricSlowRefused = "parsley_target_slow_refused_total"
 	// metricStatementsIgnored counts responses of the target in which a statement about
 	// itself can't be read.
 	metricStatementsIgnored = "parsley_target_statements_ignored_total"
@@ -135,6 +138,13 @@
 		}
 		return 0
 	})
+	gauge("parsley_target_stated_slowness", func() float64 {
+		if f, ok := d.backend.statedLoad(); ok {
+			return f.Slowness
+		}
+		return 1
+	})
+	gauge("parsley_target_stated_waiting", func() float64 { f, _ := d.backend.statedLoad(); return f.Waiting })
 	gauge("parsley_target_rate_limit", func() float64 { return d.backend.load().RateLimit })
 	gauge("parsley_target_offered_ratio", func() float64 { return d.backend.load().OfferedRatio })
 	gauge("parsley_requests_quarantined", func() float64 { return float64(len(d.suspects.Load().Quarantined())) })
--- a/workqueue/estimator.go
+++ b/workqueue/estimator.go
@@ -40,6 +40,7 @@
 	latencyRatio  float64            // mean service time as a share of the objective
 	failureRatio  float64            // moving average of failed requests
 	arrivals      []arrivalRate      // in ascending order of urgency
+	load          statedLoad
 }
 
 // arrivalRate is what arrives with one urgency: moving averages in which the weight of
@@ -52,7 +53,7 @@
 }
 
 func newEstimator() estimator {
-	return estimator{classes: make(map[string]float64), responseBytes: make(map[string]float64), latencyRatio: initialLatencyRatio}
+	return estimator{classes: make(map[string]float64), responseBytes: make(map[string]float64), latencyRatio: initialLatencyRatio, load: statedLoad{sensitivity: 1}}
 }
 
 func (e *estimator) observeArrival(item *Item, now clock.Time) {
@@ -172,7 +173,7 @@
 	var age, usual time.Duration
 	for i := range items {
 		age += now.Sub(items[i].since)
-		usual += e.meanTime(&items[i].item)
+		usual += scale(e.meanTime(&items[i].item), 1+items[i].extra)
 	}
 	if usual <= 0 {
 		return 1
@@ -183,25 +184,32 @@
 	return 1
 }
 
-func (e *estimator) observeEnd(item *Item, completion Completion, took time.Duration) {
+// observeEnd records the end of an item. Its service time is learned as if the target had had
+// its usual speed.
+func (e *estimator) observeEnd(r *running, completion Completion, took time.Duration) {
+	item := &r.item
+	normal, weight := e.load.normal(took.Seconds(), r.since)
 	mean, ok := e.classes[item.Class]
 	if !ok {
-		mean = took.Seconds()
+		mean = normal
 	}
 	switch completion {
 	case NotSent, Canceled:
 		return
 	case Shed, Failed:
 		e.failureRatio += targetWeight * (1 - e.failureRatio)
-		if completion == Shed || took.Seconds() < mean {
+		if completion == Shed || normal < mean {
 			return
 		}
 		// The request took at least the mean time of its class before it failed
 		// and would have taken longer, so its time is counted.
 	default:
 		e.failureRatio -= targetWeight * e.failureRatio
+		if ok && mean > 0 {
+			e.load.learn(took.Seconds()/mean, r.since)
+		}
 	}
-	e.classes[item.Class] = mean + classWeight*(took.Seconds()-mean)
+	e.classes[item.Class] = mean + weight*classWeight*(normal-mean)
 	if objective := item.Objective.Sub(item.Arrived); objective > 0 {
 		e.latencyRatio += targetWeight * (float64(took)/float64(objective) - e.latencyRatio)
 	}
--- a/workqueue/item.go
+++ b/workqueue/item.go
@@ -17,6 +17,7 @@
 	Deadline  clock.Time // time after which the caller no longer waits
 	Link      Link
 	Exclusive bool // it may start while the queue is held
+	Movable   bool // another target may run it if this one refuses it
 }
 
 // Link is the state of the link that carries an item's response when the item arrives.
@@ -78,6 +79,9 @@
 	Late       bool // the item cannot meet its deadline
 	// RateLimited is set if the rate limit of the target is why the item would wait too long.
 	RateLimited bool
+	// Slow is set if the target's stated speed at this moment is why the item would miss its
+	// objective.
+	Slow bool
 }
 
 // Completion says how an item that was started ended.
--- a/workqueue/queue.go
+++ b/workqueue/queue.go
@@ -43,6 +43,9 @@
 type running struct {
 	item  Item
 	since clock.Time
+	// extra is the deviation from the usual service time, relative to it, that was expected from
+	// what the target had stated when the item started.
+	extra float64
 }
 
 // Queue is the admission queue of one target.
@@ -87,7 +90,7 @@
 
 // ExpectedTime returns the expected service time of an item at the target.
 func (q *Queue) ExpectedTime(item *Item, now clock.Time) time.Duration {
-	return q.estimator.expectedTime(item, q.estimator.slowdown(q.running, now))
+	return scale(q.estimator.expectedTime(item, q.estimator.slowdown(q.running, now)), q.estimator.load.at(now))
 }
 
 // OfferedLoad returns the arriving work as a share of what the slots can run or, if that
@@ -108,13 +111,17 @@
 		return Refuse, Refusal{ID: item.ID, RetryAfter: minRetryAfter}
 	}
 	slowdown := q.estimator.slowdown(q.running, now)
-	took := q.estimator.expectedTime(&item, slowdown)
+	usual := q.estimator.expectedTime(&item, slowdown)
 	if q.pacedWait(&item, 0, now) == 0 && q.mayStart(&item) && (len(q.waiting) == 0 || item.Exclusive || item.before(&q.waiting[0])) {
+		took := scale(usual, q.estimator.load.at(now))
 		// An idle target receives the request even if it is expected to be late,
 		// so that a recovered target is detected.
 		if now.Add(took).Sub(item.Deadline) > 0 && len(q.running) > 0 {
 			return Refuse, Refusal{ID: item.ID, RetryAfter: q.retryAfter(&item, minRetryAfter), Late: true}
 		}
+		if late, refuse := q.refuseWhileSlow(&item, usual, took, now); refuse {
+			return Refuse, Refusal{ID: item.ID, RetryAfter: q.retryAfter(&item, late), Slow: true}
+		}
 		if late, refuse := q.refuseForLink(&item, took, now); refuse {
 			return Refuse, Refusal{ID: item.ID, RetryAfter: q.retryAfter(&item, late)}
 		}
@@ -124,6 +131,7 @@
 	wait, paced := q.expectedWait(&item, slowdown), q.expectedPacedWait(&item, now)
 	rateLimited := paced > wait
 	wait = max(wait, paced)
+	took := scale(usual, q.estimator.load.at(now.Add(wait)))
 	done := q.delivered(&item, now.Add(wait+took), now)
 	late := q.delivered(&item, now.Add(time.Duration(waitMargin*float64(wait)+runMargin*float64(took))), now).Sub(item.Objective)
 	switch {
@@ -148,7 +156,7 @@
 func (q *Queue) Finish(id uint64, completion Completion, took time.Duration, now clock.Time) ([]uint64, []Refusal) {
 	i := slices.IndexFunc(q.running, func(r running) bool { return r.item.ID == id })
 	if i >= 0 {
-		q.estimator.observeEnd(&q.running[i].item, completion, took)
+		q.estimator.observeEnd(&q.running[i], completion, took)
 		q.running = slices.Delete(q.running, i, i+1)
 		if completion == NotSent {
 			q.pacer.Return(now)
@@ -295,7 +303,7 @@
 func (q *Queue) start(item Item, now clock.Time) {
 	q.pacer.Take(now)
 	q.coldStarted(item.ID, now)
-	q.running = append(q.running, running{item: item, since: now})
+	q.running = append(q.running, running{item: item, since: now, extra: q.estimator.load.at(now) - 1})
 }
 
 // expectedWait estimates the time until an item that arrives now would start,
@@ -306,7 +314,7 @@
 	completions := 0.0                                      // completions per second
 	for i := range q.running {
 		if r := &q.running[i].item; !reservedOnly || r.urgency() <= u {
-			completions += 1 / max(q.estimator.expectedTime(r, slowdown).Seconds(), minSeconds)
+			completions += 1 / max(q.estimator.expectedTime(r, slowdown).Seconds()*(1+q.running[i].extra), minSeconds)
 		}
 	}
 	ahead, work := 1, 0.0 // work is that of the items ahead, in seconds
--- a/workqueue/queue_test.go
+++ b/workqueue/queue_test.go
@@ -129,7 +129,7 @@
 	q := New(slots)
 	item := Item{Class: "long", Arrived: now, Objective: now.Add(time.Second), Deadline: now.Add(3 * time.Second)}
 	for range 200 {
-		q.estimator.observeEnd(&item, Answered, took)
+		q.estimator.observeEnd(&running{item: item}, Answered, took)
 	}
 	for i := range slots {
 		item.ID = uint64(1000 + i)
@@ -169,7 +169,7 @@
 	q := New(18)
 	item := Item{Class: "view", Arrived: now, Objective: now.Add(200 * time.Millisecond), Deadline: now.Add(500 * time.Millisecond)}
 	for range 200 {
-		q.estimator.observeEnd(&item, Answered, 60*time.Millisecond)
+		q.estimator.observeEnd(&running{item: item}, Answered, 60*time.Millisecond)
 	}
 	const second = 100
 	for i := range 3 * second {
@@ -177,7 +177,7 @@
 		item.Arrived = now
 		q.estimator.observeArrival(&item, now)
 		if i > second/2 {
-			q.estimator.observeEnd(&item, Failed, 500*time.Millisecond)
+			q.estimator.observeEnd(&running{item: item}, Failed, 500*time.Millisecond)
 		}
 	}
 	if offered := q.OfferedLoad(now); offered < 1 {
