Evacuation of zones: entries and daemons send nothing to their targets

Daemons read the records with the configuration, and learn of them from the statuses of others. Keys of an evacuated zone move to others with hand-over.

--- a/fleet/extension_test.go
+++ b/fleet/extension_test.go
@@ -39,6 +39,28 @@
 	}
 }
 
+// The zones that are evacuated must be readable with and without a rate limit before them, and
+// must not make a status larger or unreadable for others.
+func TestStatusWithEvacuatedZones(t *testing.T) {
+	for _, limited := range []bool{false, true} {
+		sent := &Status{Seq: 3, Member: Member{Instance: "a", Revision: 1}, ConfigAgeMS: 250, EvacuationOffset: 1 << 40, EvacuatedZones: []string{"z1", "z2"}}
+		sent.Load.RateLimited, sent.Load.RateLimit = limited, 0.3
+		got, err := DecodeStatus(sent.Encode())
+		if err != nil || got.EvacuationOffset != 1<<40 || len(got.EvacuatedZones) != 2 || got.EvacuatedZones[1] != "z2" || got.Load.RateLimited != limited {
+			t.Errorf("limited %v: %+v, %v", limited, got, err)
+		}
+		sent.EvacuatedZones = nil
+		if got, err := DecodeStatus(sent.Encode()); err != nil || got.EvacuationOffset != 1<<40 || len(got.EvacuatedZones) != 0 {
+			t.Errorf("limited %v, ended: %+v, %v", limited, got, err)
+		}
+		none := *sent
+		none.EvacuationOffset = 0
+		if got, err := DecodeStatus(none.Encode()); err != nil || got.EvacuationOffset != 0 || len(none.Encode()) >= len(sent.Encode()) {
+			t.Errorf("limited %v, no records: %+v, %v", limited, got, err)
+		}
+	}
+}
+
 // A status with more suspects than its receivers accept would be dropped, and its sender
 // suspected by all.
 func TestStatusWithManySuspectsIsReadable(t *testing.T) {
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -2,7 +2,7 @@
 
 import "math"
 
-//msgp:tuple Status Load statusExtension rateExtension
+//msgp:tuple Status Load statusExtension rateExtension evacuationExtension
 
 // Load is the load of a target as measured by its daemon.
 type Load struct {
@@ -39,6 +39,10 @@
 	ConfigAgeMS uint32 `msg:"-"`
 	// ConfigHops is the number of daemons that have passed this age on.
 	ConfigHops uint8 `msg:"-"`
+	// EvacuatedZones are the zones that are evacuated by the operator's records before the
+	// offset EvacuationOffset, which is 0 if the sender knows of no such record.
+	EvacuatedZones   []string `msg:"-"`
+	EvacuationOffset int64    `msg:"-"`
 }
 
 // UnknownAge is the age of a configuration that was not confirmed.
@@ -56,6 +60,14 @@
 	RateLimit float64 `msg:"r"`
 }
 
+// evacuationExtension follows the other extensions of a daemon that knows of records about
+// evacuated zones. It has another number of elements than the rateExtension, which may be
+// missing.
+type evacuationExtension struct {
+	Offset int64    `msg:"o"`
+	Zones  []string `msg:"z,limit=256"`
+}
+
 // maxSuspects is the largest number of suspected daemons in a status.
 const maxSuspects = 4096
 
@@ -73,6 +85,9 @@
 	if err == nil && s.Load.RateLimited {
 		b, err = (&rateExtension{RateLimit: s.Load.RateLimit}).MarshalMsg(b)
 	}
+	if err == nil && s.EvacuationOffset > 0 {
+		b, err = (&evacuationExtension{Offset: s.EvacuationOffset, Zones: s.EvacuatedZones}).MarshalMsg(b)
+	}
 	if err != nil {
 		panic("fleet: cannot encode status: " + err.Error())
 	}
@@ -97,8 +112,15 @@
 	}
 	s.ConfigAgeMS, s.ConfigHops = x.ConfigAgeMS, x.ConfigHops
 	var r rateExtension
-	if _, err := r.UnmarshalMsg(rest); err == nil && r.RateLimit >= 0 {
-		s.Load.RateLimited, s.Load.RateLimit = true, r.RateLimit
+	if after, err := r.UnmarshalMsg(rest); err == nil {
+		rest = after
+		if r.RateLimit >= 0 {
+			s.Load.RateLimited, s.Load.RateLimit = true, r.RateLimit
+		}
+	}
+	var e evacuationExtension
+	if _, err := e.UnmarshalMsg(rest); err == nil && e.Offset > 0 {
+		s.EvacuationOffset, s.EvacuatedZones = e.Offset, e.Zones
 	}
 	return s, nil
 }
--- a/fleet/status_gen.go
+++ b/fleet/status_gen.go
@@ -200,6 +200,71 @@
 	return
 }
 
+// MarshalMsg implements msgp.Marshaler
+func (z *evacuationExtension) MarshalMsg(b []byte) (o []byte, err error) {
+	o = msgp.Require(b, z.Msgsize())
+	// array header, size 2
+	o = append(o, 0x92)
+	o = msgp.AppendInt64(o, z.Offset)
+	o = msgp.AppendArrayHeader(o, uint32(len(z.Zones)))
+	for za0001 := range z.Zones {
+		o = msgp.AppendString(o, z.Zones[za0001])
+	}
+	return
+}
+
+// UnmarshalMsg implements msgp.Unmarshaler
+func (z *evacuationExtension) UnmarshalMsg(bts []byte) (o []byte, err error) {
+	var zb0001 uint32
+	zb0001, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err)
+		return
+	}
+	if zb0001 != 2 {
+		err = msgp.ArrayError{Wanted: 2, Got: zb0001}
+		return
+	}
+	z.Offset, bts, err = msgp.ReadInt64Bytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Offset")
+		return
+	}
+	var zb0002 uint32
+	zb0002, bts, err = msgp.ReadArrayHeaderBytes(bts)
+	if err != nil {
+		err = msgp.WrapError(err, "Zones")
+		return
+	}
+	if zb0002 > 256 {
+		err = msgp.ErrLimitExceeded
+		return
+	}
+	if cap(z.Zones) >= int(zb0002) {
+		z.Zones = (z.Zones)[:zb0002]
+	} else {
+		z.Zones = make([]string, zb0002)
+	}
+	for za0001 := range z.Zones {
+		z.Zones[za0001], bts, err = msgp.ReadStringBytes(bts)
+		if err != nil {
+			err = msgp.WrapError(err, "Zones", za0001)
+			return
+		}
+	}
+	o = bts
+	return
+}
+
+// Msgsize returns an upper bound estimate of the number of bytes occupied by the serialized message
+func (z *evacuationExtension) Msgsize() (s int) {
+	s = 1 + msgp.Int64Size + msgp.ArrayHeaderSize
+	for za0001 := range z.Zones {
+		s += msgp.StringPrefixSize + len(z.Zones[za0001])
+	}
+	return
+}
+
 // MarshalMsg implements msgp.Marshaler
 func (z rateExtension) MarshalMsg(b []byte) (o []byte, err error) {
 	o = msgp.Require(b, z.Msgsize())
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -65,6 +65,8 @@
 	grant       atomic.Pointer[keyGrant]
 	// closing is set once the process accepts no more requests for the target.
 	closing atomic.Bool
+	// evacuated is set while the zone of the target is evacuated.
+	evacuated atomic.Bool
 
 	keyLoads keyLoads
 
--- a/sidecar/caller_request_target.go
+++ b/sidecar/caller_request_target.go
@@ -31,8 +31,8 @@
 	shard := s.table.Find(f.headers.Key)
 	f.owner = shard.Owner.Instance
 	t = s.owner(f.headers.Key)
-	if t == nil || t.suspected || t.unreachable {
-		return nil, t == nil && !shard.Unassigned()
+	if t == nil || t.suspected || t.unreachable || t.evacuated {
+		return nil, (t == nil || t.evacuated) && !shard.Unassigned()
 	}
 	return t, true
 }
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/evacuation"
 	"github.com/parsleystack/parsleystack/fleet"
 	"github.com/parsleystack/parsleystack/freshness"
 	"github.com/parsleystack/parsleystack/ident"
@@ -77,6 +78,10 @@
 	crashes crashState
 
 	stopping bool
+
+	zones          evacuation.Zones
+	evacuatedZones []ident.Zone // as of the last zonesChanged
+	evacuatedCount atomic.Int64 // of evacuatedZones, for other goroutines
 }
 
 func newControl(d *Daemon) *control {
@@ -158,6 +163,7 @@
 	c.checkTargetHeartbeats(now)
 	c.checkDeferred(now)
 	c.checkCold(now)
+	c.expireEvacuations(now)
 	c.pushDeparture(now)
 	c.sendStatuses(now)
 	c.catchUp(now)
--- a/sidecar/control_configuration.go
+++ b/sidecar/control_configuration.go
@@ -49,6 +49,7 @@
 // by a call sent at a time. snapshot is set if b has the newest record of each key.
 func (c *control) configurationRead(b metastore.Batch, sent clock.Time, source string, snapshot bool) {
 	_, key := platform.ConfigurationPartition()
+	c.evacuationsRead(&b, snapshot, snapshot && b.End < c.config.next && b.End.Era() == c.config.next.Era())
 	for i := range b.Records {
 		r := &b.Records[i]
 		if r.Key == key {
--- a/sidecar/control_era.go
+++ b/sidecar/control_era.go
@@ -57,7 +57,7 @@
 // already until the first table of the era is in force.
 func (c *control) enterAgentEra(era metastore.Era) {
 	load := c.d.backend.load()
-	self := candidate(&c.self, &load, false, true)
+	self := c.candidate(&c.self, &load, false, true)
 	c.agent.EnterEra(uint32(era), &self, clock.Now())
 }
 
--- a/sidecar/control_plan.go
+++ b/sidecar/control_plan.go
@@ -48,23 +48,24 @@
 // candidates returns all targets of the own service, the local one first.
 func (c *control) candidates() []ownertable.Candidate {
 	load := c.d.backend.load()
-	list := []ownertable.Candidate{candidate(&c.self, &load, false, true)}
+	list := []ownertable.Candidate{c.candidate(&c.self, &load, false, true)}
 	for _, p := range c.dir.Peers() {
 		if c.sameService(p) {
-			list = append(list, candidate(&p.Member, &p.Load, c.suspected[ident.Instance(p.Member.Instance)], p.Responded))
+			list = append(list, c.candidate(&p.Member, &p.Load, c.suspected[ident.Instance(p.Member.Instance)], p.Responded))
 		}
 	}
 	return list
 }
 
-func candidate(m *fleet.Member, load *fleet.Load, suspected, responded bool) ownertable.Candidate {
+// candidate returns a target as the planner sees it. One in an evacuated zone counts as leaving.
+func (c *control) candidate(m *fleet.Member, load *fleet.Load, suspected, responded bool) ownertable.Candidate {
 	slots := m.Slots
 	if load.RateLimited {
 		slots = min(slots, load.Limit) // it runs no more at a time, so more keys would not be served
 	}
 	return ownertable.Candidate{
 		Owner: ownertable.Owner{Instance: ident.Instance(m.Instance), Target: ownertable.Target{ID: m.TargetID, StartTime: m.TargetStartMS}},
-		Slots: slots, Load: load.OfferedRatio, LatencyRatio: load.LatencyRatio, Ready: m.State.Serving(), Unreachable: m.State == fleet.TargetUnreachable, Suspected: suspected, Responded: responded,
+		Slots: slots, Load: load.OfferedRatio, LatencyRatio: load.LatencyRatio, Ready: m.State.Serving() && !c.zones.Contains(ident.Zone(m.Zone)), Unreachable: m.State == fleet.TargetUnreachable, Suspected: suspected, Responded: responded,
 	}
 }
 
--- a/sidecar/control_status.go
+++ b/sidecar/control_status.go
@@ -131,6 +131,7 @@
 // ownStatus returns the part of a status that is the same for all receivers.
 func (c *control) ownStatus() *fleet.Status {
 	s := &fleet.Status{Seq: c.status.seq, Offset: int64(c.applied), Stopping: c.stopping, Load: c.d.backend.load(), Config: c.configVersion(), ConfigAgeMS: c.statusConfigurationAge(clock.Now()), ConfigHops: uint8(c.config.tracker.Hops())}
+	c.stateEvacuations(s)
 	for _, p := range c.dir.Peers() {
 		if c.sameService(p) && c.suspected[ident.Instance(p.Member.Instance)] {
 			s.Suspects = append(s.Suspects, p.Member.Instance)
@@ -159,6 +160,7 @@
 	c.recordKnownVersion(s.Config, now)
 	c.viewStale = c.viewStale || !c.receivedStatus
 	c.receivedStatus = true
+	c.evacuationsStated(s)
 	known := c.dir.Peer(ident.Instance(s.Member.Instance)) != nil
 	joined := c.isNewProcess(&s.Member)
 	p, changed := c.dir.ApplyStatus(s, now)
--- a/sidecar/health_check.go
+++ b/sidecar/health_check.go
@@ -40,7 +40,7 @@
 	b.coldChanged(now)
 	c := &b.cold
 	current := b.incarnation.Load()
-	if current == nil || current.state != fleet.TargetReady || path == "" || !c.statesLoad || c.checking || b.closing.Load() {
+	if current == nil || current.state != fleet.TargetReady || path == "" || !c.statesLoad || c.checking || b.closing.Load() || b.evacuated.Load() {
 		return
 	}
 	if !c.tracker.CheckDue(now) || c.tracker.State(now).Evidence == coldstart.ConnectionClosed && len(b.tickets) == 0 || c.tracker.Wait(1, now) > 0 {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -91,6 +91,9 @@
 	// metricColdRefused those that were refused because it is cold.
 	metricColdHeld    = "parsley_target_cold_held_total"
 	metricColdRefused = "parsley_target_cold_refused_total"
+	// metricEvacuatedRefused counts requests that were refused because the zone of the target is
+	// evacuated.
+	metricEvacuatedRefused = "parsley_target_evacuated_refused_total"
 	// metricSlowRefused counts requests that were refused because the target is slow by its
 	// own statement, while others can run them.
 	metricSlowRefused = "parsley_target_slow_refused_total"
@@ -115,6 +118,7 @@
 	})
 	gauge("parsley_configuration_newest_known", func() float64 { return float64(d.control.config.newest.Load()) })
 	gauge("parsley_configuration_age_seconds", func() float64 { return d.control.configurationAge(clock.Now()).Seconds() })
+	gauge("parsley_zones_evacuated", func() float64 { return float64(d.control.evacuatedCount.Load()) })
 	gauge("parsley_daemons", func() float64 { return float64(d.control.view.Load().daemons) })
 	gauge("parsley_callers_in_flight", func() float64 { return float64(d.ingress.inFlight()) })
 	gauge("parsley_target_running", func() float64 { running, _, _ := d.backend.requests(); return float64(running) })
--- a/sidecar/operator.go
+++ b/sidecar/operator.go
@@ -195,6 +195,12 @@
 			list = append(list, fmt.Sprintf("%s of %s has sent no status for %v", p.Member.Instance, p.Member.Service, now.Sub(p.LastSeen)))
 		}
 	}
+	if len(c.evacuatedZones) > 0 {
+		list = append(list, fmt.Sprintf("the targets of the zones %v get no requests, since the operator evacuates these zones", c.evacuatedZones))
+	}
+	if s := c.d.backend.coldTarget(); s.Cold {
+		list = append(list, fmt.Sprintf("the target is in cold start, or may be, for %v (%s); it gets %g requests a second", now.Sub(s.Since), s.Evidence, c.coldLimit().PerSecond))
+	}
 	if c.routes != nil && c.newestConfig > c.configVersion() {
 		list = append(list, fmt.Sprintf("another daemon has configuration %d", c.newestConfig))
 	}
--- a/sidecar/target_request.go
+++ b/sidecar/target_request.go
@@ -74,7 +74,7 @@
 	if !t.started {
 		reason := outcome.Overloaded
 		switch {
-		case r.b.closing.Load():
+		case r.b.closing.Load(), r.b.evacuated.Load():
 			reason = outcome.Draining
 		case t.refusal.RateLimited:
 			reason = outcome.RateLimited
@@ -110,6 +110,9 @@
 		return r.refuse(outcome.UnknownService, retryRefused)
 	case closing, current.state == fleet.TargetUnreachable, current.refuseFrom != clock.Never && !now.Before(current.refuseFrom):
 		return r.refuse(outcome.Draining, retryRefused)
+	case r.b.evacuated.Load():
+		r.b.d.metrics.count(metricEvacuatedRefused)
+		return r.refuse(outcome.Draining, retryRefused)
 	case r.req.Keyed && !r.keyGranted(now):
 		return r.refuse(outcome.WrongOwner, retryRefused)
 	}
@@ -177,6 +180,9 @@
 	if r.req.Keyed && !r.keyGranted(clock.Now()) {
 		return errKeyNotGranted
 	}
+	if r.b.evacuated.Load() {
+		return errEvacuated
+	}
 	r.incarnation.runs.begin(r)
 	r.b.writtenToTarget(r.item.ID)
 	return nil
@@ -212,6 +218,10 @@
 	case errors.Is(err, errKeyNotGranted):
 		r.refuse(outcome.WrongOwner, retryRefused)
 		return workqueue.NotSent
+	case errors.Is(err, errEvacuated):
+		r.b.d.metrics.count(metricEvacuatedRefused)
+		r.refuse(outcome.Draining, retryRefused)
+		return workqueue.NotSent
 	case errors.Is(err, target.ErrCanceled):
 		r.ended(sent)
 		r.pass.canceled = sent
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -41,6 +41,7 @@
 	// unreachable is set while the target refuses connections. It owns its keys, and serves
 	// none.
 	unreachable bool
+	evacuated   bool // its zone is
 	suspected   bool
 	load        *targetLoad
 }
