--- a/recvlimit/budget.go
+++ b/recvlimit/budget.go
@@ -7,6 +7,8 @@
 
 // Sources of messages.
 const (
+	Caller Source = "caller"
+	Daemon Source = "daemon"
 	Target Source = "target"
 	Store  Source = "store"
 )
