--- a/pipeline/queue.go
+++ b/pipeline/queue.go
@@ -40,6 +40,12 @@
 // Closed reports whether no further response is written.
 func (q *Queue[T]) Closed() bool { return q.closed }
 
+// Failed reports whether Fail was called.
+func (q *Queue[T]) Failed() bool { return q.failed }
+
+// First reports whether the response to a request is the next one to be written.
+func (q *Queue[T]) First(number uint64) bool { return number == q.first }
+
 // MayRead reports whether a further request may be read now. It may later if requests are in
 // progress and Ended reports false.
 func (q *Queue[T]) MayRead() bool {
--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -47,6 +47,9 @@
 	cancel          context.CancelCauseFunc
 	arrived         clock.Time    // when its last bytes arrived, if the kernel tells; else when it was read
 	unread          time.Duration // from then until it was read
+	behind          bool          // earlier requests of its connection were in progress then
+	waited          time.Duration // from then until it was begun, if it was behind others
+	bodyTooLarge    bool          // its body was not read
 	deadline        clock.Time
 	headers         platform.RequestHeaders
 	route           *routetable.Route
@@ -65,11 +68,7 @@
 }
 
 func newCallerRequest(in *ingress, ctx *fasthttp.RequestCtx) *callerRequest {
-	f := &callerRequest{ingress: in, httpCtx: ctx, conn: ctx.Conn(), arrived: clock.Now()}
-	if unread, ok := connprobe.SinceReceived(f.conn); ok {
-		f.unread, f.arrived = unread, f.arrived.Add(-unread)
-		in.d.metrics.unreadTime.Update(unread.Seconds())
-	}
+	f := &callerRequest{ingress: in, httpCtx: ctx, conn: ctx.Conn()}
 	f.ctx, f.cancel = context.WithCancelCause(context.Background())
 	return f
 }
@@ -115,7 +114,7 @@
 		return f.rejectIfConfirmed(v, fasthttp.StatusNotFound, outcome.UnknownRoute)
 	}
 	limits := v.routes.Limits()
-	if limits.BodyBytes > 0 && len(f.httpCtx.Request.Body()) > limits.BodyBytes {
+	if f.bodyTooLarge || limits.BodyBytes > 0 && len(f.httpCtx.Request.Body()) > limits.BodyBytes {
 		return f.rejectIfConfirmed(v, fasthttp.StatusRequestEntityTooLarge, outcome.BodyTooLarge)
 	}
 	f.service, err = v.routes.PickService(f.route, f.headers.HasKey, random())
@@ -185,7 +184,6 @@
 		action = f.resendOrFinish(action)
 	}
 	f.respond(action.Result)
-	f.resp.Release()
 }
 
 // resendOrFinish executes an action and returns the next one.
--- a/sidecar/caller_request_answer.go
+++ b/sidecar/caller_request_answer.go
@@ -9,6 +9,7 @@
 	"github.com/parsleystack/parsleystack/outcome"
 	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/quarantine"
+	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
 // respond writes the response to the caller and logs the request.
@@ -24,7 +25,14 @@
 			}
 			out.Header.AddBytesKV(f.resp.Headers[i].Name, f.resp.Headers[i].Value)
 		}
-		out.SetBody(f.resp.Body)
+		if len(f.resp.Body) <= recvlimit.FreeBytes {
+			out.SetBodyRaw(f.resp.Body) // until Release
+		} else {
+			// The response may wait for a slow caller, which must not exhaust the budget for
+			// what targets send.
+			out.SetBody(f.resp.Body)
+			f.resp.Release()
+		}
 	} else {
 		out.SetStatusCode(status)
 		platform.SetRequestID(&out.Header, f.headers.RequestID)
@@ -73,6 +81,9 @@
 		zap.String("request", f.headers.RequestID), zap.String("route", name), zap.Uint64("config", uint64(f.configVersion)),
 		zap.Int("status", status), zap.Stringer("reason", r.Reason), zap.Duration("took", took), zap.Duration("unread", f.unread), zap.Int("attempts", len(f.tried)),
 	}
+	if f.behind {
+		fields = append(fields, zap.Duration("waited", f.waited))
+	}
 	if f.lastTarget != nil {
 		fields = append(fields, zap.String("daemon", string(f.lastTarget.instance)), zap.String("target", f.lastTarget.target.ID), zap.Int64("load", f.lastTarget.load.inFlight.Load()))
 	}
--- a/sidecar/ingress.go
+++ b/sidecar/ingress.go
@@ -9,10 +9,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
+	"github.com/parsleystack/parsleystack/callerhttp"
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/pipeline"
 	"github.com/parsleystack/parsleystack/resend"
 )
 
@@ -32,6 +32,15 @@
 	callerIdleTimeout = 120 * time.Second
 	// callerReadTimeout bounds the time to read one request.
 	callerReadTimeout = 60 * time.Second
+	// callerWriteTimeout is how long a caller may take no bytes of a response.
+	callerWriteTimeout = 60 * time.Second
+	// maxPipelined is the number of requests of one connection that are in progress at a
+	// time. Callers were seen to send up to five; more than a target has slots (8) would let
+	// one connection fill its queue, and each takes the memory of a goroutine.
+	maxPipelined = 8
+	// maxPipelinedBytes bounds their bodies and the responses that wait for their turn. Bodies
+	// on the known deployments are below 8 KB.
+	maxPipelinedBytes = 256 << 10
 )
 
 var (
@@ -43,12 +52,11 @@
 // ingress is the HTTP server for callers and for calls of the local target.
 type ingress struct {
 	d      *Daemon
-	server *fasthttp.Server
+	server *callerhttp.Server
 
-	mu         sync.Mutex
-	active     map[*callerRequest]struct{}
-	budgets    map[ident.Service]*resend.Budget
-	closeConns atomic.Bool // connections are closed after their next response
+	mu      sync.Mutex
+	active  map[*callerRequest]struct{}
+	budgets map[ident.Service]*resend.Budget
 	// refusing is set once new requests are refused and requests no longer wait for
 	// an owner. The schedule of a stop may say so before; see refuses.
 	refusing atomic.Bool
@@ -56,29 +64,21 @@
 
 func newIngress(d *Daemon) *ingress {
 	in := &ingress{d: d, active: make(map[*callerRequest]struct{}), budgets: make(map[ident.Service]*resend.Budget)}
-	in.server = &fasthttp.Server{
-		Handler:                       in.handle,
-		ErrorHandler:                  in.handleReadError,
-		Name:                          "parsley",
-		ReadBufferSize:                maxCallerHeader,
-		Concurrency:                   maxCallerConns(d.settings().MaxFiles),
-		MaxRequestBodySize:            maxCallerBody,
-		ReadTimeout:                   callerReadTimeout,
-		IdleTimeout:                   callerIdleTimeout,
-		DisablePreParseMultipartForm:  true,
-		DisableHeaderNamesNormalizing: true,
-		NoDefaultContentType:          true,
-		SecureErrorLogMessage:         true, // no bytes of requests in errors
-		NoDefaultServerHeader:         true,
-		CloseOnShutdown:               true,
-		Logger:                        discardLogger{},
-	}
+	in.server = callerhttp.NewServer(callerhttp.Config{
+		MaxConns:     maxCallerConns(d.settings().MaxFiles),
+		MaxHeader:    maxCallerHeader,
+		MaxBody:      in.maxBody,
+		Window:       pipeline.Limits{Requests: maxPipelined, Bytes: maxPipelinedBytes},
+		ReadTimeout:  callerReadTimeout,
+		IdleTimeout:  callerIdleTimeout,
+		WriteTimeout: callerWriteTimeout,
+	}, in)
 	return in
 }
 
 // maxCallerConns returns the number of connections of callers that a process serves which may
-// have a number of descriptors. Further ones get 503 at once. It returns 0, which means the
-// default of the server, if that number is not known.
+// have a number of descriptors. Further ones get 503 at once. It returns 0, which means no
+// limit, if that number is not known.
 func maxCallerConns(files int) int {
 	if files <= 0 {
 		return 0
@@ -93,19 +93,30 @@
 
 func (in *ingress) serve(l net.Listener) error { return in.server.Serve(l) }
 
-func (in *ingress) handle(ctx *fasthttp.RequestCtx) {
-	if in.closeConns.Load() {
-		ctx.SetConnectionClose()
+// maxBody returns the largest size of a body that is read.
+func (in *ingress) maxBody() int {
+	if v := in.d.control.view.Load(); v.routes != nil && v.routes.Limits().BodyBytes > 0 {
+		return min(v.routes.Limits().BodyBytes, maxCallerBody)
 	}
-	f := newCallerRequest(in, ctx)
+	return maxCallerBody
+}
+
+// Prepare implements callerhttp.Handler.
+func (in *ingress) Prepare(x *callerhttp.Exchange) callerhttp.Work {
+	f := newCallerRequest(in, &x.Ctx)
+	f.arrived, f.unread, f.behind, f.bodyTooLarge = x.Arrived, x.Unread, x.Behind, x.BodyTooLarge
+	in.d.metrics.unreadTime.Update(f.unread.Seconds())
 	if !f.parse() {
-		return
+		f.cancel(nil)
+		return nil
 	}
 	in.track(f, true)
-	f.serve()
-	in.track(f, false)
+	return f
 }
 
+// TurnAwaited implements callerhttp.Handler.
+func (in *ingress) TurnAwaited(d time.Duration) { in.d.metrics.turnTime.Update(d.Seconds()) }
+
 func (in *ingress) track(f *callerRequest, started bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -19,6 +19,9 @@
 	storeTime *metrics.Histogram
 	// unreadTime is how long the last bytes of requests had arrived before they were read.
 	unreadTime *metrics.Histogram
+	// behindTime is how long requests that were read behind others of their connection waited
+	// until they were begun, and turnTime how long responses waited for those in front of them.
+	behindTime, turnTime *metrics.Histogram
 	// callerCheckDelay is by how much checks for callers that have left were late.
 	callerCheckDelay *metrics.Histogram
 }
@@ -27,6 +30,7 @@
 	set := metrics.NewSet()
 	return &metricSet{
 		set: set, storeTime: set.NewHistogram("parsley_store_call_duration_seconds"),
+		behindTime: set.NewHistogram("parsley_request_behind_seconds"), turnTime: set.NewHistogram("parsley_response_turn_seconds"),
 		unreadTime: set.NewHistogram("parsley_request_unread_seconds"), callerCheckDelay: set.NewHistogram("parsley_caller_check_delay_seconds"),
 	}
 }
--- a/sidecar/read_error.go
+++ b/sidecar/read_error.go
@@ -7,14 +7,16 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/parsleystack/parsleystack/callerhttp"
 	"github.com/parsleystack/parsleystack/connprobe"
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/outcome"
+	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
-// handleReadError responds to a request that could not be read.
-func (in *ingress) handleReadError(ctx *fasthttp.RequestCtx, err error) {
-	ctx.SetConnectionClose()
+// ReadError implements callerhttp.Handler.
+func (in *ingress) ReadError(x *callerhttp.Exchange, err error) {
+	ctx := &x.Ctx
 	status, reason := readErrorStatus(err, ctx.Conn())
 	ctx.Error(reason.String(), status)
 	event := logevent.RequestRejected
@@ -24,7 +26,7 @@
 		in.d.metrics.countRejection(status, reason)
 	}
 	logevent.Log(in.d.log, event, zap.Int("status", status), zap.Stringer("reason", reason), zap.Error(err),
-		zap.Stringer("caller", ctx.RemoteAddr()), zap.Uint64("requests_before", ctx.ConnRequestNum()))
+		zap.Stringer("caller", ctx.RemoteAddr()), zap.Uint64("requests_before", x.Before))
 }
 
 // readErrorStatus returns the status and reason for an error of reading a request from
@@ -32,11 +34,12 @@
 func readErrorStatus(err error, conn net.Conn) (int, outcome.Reason) {
 	var small *fasthttp.ErrSmallBuffer
 	var timeout net.Error
+	var budget *recvlimit.BudgetError
 	switch {
 	case errors.As(err, &small):
 		return fasthttp.StatusRequestHeaderFieldsTooLarge, outcome.HeaderTooLarge
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		return fasthttp.StatusRequestEntityTooLarge, outcome.BodyTooLarge
+	case errors.As(err, &budget):
+		return fasthttp.StatusServiceUnavailable, outcome.Overloaded
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return fasthttp.StatusRequestTimeout, outcome.RequestTimeout
 	case connprobe.CutShort(err, conn):
--- a/sidecar/rejection.go
+++ b/sidecar/rejection.go
@@ -17,9 +17,13 @@
 	f.httpCtx.SetStatusCode(status)
 	platform.SetRequestID(&f.httpCtx.Response.Header, f.headers.RequestID)
 	h := &f.httpCtx.Request.Header
+	size := len(f.httpCtx.Request.Body())
+	if f.bodyTooLarge {
+		size = h.ContentLength() // as announced; negative if it came in chunks
+	}
 	details = append(details,
 		zap.ByteString("host", h.Host()), zap.ByteString("uri", h.RequestURI()), zap.String("service", string(f.service.Name)),
-		zap.Int("body_bytes", len(f.httpCtx.Request.Body())))
+		zap.Int("body_bytes", size))
 	f.logResult(logevent.RequestRejected, outcome.Result{Kind: outcome.NotRun, Reason: reason}, status, details...)
 	f.ingress.d.metrics.countRejection(status, reason)
 	return false
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -24,7 +24,7 @@
 	d.stopping.Store(s)
 	logevent.Log(d.log, logevent.SidecarStopping, zap.Int("in_flight", d.ingress.inFlight()))
 	d.control.do(func() { d.control.announceStop() })
-	d.ingress.closeConns.Store(true)
+	d.ingress.server.Drain()
 	time.Sleep(s.closes.Sub(clock.Now()))
 	d.backend.close()
 	waitUntil(s.refuses, func() bool { return !d.backend.busy() })
