--- a/coldstart/health.go
+++ b/coldstart/health.go
@@ -18,6 +18,7 @@
 // checks decides when health checks are sent.
 type checks struct {
 	suspected bool // the target seems to be cold and has not said so
+	awaited   bool // a check waits for its turn
 	next      clock.Time
 	interval  time.Duration // after a check on suspicion
 }
@@ -35,7 +36,7 @@
 		c.interval = min(max(2*c.interval, 2*minCheckInterval), maxCheckInterval)
 		c.next = now.Add(c.interval)
 	}
-	c.suspected = false
+	c.suspected, c.awaited = false, false
 }
 
 // answered records what the target has stated.
--- a/coldstart/tracker.go
+++ b/coldstart/tracker.go
@@ -12,6 +12,7 @@
 	state State
 	// statedAt is the earliest time at which the newest statement can have been made.
 	statedAt clock.Time
+	doubt    doubt
 
 	tokens   float64 // requests that may be sent at the time tokensAt
 	tokensAt clock.Time
@@ -75,6 +76,7 @@
 // it states later ends that.
 func (t *Tracker) Doubt(e Evidence, now clock.Time) {
 	s := t.State(now)
+	t.doubt.begin(e, s, now)
 	if !s.Cold {
 		s.Since = now
 	}
@@ -90,7 +92,7 @@
 func (t *Tracker) Replaced(now clock.Time) {
 	t.Doubt(TargetReplaced, now)
 	t.statedAt = clock.Never
-	t.checks = checks{}
+	t.checks, t.doubt = checks{}, doubt{}
 }
 
 // Observe applies a statement of the target. It reports whether it is applied completely: an
@@ -135,8 +137,18 @@
 }
 
 // Wait returns the time until n requests may have been sent, if nothing else is sent
-// meanwhile. It is 0 if the target is warm.
+// meanwhile. It is 0 if the target is warm. A health check that waits goes first.
 func (t *Tracker) Wait(n float64, now clock.Time) time.Duration {
+	if t.checks.awaited {
+		n++
+	}
+	return t.wait(n, now)
+}
+
+// CheckWait returns the time until a health check may be sent.
+func (t *Tracker) CheckWait(now clock.Time) time.Duration { return t.wait(1, now) }
+
+func (t *Tracker) wait(n float64, now clock.Time) time.Duration {
 	s := t.State(now)
 	if !s.Cold {
 		return 0
@@ -167,7 +179,12 @@
 func (t *Tracker) Written(id uint64, now clock.Time) { t.arrivals.write(id, now) }
 
 // Answered records that a response to a request was received.
-func (t *Tracker) Answered(id uint64, now clock.Time) { t.arrivals.answered(id, now) }
+func (t *Tracker) Answered(id uint64, now clock.Time) {
+	written, ok := t.arrivals.answered(id, now)
+	if ok && t.state.Unknown && t.doubt.refutedBy(written, now) {
+		t.state, t.doubt = t.doubt.before, doubt{}
+	}
+}
 
 // Ended records the end of a request. One that was not written does not count.
 func (t *Tracker) Ended(id uint64, now clock.Time) {
@@ -185,12 +202,15 @@
 	}
 }
 
-// CheckDue reports whether a health check is to be sent now. Sending it passes Wait and Start
-// like a request.
+// CheckDue reports whether a health check is to be sent now. Sending it passes CheckWait and
+// Start like a request.
 func (t *Tracker) CheckDue(now clock.Time) bool {
 	return t.limit.applies() && t.checks.due(t.State(now).Unknown, now)
 }
 
+// AwaitCheck sets whether a health check waits for CheckWait.
+func (t *Tracker) AwaitCheck(awaited bool) { t.checks.awaited = awaited }
+
 // CheckSent records that a health check is sent.
 func (t *Tracker) CheckSent(now clock.Time) { t.checks.sent(t.State(now).Unknown, now) }
 
--- a/coldstart/tracker_test.go
+++ b/coldstart/tracker_test.go
@@ -283,6 +283,51 @@
 	}
 }
 
+// Targets that are full reset connections. If each reset paced the requests until the next
+// heartbeat, an overloaded target would run a fraction of what it can.
+func TestResponsesToEarlierRequestsRefuteADoubt(t *testing.T) {
+	at := func(ms int) clock.Time { return testStart.Add(time.Duration(ms) * time.Millisecond) }
+	tests := []struct {
+		name                     string
+		evidence                 Evidence
+		written, doubt, answered int // ms
+		wantCold                 bool
+	}{
+		{"request from before the doubt", ConnectionReset, 400, 500, 650, false},
+		{"refused connection", ConnectionRefused, 400, 500, 650, false},
+		{"response that may have been sent before the process ended", ConnectionReset, 400, 500, 550, true},
+		{"request from after the doubt", ConnectionReset, 510, 500, 650, true},
+		{"evacuation", EvacuationEnded, 400, 500, 650, true},
+	}
+	for _, tt := range tests {
+		tr := NewTracker(testStart)
+		tr.SetLimit(testLimits[0], testStart)
+		tr.Observe(HeartbeatStatement(true, 0, at(300)), at(300))
+		write := func() { tr.Start(1, at(tt.written)); tr.Written(1, at(tt.written)) }
+		if tt.written < tt.doubt {
+			write()
+		}
+		tr.Doubt(tt.evidence, at(tt.doubt-10))
+		tr.Doubt(tt.evidence, at(tt.doubt))
+		if tt.written > tt.doubt {
+			write()
+		}
+		tr.Answered(1, at(tt.answered))
+		if got := tr.Pacing(at(tt.answered)); got != tt.wantCold {
+			t.Errorf("%s: paced %v, want %v", tt.name, got, tt.wantCold)
+		}
+	}
+	tr := NewTracker(testStart)
+	tr.SetLimit(testLimits[0], testStart)
+	tr.Start(1, at(10))
+	tr.Written(1, at(10))
+	tr.Doubt(ConnectionReset, at(20))
+	tr.Answered(1, at(300))
+	if !tr.Pacing(at(300)) {
+		t.Error("a doubt from before any statement is refuted")
+	}
+}
+
 // A target that never responds must not keep all requests away for good, and none that was
 // not written counts.
 func TestUnansweredRequestsAreForgotten(t *testing.T) {
@@ -325,6 +370,11 @@
 	if !tr.CheckDue(now) {
 		t.Error("none is due after the start")
 	}
+	tr.AwaitCheck(true) // requests that wait must not take all tokens
+	if at := now.Add(80 * time.Millisecond); tr.CheckWait(at) > 0 || tr.Wait(1, at) == 0 {
+		t.Errorf("a check waits for %v, a request for %v", tr.CheckWait(at), tr.Wait(1, at))
+	}
+	tr.AwaitCheck(false)
 	tr.Observe(Statement{Source: HealthCheck, Stated: true, Sent: now}, now)
 	checks := 0
 	for end := now.Add(10 * time.Minute); now.Before(end); now = now.Add(50 * time.Millisecond) {
--- a/coldstart/window.go
+++ b/coldstart/window.go
@@ -108,11 +108,16 @@
 	return true
 }
 
-// answered records that a response to a request was received.
-func (a *arrivals) answered(id uint64, now clock.Time) {
-	if i := slices.IndexFunc(a.sends, func(s send) bool { return s.id == id }); i >= 0 {
-		a.confirm(a.sends[i].written, now)
+// answered records that a response to a request was received. It returns when the request was
+// written, and false if that is not known any more.
+func (a *arrivals) answered(id uint64, now clock.Time) (written clock.Time, ok bool) {
+	i := slices.IndexFunc(a.sends, func(s send) bool { return s.id == id })
+	if i < 0 {
+		return clock.Never, false
 	}
+	written = a.sends[i].written
+	a.confirm(written, now)
+	return written, true
 }
 
 // confirm records that all requests written up to a time have arrived.
--- a/evacuation/zones.go
+++ b/evacuation/zones.go
@@ -132,7 +132,9 @@
 	}
 }
 
-// Expire ends the holds that have lasted long enough.
-func (z *Zones) Expire(now clock.Time) {
+// Expire ends the holds that have lasted long enough. It reports whether there was one.
+func (z *Zones) Expire(now clock.Time) bool {
+	n := len(z.held)
 	maps.DeleteFunc(z.held, func(_ ident.Zone, until clock.Time) bool { return !now.Before(until) })
+	return len(z.held) < n
 }
--- a/sidecar/backend_cold.go
+++ b/sidecar/backend_cold.go
@@ -87,7 +87,9 @@
 func (b *backend) answeredByTarget(id uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.cold.tracker.Answered(id, clock.Now())
+	now := clock.Now()
+	b.cold.tracker.Answered(id, now)
+	b.coldChanged(now) // the response may refute a doubt
 }
 
 // countCold counts a request that has waited for the cold target or was refused because of
--- a/sidecar/control_evacuation.go
+++ b/sidecar/control_evacuation.go
@@ -64,8 +64,9 @@
 
 // expireEvacuations ends the evacuation of zones whose records the store has lost for good.
 func (c *control) expireEvacuations(now clock.Time) {
-	c.zones.Expire(now)
-	c.zonesChanged("lost records")
+	if c.zones.Expire(now) {
+		c.zonesChanged("lost records")
+	}
 }
 
 // zonesChanged applies a change of the evacuated zones, which was learned from a source.
--- a/sidecar/health_check.go
+++ b/sidecar/health_check.go
@@ -39,11 +39,16 @@
 	defer b.mu.Unlock()
 	b.coldChanged(now)
 	c := &b.cold
+	c.tracker.AwaitCheck(false)
 	current := b.incarnation.Load()
 	if current == nil || current.state != fleet.TargetReady || path == "" || !c.statesLoad || c.checking || b.closing.Load() || b.evacuated.Load() {
 		return
 	}
-	if !c.tracker.CheckDue(now) || c.tracker.State(now).Evidence == coldstart.ConnectionClosed && len(b.tickets) == 0 || c.tracker.Wait(1, now) > 0 {
+	if !c.tracker.CheckDue(now) || c.tracker.State(now).Evidence == coldstart.ConnectionClosed && len(b.tickets) == 0 {
+		return
+	}
+	if c.tracker.CheckWait(now) > 0 {
+		c.tracker.AwaitCheck(true)
 		return
 	}
 	c.checking = true
