--- a/evacuation/zones.go
+++ b/evacuation/zones.go
@@ -1,6 +1,3 @@
-// Package evacuation knows which zones are evacuated, from the operator's records and from
-// other daemons. It does no I/O, reads no clock and has no lock; its values must be used by one
-// goroutine at a time.
 package evacuation
 
 import (
@@ -17,13 +14,6 @@
 // its record. The operator's lost records are written again.
 const holdTime = time.Minute
 
-// Record is a record of the operator about one zone.
-type Record struct {
-	Zone      ident.Zone
-	Evacuated bool // false if the record has no value
-	Offset    metastore.Offset
-}
-
 // Zones is the set of evacuated zones. The zero value has none.
 type Zones struct {
 	evacuated map[ident.Zone]bool
--- a/loadstate/state.go
+++ b/loadstate/state.go
@@ -1,6 +1,3 @@
-// Package loadstate keeps what a target has stated last about its load. The speed of a target
-// may change several times a second, so a figure soon loses its significance. It does no I/O,
-// reads no clock and has no lock; its values must be used by one goroutine at a time.
 package loadstate
 
 import (
@@ -23,12 +20,6 @@
 	kept = 64
 )
 
-// Figures is the load that a target states in a response.
-type Figures struct {
-	Running, Waiting, Slots float64
-	Slowness                float64 // duration of work relative to the usual one, more than 0
-}
-
 // State is the newest load that a target has stated. The zero value has none.
 type State struct {
 	figures Figures
--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -55,7 +55,7 @@
 
 	TargetCold        = define(7322, "target cold", info, "The target is in cold start, or may be: since evidence it is not known. It gets no more requests a second than the configuration allows, until it is warm.", "")
 	TargetWarm        = define(7323, "target warm", info, "The target is no longer in cold start by what evidence names; held is the number of requests that have waited for it, refused that of those refused because of it.", "")
-	ZonesEvacuated    = define(7325, "evacuated zones changed", warning, "The operator's records evacuate other zones than before: the targets of zones get no new requests, and their keys move to other zones.", "")
+	ZonesEvacuated    = define(7325, "evacuated zones changed", warning, "The operator's records evacuate other zones than before: the targets of zones get no new requests, and their keys move to other zones.", "If this is not intended, remove the record op/evacuate/ZONE; parsley status shows the zones.")
 	HealthCheckFailed = define(7324, "health check failed", info, "The response to a health check of the target does not say whether it is in cold start; the next heartbeat or health check does.", "")
 
 	TargetCrashed = define(7316, "target crashed", warning, "The target has ended without announcing it while requests were in progress; requests has the id and the content fingerprint of each that may have been the cause.", "Compare the fingerprints of several of these lines: one that is in all of them crashes its targets.")
--- a/logtrace/trace.go
+++ b/logtrace/trace.go
@@ -75,7 +75,7 @@
 // where to look further.
 var explanations = map[string]string{
 	"overloaded":        "the target had more queued work than the request's objective allows; look at load and retry_after, and at other targets of the service",
-	"rate-limited":      "the target has stated a limit of requests a second, and the request would have waited too long for it; look for event 7313 (target limit changed) and at other targets of the service",
+	"rate-limited":      "the target has stated a limit of requests a second or is in cold start, and the request would have waited too long for it; look for events 7313 (target limit changed) and 7322 (target cold), and at other targets of the service",
 	"quarantined":       "requests of this content were in progress when targets crashed: look for its fingerprint in events 7316 (target crashed), 7317 (request quarantined) and 7318 (request acquitted)",
 	"target-crashed":    "the target crashed while it ran the request and perhaps others; event 7316 (target crashed) names them",
 	"crash-suspect":     "the request ran alone, since targets had crashed under it before, and the target crashed again; look for event 7316 (target crashed)",
--- a/sidecar/health_check.go
+++ b/sidecar/health_check.go
@@ -47,14 +47,14 @@
 	if !c.tracker.CheckDue(now) || c.tracker.State(now).Evidence == coldstart.ConnectionClosed && len(b.tickets) == 0 {
 		return
 	}
-	if c.tracker.CheckWait(now) > 0 {
+	if b.queue.CheckWait(now) > 0 {
 		c.tracker.AwaitCheck(true)
 		return
 	}
 	c.checking = true
 	b.nextID++
 	id := b.nextID
-	c.tracker.Start(id, now)
+	b.queue.StartCheck(id, now)
 	c.tracker.CheckSent(now)
 	go b.healthCheck(current, path, id)
 }
--- a/workqueue/cold.go
+++ b/workqueue/cold.go
@@ -39,6 +39,22 @@
 	return q.pacer.Ready(now) && (!q.coldPaced(now) || q.cold.Wait(1, now) == 0)
 }
 
+// CheckWait returns the time until the limits of the target let a health check be sent. It takes
+// no slot.
+func (q *Queue) CheckWait(now clock.Time) time.Duration {
+	wait := q.pacer.Wait(1, now)
+	if q.cold != nil {
+		wait = max(wait, q.cold.CheckWait(now))
+	}
+	return wait
+}
+
+// StartCheck records that a health check is sent, under an id that no item has.
+func (q *Queue) StartCheck(id uint64, now clock.Time) {
+	q.pacer.Take(now)
+	q.coldStarted(id, now)
+}
+
 func (q *Queue) coldStarted(id uint64, now clock.Time) {
 	if q.cold != nil {
 		q.cold.Start(id, now)
