--- a/coldstart/window.go
+++ b/coldstart/arrivals.go
@@ -7,20 +7,6 @@
 	"github.com/parsleystack/parsleystack/clock"
 )
 
-// maxUnconfirmed is the time after which a request that was sent without any later sign of
-// the target is no longer counted. It keeps a target that never responds from getting no
-// request at all.
-const maxUnconfirmed = 10 * time.Second
-
-// send is one request that was written to a connection.
-type send struct {
-	id      uint64
-	written clock.Time
-	// confirmed is when a later sign of the target was received, so that the request had
-	// arrived by then; Never before that.
-	confirmed clock.Time
-}
-
 // arrivals counts the requests that may have arrived within the last second. A request
 // arrives between when it is written and when it is confirmed: the target accepts
 // connections and reads requests in their order, so a response to a request confirms all
@@ -41,22 +27,6 @@
 	}
 }
 
-// leaves returns when a send no longer counts, if its confirmation arrives now or has arrived.
-func (s *send) leaves(now clock.Time) clock.Time {
-	if s.confirmed == clock.Never {
-		return now.Add(window)
-	}
-	return s.confirmed.Add(window)
-}
-
-// counts reports whether a send may have arrived within the last second, or still arrives.
-func (s *send) counts(now clock.Time) bool {
-	if s.confirmed == clock.Never {
-		return now.Sub(s.written) <= maxUnconfirmed
-	}
-	return now.Before(s.leaves(now))
-}
-
 // prune removes the sends that no longer count.
 func (a *arrivals) prune(now clock.Time) {
 	n := 0
@@ -108,11 +78,16 @@
 	return true
 }
 
-// answered records that a response to a request was received.
-func (a *arrivals) answered(id uint64, now clock.Time) {
-	if i := slices.IndexFunc(a.sends, func(s send) bool { return s.id == id }); i >= 0 {
-		a.confirm(a.sends[i].written, now)
+// answered records that a response to a request was received. It returns when the request was
+// written, and false if that is not known any more.
+func (a *arrivals) answered(id uint64, now clock.Time) (written clock.Time, ok bool) {
+	i := slices.IndexFunc(a.sends, func(s send) bool { return s.id == id })
+	if i < 0 {
+		return clock.Never, false
 	}
+	written = a.sends[i].written
+	a.confirm(written, now)
+	return written, true
 }
 
 // confirm records that all requests written up to a time have arrived.
--- a/sidecar/health_check.go
+++ b/sidecar/health_check.go
@@ -39,17 +39,22 @@
 	defer b.mu.Unlock()
 	b.coldChanged(now)
 	c := &b.cold
+	c.tracker.AwaitCheck(false)
 	current := b.incarnation.Load()
 	if current == nil || current.state != fleet.TargetReady || path == "" || !c.statesLoad || c.checking || b.closing.Load() || b.evacuated.Load() {
 		return
 	}
-	if !c.tracker.CheckDue(now) || c.tracker.State(now).Evidence == coldstart.ConnectionClosed && len(b.tickets) == 0 || c.tracker.Wait(1, now) > 0 {
+	if !c.tracker.CheckDue(now) || c.tracker.State(now).Evidence == coldstart.ConnectionClosed && len(b.tickets) == 0 {
+		return
+	}
+	if b.queue.CheckWait(now) > 0 {
+		c.tracker.AwaitCheck(true)
 		return
 	}
 	c.checking = true
 	b.nextID++
 	id := b.nextID
-	c.tracker.Start(id, now)
+	b.queue.StartCheck(id, now)
 	c.tracker.CheckSent(now)
 	go b.healthCheck(current, path, id)
 }
