--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -19,6 +19,9 @@
 	storeTime *metrics.Histogram
 	// unreadTime is how long the last bytes of requests had arrived before they were read.
 	unreadTime *metrics.Histogram
+	// behindTime is how long requests that were read behind others of their connection waited
+	// until they were begun, and turnTime how long responses waited for those in front of them.
+	behindTime, turnTime *metrics.Histogram
 	// callerCheckDelay is by how much checks for callers that have left were late.
 	callerCheckDelay *metrics.Histogram
 }
@@ -27,6 +30,7 @@
 	set := metrics.NewSet()
 	return &metricSet{
 		set: set, storeTime: set.NewHistogram("parsley_store_call_duration_seconds"),
+		behindTime: set.NewHistogram("parsley_request_behind_seconds"), turnTime: set.NewHistogram("parsley_response_turn_seconds"),
 		unreadTime: set.NewHistogram("parsley_request_unread_seconds"), callerCheckDelay: set.NewHistogram("parsley_caller_check_delay_seconds"),
 	}
 }
@@ -63,6 +67,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`parsley_requests_rejected_total{status="%d",reason=%q}`, status, reason)).Inc()
 }
 
+// countHealthCheck counts a health check of the target.
+func (m *metricSet) countHealthCheck(result string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("parsley_target_health_checks_total{result=%q}", result)).Inc()
+}
+
 // countRows counts routes and services of a configuration that could not be decoded.
 func (m *metricSet) countRows(n int) {
 	m.set.GetOrCreateCounter("parsley_configuration_rows_rejected_total").Add(n)
@@ -92,6 +101,16 @@
 	metricTargetRequests = "parsley_target_requests_total"
 	// metricRateRefused counts requests that were refused because of the target's rate limit.
 	metricRateRefused = "parsley_target_rate_refused_total"
+	// metricColdHeld counts requests that have waited for the target to be warm, and
+	// metricColdRefused those that were refused because it is cold.
+	metricColdHeld    = "parsley_target_cold_held_total"
+	metricColdRefused = "parsley_target_cold_refused_total"
+	// metricEvacuatedRefused counts requests that were refused because the zone of the target is
+	// evacuated.
+	metricEvacuatedRefused = "parsley_target_evacuated_refused_total"
+	// metricSlowRefused counts requests that were refused because the target is slow by its
+	// own statement, while others can run them.
+	metricSlowRefused = "parsley_target_slow_refused_total"
 	// metricStatementsIgnored counts responses of the target in which a statement about
 	// itself can't be read.
 	metricStatementsIgnored = "parsley_target_statements_ignored_total"
@@ -113,6 +132,7 @@
 	})
 	gauge("parsley_configuration_newest_known", func() float64 { return float64(d.control.config.newest.Load()) })
 	gauge("parsley_configuration_age_seconds", func() float64 { return d.control.configurationAge(clock.Now()).Seconds() })
+	gauge("parsley_zones_evacuated", func() float64 { return float64(d.control.evacuatedCount.Load()) })
 	gauge("parsley_daemons", func() float64 { return float64(d.control.view.Load().daemons) })
 	gauge("parsley_callers_in_flight", func() float64 { return float64(d.ingress.inFlight()) })
 	gauge("parsley_target_running", func() float64 { running, _, _ := d.backend.requests(); return float64(running) })
@@ -124,6 +144,25 @@
 		}
 		return 0
 	})
+	gauge("parsley_target_cold", func() float64 {
+		if d.backend.coldTarget().Cold {
+			return 1
+		}
+		return 0
+	})
+	gauge("parsley_target_cold_unknown", func() float64 {
+		if d.backend.coldTarget().Unknown {
+			return 1
+		}
+		return 0
+	})
+	gauge("parsley_target_stated_slowness", func() float64 {
+		if f, ok := d.backend.statedLoad(); ok {
+			return f.Slowness
+		}
+		return 1
+	})
+	gauge("parsley_target_stated_waiting", func() float64 { f, _ := d.backend.statedLoad(); return f.Waiting })
 	gauge("parsley_target_rate_limit", func() float64 { return d.backend.load().RateLimit })
 	gauge("parsley_target_offered_ratio", func() float64 { return d.backend.load().OfferedRatio })
 	gauge("parsley_requests_quarantined", func() float64 { return float64(len(d.suspects.Load().Quarantined())) })
