--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -67,6 +67,9 @@
 	closing atomic.Bool
 	// evacuated is set while the zone of the target is evacuated.
 	evacuated atomic.Bool
+	// keysUntil is the clock.Time until which requests with keys are still run in the evacuated
+	// zone.
+	keysUntil atomic.Int64
 
 	keyLoads keyLoads
 
--- a/sidecar/caller_request_target.go
+++ b/sidecar/caller_request_target.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/placement"
 	"github.com/parsleystack/parsleystack/quarantine"
 )
@@ -31,8 +32,9 @@
 	shard := s.table.Find(f.headers.Key)
 	f.owner = shard.Owner.Instance
 	t = s.owner(f.headers.Key)
-	if t == nil || t.suspected || t.unreachable || t.evacuated {
-		return nil, (t == nil || t.evacuated) && !shard.Unassigned()
+	evacuated := t != nil && t.evacuatedFromKeys(clock.Now())
+	if t == nil || t.suspected || t.unreachable || evacuated {
+		return nil, (t == nil || evacuated) && !shard.Unassigned()
 	}
 	return t, true
 }
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -81,6 +81,8 @@
 
 	zones          evacuation.Zones
 	evacuatedZones []ident.Zone // as of the last zonesChanged
+	// keysUntil is until when targets of an evacuated zone still run requests with keys.
+	keysUntil      map[ident.Zone]clock.Time
 	evacuatedCount atomic.Int64 // of evacuatedZones, for other goroutines
 }
 
--- a/sidecar/control_evacuation.go
+++ b/sidecar/control_evacuation.go
@@ -1,6 +1,8 @@
 package sidecar
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"github.com/parsleystack/parsleystack/clock"
@@ -12,8 +14,16 @@
 	"github.com/parsleystack/parsleystack/platform"
 )
 
-// maxStatedZones bounds the evacuated zones in a status.
-const maxStatedZones = 256
+const (
+	// maxStatedZones bounds the evacuated zones in a status.
+	maxStatedZones = 256
+	// evacuationKeyTime is how long targets of an evacuated zone still run requests with keys,
+	// until these are handed over. That takes two heartbeats and a record.
+	evacuationKeyTime = 2 * time.Second
+	// evacuationMargin is the time before the end of the bound on evacuations at which no
+	// request is sent any more.
+	evacuationMargin = 1500 * time.Millisecond
+)
 
 // evacuationsRead applies the records about zones that were read from the operator's partition.
 // snapshot is set if b has the newest record of each key, and wentBack if the partition was
@@ -80,9 +90,31 @@
 		return
 	}
 	logevent.Log(c.log, logevent.ZonesEvacuated, zap.Any("zones", all), zap.Any("before", c.evacuatedZones), zap.String("from", source))
+	c.setKeysUntil(all, clock.Now())
 	c.evacuatedZones = all
 	c.evacuatedCount.Store(int64(len(all)))
 	c.viewStale, c.status.urgent = true, true
-	c.d.backend.setEvacuated(c.zones.Contains(ident.Zone(c.self.Zone)))
+	zone := ident.Zone(c.self.Zone)
+	c.d.backend.setEvacuated(c.zones.Contains(zone), c.keysUntil[zone])
 	c.plan(clock.Now())
 }
+
+// setKeysUntil sets until when the targets of zones that are evacuated now still run requests
+// with keys. The operator's record is no older than the time as of which the newest known
+// configuration was confirmed, as it would have been read then.
+func (c *control) setKeysUntil(zones []ident.Zone, now clock.Time) {
+	old := c.keysUntil
+	c.keysUntil = make(map[ident.Zone]clock.Time, len(zones))
+	until := now.Add(evacuationKeyTime)
+	if asOf := clock.Time(c.config.asOf.Load()); asOf != clock.Never {
+		until = min(until, asOf.Add(c.d.settings().EvacuateTime-evacuationMargin))
+	} else {
+		until = now // a new process does not know since when the zone is evacuated
+	}
+	for _, zone := range zones {
+		c.keysUntil[zone] = until
+		if known, ok := old[zone]; ok {
+			c.keysUntil[zone] = known
+		}
+	}
+}
--- a/sidecar/control_view.go
+++ b/sidecar/control_view.go
@@ -62,6 +62,7 @@
 		zone:        ident.Zone(m.Zone),
 		local:       local,
 		ready:       m.State == fleet.TargetReady && !stopping && !c.zones.Contains(ident.Zone(m.Zone)),
+		keysUntil:   c.keysUntil[ident.Zone(m.Zone)],
 		evacuated:   c.zones.Contains(ident.Zone(m.Zone)),
 		unreachable: m.State == fleet.TargetUnreachable,
 		suspected:   suspected,
--- a/sidecar/target_request.go
+++ b/sidecar/target_request.go
@@ -110,7 +110,7 @@
 		return r.refuse(outcome.UnknownService, retryRefused)
 	case closing, current.state == fleet.TargetUnreachable, current.refuseFrom != clock.Never && !now.Before(current.refuseFrom):
 		return r.refuse(outcome.Draining, retryRefused)
-	case r.b.evacuated.Load():
+	case r.b.evacuatedFor(r.req.Keyed, now):
 		r.b.d.metrics.count(metricEvacuatedRefused)
 		return r.refuse(outcome.Draining, retryRefused)
 	case r.req.Keyed && !r.keyGranted(now):
@@ -180,7 +180,7 @@
 	if r.req.Keyed && !r.keyGranted(clock.Now()) {
 		return errKeyNotGranted
 	}
-	if r.b.evacuated.Load() {
+	if r.b.evacuatedFor(r.req.Keyed, clock.Now()) {
 		return errEvacuated
 	}
 	r.incarnation.runs.begin(r)
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -42,8 +42,10 @@
 	// none.
 	unreachable bool
 	evacuated   bool // its zone is
-	suspected   bool
-	load        *targetLoad
+	// keysUntil is until when a target of an evacuated zone still runs requests with keys.
+	keysUntil clock.Time
+	suspected bool
+	load      *targetLoad
 }
 
 // targetLoad is the newest load of a target. It is shared by successive views.
@@ -107,6 +109,12 @@
 	return s != nil && s.target == t && s.leavingSince != clock.Never
 }
 
+// evacuatedFromKeys reports whether the target runs no requests with keys because its zone is
+// evacuated.
+func (t *targetView) evacuatedFromKeys(now clock.Time) bool {
+	return t.evacuated && !now.Before(t.keysUntil)
+}
+
 // owner returns the target that owns a key, or nil if it is not known or was
 // replaced.
 func (s *serviceView) owner(key uint32) *targetView {
