Tests that crowds of callers and daemons stay within a daemon's memory

Real processes with 96 MB and 4,100 descriptors. The tests kill a daemon whose anonymous memory and unread bytes exceed its limit, as the platform does.

--- /dev/null
+++ b/sidecar/memorytest/fleet_test.go
@@ -0,0 +1,205 @@
+package memorytest
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/parsleystack/parsleystack/platform/platformtest"
+)
+
+// Limits of each daemon. The crowds and bounds follow from them.
+const (
+	memoryMB     = 96
+	maxFiles     = 4100
+	maxBodyBytes = 16 << 20
+)
+
+const (
+	host        = "memory.example"
+	localPath   = "/book/"    // served by the target beside the daemon
+	remotePath  = "/pay/"     // served by the target of the other daemon
+	answersPath = "/answers/" // likewise; its responses have the number of bytes that follows
+	readyWait   = 30 * time.Second
+)
+
+const (
+	callerPort, readyPort, controlPort, targetPort, targetListenPort = 8304, 8302, 8306, 8301, 8307
+	firstLinkPort, lastLinkPort                                      = 7620, 7635
+)
+
+// program is the path of the daemon's binary.
+var program string
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "memorytest-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }() // a leftover in the temporary folder does no harm
+	program = filepath.Join(dir, "parsley-sidecar")
+	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/parsley-sidecar").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "go build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// fleet is two daemons, each with a target beside it, and their store.
+type fleet struct {
+	t     *testing.T
+	nodes [2]*node
+}
+
+type node struct {
+	ip      string
+	process *exec.Cmd
+	ended   chan struct{} // closed when the process has ended
+	log     string        // file
+	watch   *watch
+}
+
+func (n *node) addr(port int) string { return fmt.Sprintf("%s:%d", n.ip, port) }
+
+// fleets is the number of fleets that were started; each has loopback addresses of its own.
+var fleets int
+
+// start starts a fleet whose daemons have memory MB, and waits until both serve requests.
+func start(t *testing.T, memory, maxBody int) *fleet {
+	t.Helper()
+	f := &fleet{t: t}
+	store := platformtest.NewStore()
+	t.Cleanup(store.Close)
+	store.MaxBodyBytes = maxBody
+	store.Configure(1, host, []platformtest.Route{
+		{Prefix: localPath, Service: "bookings", TimeoutMS: 15_000, LatencyMS: 5000},
+		{Prefix: remotePath, Service: "payments", TimeoutMS: 15_000, LatencyMS: 5000},
+		{Prefix: answersPath, Service: "payments", TimeoutMS: 15_000, LatencyMS: 5000},
+	})
+	fleets++
+	for i, service := range []string{"bookings", "payments"} {
+		n := &node{ip: fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%250, 100+os.Getpid()/250%100, 2*fleets+i)}
+		f.nodes[i] = n
+		storeAddr, err := store.Listen()
+		if err != nil {
+			t.Fatal(err)
+		}
+		n.start(t, service, storeAddr, memory)
+		startTarget(t, n, service)
+	}
+	for _, n := range f.nodes {
+		f.awaitServed(n, localPath)
+		f.awaitServed(n, remotePath)
+	}
+	return f
+}
+
+func (n *node) start(t *testing.T, service, storeAddr string, memory int) {
+	t.Helper()
+	dir := t.TempDir()
+	f := platformtest.SettingsFile{
+		Instance: "node-" + service, IP: n.ip, Zone: "z", Service: service, Target: n.addr(targetPort), Callers: n.addr(callerPort),
+		Ready: n.addr(readyPort), Control: n.addr(controlPort), FirstPort: firstLinkPort, LastPort: lastLinkPort, Store: storeAddr,
+		MemoryMB: memory, MaxFiles: maxFiles,
+	}
+	settings := filepath.Join(dir, "settings.yaml")
+	if err := os.WriteFile(settings, []byte(f.Text()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	n.log = filepath.Join(dir, "log")
+	log, err := os.Create(n.log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.process = exec.Command(program, "--settings", settings)
+	n.process.Stdout, n.process.Stderr = log, log
+	n.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := errors.Join(n.process.Start(), log.Close()); err != nil {
+		t.Fatal(err)
+	}
+	n.ended = make(chan struct{})
+	go func() {
+		_ = n.process.Wait() // the watch reports an unexpected end
+		close(n.ended)
+	}()
+	n.watch = startWatch(n, memory)
+	t.Cleanup(func() { n.stop(t) })
+}
+
+// stop ends the process and reports what its watch has seen.
+func (n *node) stop(t *testing.T) {
+	n.watch.stop(t)
+	_ = n.process.Process.Kill() // it may have ended
+	<-n.ended
+	if t.Failed() {
+		if text, err := os.ReadFile(n.log); err == nil {
+			t.Logf("end of the log of %s:\n%s", n.ip, text[max(len(text)-2000, 0):])
+		}
+	}
+}
+
+// startTarget starts the target beside a daemon. Requests arrive at a server of its own,
+// which discards their bodies.
+func startTarget(t *testing.T, n *node, service string) {
+	t.Helper()
+	target := &platformtest.Target{
+		ID: "target-" + service, Service: service, Zone: "z", Addr: n.addr(targetPort), ListenAddr: n.addr(targetListenPort), Control: n.addr(controlPort), Slots: 64,
+		HeartbeatInterval: 300 * time.Millisecond, Records: &platformtest.Records{Sink: io.Discard, ArrivalSink: io.Discard},
+	}
+	l, err := net.Listen("tcp", target.Addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{StreamRequestBody: true, MaxRequestBodySize: 1 << 20, DisablePreParseMultipartForm: true, Handler: func(ctx *fasthttp.RequestCtx) {
+		if body := ctx.RequestBodyStream(); body != nil {
+			n, _ := io.Copy(io.Discard, body) // a body that is cut gets no response
+			ctx.Response.Header.Set("Body-Bytes", fmt.Sprint(n))
+		}
+		ctx.Response.Header.Set("Request-Id", string(ctx.Request.Header.Peek("Request-Id")))
+		ctx.Response.Header.Set(platformtest.StampHeader, "s")
+		if size, ok := strings.CutPrefix(string(ctx.Path()), answersPath); ok {
+			n, _ := strconv.Atoi(size) // no body if it is not a number
+			ctx.SetBody(make([]byte, n))
+		}
+	}}
+	go func() { _ = server.Serve(l) }() // ends with the process of the test
+	if err := target.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		target.Stop()
+		_ = l.Close() // the test has ended
+	})
+}
+
+// awaitServed waits until an ordinary request succeeds at a daemon.
+func (f *fleet) awaitServed(n *node, path string) {
+	f.t.Helper()
+	var last platformtest.Answer
+	for end := time.Now().Add(readyWait); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		if last = platformtest.Call(n.addr(callerPort), host, http.MethodPost, path, newID(), platformtest.NoKey); last.Status == http.StatusOK {
+			return
+		}
+		select {
+		case <-n.ended:
+			f.t.Fatalf("the process of %s has ended", n.ip)
+		default:
+		}
+	}
+	f.t.Fatalf("%s does not serve %s: status %d, error %v", n.ip, path, last.Status, last.Err)
+}
