wire, target: frames and response bodies take their memory from a Pool

A frame without room is discarded and its connection kept, since other exchanges use it; an incomplete one is evicted by interrupting its read. recvlimit.Budget is replaced by Pool. Pool.Grow waits for a short time for evicted messages to be released.

--- a/recvlimit/errors.go
+++ b/recvlimit/errors.go
@@ -15,15 +15,15 @@
 	return fmt.Sprintf("a message from the %s exceeds %d bytes; check why it sends so much", e.Source, e.Limit)
 }
 
-// BudgetError reports a message that was not received completely, since the messages
-// of its source together would exceed their budget.
+// BudgetError reports a message that was not received completely, since all messages
+// together would exceed their memory. Limit is that of all of them.
 type BudgetError struct {
 	Source Source
 	Limit  int // bytes
 }
 
 func (e *BudgetError) Error() string {
-	return fmt.Sprintf("the messages received from the %s at the same time exceed %d bytes; check why it sends so much, or raise the memory of the daemon", e.Source, e.Limit)
+	return fmt.Sprintf("a message from the %s does not fit the %d bytes for messages that are received at the same time; check who sends so much, or raise the memory of the daemon", e.Source, e.Limit)
 }
 
 // Exceeded returns the source of a message that was not received completely because
--- a/recvlimit/pool.go
+++ b/recvlimit/pool.go
@@ -27,6 +27,7 @@
 	incomplete *list.List
 	evictable  int // part of used: bytes of the messages in incomplete
 	sources    map[Source]*SourceStats
+	freed      chan struct{} // closed when bytes are returned; nil if nobody waits for that
 }
 
 // NewPool returns a pool of limit bytes.
@@ -81,9 +82,10 @@
 	return p.used
 }
 
-// reserve takes more bytes for h, and returns the messages that must be evicted for them.
-// The caller holds the lock.
-func (p *Pool) reserve(h *Holding, more int) ([]*Holding, bool) {
+// reserve takes more bytes for h, and returns the messages that must be evicted for them. If
+// soon is set, no bytes were taken, but there is room once the owners of evicted messages
+// have released them. The caller holds the lock.
+func (p *Pool) reserve(h *Holding, more int) (victims []*Holding, ok, soon bool) {
 	limit := p.limit
 	if h.bytes+more > FreeBytes {
 		limit -= p.limit / smallShare
@@ -92,11 +94,9 @@
 	if h.element != nil {
 		others -= h.bytes
 	}
-	// No message is evicted for one that would be refused all the same.
-	if p.used-p.evicted-others+more > limit || p.used+more > p.limit+p.limit/evictedShare {
-		return nil, false
+	if p.used-p.evicted-others+more > limit {
+		return nil, false, false // no message is evicted for one that would be refused all the same
 	}
-	var victims []*Holding
 	for e := p.incomplete.Front(); e != nil && p.used-p.evicted+more > limit; {
 		victim := e.Value.(*Holding)
 		e = e.Next()
@@ -109,8 +109,11 @@
 		p.evicted += victim.bytes
 		victims = append(victims, victim)
 	}
+	if p.used+more > p.limit+p.limit/evictedShare {
+		return victims, false, true
+	}
 	p.add(h, more)
-	return victims, true
+	return victims, true, false
 }
 
 // add changes the bytes of h. The caller holds the lock.
@@ -124,4 +127,17 @@
 	if h.evicted {
 		p.evicted += bytes
 	}
+	if bytes < 0 && p.freed != nil {
+		close(p.freed)
+		p.freed = nil
+	}
+}
+
+// nextFreed returns a channel that is closed when bytes are returned. The caller holds
+// the lock.
+func (p *Pool) nextFreed() <-chan struct{} {
+	if p.freed == nil {
+		p.freed = make(chan struct{})
+	}
+	return p.freed
 }
--- a/recvlimit/pool_test.go
+++ b/recvlimit/pool_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"sync"
 	"testing"
+	"time"
 )
 
 func mustGrow(t *testing.T, h *Holding, total int) {
@@ -68,22 +69,28 @@
 }
 
 // Evicted messages take memory until their owners notice; the sum must stay bounded if
-// these are slow.
+// these are slow, and others must get the room when it is released.
 func TestEvictedMessagesCountUntilTheyAreReleased(t *testing.T) {
 	p := NewPool(8 << 20)
 	var open []*Holding
-	for range 100 {
+	for range 20 {
 		h := p.Open(Caller, func() {})
-		if h.Grow(1<<20) == nil {
-			open = append(open, h)
-		}
+		_ = h.Grow(1 << 20) // refused once many are evicted
+		open = append(open, h)
 		if p.Held() > 9<<20 {
 			t.Fatalf("%d bytes held", p.Held())
 		}
 	}
+	done := make(chan error)
+	large := p.Open(Caller, func() {})
+	go func() { done <- large.Await(6<<20, time.Minute) }()
 	for _, h := range open {
 		h.Release()
 	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	large.Release()
 	if p.Held() != 0 || p.evicted != 0 || p.evictable != 0 {
 		t.Errorf("after all releases: %d held, %d evicted, %d evictable", p.Held(), p.evicted, p.evictable)
 	}
@@ -135,3 +142,50 @@
 		t.Error("a nil pool holds bytes")
 	}
 }
+
+// A response waits for room that another message frees, and gives up when none is freed.
+func TestAwaitRoom(t *testing.T) {
+	p := NewPool(8 << 20)
+	first, second := p.Open(Daemon, nil), p.Open(Daemon, nil)
+	mustGrow(t, first, 6<<20)
+	var exhausted *BudgetError
+	if err := second.Await(2<<20, time.Millisecond); !errors.As(err, &exhausted) {
+		t.Errorf("got %v, want a BudgetError", err)
+	}
+	if s := p.Stats(Daemon); s.Refused != 1 {
+		t.Errorf("%+v", s)
+	}
+	go func() {
+		time.Sleep(10 * time.Millisecond)
+		first.Release()
+	}()
+	if err := second.Await(2<<20, time.Minute); err != nil {
+		t.Error(err)
+	}
+	if err := second.Await(9<<20, time.Hour); !errors.As(err, &exhausted) {
+		t.Errorf("a message above the limit: got %v, want a BudgetError", err)
+	}
+}
+
+// What a response is expected to take must stay reserved while it is received in steps.
+func TestReservedBytesStay(t *testing.T) {
+	p := NewPool(8 << 20)
+	h := p.Open(Target, nil)
+	if err := h.Reserve(4 << 20); err != nil {
+		t.Fatal(err)
+	}
+	mustGrow(t, h, 1<<20)
+	if h.Shrink(1 << 20); p.Held() != 4<<20 {
+		t.Errorf("%d bytes held, want those reserved", p.Held())
+	}
+	if h.Settle(1 << 20); p.Held() != 1<<20 {
+		t.Errorf("%d bytes held after Settle", p.Held())
+	}
+	if h.Count(16 << 20); p.Held() != 16<<20 {
+		t.Errorf("%d bytes held after Count", p.Held())
+	}
+	h.Release()
+	if h.Count(1); p.Held() != 0 {
+		t.Errorf("%d bytes held after Release", p.Held())
+	}
+}
--- a/target/body.go
+++ b/target/body.go
@@ -8,7 +8,7 @@
 )
 
 // readBody reads the body of a response of the given length and its trailer. Bodies
-// that are short by their stated length need no reservation.
+// that are short by their stated length are not counted.
 func (c *Client) readBody(conn *conn, call *Call, length int) error {
 	resp := call.Response
 	if length >= 0 && length <= min(recvlimit.FreeBytes, c.cfg.MaxBody) {
@@ -18,7 +18,7 @@
 	if length == lengthChunked {
 		body = httputil.NewChunkedReader(conn.reader)
 	}
-	b, err := recvlimit.ReadBody(body, max(length, recvlimit.LengthUnknown), c.cfg.MaxBody, c.cfg.Source, &call.reserved)
+	b, err := recvlimit.ReadBody(body, max(length, recvlimit.LengthUnknown), c.cfg.MaxBody, c.cfg.Source, call.held)
 	if err != nil {
 		return err
 	}
--- a/target/call.go
+++ b/target/call.go
@@ -29,9 +29,12 @@
 	// Accept reports whether a response belongs to the request; Do skips others.
 	// A nil Accept accepts the first response.
 	Accept func(*fasthttp.Response) bool
+	// ResponseBytes is the expected size of the response body. Memory for it is taken before
+	// anything is written; if there is none, Do returns a *recvlimit.BudgetError.
+	ResponseBytes int
 
-	idHash   uint64                // of ID
-	reserved recvlimit.Reservation // memory of the response body
+	idHash uint64             // of ID
+	held   *recvlimit.Holding // memory of the response body
 
 	mu       sync.Mutex
 	canceled bool
@@ -49,9 +52,9 @@
 	}
 }
 
-// Release returns the memory of the response body to the client's budget; the body
-// must not be used afterwards.
-func (c *Call) Release() { c.reserved.Release() }
+// Release returns the memory of the response body to the client's pool; the body must not
+// be used afterwards.
+func (c *Call) Release() { c.held.Release() }
 
 // Reset releases the call and clears it for reuse.
 func (c *Call) Reset() {
@@ -60,7 +63,7 @@
 	c.canceled, c.conn = false, nil
 	c.mu.Unlock()
 	c.Request, c.Response, c.ID, c.BeforeWrite, c.Accept = nil, nil, nil, nil, nil
-	c.Deadline = time.Time{}
+	c.Deadline, c.ResponseBytes = time.Time{}, 0
 }
 
 // mayUse reports whether the call's ID was not sent on the connection yet.
--- a/target/client.go
+++ b/target/client.go
@@ -5,8 +5,6 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-
-	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
 // refillInterval is how often Run opens missing idle connections.
@@ -58,11 +56,19 @@
 // is not nil, the request may have run.
 func (c *Client) Do(call *Call) (sent bool, err error) {
 	call.idHash = hashID(call.ID)
+	call.held = c.cfg.Memory.Open(c.cfg.Source, nil)
+	defer func() {
+		if err != nil {
+			call.Release()
+		}
+	}()
+	if err := call.held.Reserve(call.ResponseBytes); err != nil {
+		return false, err
+	}
 	conn, err := c.pool.get(call)
 	if err != nil {
 		return false, err
 	}
-	call.reserved = recvlimit.NewReservation(c.cfg.Budget)
 	if !call.attach(conn) {
 		c.pool.put(conn)
 		return false, ErrCanceled
@@ -80,12 +86,12 @@
 	sent, err = c.roundTrip(conn, call)
 	call.detach()
 	c.releaseConn(conn, call, err)
-	if err != nil {
-		call.reserved.Release()
-	}
 	if err != nil && call.isCanceled() {
 		err = ErrCanceled
 	}
+	if err == nil {
+		call.held.Settle(cap(call.Response.Body()))
+	}
 	return sent, err
 }
 
@@ -154,7 +160,7 @@
 func (c *Client) readResponse(conn *conn, call *Call) error {
 	resp := call.Response
 	resp.Reset()
-	call.reserved.Release() // of an answer that was skipped
+	call.held.Shrink(0) // what an answer that was skipped has taken
 	resp.Header.SetNoDefaultContentType(true)
 	if err := readFinalHeader(conn, resp); err != nil {
 		return err
--- a/target/config.go
+++ b/target/config.go
@@ -17,8 +17,8 @@
 	WarmConns int
 	// MaxBody is the largest response body in bytes; DefaultMaxBody if 0.
 	MaxBody int
-	// Budget bounds the memory of all response bodies together; no limit if nil.
-	Budget *recvlimit.Budget
+	// Memory bounds what response bodies take, together with other messages; no limit if nil.
+	Memory *recvlimit.Pool
 	// Source is named in errors about too large responses; recvlimit.Target if empty.
 	Source recvlimit.Source
 	// AllowCloseDelimited allows responses whose body ends with the connection.
--- a/target/endless_test.go
+++ b/target/endless_test.go
@@ -139,9 +139,9 @@
 		if name == "body to close" {
 			e.Pause = 0
 		}
-		budget := recvlimit.NewBudget(recvlimit.Target, 32<<20)
-		c := New(Config{Addr: startEndless(t, e), MaxConns: 26, MaxBody: 32 << 20, Budget: budget, AllowCloseDelimited: true, DialTimeout: 10 * time.Second})
-		small := New(Config{Addr: startScriptedServer(t, answers...), Budget: budget})
+		pool := recvlimit.NewPool(32 << 20)
+		c := New(Config{Addr: startEndless(t, e), MaxConns: 26, MaxBody: 32 << 20, Memory: pool, AllowCloseDelimited: true, DialTimeout: 10 * time.Second})
+		small := New(Config{Addr: startScriptedServer(t, answers...), Memory: pool})
 		stop := heapPeak()
 		var calls sync.WaitGroup
 		for range 26 {
@@ -157,7 +157,7 @@
 			}
 		}
 		calls.Wait()
-		if used := budget.Used(); used != 0 {
+		if used := pool.Held(); used != 0 {
 			t.Errorf("%s: %d bytes stay reserved", name, used)
 		}
 		if peak := stop(); peak > 160<<20 {
--- a/wire/frame.go
+++ b/wire/frame.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 
 	"github.com/tinylib/msgp/msgp"
+
+	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
 // Frame is one received frame. Body is valid until Release.
@@ -11,8 +13,13 @@
 	Kind Kind
 	ID   uint64
 	Body []byte
+	// Refused is why the body was discarded: a *recvlimit.BudgetError if there was no memory
+	// for it, nil if it was received.
+	Refused error
 
-	buf *buffer
+	buf  *buffer
+	held *recvlimit.Holding // nil if the frame is not counted
+	cost int                // memory in bytes besides the body
 }
 
 // Release returns the frame's buffer for reuse; Body must not be used afterwards.
@@ -21,8 +28,8 @@
 	if f.buf != nil {
 		f.buf.release()
 	}
-	f.buf = nil
-	f.Body = nil
+	f.held.Release()
+	f.buf, f.held, f.Body = nil, nil, nil
 }
 
 // Decode reads the frame's body into m and returns a MalformedError if it is not
@@ -86,7 +93,12 @@
 // finishFrame checks the size of the frame that begins at start and fills in its
 // length.
 func finishFrame(dst []byte, start, limit int) ([]byte, error) {
-	length := len(dst) - start - lengthSize
+	return finishFrameBefore(dst, start, 0, limit)
+}
+
+// finishFrameBefore is finishFrame for a frame that continues with further bytes after dst.
+func finishFrameBefore(dst []byte, start, further, limit int) ([]byte, error) {
+	length := len(dst) - start - lengthSize + further
 	if length > limit {
 		return dst[:start], &OversizeError{Size: uint64(length), Limit: uint64(limit)}
 	}
--- a/wire/reader.go
+++ b/wire/reader.go
@@ -6,14 +6,12 @@
 	"errors"
 	"io"
 	"time"
+
+	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
 const readBufferSize = 16 << 10 // bytes
 
-// maxAllocStep bounds the memory that is allocated because of a frame's length
-// prefix alone. Longer bodies are allocated in steps as their bytes arrive.
-const maxAllocStep = 1 << 20 // bytes
-
 // Reader reads frames from a connection. It is not safe for concurrent use.
 type Reader struct {
 	r         *bufio.Reader
@@ -21,6 +19,9 @@
 	bytesRead uint64
 	conn      DeadlineSetter // nil if the time of a frame is not bounded
 	timeout   time.Duration
+	deadline  time.Time          // of the frame that is being received; zero if there is none
+	memory    *recvlimit.Pool    // nil if the memory of frames is not bounded
+	held      *recvlimit.Holding // of the frame that is being received
 }
 
 // DeadlineSetter sets the deadline of reads from a connection.
@@ -30,7 +31,9 @@
 
 // NewReader returns a Reader that accepts frames of up to limit bytes.
 func NewReader(r io.Reader, limit int) *Reader {
-	return &Reader{r: bufio.NewReaderSize(r, readBufferSize), limit: limit}
+	reader := &Reader{limit: limit}
+	reader.r = bufio.NewReaderSize(&source{r: r, reader: reader}, readBufferSize)
+	return reader
 }
 
 // SetLimit sets the size limit, in bytes, of the frames that follow.
@@ -55,7 +58,8 @@
 	if r.Buffered() {
 		return false
 	}
-	return r.conn.SetReadDeadline(time.Now().Add(r.timeout)) == nil
+	r.deadline = time.Now().Add(r.timeout)
+	return r.conn.SetReadDeadline(r.deadline) == nil
 }
 
 // Buffered reports whether the next frame has been received completely, so that Next does not
@@ -72,10 +76,14 @@
 func (r *Reader) Bytes() uint64 { return r.bytesRead }
 
 // Next reads one frame. It returns io.EOF if the connection closed between
-// frames; any other error is a TruncatedError, OversizeError or MalformedError.
+// frames; any other error is a TruncatedError, OversizeError or MalformedError. A frame for
+// which there is no memory is discarded, and returned with Refused.
 func (r *Reader) Next() (Frame, error) {
 	if r.awaitFrame() {
-		defer func() { _ = r.conn.SetReadDeadline(time.Time{}) }() // an error shows in the next read
+		defer func() {
+			r.deadline = time.Time{}
+			_ = r.conn.SetReadDeadline(r.deadline) // an error shows in the next read
+		}()
 	}
 	var prefix [prefixSize]byte
 	if _, err := io.ReadFull(r.r, prefix[:lengthSize]); err != nil {
@@ -102,35 +110,6 @@
 	return f, nil
 }
 
-func (r *Reader) readBody(f *Frame, size int) error {
-	if size == 0 {
-		return nil
-	}
-	if size > maxAllocStep {
-		return r.readLargeBody(f, size)
-	}
-	f.buf = newBuffer(size)
-	f.Body = f.buf.b
-	if _, err := io.ReadFull(r.r, f.Body); err != nil {
-		f.Release()
-		return &TruncatedError{Err: err}
-	}
-	return nil
-}
-
-// readLargeBody reads a body in steps of maxAllocStep bytes.
-func (r *Reader) readLargeBody(f *Frame, size int) error {
-	for len(f.Body) < size {
-		at := len(f.Body)
-		step := min(maxAllocStep, size-at)
-		f.Body = append(f.Body, make([]byte, step)...)
-		if _, err := io.ReadFull(r.r, f.Body[at:]); err != nil {
-			return &TruncatedError{Err: err}
-		}
-	}
-	return nil
-}
-
 // prefixReadError returns io.EOF for a connection that closed before the first byte
 // of a frame, and a TruncatedError otherwise.
 func prefixReadError(err error) error {
--- a/wire/request.go
+++ b/wire/request.go
@@ -6,6 +6,8 @@
 import (
 	"time"
 
+	"github.com/tinylib/msgp/msgp"
+
 	"github.com/parsleystack/parsleystack/cell"
 	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/keyspace"
@@ -38,6 +40,16 @@
 	// LargeResponse is set by the sender if the response is expected to be large. It is
 	// not sent; it selects the connection.
 	LargeResponse bool `msg:"-"`
+	// BodyKept is set by the sender if it never changes or reuses the memory of Body, even
+	// after the request has ended, so that Body may be sent without a copy. It is not sent.
+	BodyKept bool `msg:"-"`
+}
+
+// detach implements Detachable.
+func (r *Request) detach() (msgp.Marshaler, []byte) {
+	head := *r
+	head.Body = nil
+	return &head, r.Body
 }
 
 // checkBounds implements bounded.
--- a/wire/response.go
+++ b/wire/response.go
@@ -7,6 +7,8 @@
 import (
 	"time"
 
+	"github.com/tinylib/msgp/msgp"
+
 	"github.com/parsleystack/parsleystack/cell"
 	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/keyspace"
@@ -40,10 +42,22 @@
 	Headers    []Header       `msg:"h,limit=8192"`
 	Body       []byte         `msg:"b,zerocopy"`
 
+	// BodyKept is set by the sender if the memory of Body is not changed or reused before
+	// the function of OnRelease is called, so that Body may be sent without a copy. It is
+	// not sent.
+	BodyKept bool `msg:"-"`
+
 	frame   Frame
 	release func()
 }
 
+// detach implements Detachable.
+func (r *Response) detach() (msgp.Marshaler, []byte) {
+	head := *r
+	head.Body = nil
+	return &head, r.Body
+}
+
 // Result returns the outcome without status, headers and body.
 func (r *Response) Result() outcome.Result {
 	return outcome.Result{Kind: r.Kind, Reason: r.Reason, RetryAfter: r.RetryAfter}
@@ -68,6 +82,14 @@
 	r.Headers = r.Headers[:0]
 }
 
+// Keep returns what Release would do, to be called once Body is no longer used. Release has
+// no effect on the body any more.
+func (r *Response) Keep() (release func()) {
+	kept := Response{frame: r.frame, release: r.release}
+	r.frame, r.release = Frame{}, nil
+	return kept.Release
+}
+
 // checkBounds implements bounded.
 func (r *Response) checkBounds() error { return checkHeaderCount(r.Headers) }
 
