sidecar, transport: one account of the memory of messages

Links, frames and responses of targets take their memory from a pool that follows from limits.memoryMb. A request for which a daemon has no memory is refused as not run; large bodies are written to links from the memory of their senders. Memory for an expected large response is taken before the request is sent to the target.

--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -75,5 +75,6 @@
 	RequestRejected = define(7508, "request rejected", info, "A request was answered with a 4xx status of the daemon's own, which callers never retry.", "If the request was well formed, compare config (in force here) with newest_config, and look for events 7201 and 7202.")
 	TargetFailed    = define(7507, "target failed", info, "A target returned no complete response.", "")
 
-	MessageTooLarge = define(7601, "message too large", warning, "A message from the named source exceeded its size limit or the memory budget of its source; its connection was closed.", "Check why the source sends so much; the metric parsley_messages_too_large_total counts by source.")
+	MessageTooLarge        = define(7601, "message too large", warning, "A message from the named source exceeded its size limit or the memory for messages; its connection was closed.", "Check why the source sends so much; the metric parsley_messages_too_large_total counts by source.")
+	MessageMemoryExhausted = define(7602, "message memory exhausted", warning, "Messages of the named source were refused or evicted in the last second, since all messages together take the memory for them: held and limit are bytes.", "See which source holds the memory by the metric parsley_receive_memory_bytes; find callers that send large bodies and do not end them, or raise limits.memoryMb.")
 )
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -108,7 +108,7 @@
 	current.refuseFrom = b.refuseFrom(leaving)
 	if replaced {
 		current.client = target.New(target.Config{
-			Addr: b.d.settings().TargetAddr, MaxConns: conns, WarmConns: 1, MaxBody: maxTargetBody, Budget: b.d.budgets.target,
+			Addr: b.d.settings().TargetAddr, MaxConns: conns, WarmConns: 1, MaxBody: maxTargetBody, Memory: b.d.memory,
 			DialTimeout: targetDialTimeout, AllowCloseDelimited: true, MaxIdle: targetMaxIdle,
 		})
 		current.runs = newRunTracker(current.target)
@@ -368,6 +368,13 @@
 	b.scheduleAdvance(now)
 }
 
+// responseBytes returns the expected size of the response to a request.
+func (b *backend) responseBytes(class string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.queue.ResponseBytes(class)
+}
+
 // close refuses the waiting requests and all later ones.
 func (b *backend) close() {
 	b.closing.Store(true)
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/parsleystack/parsleystack/metastore"
 	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/quarantine"
+	"github.com/parsleystack/parsleystack/recvlimit"
 	"github.com/parsleystack/parsleystack/transport"
 	"github.com/parsleystack/parsleystack/wire"
 )
@@ -67,7 +68,7 @@
 	takeDropped     func() uint64
 	started         clock.Time
 	metrics         *metricSet
-	budgets         receiveBudgets
+	memory          *recvlimit.Pool // of messages of all sources
 
 	directory metastore.Partition
 	storeLink *storeLink
@@ -102,7 +103,7 @@
 func New(s *platform.Settings, log *zap.Logger, dropped func() uint64) *Daemon {
 	d := &Daemon{
 		log: log, takeDropped: dropped, logLevel: zapcore.LevelOf(log.Core()), started: clock.Now(), metrics: newMetricSet(),
-		budgets:   newReceiveBudgets(s.MemoryBytes),
+		memory:    recvlimit.NewPool(messageMemory(s.MemoryBytes)),
 		directory: metastore.Partition{Topic: platform.KeyedTopic(directoryTopic)}, viewReplaced: make(chan struct{}),
 	}
 	d.currentSettings.Store(s)
@@ -117,7 +118,10 @@
 	d.ingress = newIngress(d)
 	hello := wire.NewHello(s.Service, ident.Node{Instance: s.Instance, Incarnation: ident.Incarnation(d.control.self.Incarnation)}, s.Zone)
 	d.egress = egress.NewLink(s.LinkRate)
-	links := transport.Config{Hello: hello, MaxFrame: maxCallerBody + maxCallerHeader, Egress: d.egress}
+	links := transport.Config{
+		Hello: hello, MaxFrame: maxCallerBody + maxCallerHeader, Egress: d.egress, Memory: d.memory,
+		MaxBacklog: min(transport.DefaultMaxBacklog, d.memory.Limit()/linkBacklogPart), MaxConns: s.MaxFiles / linkFilesPart,
+	}
 	d.peerLinks = transport.NewPool(links)
 	d.server = transport.NewServer(links, d, log)
 	d.storeLink.links = d.peerLinks
@@ -195,6 +199,7 @@
 	g.Go(func() error { return d.members.run(work) })
 	g.Go(func() error { return d.ingress.cancelAbandoned(work) })
 	g.Go(func() error { return d.reportDropped(work) })
+	g.Go(func() error { return d.reportMemory(work) })
 	g.Go(func() error { return d.directoryFollower().run(work) })
 	g.Go(func() error { return d.configurationFollower().run(work) })
 	select {
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -1,7 +1,10 @@
 package sidecar
 
 import (
+	"context"
+	"fmt"
 	"runtime/debug"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -9,24 +12,36 @@
 	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
-// targetMemoryPart is the part of the process's memory that answers of the target may
-// take together: a fifth, above the largest one on the smallest machine. An answer is
-// copied up to once more on its way, and the heap needs room for garbage.
-const targetMemoryPart = 5
+const (
+	// heapPart is the part of the process's memory that the heap may take, garbage
+	// included. The rest is for socket buffers and what the runtime takes beyond its limit
+	// for a moment.
+	heapPart = 0.75
+	// baseMemory is left to the state of the daemon: tables, links, log lines, the heap's
+	// garbage. A daemon of a fleet of a hundred takes 15 MB of it.
+	baseMemory = 24 << 20
+	// minMessageMemory is the least that messages may take on a machine of any size.
+	minMessageMemory = 16 << 20
+	// linkBacklogPart is the part of the messages' memory that the queue of one link may
+	// take, so that a daemon that reads nothing does not take all of it.
+	linkBacklogPart = 8
+	// linkFilesPart is the part of the process's descriptors that links accepted from other
+	// daemons may take. Each of them opens up to three.
+	linkFilesPart = 4
+	// memoryReportInterval is the time between two reports of messages that were refused or
+	// evicted.
+	memoryReportInterval = time.Second
+)
 
-// receiveBudgets bound the memory of messages that are being received.
-type receiveBudgets struct {
-	target *recvlimit.Budget
-}
+// messageSources are the sources whose messages share the memory.
+var messageSources = []recvlimit.Source{recvlimit.Caller, recvlimit.Daemon, recvlimit.Target}
 
-func newReceiveBudgets(memory int) receiveBudgets {
-	return receiveBudgets{target: recvlimit.NewBudget(recvlimit.Target, memory/targetMemoryPart)}
+// messageMemory returns the bytes that messages of all sources may take together in a process
+// of a memory in bytes.
+func messageMemory(memory int) int {
+	return max(int(heapPart*float64(memory))-baseMemory, minMessageMemory)
 }
 
-// heapPart is the part of the process's memory that the heap may take, garbage
-// included. The rest is for stacks, socket buffers and the program itself.
-const heapPart = 0.75
-
 // LimitHeap makes the garbage collector run more often when the heap approaches its
 // part of the process's memory, in bytes. It returns the earlier limit.
 func LimitHeap(memory int) (earlier int64) {
@@ -43,3 +58,40 @@
 	d.metrics.countOversize(source)
 	logevent.Log(d.log, logevent.MessageTooLarge, zap.String("source", string(source)), zap.Error(err))
 }
+
+// registerMemory registers metrics of the memory that messages take.
+func (m *metricSet) registerMemory(p *recvlimit.Pool) {
+	m.set.NewGauge("parsley_receive_memory_limit_bytes", func() float64 { return float64(p.Limit()) })
+	for _, source := range messageSources {
+		register := func(name string, value func(recvlimit.SourceStats) float64) {
+			m.set.NewGauge(fmt.Sprintf("%s{source=%q}", name, string(source)), func() float64 { return value(p.Stats(source)) })
+		}
+		register("parsley_receive_memory_bytes", func(s recvlimit.SourceStats) float64 { return float64(s.Held) })
+		register("parsley_receive_refused_total", func(s recvlimit.SourceStats) float64 { return float64(s.Refused) })
+		register("parsley_receive_evicted_total", func(s recvlimit.SourceStats) float64 { return float64(s.Evicted) })
+	}
+}
+
+// reportMemory logs which messages were refused or evicted because of the memory, until ctx
+// ends.
+func (d *Daemon) reportMemory(ctx context.Context) error {
+	ticker := time.NewTicker(memoryReportInterval)
+	defer ticker.Stop()
+	last := make(map[recvlimit.Source]recvlimit.SourceStats)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		for _, source := range messageSources {
+			now, before := d.memory.Stats(source), last[source]
+			last[source] = now
+			if now.Refused == before.Refused && now.Evicted == before.Evicted {
+				continue
+			}
+			logevent.Log(d.log, logevent.MessageMemoryExhausted, zap.String("source", string(source)), zap.Uint64("refused", now.Refused-before.Refused),
+				zap.Uint64("evicted", now.Evicted-before.Evicted), zap.Int("held", now.Held), zap.Int("held_by_all", d.memory.Held()), zap.Int("limit", d.memory.Limit()))
+		}
+	}
+}
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -120,7 +120,8 @@
 	gauge("parsley_requests_suspected", func() float64 { return float64(d.suspects.Load().Suspects()) })
 	gauge("parsley_egress_backlog_seconds", func() float64 { return d.egress.Backlog().Seconds() })
 	gauge("parsley_egress_transfers", func() float64 { return float64(d.egress.Transfers()) })
-	gauge(`parsley_receive_memory_bytes{source="target"}`, func() float64 { return float64(d.budgets.target.Used()) })
+	m.registerMemory(d.memory)
+	gauge("parsley_link_connections_refused_total", func() float64 { return float64(d.server.Counters().RefusedConns.Load()) })
 	gauge("parsley_store_reached", func() float64 {
 		if d.storeLink.reachable() {
 			return 1
--- a/sidecar/target_request.go
+++ b/sidecar/target_request.go
@@ -11,6 +11,7 @@
 	"github.com/parsleystack/parsleystack/fleet"
 	"github.com/parsleystack/parsleystack/outcome"
 	"github.com/parsleystack/parsleystack/platform"
+	"github.com/parsleystack/parsleystack/recvlimit"
 	"github.com/parsleystack/parsleystack/target"
 	"github.com/parsleystack/parsleystack/wire"
 	"github.com/parsleystack/parsleystack/workqueue"
@@ -141,6 +142,9 @@
 	r.call.Request, r.call.Response = &r.httpReq, &r.httpResp
 	r.call.Deadline = time.Now().Add(left + answerMargin/2)
 	r.call.ID = r.req.RequestID
+	if bytes := r.b.responseBytes(r.item.Class); bytes > recvlimit.FreeBytes {
+		r.call.ResponseBytes = bytes // so that the response finds room once the target has run the request
+	}
 	r.call.BeforeWrite = r.beforeWrite
 	r.call.Accept = func(resp *fasthttp.Response) bool {
 		return platform.AnswersRequest(&resp.Header, string(r.req.RequestID))
@@ -206,7 +210,11 @@
 // handleFailure fills resp after an attempt without a response. sent reports whether
 // the target may have received the request.
 func (r *targetRequest) handleFailure(sent bool, err error) workqueue.Completion {
+	_, noRoom := recvlimit.Exceeded(err)
 	switch {
+	case noRoom && !sent:
+		r.refuse(outcome.Overloaded, retryRefused)
+		return workqueue.NotSent
 	case errors.Is(err, errKeyNotGranted):
 		r.refuse(outcome.WrongOwner, retryRefused)
 		return workqueue.NotSent
@@ -283,6 +291,7 @@
 	}
 	r.resp.Body = resp.Body()
 	r.resp.OnRelease(r.call.Release)
+	r.resp.BodyKept = true // it is the response's own
 	if resp.StatusCode() >= http.StatusInternalServerError {
 		return workqueue.Failed
 	}
--- a/transport/clientconn.go
+++ b/transport/clientconn.go
@@ -79,7 +79,14 @@
 func (c *clientConn) enqueue(w *waiter, kind wire.Kind, m msgp.Marshaler) (uint64, error) {
 	s := newScratch()
 	defer s.release()
-	if err := s.encode(kind, 0, m, c.writer.maxFrame); err != nil {
+	var body []byte
+	var err error
+	if req, ok := m.(*wire.Request); ok && c.writer.scheduled && req.BodyKept && len(req.Body) >= minBulkBody {
+		s.b, body, err = wire.AppendDetached(s.b[:0], kind, 0, req, c.writer.maxFrame)
+	} else {
+		err = s.encode(kind, 0, m, c.writer.maxFrame)
+	}
+	if err != nil {
 		return 0, err
 	}
 	c.mu.Lock()
@@ -92,7 +99,7 @@
 	}
 	c.nextID++
 	wire.SetID(s.b, c.nextID)
-	position, err := c.writer.appendEncoded(s.b)
+	position, err := c.writer.appendEncoded(s.b, body)
 	if err != nil {
 		return 0, err
 	}
@@ -168,7 +175,7 @@
 	case wire.KindResponse, wire.KindReply:
 		return c.deliver(f)
 	case wire.KindCellMessage:
-		if c.onCellMessage != nil {
+		if c.onCellMessage != nil && f.Refused == nil {
 			c.onCellMessage(c.node, f.Body)
 		}
 		f.Release()
@@ -224,7 +231,7 @@
 		f.Release()
 		return nil
 	}
-	w.ch <- answer{frame: f, sent: true}
+	w.ch <- answer{frame: f, sent: true, err: f.Refused}
 	return nil
 }
 
--- a/transport/config.go
+++ b/transport/config.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/parsleystack/parsleystack/egress"
+	"github.com/parsleystack/parsleystack/recvlimit"
 	"github.com/parsleystack/parsleystack/wire"
 )
 
@@ -25,6 +26,12 @@
 	// MaxBacklog is the number of bytes that may be queued for one connection;
 	// DefaultMaxBacklog if 0.
 	MaxBacklog int
+	// Memory bounds what frames take, received ones and those that wait to be sent, together
+	// with other messages; no limit if nil.
+	Memory *recvlimit.Pool
+	// MaxConns is the number of connections that a Server accepts; further ones are closed
+	// at once. No limit if 0.
+	MaxConns int
 	// HandshakeTimeout bounds dialing and the exchange of Hello frames;
 	// DefaultHandshakeTimeout if 0.
 	HandshakeTimeout time.Duration
--- a/transport/counters.go
+++ b/transport/counters.go
@@ -13,6 +13,7 @@
 	LateAnswers   atomic.Uint64 // answers that arrived after their caller stopped waiting
 	BadConns      atomic.Uint64 // connections closed because of a protocol error
 	BadMessages   atomic.Uint64 // messages that could not be decoded
+	RefusedConns  atomic.Uint64 // connections closed because of Config.MaxConns
 	SilentConns   atomic.Uint64 // connections that were replaced since nothing arrived on them
 	Dials         atomic.Uint64
 	FailedDials   atomic.Uint64
--- a/transport/handshake.go
+++ b/transport/handshake.go
@@ -61,6 +61,7 @@
 	}
 	reader.SetLimit(cfg.MaxFrame)
 	reader.SetFrameTimeout(conn, cfg.FrameTimeout)
+	reader.SetMemory(cfg.Memory)
 	return reader, peer, conn.SetDeadline(time.Time{})
 }
 
@@ -90,6 +91,7 @@
 	}
 	reader.SetLimit(cfg.MaxFrame)
 	reader.SetFrameTimeout(conn, cfg.FrameTimeout)
+	reader.SetMemory(cfg.Memory)
 	return reader, peer, conn.SetDeadline(time.Time{})
 }
 
--- a/transport/scheduled_writer.go
+++ b/transport/scheduled_writer.go
@@ -17,11 +17,23 @@
 // queuedFrame is an encoded frame of a connection whose frames are scheduled.
 type queuedFrame struct {
 	b        []byte
+	body     []byte // follows b; memory of the sender of the message
+	release  func() // called once when body is not used any more; nil for a request
 	endPos   uint64 // stream position after the frame
 	transfer *egress.Transfer
+	orphaned bool // the sender of the request no longer waits, and does not count its body
 }
 
-// queuedLocked returns the number of queued bytes.
+// held returns the bytes that the frame takes besides what its sender counts.
+func (f *queuedFrame) held() int {
+	if f.orphaned {
+		return cap(f.b) + len(f.body)
+	}
+	return cap(f.b)
+}
+
+// queuedLocked returns the number of queued bytes, without bodies in the memory of their
+// senders.
 func (w *writer) queuedLocked() int {
 	n := len(w.pending)
 	for i := range w.frames {
@@ -43,22 +55,43 @@
 	if err := w.checkLocked(); err != nil {
 		return err
 	}
-	w.queueFrameLocked(frame, due)
+	w.queueFrameLocked(queuedFrame{b: frame}, due)
+	return nil
+}
+
+// writeResponse is writeScheduledFrame for a response. A large body that its sender keeps is
+// not copied; it is released when it was written or dropped.
+func (w *writer) writeResponse(id uint64, resp *wire.Response, due clock.Time) error {
+	if !resp.BodyKept || len(resp.Body) < minBulkBody {
+		return w.writeScheduledFrame(wire.KindResponse, id, resp, due)
+	}
+	head, body, err := wire.AppendDetached(nil, wire.KindResponse, id, resp, w.maxFrame)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.checkLocked(); err != nil {
+		return err
+	}
+	w.queueFrameLocked(queuedFrame{b: head, body: body, release: resp.Keep()}, due)
 	return nil
 }
 
 // queueFrameLocked queues a frame, which it keeps, and returns its stream position.
-func (w *writer) queueFrameLocked(frame []byte, due clock.Time) uint64 {
+func (w *writer) queueFrameLocked(f queuedFrame, due clock.Time) uint64 {
 	start := w.endPos
-	w.endPos += uint64(len(frame))
-	f := queuedFrame{b: frame, endPos: w.endPos}
-	if len(frame) > unscheduledFrame {
-		f.transfer = w.egress.Queue(len(frame), due)
+	size := len(f.b) + len(f.body)
+	w.endPos += uint64(size)
+	f.endPos = w.endPos
+	if size > unscheduledFrame {
+		f.transfer = w.egress.Queue(size, due)
 	}
 	w.frames = append(w.frames, f)
 	if len(w.frames) == 1 {
 		w.signal()
 	}
+	w.countHeldLocked()
 	return start
 }
 
@@ -82,7 +115,13 @@
 	if err != nil {
 		return false
 	}
+	if w.writing != nil && len(w.writing.body) > 0 {
+		if kind, writing := wire.KindAndID(w.writing.b); kind == wire.KindRequest && writing == id {
+			w.writing.orphaned = true
+		}
+	}
 	w.frames = slices.Insert(w.frames, 0, queuedFrame{b: frame, endPos: w.submitted})
+	w.countHeldLocked()
 	w.signal()
 	return false
 }
@@ -94,6 +133,7 @@
 		if frameKind, frameID := wire.KindAndID(w.frames[i].b); frameKind == kind && frameID == id {
 			w.frames[i].end()
 			w.frames = slices.Delete(w.frames, i, i+1)
+			w.countHeldLocked()
 			return true
 		}
 	}
@@ -107,41 +147,52 @@
 	w.frames = nil
 }
 
-// end removes the frame from the backlog of the link.
+// end removes the frame from the backlog of the link and releases its body.
 func (f *queuedFrame) end() {
 	if f.transfer != nil {
 		f.transfer.End()
 	}
+	if f.release != nil {
+		f.release()
+		f.release = nil
+	}
 }
 
-// takeFrame removes the first queued frame. It returns false if there is none.
-func (w *writer) takeFrame() (f queuedFrame, ok bool, err error) {
+// takeFrame removes the first queued frame, which is being written from then on. It returns
+// nil if there is none.
+func (w *writer) takeFrame() (*queuedFrame, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.writing = nil
 	if w.err != nil || len(w.frames) == 0 {
-		return queuedFrame{}, false, w.err
+		w.countHeldLocked()
+		return nil, w.err
 	}
-	f = w.frames[0]
+	f := w.frames[0]
+	w.frames[0] = queuedFrame{}
 	w.frames = w.frames[1:]
 	w.submitted = f.endPos
-	return f, true, nil
+	w.writing = &f
+	w.countHeldLocked()
+	return &f, nil
 }
 
 // runScheduled is run for a connection whose frames are scheduled.
 func (w *writer) runScheduled(count func(bytes int)) error {
 	for range w.wake {
 		for {
-			f, ok, err := w.takeFrame()
+			f, err := w.takeFrame()
 			if err != nil {
 				return err
 			}
-			if !ok {
+			if f == nil {
 				break
 			}
-			if err := w.writeScheduled(&f); err != nil {
+			size := len(f.b) + len(f.body)
+			if err := w.writeScheduled(f); err != nil {
 				return err
 			}
-			count(len(f.b))
+			count(size)
 		}
 	}
 	return nil
@@ -149,12 +200,20 @@
 
 // writeScheduled writes a frame, in segments if it is large.
 func (w *writer) writeScheduled(f *queuedFrame) error {
+	defer f.end()
 	if f.transfer == nil {
 		w.egress.Sent(len(f.b))
 		return w.write(f.b)
 	}
-	defer f.transfer.End()
-	for b := f.b; len(b) > 0; {
+	if err := w.writeSegments(f, f.b); err != nil {
+		return err
+	}
+	return w.writeSegments(f, f.body)
+}
+
+// writeSegments writes a part of a large frame.
+func (w *writer) writeSegments(f *queuedFrame, b []byte) error {
+	for len(b) > 0 {
 		n := min(w.egress.SegmentBytes(), len(b))
 		if !f.transfer.Await(n, w.failed) {
 			return w.failure()
--- a/transport/server.go
+++ b/transport/server.go
@@ -88,6 +88,11 @@
 		_ = conn.Close()
 		return
 	}
+	if s.cfg.MaxConns > 0 && len(s.conns)+len(s.handshaking) >= s.cfg.MaxConns {
+		s.counters.RefusedConns.Add(1)
+		_ = conn.Close()
+		return
+	}
 	s.handshaking[conn] = struct{}{}
 	s.wg.Go(func() { s.serveConn(conn) })
 }
--- a/transport/serverconn.go
+++ b/transport/serverconn.go
@@ -6,12 +6,16 @@
 	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/outcome"
 	"github.com/parsleystack/parsleystack/wire"
 )
 
+// retryNoMemory is the Retry-After of a request for which there is no memory.
+const retryNoMemory = 100 * time.Millisecond
+
 // serverConn is one accepted connection.
 type serverConn struct {
 	server    *Server
@@ -68,7 +72,9 @@
 		f.Release()
 		return nil
 	case wire.KindCellMessage:
-		c.server.handler.ServeCellMessage(c.peerHello.Node, f.Body)
+		if f.Refused == nil { // else it is lost, as it may be on its way
+			c.server.handler.ServeCellMessage(c.peerHello.Node, f.Body)
+		}
 		f.Release()
 		return nil
 	case wire.KindCall:
@@ -92,6 +98,9 @@
 	if err := c.checkNewID(f.ID); err != nil {
 		return err
 	}
+	if f.Refused != nil {
+		return c.refuse(f.ID)
+	}
 	e := exchangePool.Get().(*Exchange)
 	if err := f.Decode(&e.Request); err != nil {
 		e.Request.Reset()
@@ -100,6 +109,12 @@
 		f.Release()
 		return c.respond(f.ID, &wire.Response{Kind: outcome.NotRun, Reason: outcome.ConnectionLost}, clock.Never) // another daemon may understand it
 	}
+	if err := f.CountHeaders(len(e.Request.Headers)); err != nil {
+		e.Request.Reset()
+		exchangePool.Put(e)
+		f.Release()
+		return c.refuse(f.ID)
+	}
 	e.conn, e.id, e.frame, e.From = c, f.ID, f, c.peerHello.Node
 	if e.Request.Objective > 0 {
 		e.due = clock.Now().Add(e.Request.Objective)
@@ -111,6 +126,11 @@
 	return nil
 }
 
+// refuse answers a request for which there is no memory.
+func (c *serverConn) refuse(id uint64) error {
+	return c.respond(id, &wire.Response{Kind: outcome.NotRun, Reason: outcome.Overloaded, RetryAfter: retryNoMemory}, clock.Never)
+}
+
 // startReceived passes the requests that were read to the handler. It is called when no
 // further frame is buffered: a cancellation that has arrived with its request comes first.
 func (c *serverConn) startReceived() {
@@ -125,6 +145,10 @@
 	if err := c.checkNewID(f.ID); err != nil {
 		return err
 	}
+	if f.Refused != nil {
+		_ = c.writer.writeFrame(wire.KindReply, f.ID, &wire.Reply{Error: f.Refused.Error()}) // to a peer that has disconnected
+		return nil
+	}
 	var call wire.Call
 	if err := f.Decode(&call); err != nil {
 		c.server.recordBadMessage(c.peerHello.Node, err)
@@ -165,7 +189,7 @@
 func (c *serverConn) respond(id uint64, resp *wire.Response, due clock.Time) error {
 	var err error
 	if c.writer.scheduled {
-		err = c.writer.writeScheduledFrame(wire.KindResponse, id, resp, due)
+		err = c.writer.writeResponse(id, resp, due)
 	} else {
 		err = c.writer.writeFrame(wire.KindResponse, id, resp)
 	}
--- a/transport/writer.go
+++ b/transport/writer.go
@@ -10,6 +10,7 @@
 
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/egress"
+	"github.com/parsleystack/parsleystack/recvlimit"
 	"github.com/parsleystack/parsleystack/wire"
 )
 
@@ -39,16 +40,44 @@
 	mu        sync.Mutex
 	pending   []byte
 	frames    []queuedFrame // in place of pending if scheduled
+	writing   *queuedFrame  // that is being written, if scheduled
 	endPos    uint64        // stream position after the last queued byte
 	submitted uint64        // stream position up to which bytes were passed to the socket
 	err       error
+
+	held      *recvlimit.Holding // memory of the connection and its queue
+	heldBytes int                // of the queue, as counted in held
+	batch     int                // bytes of the buffer that is being written
+}
+
+// connCost is the memory in bytes of a connection without its queue: its buffer for reads and
+// its goroutines.
+const connCost = 32 << 10
+
+// countHeldLocked counts the memory of the queue. It is counted even if there is no room, since
+// the frames may be responses to requests that have run; the queue has a limit of its own.
+func (w *writer) countHeldLocked() {
+	bytes := cap(w.pending) + w.batch
+	for i := range w.frames {
+		bytes += cap(w.frames[i].b)
+	}
+	if w.writing != nil {
+		bytes += w.writing.held()
+	}
+	if bytes != w.heldBytes {
+		w.heldBytes = bytes
+		w.held.Count(connCost + bytes)
+	}
 }
 
 func newWriter(conn net.Conn, class Class, cfg *Config) *writer {
-	return &writer{
+	w := &writer{
 		conn: conn, timeout: cfg.WriteTimeout, maxBacklog: cfg.MaxBacklog, maxFrame: cfg.MaxFrame,
 		egress: cfg.Egress, scheduled: class == ClassBulk, wake: make(chan struct{}, 1), failed: make(chan struct{}),
+		held: cfg.Memory.Open(recvlimit.Daemon, nil),
 	}
+	w.held.Count(connCost)
+	return w
 }
 
 // writeFrame encodes and queues a frame. If it returns an error, no byte of the
@@ -62,20 +91,21 @@
 	if err := s.encode(kind, id, m, w.maxFrame); err != nil {
 		return err
 	}
-	_, err := w.appendEncoded(s.b)
+	_, err := w.appendEncoded(s.b, nil)
 	return err
 }
 
 // appendEncoded queues an encoded frame and returns its position in the stream. If
-// it returns an error, no byte of the frame was or will be written.
-func (w *writer) appendEncoded(frame []byte) (uint64, error) {
+// it returns an error, no byte of the frame was or will be written. Only if frames are
+// scheduled, a body may follow the frame, which is not copied.
+func (w *writer) appendEncoded(frame, body []byte) (uint64, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err := w.checkLocked(); err != nil {
 		return 0, err
 	}
 	if w.scheduled {
-		return w.queueFrameLocked(append([]byte(nil), frame...), clock.Never), nil
+		return w.queueFrameLocked(queuedFrame{b: append([]byte(nil), frame...), body: body}, clock.Never), nil
 	}
 	before := len(w.pending)
 	w.pending = append(w.pending, frame...)
@@ -95,7 +125,7 @@
 		if err != nil {
 			return 0, err
 		}
-		return w.queueFrameLocked(frame, clock.Never), nil
+		return w.queueFrameLocked(queuedFrame{b: frame}, clock.Never), nil
 	}
 	before := len(w.pending)
 	pending, err := wire.AppendRaw(w.pending, kind, id, body, w.maxFrame)
@@ -132,6 +162,7 @@
 	}
 	start := w.endPos
 	w.endPos += uint64(len(w.pending) - before)
+	w.countHeldLocked()
 	if before == 0 {
 		w.signal()
 	}
@@ -161,6 +192,7 @@
 		w.err = err
 		close(w.failed)
 		w.dropFramesLocked()
+		w.held.Release()
 	}
 	w.mu.Unlock()
 	w.signal()
@@ -176,9 +208,19 @@
 	batch := w.pending
 	w.pending = spare[:0]
 	w.submitted = w.endPos
+	w.batch = cap(batch)
+	w.countHeldLocked()
 	return batch, nil
 }
 
+// dropBatch counts the buffer that was written last as freed.
+func (w *writer) dropBatch() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.batch = 0
+	w.countHeldLocked()
+}
+
 // run writes queued frames until fail is called or a write fails, and returns the
 // error. It calls count with the size of each batch.
 func (w *writer) run(count func(bytes int)) error {
@@ -202,7 +244,9 @@
 		}
 		count(len(batch))
 		w.egress.Sent(len(batch))
-		spare = retention.retain(batch)
+		if spare = retention.retain(batch); spare == nil {
+			w.dropBatch()
+		}
 	}
 	return nil
 }
--- a/workqueue/transfer.go
+++ b/workqueue/transfer.go
@@ -23,6 +23,9 @@
 	q.estimator.responseBytes[class] = mean + classWeight*(float64(bytes)-mean)
 }
 
+// ResponseBytes returns the mean size in bytes of the responses of a class, 0 if there was none.
+func (q *Queue) ResponseBytes(class string) int { return int(q.estimator.responseBytes[class]) }
+
 // largeBytes returns the expected size of an item's response, or 0 if it is not large
 // or crosses no link.
 func (e *estimator) largeBytes(item *Item) float64 {
