--- a/recvlimit/holding.go
+++ b/recvlimit/holding.go
@@ -174,11 +174,15 @@
 	}
 	p := h.pool
 	p.mu.Lock()
+	more := total - h.bytes
 	victims := h.tryGrowLocked(total, &a)
 	p.mu.Unlock()
 	for _, victim := range victims {
 		victim.evict()
 	}
+	if a.ok && more > FreeBytes && p.beforeLarge != nil {
+		p.beforeLarge(more)
+	}
 	return a
 }
 
--- a/recvlimit/pool.go
+++ b/recvlimit/pool.go
@@ -19,7 +19,8 @@
 // the incomplete messages that have made progress least recently are evicted. A nil Pool
 // has no limit. It is safe for concurrent use.
 type Pool struct {
-	limit int
+	limit       int
+	beforeLarge func(bytes int) // may be nil
 
 	mu         sync.Mutex
 	used       int // bytes of all holdings that are not released
@@ -35,6 +36,11 @@
 	return &Pool{limit: limit, incomplete: list.New(), sources: make(map[Source]*SourceStats)}
 }
 
+// BeforeLarge sets a function that is called when a message takes more than FreeBytes at
+// once, before the memory is allocated. It may wait, for instance until memory that was
+// returned has been collected. It must be set before the pool is used.
+func (p *Pool) BeforeLarge(f func(bytes int)) { p.beforeLarge = f }
+
 // Limit returns the limit in bytes.
 func (p *Pool) Limit() int { return p.limit }
 
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -106,6 +106,9 @@
 		memory:    recvlimit.NewPool(messageMemory(s.MemoryBytes)),
 		directory: metastore.Partition{Topic: platform.KeyedTopic(directoryTopic)}, viewReplaced: make(chan struct{}),
 	}
+	if s.MemoryBytes > 0 {
+		d.memory.BeforeLarge((&collector{limit: heapLimit(s.MemoryBytes)}).collectFor)
+	}
 	d.currentSettings.Store(s)
 	d.suspects.Store(quarantine.NewTable(quarantine.NewLedger()))
 	d.storeTransport = platform.NewStoreTransport(s.Store.Addr)
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -39,13 +39,16 @@
 // messageMemory returns the bytes that messages of all sources may take together in a process
 // of a memory in bytes.
 func messageMemory(memory int) int {
-	return max(int(heapPart*float64(memory))-baseMemory, minMessageMemory)
+	return max(heapLimit(memory)-baseMemory, minMessageMemory)
 }
 
+// heapLimit returns the bytes that the heap may take.
+func heapLimit(memory int) int { return int(heapPart * float64(memory)) }
+
 // LimitHeap makes the garbage collector run more often when the heap approaches its
 // part of the process's memory, in bytes. It returns the earlier limit.
 func LimitHeap(memory int) (earlier int64) {
-	return debug.SetMemoryLimit(int64(heapPart * float64(memory)))
+	return debug.SetMemoryLimit(int64(heapLimit(memory)))
 }
 
 // recordOversize logs and counts an error about a message that was too large. It
