sidecar, callerhttp: messages of callers share the account of memory

Bodies, heads that are larger than a small buffer, waiting responses and connections take their memory from the pool. If there are too many connections, the oldest one on which no request was read is closed for a new one. The kernel holds at most 16 KB of a connection that is not read. Responses are written from the memory that they were received in.

--- a/callerhttp/body.go
+++ b/callerhttp/body.go
@@ -11,8 +11,9 @@
 const (
 	// firstBody is the size of the first buffer of a large body.
 	firstBody = 16 << 10
-	// bodyGrowth is the factor by which it grows while bytes arrive. A body of a stated
-	// length takes at most that many times the bytes that have arrived.
+	// bodyGrowth is the factor by which it grows while bytes arrive. A buffer of more than
+	// half the stated length is made as large as that, so that the body takes at most a quarter
+	// more than its length while bytes are copied, and at most eight times what has arrived.
 	bodyGrowth = 4
 )
 
@@ -71,7 +72,10 @@
 	x.body = x.body[:0]
 	for len(x.body) < length {
 		if len(x.body) == cap(x.body) {
-			size := min(max(bodyGrowth*cap(x.body), firstBody), length)
+			size := max(bodyGrowth*cap(x.body), firstBody)
+			if size > length/2 {
+				size = length
+			}
 			if length <= maxKeptBody {
 				size = maxKeptBody
 			}
--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"container/list"
 	"errors"
 	"io"
 	"net"
@@ -20,8 +21,12 @@
 type conn struct {
 	nc     net.Conn
 	server *Server
-	raw    syscall.RawConn // nil if nc has no file descriptor
-	memory *recvlimit.Holding
+	fresh  *list.Element // of Server.fresh; protected by the server's lock
+	// leaving is set once the connection is closed for another one; protected by the
+	// server's lock.
+	leaving bool
+	raw     syscall.RawConn // nil if nc has no file descriptor
+	memory  *recvlimit.Holding
 
 	// The following fields belong to the goroutine that reads.
 	br       *bufio.Reader // nil while there is nothing to parse
@@ -34,7 +39,7 @@
 	armed    time.Time // the deadline of reads that is set at nc
 	accepted time.Time
 	requests uint64
-	fresh    bool       // bytes were read since arrived was set
+	newer    bool       // bytes were read since arrived was set
 	arrived  clock.Time // when the newest bytes arrived
 	unread   time.Duration
 
@@ -280,12 +285,12 @@
 	if waits {
 		x.answered = clock.Now()
 	}
-	if waits || size > maxUncounted {
+	if !x.BodyCounted && (waits || size > maxUncounted) {
 		// A response that is ready is delivered, so it is counted but never refused. What one
 		// connection holds is bounded by its window and one response.
 		c.mu.Unlock()
 		x.queued = c.server.config.Memory.Open(recvlimit.Caller, nil)
-		_ = x.queued.Grow(size) // see above
+		x.queued.Count(size)
 		c.mu.Lock()
 	}
 	c.queue.Answered(x.number, size, x.Ctx.Response.ConnectionClose())
@@ -368,7 +373,7 @@
 	lingers, failed := c.lingers, c.failed
 	c.queue.Fail(nil) // nothing is left in it
 	c.mu.Unlock()
-	if !failed && (lingers || connprobe.Unread(c.nc)) {
+	if !failed && !c.server.closedForOther(c) && (lingers || connprobe.Unread(c.nc)) {
 		c.linger()
 	}
 	_ = c.nc.Close() // nothing is left to do
--- a/callerhttp/exchange.go
+++ b/callerhttp/exchange.go
@@ -25,6 +25,9 @@
 	// BodyTooLarge states that the body exceeds Config.MaxBody and was not read. The
 	// request must be refused; its connection is closed.
 	BodyTooLarge bool
+	// BodyCounted is set by the handler if it counts the memory of the response's body until
+	// Work.Release.
+	BodyCounted bool
 
 	conn     *conn
 	work     Work // nil if Prepare has set the response
@@ -71,7 +74,7 @@
 	if cap(body) > maxKeptBody {
 		body = nil
 	}
-	x.Before, x.Arrived, x.Unread, x.Behind, x.BodyTooLarge = 0, 0, 0, false, false
+	x.Before, x.Arrived, x.Unread, x.Behind, x.BodyTooLarge, x.BodyCounted = 0, 0, 0, false, false, false
 	x.conn, x.work, x.number, x.last, x.served, x.body = nil, nil, 0, false, false, body[:0]
 	x.received, x.ahead, x.queued, x.answered = nil, nil, nil, 0
 	exchanges.Put(x)
--- a/callerhttp/read_call.go
+++ b/callerhttp/read_call.go
@@ -57,7 +57,7 @@
 		n, err := c.readOnce(p)
 		switch {
 		case n > 0:
-			c.fresh = true
+			c.newer = true
 			return n, nil
 		case err == nil:
 			return 0, io.EOF
--- a/callerhttp/read_request.go
+++ b/callerhttp/read_request.go
@@ -62,8 +62,8 @@
 // arrival returns when the newest bytes arrived and how long they were unread. It asks the
 // kernel only if bytes were read since the last call.
 func (c *conn) arrival() (clock.Time, time.Duration) {
-	if c.fresh {
-		c.fresh = false
+	if c.newer {
+		c.newer = false
 		c.arrived, c.unread = clock.Now(), 0
 		if unread, ok := connprobe.SinceReceived(c.nc); ok {
 			c.arrived, c.unread = c.arrived.Add(-unread), unread
@@ -98,6 +98,10 @@
 			return &ReadError{Part: "body", Err: c.interruption()}
 		}
 	}
+	if c.requests == 0 && !c.server.notFresh(c) {
+		c.evicted.Store(true)
+		return &ReadError{Part: "body", Err: c.interruption()}
+	}
 	return nil
 }
 
--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"container/list"
 	"context"
 	"errors"
 	"net"
@@ -30,6 +31,8 @@
 	mu        sync.Mutex
 	listeners []net.Listener
 	conns     map[*conn]struct{}
+	fresh     list.List // connections on which no request was read completely, oldest first
+	leaving   int       // connections that were closed for others and have not ended
 	shutDown  bool
 }
 
@@ -70,22 +73,75 @@
 	}
 }
 
-// add registers a connection, or refuses it and returns nil.
+// leavingShare bounds the connections above Config.MaxConns that were closed for others and
+// have not ended, as a divisor of it.
+const leavingShare = 8
+
+// add registers a connection, or refuses it and returns nil. If there are too many, it closes
+// the oldest one on which no request was read: that is one that stopped within its first head,
+// or never sent anything.
 func (s *Server) add(nc net.Conn) *conn {
 	memory := s.config.Memory.Open(recvlimit.Caller, nil)
 	c := newConn(s, nc)
+	c.memory = memory
+	room := memory.Grow(connCost) == nil
+	var closed *conn
 	s.mu.Lock()
-	full := s.config.MaxConns > 0 && len(s.conns) >= s.config.MaxConns
-	if !full && !s.shutDown && memory.Grow(connCost) == nil {
-		c.memory = memory
+	if limit := s.config.MaxConns; limit > 0 && len(s.conns)-s.leaving >= limit {
+		room = room && len(s.conns) < limit+limit/leavingShare
+		if room {
+			closed = s.takeFresh()
+			room = closed != nil
+		}
+	}
+	if room && !s.shutDown {
 		s.conns[c] = struct{}{}
-		s.mu.Unlock()
-		return c
+		c.fresh = s.fresh.PushBack(c)
+	} else {
+		c = nil
 	}
 	s.mu.Unlock()
-	memory.Release()
-	reject(nc)
-	return nil
+	if closed != nil {
+		closed.evict()
+	}
+	if c == nil {
+		memory.Release()
+		reject(nc)
+	}
+	return c
+}
+
+// takeFresh returns the oldest connection on which no request was read, which is to be closed.
+// It returns nil if there is none. The caller holds the lock.
+func (s *Server) takeFresh() *conn {
+	e := s.fresh.Front()
+	if e == nil {
+		return nil
+	}
+	c := e.Value.(*conn)
+	s.fresh.Remove(e)
+	c.fresh, c.leaving = nil, true
+	s.leaving++
+	return c
+}
+
+// notFresh records that a request was read on a connection. It reports false if the connection
+// is being closed for another one.
+func (s *Server) notFresh(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.fresh != nil {
+		s.fresh.Remove(c.fresh)
+		c.fresh = nil
+	}
+	return !c.leaving
+}
+
+// closedForOther reports whether the connection is being closed for another one.
+func (s *Server) closedForOther(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return c.leaving
 }
 
 // reject answers a connection that is not served.
@@ -102,6 +158,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
+	if c.fresh != nil {
+		s.fresh.Remove(c.fresh)
+		c.fresh = nil
+	}
+	if c.leaving {
+		s.leaving--
+	}
 }
 
 // GetOpenConnectionsCount returns the number of connections that are open.
--- /dev/null
+++ b/listen/receive_buffer_test.go
@@ -0,0 +1,34 @@
+package listen
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// What a connection sends and the process does not read takes memory, so the kernel must take
+// little of it.
+func TestReceiveBufferIsBounded(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }() // the test has ended
+	if err := SetReceiveBuffer(l, 16<<10); err != nil {
+		t.Fatal(err)
+	}
+	conn, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }() // as above
+	if err := conn.(*net.TCPConn).SetWriteBuffer(16 << 10); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetWriteDeadline(time.Now().Add(time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	if n, err := conn.Write(make([]byte, 8<<20)); err == nil || n > 1<<20 {
+		t.Errorf("%d bytes were taken, error %v", n, err)
+	}
+}
--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/parsleystack/parsleystack/callerhttp"
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/connprobe"
 	"github.com/parsleystack/parsleystack/httpfield"
@@ -19,6 +20,7 @@
 	"github.com/parsleystack/parsleystack/outcome"
 	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/quarantine"
+	"github.com/parsleystack/parsleystack/recvlimit"
 	"github.com/parsleystack/parsleystack/resend"
 	"github.com/parsleystack/parsleystack/routetable"
 	"github.com/parsleystack/parsleystack/wire"
@@ -41,6 +43,7 @@
 // callerRequest is one request of a caller, with its attempts.
 type callerRequest struct {
 	ingress         *ingress
+	exchange        *callerhttp.Exchange
 	httpCtx         *fasthttp.RequestCtx
 	conn            net.Conn
 	ctx             context.Context
@@ -67,8 +70,8 @@
 	callerHeaders   int                    // length of req.Headers without fields of this daemon's own
 }
 
-func newCallerRequest(in *ingress, ctx *fasthttp.RequestCtx) *callerRequest {
-	f := &callerRequest{ingress: in, httpCtx: ctx, conn: ctx.Conn()}
+func newCallerRequest(in *ingress, x *callerhttp.Exchange) *callerRequest {
+	f := &callerRequest{ingress: in, exchange: x, httpCtx: &x.Ctx, conn: x.Ctx.Conn()}
 	f.ctx, f.cancel = context.WithCancelCause(context.Background())
 	return f
 }
@@ -157,6 +160,7 @@
 		Idempotent: f.route.Idempotent, Method: h.Method(), URI: originForm(h.RequestURI()), RequestID: []byte(f.headers.RequestID),
 		Class: []byte(f.route.Name), Caller: f.ingress.d.settings().Service, Body: f.httpCtx.Request.Body(),
 		LargeResponse: f.route.LargeResponses,
+		BodyKept:      len(f.httpCtx.Request.Body()) > recvlimit.FreeBytes, // callerhttp uses the memory of smaller ones again
 	}
 	named := httpfield.Value(h, fasthttp.HeaderConnection)
 	for name, value := range h.All() {
--- a/sidecar/caller_request_answer.go
+++ b/sidecar/caller_request_answer.go
@@ -25,14 +25,8 @@
 			}
 			out.Header.AddBytesKV(f.resp.Headers[i].Name, f.resp.Headers[i].Value)
 		}
-		if len(f.resp.Body) <= recvlimit.FreeBytes {
-			out.SetBodyRaw(f.resp.Body) // until Release
-		} else {
-			// The response may wait for a slow caller, which must not exhaust the budget for
-			// what targets send.
-			out.SetBody(f.resp.Body)
-			f.resp.Release()
-		}
+		out.SetBodyRaw(f.resp.Body) // until Release
+		f.exchange.BodyCounted = len(f.resp.Body) > recvlimit.FreeBytes
 	} else {
 		out.SetStatusCode(status)
 		platform.SetRequestID(&out.Header, f.headers.RequestID)
--- a/sidecar/ingress.go
+++ b/sidecar/ingress.go
@@ -63,11 +63,16 @@
 }
 
 func newIngress(d *Daemon) *ingress {
+	maxConns := callerConnsFor(d.memory.Limit())
+	if byFiles := maxCallerConns(d.settings().MaxFiles); byFiles > 0 {
+		maxConns = min(maxConns, byFiles)
+	}
 	in := &ingress{d: d, active: make(map[*callerRequest]struct{}), budgets: make(map[ident.Service]*resend.Budget)}
 	in.server = callerhttp.NewServer(callerhttp.Config{
-		MaxConns:     maxCallerConns(d.settings().MaxFiles),
+		MaxConns:     maxConns,
 		MaxHeader:    maxCallerHeader,
 		MaxBody:      in.maxBody,
+		Memory:       d.memory,
 		Window:       pipeline.Limits{Requests: maxPipelined, Bytes: maxPipelinedBytes},
 		ReadTimeout:  callerReadTimeout,
 		IdleTimeout:  callerIdleTimeout,
@@ -103,7 +108,7 @@
 
 // Prepare implements callerhttp.Handler.
 func (in *ingress) Prepare(x *callerhttp.Exchange) callerhttp.Work {
-	f := newCallerRequest(in, &x.Ctx)
+	f := newCallerRequest(in, x)
 	f.arrived, f.unread, f.behind, f.bodyTooLarge = x.Arrived, x.Unread, x.Behind, x.BodyTooLarge
 	in.d.metrics.unreadTime.Update(f.unread.Seconds())
 	if !f.parse() {
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -28,6 +28,14 @@
 	// linkFilesPart is the part of the process's descriptors that links accepted from other
 	// daemons may take. Each of them opens up to three.
 	linkFilesPart = 4
+	// callerReceiveBuffer bounds the bytes of a connection of a caller that the kernel holds
+	// while they are not read; callers are on the same machine, where that takes no speed.
+	callerReceiveBuffer = 16 << 10
+	// callerConnBytes is the memory of a connection of a caller that sends nothing more:
+	// that of the process, and callerReceiveBuffer outside the heap.
+	callerConnBytes = 8<<10 + callerReceiveBuffer
+	// callerConnsPart is the part of the messages' memory that such connections may take.
+	callerConnsPart = 2
 	// memoryReportInterval is the time between two reports of messages that were refused or
 	// evicted.
 	memoryReportInterval = time.Second
@@ -45,6 +53,9 @@
 // heapLimit returns the bytes that the heap may take.
 func heapLimit(memory int) int { return int(heapPart * float64(memory)) }
 
+// callerConnsFor returns the number of connections of callers for which messages have memory.
+func callerConnsFor(messages int) int { return messages / callerConnsPart / callerConnBytes }
+
 // LimitHeap makes the garbage collector run more often when the heap approaches its
 // part of the process's memory, in bytes. It returns the earlier limit.
 func LimitHeap(memory int) (earlier int64) {
--- a/sidecar/servers.go
+++ b/sidecar/servers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -27,6 +28,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := listen.SetReceiveBuffer(ls[1], callerReceiveBuffer); err != nil {
+		return nil, errors.Join(err, listen.Close(ls))
+	}
 	for i, l := range ls {
 		ls[i] = listen.Tolerant(l, d.recordAcceptError)
 	}
--- a/wire/reader_body.go
+++ b/wire/reader_body.go
@@ -12,8 +12,8 @@
 	// maxAllocStep bounds the memory that is allocated because of a frame's length
 	// prefix alone. Longer bodies are allocated in steps as their bytes arrive.
 	maxAllocStep = 1 << 20 // bytes
-	// allocGrowth is the factor by which the buffer of a longer body grows. While the bytes
-	// are copied for the last time, the body takes a quarter more than its size.
+	// allocGrowth is the least factor by which the buffer of a longer body grows. While the
+	// bytes are copied for the last time, the body takes at most a quarter more than its size.
 	allocGrowth = 4
 	// requestCost is the memory in bytes that a request takes besides its frame, for its
 	// goroutine and its state.
@@ -101,7 +101,10 @@
 func (r *Reader) growBody(f *Frame, size int) error {
 	next := size
 	if size > maxAllocStep {
-		next = min(max(allocGrowth*cap(f.Body), maxAllocStep), size)
+		next = max(allocGrowth*cap(f.Body), maxAllocStep)
+		if next >= size/2 {
+			next = size
+		}
 	}
 	total := f.cost + cap(f.Body) + next // both exist while the bytes are copied
 	if err := f.grow(total); err != nil {
