Memory of large responses and of many header fields is taken in advance

An entry takes memory for a response of the expected size before it sends the request, so that what was forwarded finds room; other frames of the link do not wait behind responses without room. Thousands of small header fields take far more than their bytes: 300 requests with 7,000 fields each took a daemon over 96 MB (TestManyFields); their memory is counted before they are parsed.

--- a/callerhttp/body.go
+++ b/callerhttp/body.go
@@ -106,7 +106,7 @@
 	}
 	x.body = append(make([]byte, 0, size), x.body...)
 	if x.received != nil {
-		x.received.Shrink(exchangeCost + c.br.Size() + size)
+		x.received.Shrink(x.cost() + size)
 	}
 	return nil
 }
--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -33,6 +33,7 @@
 	chunk    *chunk        // nil unless pending refers to it
 	pending  []byte        // read from nc and not yet taken by br
 	call     readCall
+	peeked   error     // of a read that awaitFields has left to the parser
 	x        *Exchange // the request that is being read, or nil
 	began    time.Time // when the reader first waited for more bytes of x
 	idle     time.Time // when it last waited for the first byte of a request
--- a/callerhttp/exchange.go
+++ b/callerhttp/exchange.go
@@ -35,6 +35,7 @@
 	last     bool // its response closes the connection
 	served   bool // its work has been served or refused
 	body     []byte
+	fields   int // memory in bytes of the fields of a large head
 	uri      fasthttp.URI
 	received *recvlimit.Holding // of the request, while or after it was received; nil for small ones
 	ahead    *recvlimit.Holding // of a request that was read behind others
@@ -77,6 +78,9 @@
 	x.Before, x.Arrived, x.Unread, x.Behind, x.BodyTooLarge, x.BodyCounted = 0, 0, 0, false, false, false
 	x.conn, x.work, x.number, x.last, x.served, x.body = nil, nil, 0, false, false, body[:0]
 	x.received, x.ahead, x.queued, x.answered = nil, nil, nil, 0
+	if x.fields > 0 { // its context would keep the memory of the fields
+		return
+	}
 	exchanges.Put(x)
 }
 
--- a/callerhttp/read_call.go
+++ b/callerhttp/read_call.go
@@ -37,6 +37,10 @@
 
 // Read implements io.Reader for the buffered reader of the connection.
 func (c *conn) Read(p []byte) (int, error) {
+	if err := c.peeked; err != nil {
+		c.peeked = nil
+		return 0, err
+	}
 	if len(c.pending) == 0 {
 		return c.receive(p)
 	}
--- a/callerhttp/read_request.go
+++ b/callerhttp/read_request.go
@@ -79,7 +79,7 @@
 		c.br.Reset(c)
 	}
 	h := &x.Ctx.Request.Header
-	if err := c.parse(x, h.Read); err != nil {
+	if err := c.parse(x, false, h.Read); err != nil {
 		if err == io.EOF { //nolint:errorlint // a wrapped one is the end within a head
 			return err
 		}
@@ -106,7 +106,10 @@
 }
 
 // parse calls a parser of a head or trailer, again with a larger buffer if it does not fit.
-func (c *conn) parse(x *Exchange, read func(*bufio.Reader) error) error {
+func (c *conn) parse(x *Exchange, trailer bool, read func(*bufio.Reader) error) error {
+	if err := c.awaitFields(x, trailer); err != nil {
+		return err
+	}
 	err := read(c.br)
 	var small *fasthttp.ErrSmallBuffer
 	limit := c.server.config.MaxHeader
@@ -124,6 +127,9 @@
 	large.Reset(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c))
 	c.server.readers(c.br.Size()).Put(c.br)
 	c.br = large
+	if err := c.awaitFields(x, trailer); err != nil {
+		return err
+	}
 	return read(c.br)
 }
 
@@ -135,9 +141,12 @@
 	if x.received == nil {
 		x.received = c.server.config.Memory.Open(recvlimit.Caller, c.evict)
 	}
-	return x.received.Grow(exchangeCost + c.br.Size() + bytes)
+	return x.received.Grow(x.cost() + bytes)
 }
 
+// cost returns the memory of a request that is being received, besides its body.
+func (x *Exchange) cost() int { return exchangeCost + x.conn.br.Size() + x.fields }
+
 // checkTarget rejects userinfo in the host, adopts the authority of a target in absolute form
 // (RFC 9112 section 3.2.2), and rejects a target that is not a URI.
 func (x *Exchange) checkTarget() error {
--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -272,22 +272,27 @@
 		return f.attemptResult()
 	}
 	f.addStatement(t)
+	f.req.ResponseBytes = f.ingress.responses.expected(f.route.Name)
 	sent, err := f.ingress.d.peerLinks.Do(f.ctx, t.addr, &f.req, &f.resp)
 	if err != nil {
 		t.load.inFlight.Add(-1)
 		if cause := context.Cause(f.ctx); cause != nil {
 			return resend.Attempt{Result: f.abortedResult(cause, sent), Reached: sent}
 		}
-		kind := outcome.NotRun
+		result := outcome.Result{Kind: outcome.NotRun, Reason: outcome.ConnectionLost, RetryAfter: retryRefused}
+		if _, noRoom := recvlimit.Exceeded(err); noRoom {
+			result.Reason = outcome.Overloaded
+		}
 		if sent {
-			kind = outcome.Unknown
+			result.Kind = outcome.Unknown
 		}
-		return resend.Attempt{Result: outcome.Result{Kind: kind, Reason: outcome.ConnectionLost, RetryAfter: retryRefused}, Reached: sent}
+		return resend.Attempt{Result: result, Reached: sent}
 	}
 	t.load.inFlight.Store(int64(f.resp.InFlight))
 	t.load.limit.Store(int64(f.resp.Capacity))
 	if f.resp.Kind == outcome.Done {
 		t.load.observeStatement(f.resp.Headers, clock.Now())
+		f.ingress.responses.observe(f.route.Name, len(f.resp.Body))
 	}
 	return f.attemptResult()
 }
--- a/sidecar/ingress.go
+++ b/sidecar/ingress.go
@@ -53,6 +53,8 @@
 type ingress struct {
 	d      *Daemon
 	server *callerhttp.Server
+	// responses are the sizes of those that arrive from other daemons.
+	responses responseSizes
 
 	mu      sync.Mutex
 	active  map[*callerRequest]struct{}
--- a/sidecar/memorytest/callers_test.go
+++ b/sidecar/memorytest/callers_test.go
@@ -122,6 +122,18 @@
 	callerCrowd(t, headCrowd, func(_ int, conn net.Conn) { write(conn, head, 1, 0) })
 }
 
+// Requests with thousands of small header fields, each of which takes far more memory than on
+// the connection, while they wait for the target.
+func TestManyFields(t *testing.T) {
+	const callers = 300
+	lines := strings.Repeat("A:\r\n", 7000) + "Content-Length: 0\r\n"
+	for _, path := range []string{localPath, remotePath} {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			callerCrowd(t, callers, func(_ int, conn net.Conn) { write(conn, headOf(path+slowPath, lines), 1, 0) })
+		})
+	}
+}
+
 // Connections that send nothing must leave room for requests.
 func TestConnectionsThatSendNothing(t *testing.T) {
 	callerCrowd(t, headCrowd, func(int, net.Conn) {})
--- a/sidecar/memorytest/fleet_test.go
+++ b/sidecar/memorytest/fleet_test.go
@@ -32,6 +32,8 @@
 	localPath   = "/book/"    // served by the target beside the daemon
 	remotePath  = "/pay/"     // served by the target of the other daemon
 	answersPath = "/answers/" // likewise; its responses have the number of bytes that follows
+	slowPath    = "slow"      // end of the paths of requests that take slowWork
+	slowWork    = 2 * time.Second
 	readyWait   = 30 * time.Second
 )
 
@@ -172,6 +174,9 @@
 		}
 		ctx.Response.Header.Set("Request-Id", string(ctx.Request.Header.Peek("Request-Id")))
 		ctx.Response.Header.Set(platformtest.StampHeader, "s")
+		if strings.HasSuffix(string(ctx.Path()), slowPath) {
+			time.Sleep(slowWork)
+		}
 		if size, ok := strings.CutPrefix(string(ctx.Path()), answersPath); ok {
 			n, _ := strconv.Atoi(size) // no body if it is not a number
 			ctx.SetBody(make([]byte, n))
--- a/transport/clientconn.go
+++ b/transport/clientconn.go
@@ -11,6 +11,7 @@
 
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/ident"
+	"github.com/parsleystack/parsleystack/recvlimit"
 	"github.com/parsleystack/parsleystack/wire"
 )
 
@@ -30,6 +31,7 @@
 	reader   *wire.Reader
 	writer   *writer
 	counters *Counters
+	memory   *recvlimit.Pool // nil if there is no limit
 
 	// onCellMessage handles one-way messages from the peer; if it is nil, they
 	// are dropped.
@@ -47,10 +49,14 @@
 }
 
 func newClientConn(addr string, class Class, conn net.Conn, reader *wire.Reader, cfg *Config, counters *Counters) *clientConn {
-	return &clientConn{
-		addr: addr, class: class, conn: conn, reader: reader, counters: counters,
+	c := &clientConn{
+		addr: addr, class: class, conn: conn, reader: reader, counters: counters, memory: cfg.Memory,
 		writer: newWriter(conn, class, cfg), pending: make(map[uint64]*waiter),
 	}
+	if c.memory != nil {
+		reader.OnBody(c.releaseReserved)
+	}
+	return c
 }
 
 // usable reports whether new RPCs can be sent.
@@ -60,6 +66,10 @@
 // sent is false only if no byte of the frame was written.
 func (c *clientConn) roundTrip(ctx context.Context, kind, want wire.Kind, m msgp.Marshaler) (f wire.Frame, sent bool, err error) {
 	w := newWaiter(want)
+	if err := c.reserve(w, m); err != nil {
+		w.release()
+		return wire.Frame{}, false, err
+	}
 	id, err := c.enqueue(w, kind, m)
 	if err != nil {
 		w.release()
@@ -75,6 +85,29 @@
 	}
 }
 
+// reserve takes memory for the response to a request that is expected to be large.
+func (c *clientConn) reserve(w *waiter, m msgp.Marshaler) error {
+	req, ok := m.(*wire.Request)
+	if !ok || c.memory == nil || req.ResponseBytes <= recvlimit.FreeBytes {
+		return nil
+	}
+	w.reserved = c.memory.Open(recvlimit.Daemon, nil)
+	return w.reserved.Grow(req.ResponseBytes)
+}
+
+// releaseReserved returns the memory that was taken for an answer, which is counted itself from
+// then on.
+func (c *clientConn) releaseReserved(kind wire.Kind, id uint64) {
+	if kind != wire.KindResponse {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if w := c.pending[id]; w != nil {
+		w.reserved.Release()
+	}
+}
+
 // enqueue assigns a new id to an RPC, queues its frame and records its waiter.
 func (c *clientConn) enqueue(w *waiter, kind wire.Kind, m msgp.Marshaler) (uint64, error) {
 	s := newScratch()
--- a/transport/waiter.go
+++ b/transport/waiter.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/recvlimit"
 	"github.com/parsleystack/parsleystack/wire"
 )
 
@@ -20,6 +21,8 @@
 	wantKind  wire.Kind
 	sentAt    clock.Time
 	streamPos uint64 // where the RPC's frame starts in the outgoing byte stream
+	// reserved is memory for the answer until that begins to arrive; nil if there is none.
+	reserved *recvlimit.Holding
 }
 
 var waiterPool = sync.Pool{New: func() any { return &waiter{ch: make(chan answer, 1)} }}
@@ -31,4 +34,8 @@
 }
 
 // release returns w to the pool. No answer may be sent to w afterwards.
-func (w *waiter) release() { waiterPool.Put(w) }
+func (w *waiter) release() {
+	w.reserved.Release()
+	w.reserved = nil
+	waiterPool.Put(w)
+}
--- a/wire/reader.go
+++ b/wire/reader.go
@@ -19,9 +19,11 @@
 	bytesRead uint64
 	conn      DeadlineSetter // nil if the time of a frame is not bounded
 	timeout   time.Duration
-	deadline  time.Time          // of the frame that is being received; zero if there is none
-	memory    *recvlimit.Pool    // nil if the memory of frames is not bounded
-	held      *recvlimit.Holding // of the frame that is being received
+	deadline  time.Time                  // of the frame that is being received; zero if there is none
+	memory    *recvlimit.Pool            // nil if the memory of frames is not bounded
+	held      *recvlimit.Holding         // of the frame that is being received
+	onBody    func(kind Kind, id uint64) // may be nil
+	hasty     bool                       // the last response that waited for memory found none
 }
 
 // DeadlineSetter sets the deadline of reads from a connection.
--- a/wire/reader_body.go
+++ b/wire/reader_body.go
@@ -18,20 +18,26 @@
 	// requestCost is the memory in bytes that a request takes besides its frame, for its
 	// goroutine and its state.
 	requestCost = 8 << 10
-	// headerCost is that of a header field of a decoded request.
-	headerCost = 48
+	// headerCost is that of a header field of a decoded request, and of its copy in the
+	// request to the target.
+	headerCost = 192
+	// uncountedHeaders is the number of header fields that requestCost includes.
+	uncountedHeaders = 32
 	// uncountedBody is the size in bytes up to which the body of a frame that is no request is
 	// not counted.
 	uncountedBody = 4 << 10
 	// responseWait is how long a response waits for memory while nothing else is read from
 	// the connection. A response that is refused has an unknown outcome for its caller.
-	responseWait = time.Second
+	responseWait = 250 * time.Millisecond
 )
 
 // SetMemory sets the pool in which the memory of the frames that follow is counted. Frames
 // that are incomplete may be evicted if the time of a frame is bounded.
 func (r *Reader) SetMemory(p *recvlimit.Pool) { r.memory = p }
 
+// OnBody sets a function that is called before the body of a frame is counted.
+func (r *Reader) OnBody(f func(kind Kind, id uint64)) { r.onBody = f }
+
 // readBody reads the body of a frame, or discards it if there is no memory.
 func (r *Reader) readBody(f *Frame, size int) error {
 	if r.memory != nil && (f.Kind == KindRequest || size > uncountedBody) {
@@ -39,6 +45,9 @@
 		if f.Kind == KindRequest {
 			f.cost = requestCost
 		}
+		if r.onBody != nil {
+			r.onBody(f.Kind, f.ID)
+		}
 	}
 	r.held = f.held
 	left, err := r.receive(f, size)
@@ -74,7 +83,7 @@
 // receive reads the body of a frame. It returns the number of bytes that it has not read.
 func (r *Reader) receive(f *Frame, size int) (left int, err error) {
 	if size == 0 {
-		return 0, f.grow(f.cost)
+		return 0, r.grow(f, f.cost)
 	}
 	for len(f.Body) < size {
 		if len(f.Body) == cap(f.Body) {
@@ -107,7 +116,7 @@
 		}
 	}
 	total := f.cost + cap(f.Body) + next // both exist while the bytes are copied
-	if err := f.grow(total); err != nil {
+	if err := r.grow(f, total); err != nil {
 		return err
 	}
 	if size <= maxAllocStep {
@@ -120,18 +129,25 @@
 	return nil
 }
 
-// grow counts the memory of the frame. Responses wait for room.
-func (f *Frame) grow(total int) error {
-	if f.Kind == KindResponse || f.Kind == KindReply {
-		return f.held.Await(total, responseWait)
+// grow counts the memory of a frame. Responses wait for room, but not again after one that has
+// found none: other frames wait behind them.
+func (r *Reader) grow(f *Frame, total int) error {
+	if f.Kind != KindResponse && f.Kind != KindReply {
+		return f.held.Grow(total)
+	}
+	wait := responseWait
+	if r.hasty {
+		wait = 0
 	}
-	return f.held.Grow(total)
+	err := f.held.Await(total, wait)
+	r.hasty = err != nil
+	return err
 }
 
 // CountHeaders counts the memory of the header fields that were decoded from the frame. It
 // returns a *recvlimit.BudgetError if there is none.
 func (f *Frame) CountHeaders(n int) error {
-	if n <= maxKeptHeaders {
+	if n <= uncountedHeaders {
 		return nil
 	}
 	return f.held.Grow(f.cost + len(f.Body) + n*headerCost)
--- a/wire/request.go
+++ b/wire/request.go
@@ -40,6 +40,9 @@
 	// LargeResponse is set by the sender if the response is expected to be large. It is
 	// not sent; it selects the connection.
 	LargeResponse bool `msg:"-"`
+	// ResponseBytes is the expected size of the response, for which the sender takes memory
+	// before it sends the request. It is not sent.
+	ResponseBytes int `msg:"-"`
 	// BodyKept is set by the sender if it never changes or reuses the memory of Body, even
 	// after the request has ended, so that Body may be sent without a copy. It is not sent.
 	BodyKept bool `msg:"-"`
