--- a/recvlimit/pool.go
+++ b/recvlimit/pool.go
@@ -19,7 +19,8 @@
 // the incomplete messages that have made progress least recently are evicted. A nil Pool
 // has no limit. It is safe for concurrent use.
 type Pool struct {
-	limit int
+	limit       int
+	beforeLarge func(bytes int) // may be nil
 
 	mu         sync.Mutex
 	used       int // bytes of all holdings that are not released
@@ -27,6 +28,7 @@
 	incomplete *list.List
 	evictable  int // part of used: bytes of the messages in incomplete
 	sources    map[Source]*SourceStats
+	freed      chan struct{} // closed when bytes are returned; nil if nobody waits for that
 }
 
 // NewPool returns a pool of limit bytes.
@@ -34,6 +36,11 @@
 	return &Pool{limit: limit, incomplete: list.New(), sources: make(map[Source]*SourceStats)}
 }
 
+// BeforeLarge sets a function that is called when a message takes more than FreeBytes at
+// once, before the memory is allocated. It may wait, for instance until memory that was
+// returned has been collected. It must be set before the pool is used.
+func (p *Pool) BeforeLarge(f func(bytes int)) { p.beforeLarge = f }
+
 // Limit returns the limit in bytes.
 func (p *Pool) Limit() int { return p.limit }
 
@@ -81,9 +88,10 @@
 	return p.used
 }
 
-// reserve takes more bytes for h, and returns the messages that must be evicted for them.
-// The caller holds the lock.
-func (p *Pool) reserve(h *Holding, more int) ([]*Holding, bool) {
+// reserve takes more bytes for h, and returns the messages that must be evicted for them. If
+// soon is set, no bytes were taken, but there is room once the owners of evicted messages
+// have released them. The caller holds the lock.
+func (p *Pool) reserve(h *Holding, more int) (victims []*Holding, ok, soon bool) {
 	limit := p.limit
 	if h.bytes+more > FreeBytes {
 		limit -= p.limit / smallShare
@@ -92,11 +100,9 @@
 	if h.element != nil {
 		others -= h.bytes
 	}
-	// No message is evicted for one that would be refused all the same.
-	if p.used-p.evicted-others+more > limit || p.used+more > p.limit+p.limit/evictedShare {
-		return nil, false
+	if p.used-p.evicted-others+more > limit {
+		return nil, false, false // no message is evicted for one that would be refused all the same
 	}
-	var victims []*Holding
 	for e := p.incomplete.Front(); e != nil && p.used-p.evicted+more > limit; {
 		victim := e.Value.(*Holding)
 		e = e.Next()
@@ -109,8 +115,11 @@
 		p.evicted += victim.bytes
 		victims = append(victims, victim)
 	}
+	if p.used+more > p.limit+p.limit/evictedShare {
+		return victims, false, true
+	}
 	p.add(h, more)
-	return victims, true
+	return victims, true, false
 }
 
 // add changes the bytes of h. The caller holds the lock.
@@ -124,4 +133,17 @@
 	if h.evicted {
 		p.evicted += bytes
 	}
+	if bytes < 0 && p.freed != nil {
+		close(p.freed)
+		p.freed = nil
+	}
+}
+
+// nextFreed returns a channel that is closed when bytes are returned. The caller holds
+// the lock.
+func (p *Pool) nextFreed() <-chan struct{} {
+	if p.freed == nil {
+		p.freed = make(chan struct{})
+	}
+	return p.freed
 }
