callerhttp: a fresh connection is closed for another one only after a time

Without it TestCallersLeaveDescriptorsForTheDaemon failed: connections beyond the limit were served in place of ones that had just been opened.

--- a/callerhttp/config.go
+++ b/callerhttp/config.go
@@ -9,9 +9,10 @@
 
 // Config has the limits of a Server.
 type Config struct {
-	// MaxConns is the number of connections that are served; further ones get 503. 0 means
-	// no limit.
-	MaxConns int
+	// MaxConns is the number of connections that are served. A further one gets 503, or takes
+	// the place of the oldest one that has sent no request within FreshTime. 0 means no limit.
+	MaxConns  int
+	FreshTime time.Duration
 	// MaxHeader bounds the head of a request in bytes.
 	MaxHeader int
 	// MaxBody returns the largest size of a body in bytes. What exceeds it is not read.
--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -112,13 +112,16 @@
 }
 
 // takeFresh returns the oldest connection on which no request was read, which is to be closed.
-// It returns nil if there is none. The caller holds the lock.
+// It returns nil if there is none that is old enough. The caller holds the lock.
 func (s *Server) takeFresh() *conn {
 	e := s.fresh.Front()
 	if e == nil {
 		return nil
 	}
 	c := e.Value.(*conn)
+	if time.Since(c.accepted) < s.config.FreshTime {
+		return nil
+	}
 	s.fresh.Remove(e)
 	c.fresh, c.leaving = nil, true
 	s.leaving++
--- a/sidecar/ingress.go
+++ b/sidecar/ingress.go
@@ -32,6 +32,9 @@
 	callerIdleTimeout = 120 * time.Second
 	// callerReadTimeout bounds the time to read one request.
 	callerReadTimeout = 60 * time.Second
+	// callerFreshTime is how long a connection without a request is not closed for another
+	// one. Callers may open connections shortly before they use them.
+	callerFreshTime = 2 * time.Second
 	// callerWriteTimeout is how long a caller may take no bytes of a response.
 	callerWriteTimeout = 60 * time.Second
 	// maxPipelined is the number of requests of one connection that are in progress at a
@@ -72,6 +75,7 @@
 	in := &ingress{d: d, active: make(map[*callerRequest]struct{}), budgets: make(map[ident.Service]*resend.Budget)}
 	in.server = callerhttp.NewServer(callerhttp.Config{
 		MaxConns:     maxConns,
+		FreshTime:    callerFreshTime,
 		MaxHeader:    maxCallerHeader,
 		MaxBody:      in.maxBody,
 		Memory:       d.memory,
