--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -53,14 +53,14 @@
 	mu        sync.Mutex
 	cond      sync.Cond // signaled when a response was written or the reader is interrupted
 	queue     pipeline.Queue[*Exchange]
-	batch     [4]*Exchange // initial buffer of the responses that are written together
-	receiving bool         // a request is being read
-	readEnded bool         // the reader reads no further requests
-	wrote     bool         // the closing response has been written, or the connection has failed
-	failed    bool         // the connection has failed
-	lingers   bool         // the caller may still send bytes when the connection closes
-	ending    bool         // end was called
-	written   time.Time    // of the last response
+	batch     []*Exchange // buffer for the responses that are written together
+	receiving bool        // a request is being read
+	readEnded bool        // the reader reads no further requests
+	wrote     bool        // the closing response has been written, or the connection has failed
+	failed    bool        // the connection has failed
+	lingers   bool        // the caller may still send bytes when the connection closes
+	ending    bool        // end was called
+	written   time.Time   // of the last response
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -226,23 +226,27 @@
 		if len(batch) == 0 {
 			return
 		}
+		c.batch = nil // until these have been released
 		if closes && !batch[len(batch)-1].last {
 			c.lingers = true // the caller may have sent more
 		}
 		c.mu.Unlock()
 		err := c.writeAll(batch, closes)
-		for i, x := range batch {
-			x.release()
-			batch[i] = nil
-		}
 		c.mu.Lock()
-		c.queue.Written()
+		c.queue.Written() // first: the caller may send its next request already
 		c.written = time.Now()
 		if err != nil || closes {
 			c.failed = c.failed || err != nil
 			c.close()
 		}
 		c.cond.Broadcast()
+		c.mu.Unlock()
+		for _, x := range batch {
+			x.release()
+		}
+		clear(batch)
+		c.mu.Lock()
+		c.batch = batch[:0]
 		c.endIfDone()
 	}
 }
