--- a/callerhttp/chunked.go
+++ b/callerhttp/chunked.go
@@ -40,7 +40,7 @@
 	if len(x.body) == 0 {
 		h.SetContentLength(0)
 	}
-	return c.parse(x, true, h.ReadTrailer)
+	return c.parse(x, true)
 }
 
 // readChunk reads the bytes of one chunk, up to which the body has end bytes.
--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -254,6 +254,9 @@
 // begin starts the requests whose turn it is. The caller holds the lock, which is released
 // meanwhile.
 func (c *conn) begin() {
+	if !c.queue.Waiting() {
+		return
+	}
 	now := clock.Now()
 	for {
 		x, _, expired, ok := c.queue.Begin(now)
--- a/callerhttp/read_request.go
+++ b/callerhttp/read_request.go
@@ -78,8 +78,7 @@
 		c.br = c.server.readers(chunkSize).Get().(*bufio.Reader)
 		c.br.Reset(c)
 	}
-	h := &x.Ctx.Request.Header
-	if err := c.parse(x, false, h.Read); err != nil {
+	if err := c.parse(x, false); err != nil {
 		if err == io.EOF { //nolint:errorlint // a wrapped one is the end within a head
 			return err
 		}
@@ -105,12 +104,15 @@
 	return nil
 }
 
-// parse calls a parser of a head or trailer, again with a larger buffer if it does not fit.
-func (c *conn) parse(x *Exchange, trailer bool, read func(*bufio.Reader) error) error {
+// parse parses a head or trailer, again with a larger buffer if it does not fit.
+func (c *conn) parse(x *Exchange, trailer bool) error {
 	if err := c.awaitFields(x, trailer); err != nil {
 		return err
 	}
-	err := read(c.br)
+	err := x.readFields(c.br, trailer)
+	if err == nil {
+		return nil
+	}
 	var small *fasthttp.ErrSmallBuffer
 	limit := c.server.config.MaxHeader
 	if c.br.Size() >= limit || !errors.As(err, &small) {
@@ -130,7 +132,15 @@
 	if err := c.awaitFields(x, trailer); err != nil {
 		return err
 	}
-	return read(c.br)
+	return x.readFields(c.br, trailer)
+}
+
+// readFields reads a head or a trailer with the parser of fasthttp.
+func (x *Exchange) readFields(r *bufio.Reader, trailer bool) error {
+	if trailer {
+		return x.Ctx.Request.Header.ReadTrailer(r)
+	}
+	return x.Ctx.Request.Header.Read(r)
 }
 
 // count counts the memory of a request that is being received, with a body of bytes.
--- a/pipeline/queue.go
+++ b/pipeline/queue.go
@@ -77,6 +77,16 @@
 	return q.first + uint64(len(q.entries)) - 1, true
 }
 
+// Waiting reports whether requests have not been begun.
+func (q *Queue[T]) Waiting() bool {
+	for i := range q.entries {
+		if q.entries[i].state == waiting {
+			return true
+		}
+	}
+	return false
+}
+
 // Begin returns the next request to begin, until there is none. A request whose deadline has
 // passed is returned as expired: it is refused instead of being run. Both are ended by Answered.
 func (q *Queue[T]) Begin(now clock.Time) (v T, number uint64, expired, ok bool) {
