--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -109,6 +109,7 @@
 	gauge("parsley_configuration_age_seconds", func() float64 { return d.control.configurationAge(clock.Now()).Seconds() })
 	gauge("parsley_daemons", func() float64 { return float64(d.control.view.Load().daemons) })
 	gauge("parsley_callers_in_flight", func() float64 { return float64(d.ingress.inFlight()) })
+	gauge("parsley_caller_connections", func() float64 { return float64(d.ingress.server.GetOpenConnectionsCount()) })
 	gauge("parsley_target_running", func() float64 { running, _, _ := d.backend.requests(); return float64(running) })
 	gauge("parsley_target_waiting", func() float64 { return float64(d.backend.load().Waiting) })
 	gauge("parsley_target_limit", func() float64 { _, _, limit := d.backend.requests(); return float64(limit) })
