--- a/recvlimit/pool.go
+++ b/recvlimit/pool.go
@@ -41,8 +41,13 @@
 // returned has been collected. It must be set before the pool is used.
 func (p *Pool) BeforeLarge(f func(bytes int)) { p.beforeLarge = f }
 
-// Limit returns the limit in bytes.
-func (p *Pool) Limit() int { return p.limit }
+// Limit returns the limit in bytes, 0 if there is none.
+func (p *Pool) Limit() int {
+	if p == nil {
+		return 0
+	}
+	return p.limit
+}
 
 // Open registers a message that is being received. evict is called at most once, on any
 // goroutine, if the message is evicted to free memory; it must not block. A nil evict
--- a/transport/memory_test.go
+++ b/transport/memory_test.go
@@ -114,3 +114,29 @@
 	}
 	eventually(t, "six are refused", func() bool { return s.Counters().RefusedConns.Load() == 6 })
 }
+
+// Memory for a response that is expected to be large is taken before the request is sent, so
+// that a request that was run does not lose its response for want of it.
+func TestMemoryForResponsesIsTakenInAdvance(t *testing.T) {
+	h := new(keeping)
+	_, addr := startHandler(t, h, nil)
+	memory := recvlimit.NewPool(1 << 20)
+	p := newTestPool(t, func(c *Config) { c.Memory = memory })
+	var resp, second wire.Response
+	request := wire.Request{Body: make([]byte, 500<<10), BodyKept: true, ResponseBytes: 500 << 10}
+	if _, err := p.Do(ctxFor(t, 5*time.Second), addr, &request, &resp); err != nil {
+		t.Fatal(err)
+	}
+	var noRoom *recvlimit.BudgetError
+	if sent, err := p.Do(ctxFor(t, 5*time.Second), addr, &request, &second); !errors.As(err, &noRoom) || sent {
+		t.Errorf("sent %v, error %v", sent, err)
+	}
+	resp.Release()
+	if _, err := p.Do(ctxFor(t, 5*time.Second), addr, &request, &second); err != nil {
+		t.Error(err)
+	}
+	second.Release()
+	if held := memory.Held(); held > 2*connCost+64<<10 {
+		t.Errorf("%d bytes stay held", held)
+	}
+}
