--- a/hedge/policy_test.go
+++ b/hedge/policy_test.go
@@ -98,6 +98,17 @@
 	}
 }
 
+// Guards against copies that take capacity from other requests while nearly all slots are in use.
+func TestNearlyFullFleet(t *testing.T) {
+	without, with := replayLoad(2.85*simRate, func(int, time.Duration) float64 { return 1 })
+	t.Logf("without %+v", without)
+	t.Logf("with    %+v", with)
+	checkLimit(t, with)
+	if with.p99 > without.p99*11/10 || with.unanswered > without.unanswered+without.requests/1000 {
+		t.Errorf("p99 is %v with copies and %v without; %d and %d are unanswered", with.p99, without.p99, with.unanswered, without.unanswered)
+	}
+}
+
 // Guards against requests that stay unanswered although another target could answer them. One
 // of forty targets begins to lose every response after 20 s.
 func TestTargetThatLosesResponses(t *testing.T) {
