--- a/cmd/parsley-sidecar/main.go
+++ b/cmd/parsley-sidecar/main.go
@@ -29,10 +29,11 @@
 const logFlushTimeout = 200 * time.Millisecond
 
 type args struct {
-	Settings string `arg:"--settings,env:PARSLEYSTACK_SETTINGS" placeholder:"FILE" help:"settings file that the platform writes"`
-	Check    bool   `arg:"--check" help:"check the settings file and exit"`
-	Announce string `arg:"--announce" placeholder:"IP:PORT" help:"address at which other daemons reach this one, if not the first port of the settings"`
-	LogLevel string `arg:"--log-level" default:"info" help:"debug, info, warn or error; debug adds a line for each request"`
+	Settings   string  `arg:"--settings,env:PARSLEYSTACK_SETTINGS" placeholder:"FILE" help:"settings file that the platform writes"`
+	Check      bool    `arg:"--check" help:"check the settings file and exit"`
+	Announce   string  `arg:"--announce" placeholder:"IP:PORT" help:"address at which other daemons reach this one, if not the first port of the settings"`
+	HedgeShare float64 `arg:"--hedge-share,env:PARSLEYSTACK_HEDGE_SHARE" default:"0" placeholder:"SHARE" help:"largest share of requests, from 0 to 1, that are sent to a second target when the first one is slow; 0 turns this off"`
+	LogLevel   string  `arg:"--log-level" default:"info" help:"debug, info, warn or error; debug adds a line for each request"`
 }
 
 // Description is shown by --help.
@@ -55,6 +56,9 @@
 		return err
 	}
 	s.AnnounceAddr = a.Announce
+	if s.HedgeShare, err = platform.CheckHedgeShare(a.HedgeShare); err != nil {
+		return fmt.Errorf("--hedge-share: %w", err)
+	}
 	level, err := zapcore.ParseLevel(a.LogLevel)
 	if err != nil {
 		return fmt.Errorf("--log-level: %w; use debug, info, warn or error", err)
--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -73,6 +73,10 @@
 	RequestResent   = define(7505, "request resent", info, "A request is sent to another target after the first one did not answer.", "")
 	AttemptRefused  = define(7506, "attempt refused", routine, "A daemon or its target refused a request without running it.", "")
 	RequestRejected = define(7508, "request rejected", info, "A request was answered with a 4xx status of the daemon's own, which callers never retry.", "If the request was well formed, compare config (in force here) with newest_config, and look for events 7201 and 7202.")
+	CopySent        = define(7511, "second copy sent", info, "A request has waited for much longer than others of its route; it is sent to another target as well.", "")
+	CopyAnswered    = define(7512, "second copy answered first", info, "The second copy of a request was answered first; the first copy is canceled.", "")
+	CopyCanceled    = define(7513, "second copy canceled", routine, "The first copy of a request was answered, or the request has ended; the second copy is canceled.", "")
+	CopyRefused     = define(7514, "second copy refused", routine, "A request that has waited for long gets no second copy; the reason is in the line. The metric parsley_hedges_total counts by result.", "")
 	TargetFailed    = define(7507, "target failed", info, "A target returned no complete response.", "")
 
 	MessageTooLarge = define(7601, "message too large", warning, "A message from the named source exceeded its size limit or the memory budget of its source; its connection was closed.", "Check why the source sends so much; the metric parsley_messages_too_large_total counts by source.")
--- a/resend/policy.go
+++ b/resend/policy.go
@@ -123,6 +123,26 @@
 	return Action{Kind: SendToAnother, Resend: r.reached > 0}
 }
 
+// TargetsLeft returns to how many targets the request may still be sent. It is 0 for a request
+// that has been placed too often.
+func (r *Request) TargetsLeft() int {
+	return max(min(r.Constraints.MaxAttempts-(r.reached-r.crashed), maxPlacements-r.placements), 0)
+}
+
+// NextOfTwo returns the next action after two attempts that were in progress at the same time
+// and ended without a response. If either alone would end the request, it ends.
+func (r *Request) NextOfTwo(a, b Attempt, now clock.Time) Action {
+	if b.Result.Kind == outcome.Unknown { // it decides what may be said about a refusal of the other one
+		a, b = b, a
+	}
+	first := r.Next(a, now)
+	second := r.Next(b, now)
+	if first.Kind == Finish && (second.Kind != Finish || first.Result.Kind == outcome.Unknown) {
+		return first
+	}
+	return second
+}
+
 // afterUnknown returns the next action after an attempt with an unknown outcome.
 // Only an idempotent request is sent again, because the target may have run it, and
 // none under which targets have crashed repeatedly. A target that has crashed does not
--- a/resend/policy_test.go
+++ b/resend/policy_test.go
@@ -193,3 +193,47 @@
 		}
 	}
 }
+
+// Guards against an action after two copies of a request that either of them alone forbids, and
+// against a refusal that says "not run" although the other copy may have run.
+func TestNextOfTwo(t *testing.T) {
+	unknown := func(reason outcome.Reason) Attempt {
+		return Attempt{Result: outcome.Result{Kind: outcome.Unknown, Reason: reason}, Reached: true}
+	}
+	for name, tc := range map[string]struct {
+		a, b Attempt
+		want ActionKind
+		kind outcome.Kind
+	}{
+		"two refusals of daemons":    {refused(outcome.Overloaded), refused(outcome.Overloaded), SendToAnother, 0},
+		"two lost responses":         {connectionLost, connectionLost, Finish, outcome.Unknown},
+		"lost and refused":           {connectionLost, refused(outcome.Overloaded), SendToAnother, 0},
+		"deadline and refused":       {refused(outcome.Overloaded), unknown(outcome.DeadlineExceeded), Finish, outcome.Unknown},
+		"crash on trial and refused": {unknown(outcome.CrashSuspect), refused(outcome.Overloaded), Finish, outcome.Unknown},
+		"quarantined and refused":    {refused(outcome.Quarantined), refused(outcome.Overloaded), Finish, outcome.NotRun},
+		"quarantined and lost":       {refused(outcome.Quarantined), connectionLost, Finish, outcome.Unknown},
+	} {
+		for _, order := range [][2]Attempt{{tc.a, tc.b}, {tc.b, tc.a}} {
+			got := request(false, true).NextOfTwo(order[0], order[1], start)
+			if got.Kind != tc.want || got.Result.Kind != tc.kind {
+				t.Errorf("%s: %+v", name, got)
+			}
+		}
+	}
+}
+
+// Guards against a second copy beyond MaxAttempts.
+func TestTargetsLeft(t *testing.T) {
+	r := request(false, true)
+	if left := r.TargetsLeft(); left != 2 {
+		t.Errorf("%d targets are left at first", left)
+	}
+	r.Next(connectionLost, start)
+	if left := r.TargetsLeft(); left != 1 {
+		t.Errorf("%d targets are left after one", left)
+	}
+	r.Next(connectionLost, start)
+	if left := r.TargetsLeft(); left != 0 {
+		t.Errorf("%d targets are left after two", left)
+	}
+}
--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -62,6 +62,7 @@
 	print           quarantine.Fingerprint // valid if there is evidence
 	evidence        quarantine.Evidence    // against the request, at the last attempt
 	callerHeaders   int                    // length of req.Headers without fields of this daemon's own
+	spareOnly       bool                   // only targets with free slots are chosen
 }
 
 func newCallerRequest(in *ingress, ctx *fasthttp.RequestCtx) *callerRequest {
@@ -180,6 +181,7 @@
 	defer timer.Stop()
 	defer f.cancel(nil)
 	f.ingress.countFirstSend(f.service.Name)
+	f.ingress.hedges.countRequest()
 	action := f.attempt()
 	for action.Kind != resend.Finish {
 		action = f.resendOrFinish(action)
@@ -237,13 +239,29 @@
 	}
 	f.lastTarget = t
 	f.tried = append(f.tried, t)
+	f.resp.Release()
+	f.resp.Reset()
+	deadline := f.setTimes()
+	if f.ingress.hedges != nil {
+		return f.attemptWithCopy(t, deadline)
+	}
+	a := f.send(t)
+	f.recordAttempt(t, &a, deadline)
+	return f.resends.Next(a, clock.Now())
+}
+
+// setTimes sets the times of the request that count from now on, and returns its deadline.
+func (f *callerRequest) setTimes() clock.Time {
 	now := clock.Now()
 	deadline := f.ingress.d.stopping.Load().limit(f.deadline)
 	f.req.Timeout = deadline.Sub(now)
 	f.req.Objective = f.arrived.Add(f.route.Objective).Sub(now)
-	f.resp.Release()
-	f.resp.Reset()
-	a := f.send(t)
+	return deadline
+}
+
+// recordAttempt logs an attempt without a response, and sets when its caller may retry if this
+// daemon stops before the request's own deadline.
+func (f *callerRequest) recordAttempt(t *targetView, a *resend.Attempt, deadline clock.Time) {
 	if a.Result.Kind == outcome.NotRun && deadline != f.deadline {
 		a.Result.RetryAfter = retryStopping // another daemon can wait for longer
 	}
@@ -251,7 +269,6 @@
 		logevent.Log(f.ingress.d.log, logevent.AttemptRefused, zap.String("request", f.headers.RequestID), zap.String("daemon", string(t.instance)),
 			zap.Stringer("outcome", a.Result.Kind), zap.Stringer("reason", a.Result.Reason), zap.Bool("reached", a.Reached))
 	}
-	return f.resends.Next(a, clock.Now())
 }
 
 // findEvidence looks up the evidence against the request.
--- a/sidecar/caller_request_target.go
+++ b/sidecar/caller_request_target.go
@@ -55,7 +55,7 @@
 			InFlight: int(t.load.inFlight.Load()), Limit: int(t.load.limit.Load()),
 			LatencyRatio: float64(t.load.latencyRatio.Load()) / ratioScale, FailureRatio: float64(t.load.failureRatio.Load()) / ratioScale,
 			SameZone: t.zone == f.ingress.d.settings().Zone, SameInstance: t.local, Suspected: t.suspected,
-			Excluded: !t.ready || f.hasTried(t) || t.load.statesLeaving(t.target),
+			Excluded: !t.ready || f.hasTried(t) || t.load.statesLeaving(t.target) || f.spareOnly && !t.spare(),
 		})
 	}
 	if i := placement.Choose(candidates, placement.Request{LargeResponse: f.route.LargeResponses}, random); i >= 0 {
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -136,7 +136,7 @@
 	s.Instance, s.IP, s.Zone = old.Instance, old.IP, old.Zone
 	s.CallerAddr, s.ReadyAddr, s.ControlAddr = old.CallerAddr, old.ReadyAddr, old.ControlAddr
 	s.LinkAddr, s.AnnounceAddr, s.MetricsAddr = old.LinkAddr, old.AnnounceAddr, old.MetricsAddr
-	s.TargetAddr, s.Store.Addr = old.TargetAddr, old.Store.Addr
+	s.TargetAddr, s.Store.Addr, s.HedgeShare = old.TargetAddr, old.Store.Addr, old.HedgeShare
 	if *s == *old {
 		return
 	}
--- /dev/null
+++ b/sidecar/hedge_test.go
@@ -0,0 +1,292 @@
+package sidecar
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/parsleystack/parsleystack/platform/platformtest"
+)
+
+const (
+	// usualTime is how long quick targets take, and slowTime how long slow ones do.
+	usualTime = 20 * time.Millisecond
+	slowTime  = 900 * time.Millisecond
+	// quickRequests is the number of requests that are served before a target becomes slow.
+	quickRequests = 60
+	// observed is the number of response times that an entry knows by then, enough for a delay
+	// and as many copies as an entry saves.
+	observed = 1000
+)
+
+// deployHedged starts an entry without a target of plainService, one with a target of it in the
+// same zone, and one with a target elsewhere, which is chosen last. At most share of the
+// requests get a second copy, after about 25 ms.
+func deployHedged(t *testing.T, share float64, route platformtest.Route) *deployment {
+	t.Helper()
+	d := deployWith(t, func(n *testNode) {
+		n.settings.HedgeShare = share
+		n.target.ProcessingTime = usualTime
+		if n.settings.Instance == "node-2" {
+			n.settings.Zone, n.target.Zone = "far", "far"
+		}
+	}, keyedService, plainService, plainService)
+	d.configureRoutes(route)
+	for _, n := range d.nodes {
+		n.awaitUnkeyedServing(t)
+		eventually(t, "the route is served", func() bool {
+			return n.call(http.MethodGet, route.Prefix+"a", newID(), platformtest.NoKey).Status == http.StatusOK
+		})
+		n.awaitPeers(t, 2)
+		n.observeQuick()
+	}
+	for range quickRequests { // the targets' response times must be known before one becomes slow
+		d.nodes[1].call(http.MethodGet, route.Prefix+"a", newID(), platformtest.NoKey)
+	}
+	return d
+}
+
+// slow makes the target of the node slow.
+func (n *testNode) slow(t *testing.T) {
+	t.Helper()
+	if err := n.target.Behave(platformtest.Behavior{Delay: slowTime}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// observeQuick lets the daemon observe quick responses on all of its routes.
+func (n *testNode) observeQuick() {
+	h := n.daemon.ingress.hedges
+	if h == nil {
+		return
+	}
+	for _, name := range n.routeNames() {
+		for range observed {
+			h.countRequest()
+			h.observe(name, usualTime)
+		}
+	}
+}
+
+// routeNames returns the names of the routes in force.
+func (n *testNode) routeNames() []string {
+	var names []string
+	for _, uri := range []string{"/list/a", "/change/a"} {
+		if r, ok := n.daemon.control.view.Load().routes.Lookup(host, uri); ok {
+			names = append(names, r.Name)
+		}
+	}
+	return names
+}
+
+// count returns a counter of the daemon.
+func (n *testNode) count(name string) uint64 {
+	return n.daemon.metrics.set.GetOrCreateCounter(name).Get()
+}
+
+var listRoute = platformtest.Route{Prefix: "/list/", Idempotent: true, Service: plainService}
+
+// Guards against requests that wait for a slow target while another one is free, and against
+// copies that go on at their target after the other one was answered.
+func TestSecondCopyIsAnsweredFirst(t *testing.T) {
+	t.Parallel()
+	d := deployHedged(t, 1, listRoute)
+	entry, slow := d.nodes[0], d.nodes[1]
+	slow.slow(t)
+	won := entry.count(metricHedgeWon)
+	eventually(t, "a second copy was answered first", func() bool {
+		id, began := newID(), time.Now()
+		a := entry.call(http.MethodGet, "/list/a", id, platformtest.NoKey)
+		took := time.Since(began)
+		if a.Status != http.StatusOK || !strings.Contains(a.Body, id) {
+			t.Fatalf("%s: status %d, body %q", id, a.Status, a.Body)
+		}
+		if entry.count(metricHedgeWon) == won {
+			return false
+		}
+		if took >= slowTime {
+			t.Errorf("the response took %v", took)
+		}
+		return true
+	})
+	answered := time.Now()
+	eventually(t, "the first copy has ended", func() bool {
+		running, waiting, _ := slow.daemon.backend.requests()
+		return running+waiting == 0
+	})
+	if took := time.Since(answered); took > cancellationBound {
+		t.Errorf("the first copy was in progress for %v after the response", took)
+	}
+	if slow.count(metricCanceledSent) == 0 {
+		t.Error("no request was canceled at the slow target")
+	}
+}
+
+// Guards against a first copy at the daemon's own target that keeps the response of the second
+// one back, and against the reverse: a second copy at the own target that goes on.
+func TestSecondCopyOfRequestAtOwnTarget(t *testing.T) {
+	t.Parallel()
+	d := deployHedged(t, 1, listRoute)
+	d.nodes[1].slow(t)
+	for _, entry := range d.nodes[1:] {
+		won := entry.count(metricHedgeWon)
+		for range 20 {
+			id := newID()
+			if a := entry.call(http.MethodGet, "/list/a", id, platformtest.NoKey); a.Status != http.StatusOK || !strings.Contains(a.Body, id) {
+				t.Fatalf("%s: status %d, body %q", id, a.Status, a.Body)
+			}
+		}
+		if entry == d.nodes[1] && entry.count(metricHedgeWon) == won {
+			t.Error("no second copy was answered first beside the slow target")
+		}
+	}
+	for _, n := range d.nodes {
+		eventually(t, "no request is in progress", func() bool {
+			running, waiting, _ := n.daemon.backend.requests()
+			return running+waiting == 0
+		})
+	}
+}
+
+// Guards against a second copy of a request that must not have one: not idempotent, keyed, or
+// without a share.
+func TestRequestsWithoutSecondCopy(t *testing.T) {
+	t.Parallel()
+	d := deployHedged(t, 1, platformtest.Route{Prefix: "/change/", Service: plainService})
+	entry := d.nodes[0]
+	d.awaitServing()
+	d.nodes[1].slow(t)
+	sent := entry.count(metricHedgeSent)
+	for range 10 {
+		ids := []string{newID(), newID()}
+		if a := entry.call(http.MethodPost, "/change/a", ids[0], platformtest.NoKey); a.Status != http.StatusOK {
+			t.Errorf("status %d", a.Status)
+		}
+		if a := entry.call(http.MethodGet, "/view/a", ids[1], 7); a.Status != http.StatusOK {
+			t.Errorf("status %d", a.Status)
+		}
+		if run := d.countRun(ids); run != len(ids) {
+			t.Errorf("%d runs of %d requests", run, len(ids))
+		}
+	}
+	if n := entry.count(metricHedgeSent) - sent; n > 0 {
+		t.Errorf("%d copies were sent", n)
+	}
+}
+
+// Guards against second copies that are not turned on.
+func TestNoSecondCopyByDefault(t *testing.T) {
+	t.Parallel()
+	d := deployHedged(t, 0, listRoute)
+	entry := d.nodes[0]
+	if entry.daemon.ingress.hedges != nil {
+		t.Fatal("second copies are decided on")
+	}
+	d.nodes[1].slow(t)
+	id := newID()
+	if a := entry.call(http.MethodGet, "/list/a", id, platformtest.NoKey); a.Status != http.StatusOK || d.countRun([]string{id}) != 1 {
+		t.Errorf("status %d, %d runs", a.Status, d.countRun([]string{id}))
+	}
+	if strings.Contains(entry.metrics(t), "parsley_hedges_total") {
+		t.Error("the metrics have second copies")
+	}
+}
+
+// Guards against a caller that leaves while both copies are in progress: both must be canceled.
+func TestBothCopiesEndWithTheirCaller(t *testing.T) {
+	t.Parallel()
+	d := deployHedged(t, 1, listRoute)
+	entry := d.nodes[0]
+	for _, n := range d.nodes[1:] {
+		n.holdTarget()
+	}
+	conn, err := net.Dial("tcp", entry.settings.CallerAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	sent := entry.count(metricHedgeSent)
+	if _, err := conn.Write([]byte(head(http.MethodGet, "/list/a", ""))); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "a second copy was sent", func() bool { return entry.count(metricHedgeSent) > sent })
+	left := time.Now()
+	_ = conn.Close()
+	eventually(t, "no copy is in progress", func() bool {
+		total := entry.daemon.ingress.inFlight()
+		for _, n := range d.nodes[1:] {
+			running, waiting, _ := n.daemon.backend.requests()
+			total += running + waiting
+		}
+		return total == 0
+	})
+	if took := time.Since(left); took > cancellationBound {
+		t.Errorf("the copies were in progress for %v after their caller left", took)
+	}
+	for _, n := range d.nodes[1:] {
+		n.resumeTarget()
+	}
+	if a := entry.call(http.MethodGet, "/list/a", newID(), platformtest.NoKey); a.Status != http.StatusOK {
+		t.Errorf("status %d afterwards", a.Status)
+	}
+}
+
+// holdTarget keeps requests in the queue before the target.
+func (n *testNode) holdTarget() { n.daemon.backend.holdQueue() }
+
+func (n *testNode) resumeTarget() { n.daemon.backend.resumeQueue() }
+
+// Guards against responses that reach another caller, or memory of a request that is used after
+// its response: many requests with bodies at the same time, of which about half get a copy.
+// The race detector finds state that the copies share.
+func TestConcurrentSecondCopies(t *testing.T) {
+	t.Parallel()
+	d := deployHedged(t, 1, listRoute)
+	d.nodes[1].slow(t)
+	var wg sync.WaitGroup
+	for i := range 8 {
+		entry := d.nodes[i%len(d.nodes)]
+		wg.Go(func() {
+			for range 15 {
+				id := newID()
+				a := entry.call(http.MethodGet, fmt.Sprintf("/list/%s", id), id, platformtest.NoKey)
+				if a.Status == http.StatusOK && !strings.Contains(a.Body, id) {
+					t.Errorf("%s: body %q", id, a.Body)
+				}
+				if a.Status != http.StatusOK && a.Status != http.StatusServiceUnavailable {
+					t.Errorf("%s: status %d", id, a.Status)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	sent, decided := uint64(0), uint64(0)
+	for _, n := range d.nodes {
+		sent += n.count(metricHedgeSent)
+		decided += n.count(metricHedgeWon) + n.count(metricHedgeCanceled) + n.count(metricHedgeFailed)
+	}
+	if sent == 0 || sent != decided {
+		t.Errorf("%d copies were sent, and %d were answered first, canceled or failed", sent, decided)
+	}
+}
+
+// Guards against copies beyond the operators' limit.
+func TestLimitOfSecondCopies(t *testing.T) {
+	t.Parallel()
+	d := deployHedged(t, 0.01, listRoute)
+	entry := d.nodes[0]
+	const requests = 40
+	d.nodes[1].slow(t)
+	sent := entry.count(metricHedgeSent)
+	for range requests {
+		if a := entry.call(http.MethodGet, "/list/a", newID(), platformtest.NoKey); a.Status != http.StatusOK {
+			t.Errorf("status %d", a.Status)
+		}
+	}
+	if n := entry.count(metricHedgeSent) - sent; n > 6 { // five that were saved, and one by these requests
+		t.Errorf("%d copies of %d requests", n, requests)
+	}
+}
--- a/sidecar/ingress.go
+++ b/sidecar/ingress.go
@@ -38,6 +38,7 @@
 	errCallerDisconnected = errors.New("the caller closed the connection")
 	errTimeout            = errors.New("the request's deadline has passed")
 	errStopping           = errors.New("the grace time of the stopping daemon has passed")
+	errAnsweredElsewhere  = errors.New("another copy of the request was answered")
 )
 
 // ingress is the HTTP server for callers and for calls of the local target.
@@ -49,6 +50,7 @@
 	active     map[*callerRequest]struct{}
 	budgets    map[ident.Service]*resend.Budget
 	closeConns atomic.Bool // connections are closed after their next response
+	hedges     *hedges     // nil if no request gets a second copy
 	// refusing is set once new requests are refused and requests no longer wait for
 	// an owner. The schedule of a stop may say so before; see refuses.
 	refusing atomic.Bool
@@ -56,6 +58,9 @@
 
 func newIngress(d *Daemon) *ingress {
 	in := &ingress{d: d, active: make(map[*callerRequest]struct{}), budgets: make(map[ident.Service]*resend.Budget)}
+	if share := d.settings().HedgeShare; share > 0 {
+		in.hedges = newHedges(share)
+	}
 	in.server = &fasthttp.Server{
 		Handler:                       in.handle,
 		ErrorHandler:                  in.handleReadError,
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/hedge"
 	"github.com/parsleystack/parsleystack/metastore"
 	"github.com/parsleystack/parsleystack/outcome"
 	"github.com/parsleystack/parsleystack/recvlimit"
@@ -52,6 +53,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`parsley_callers_left_total{sent="%t"}`, sent)).Inc()
 }
 
+// countHedgeRefused counts a request that got no second copy after its delay.
+func (m *metricSet) countHedgeRefused(r hedge.Refusal) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("parsley_hedges_total{result=%q}", "refused_"+r.String())).Inc()
+}
+
 // countRejection counts a response with a 4xx status of the daemon's own.
 func (m *metricSet) countRejection(status int, reason outcome.Reason) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`parsley_requests_rejected_total{status="%d",reason=%q}`, status, reason)).Inc()
@@ -68,7 +74,13 @@
 const (
 	metricResent       = "parsley_requests_resent_total"
 	metricBudgetDenied = "parsley_resend_budget_denied_total"
-	metricTargetFailed = "parsley_target_failures_total"
+	// metricHedges are second copies that were sent, and what became of them: they were
+	// answered first, were canceled since the first one was, or ended without a response.
+	metricHedgeSent     = `parsley_hedges_total{result="sent"}`
+	metricHedgeWon      = `parsley_hedges_total{result="won"}`
+	metricHedgeCanceled = `parsley_hedges_total{result="canceled"}`
+	metricHedgeFailed   = `parsley_hedges_total{result="failed"}`
+	metricTargetFailed  = "parsley_target_failures_total"
 	// metricTargetCrashes counts crashes of the target while requests were in progress.
 	metricTargetCrashes = "parsley_target_crashes_total"
 	// metricAcceptErrors counts connections that could not be accepted.
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -5,6 +5,7 @@
 
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/fleet"
+	"github.com/parsleystack/parsleystack/hedge"
 	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/ownertable"
 	"github.com/parsleystack/parsleystack/routetable"
@@ -106,6 +107,11 @@
 	return s != nil && s.target == t && s.leavingSince != clock.Never
 }
 
+// spare reports whether the target has free slots for the second copy of a request.
+func (t *targetView) spare() bool {
+	return !t.suspected && hedge.Spare(int(t.load.inFlight.Load()), int(t.load.limit.Load()))
+}
+
 // owner returns the target that owns a key, or nil if it is not known or was
 // replaced.
 func (s *serviceView) owner(key uint32) *targetView {
