parsley check: contradictions in a configuration, and differences from the one in force

The test of the rows of a bad configuration compares the whole output now, since the configuration lacks limits, priorities and other columns that are reported.

--- a/cli/args.go
+++ b/cli/args.go
@@ -70,6 +70,8 @@
 	Paths         []string `arg:"positional" placeholder:"PATH" help:"service files, or directories that hold them"`
 	Dir           string   `arg:"--daemons,env:PARSLEY_DAEMONS" placeholder:"DIR" help:"also check the daemons' settings files in this directory"`
 	Configuration string   `arg:"--configuration" placeholder:"FILE" help:"check a configuration of the platform's operator (JSON)"`
+	Against       string   `arg:"--against" placeholder:"FILE" help:"also show what the configuration changes against the one in force (JSON)"`
+	Targets       []string `arg:"--targets,separate" placeholder:"SERVICE=NUMBER" help:"number of targets of a service, which maxAttempts must not exceed; may be repeated"`
 }
 
 // PlanArgs holds the arguments of plan.
--- a/cli/check.go
+++ b/cli/check.go
@@ -20,6 +20,13 @@
 	if len(a.Paths) == 0 && a.Configuration == "" {
 		return ExitUsage, errors.New("nothing to check: name a PATH or --configuration FILE")
 	}
+	if a.Configuration == "" && (a.Against != "" || len(a.Targets) > 0) {
+		return ExitUsage, errors.New("--against and --targets need --configuration FILE")
+	}
+	targets, err := targetCounts(a.Targets)
+	if err != nil {
+		return ExitUsage, err
+	}
 	out := checkOutput{Faults: []*yamlfile.FieldError{}}
 	if err := out.checkServices(a.Paths); err != nil {
 		return ExitFailure, err
@@ -34,8 +41,7 @@
 		}
 	}
 	if a.Configuration != "" {
-		var err error
-		if out.Configuration, err = checkConfiguration(a.Configuration); err != nil {
+		if out.Configuration, err = checkConfiguration(a, targets); err != nil {
 			return ExitFailure, err
 		}
 	}
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -219,9 +219,40 @@
 func TestCheckOfConfigurationNamesItsRows(t *testing.T) {
 	d := newDeployment(t)
 	code, out := d.run("check --configuration testdata/bad-configuration.json")
-	for _, want := range []string{"warning: configuration: route a has the unknown kind", "route b lacks", "version 7: 1 routes and 1 services, 1 faults, 1 warnings"} {
-		if code != ExitBadFiles || !strings.Contains(out, want) {
-			t.Errorf("exit code %d, want %d and %q\n%s", code, ExitBadFiles, want, out)
+	if code != ExitBadFiles {
+		t.Errorf("exit code %d, want %d", code, ExitBadFiles)
+	}
+	compare(t, "testdata/check-configuration.txt", out)
+}
+
+// An operator learns what a configuration changes before writing it, and that a version which
+// does not rise has no effect.
+func TestCheckAgainstTheVersionInForce(t *testing.T) {
+	d := newDeployment(t)
+	const next, inForce = "../docs/operations/configuration.json", "../docs/operations/configuration-in-force.json"
+	code, out := d.run("check --configuration " + next + " --against " + inForce)
+	if code != ExitOK {
+		t.Errorf("exit code %d", code)
+	}
+	compare(t, "testdata/check-against.txt", out)
+	for line, want := range map[string]struct {
+		code int
+		text string
+	}{
+		"--configuration " + inForce + " --against " + next:            {ExitBadFiles, "version: 11 is not above the version in force (12)"},
+		"--configuration " + next + " --against " + next:               {ExitBadFiles, "changes from version 12: 0"},
+		"--configuration " + next + " --against cli_test.go":           {ExitBadFiles, "version in force: configuration: body:"},
+		"--configuration " + next + " --against /nonexistent":          {ExitFailure, "name an existing file"},
+		"--configuration " + next + " --targets printdesk=1":           {ExitBadFiles, "route order: maxAttempts: 2 is above the number of targets of service printdesk (1)"},
+		"--configuration " + next + " --targets printdesk":             {ExitUsage, "SERVICE=NUMBER"},
+		"--configuration " + next + " --targets printdesk=0":           {ExitUsage, "SERVICE=NUMBER"},
+		"--against " + next + " " + sampleServices:                     {ExitUsage, "--configuration"},
+		"--configuration cli_test.go --against " + inForce:             {ExitBadFiles, "configuration: body:"},
+		"--json --configuration " + next + " --against " + inForce:     {ExitOK, `"kind": "removed"`},
+		"--json --configuration " + inForce + " --targets catalogue=1": {ExitBadFiles, `"faults": [`},
+	} {
+		if code, out := d.run("check " + line); code != want.code || !strings.Contains(out, want.text) {
+			t.Errorf("check %s: exit code %d, want %d and %q\n%s", line, code, want.code, want.text, out)
 		}
 	}
 }
--- a/cli/help.go
+++ b/cli/help.go
@@ -8,6 +8,7 @@
 		"parsley check deploy/perizia/services",
 		"parsley check deploy/perizia/services --daemons deploy/perizia/daemons",
 		"parsley check --configuration docs/operations/configuration.json",
+		"parsley check --configuration docs/operations/configuration.json --against docs/operations/configuration-in-force.json --targets printdesk=6",
 	},
 	"plan": {
 		"parsley plan --log 127.0.0.1:21900 deploy/perizia/services",
