--- a/hedge/policy_test.go
+++ b/hedge/policy_test.go
@@ -22,10 +22,10 @@
 // a time, 0 if its responses are lost.
 func replayLoad(rate float64, slowdown func(target int, at time.Duration) float64) (without, with replayResult) {
 	run := func(share float64) replayResult {
-		r := &replay{now: clock.Time(time.Hour), rand: rand.New(rand.NewPCG(1, 2))}
+		r := &replay{now: clock.Time(time.Hour), rand: rand.New(rand.NewPCG(1, 2)), canceledCounts: true}
 		began := r.now
 		for i := range simTargets {
-			r.targets = append(r.targets, &simTarget{slots: simSlots, slowdown: func(at clock.Time) float64 { return slowdown(i, at.Sub(began)) }})
+			r.targets = append(r.targets, &simTarget{slots: simSlots, work: 1, slowdown: func(at clock.Time) float64 { return slowdown(i, at.Sub(began)) }})
 		}
 		for range simEntries {
 			var p *Policy
@@ -47,11 +47,12 @@
 	}
 }
 
-// Guards against a policy that leaves the slowest answers to a slow target. One of forty
-// targets takes ten times as long, which the choice of targets doesn't know.
+// Guards against a policy that leaves the slowest answers to a slow target. Each of forty targets
+// takes ten times as long for 0.4 s in every 20 s, which is over before the choice of targets
+// knows it.
 func TestSlowTargetAmongGoodOnes(t *testing.T) {
-	without, with := replayLoad(simRate, func(target int, _ time.Duration) float64 {
-		if target == 0 {
+	without, with := replayLoad(simRate, func(target int, at time.Duration) float64 {
+		if (at+time.Duration(target)*500*time.Millisecond)%(20*time.Second) < 400*time.Millisecond {
 			return 10
 		}
 		return 1
@@ -67,6 +68,24 @@
 	}
 }
 
+// Guards against copies that make the responses later where many targets are slow at a time:
+// each takes three times as long for a fifth of the time. The delay is then that of slow work,
+// so few copies are of use.
+func TestManySlowTargets(t *testing.T) {
+	without, with := replayLoad(simRate, func(target int, at time.Duration) float64 {
+		if (at+time.Duration(target)*310*time.Millisecond)%(2*time.Second) < 400*time.Millisecond {
+			return 3
+		}
+		return 1
+	})
+	t.Logf("without %+v", without)
+	t.Logf("with    %+v", with)
+	checkLimit(t, with)
+	if with.p99 > without.p99*21/20 {
+		t.Errorf("p99 is %v with copies and %v without", with.p99, without.p99)
+	}
+}
+
 // Guards against copies that add load to a fleet that is slow as a whole: they can't help, so
 // there must be few. All targets take four times as long from 20 s on.
 func TestSlowFleet(t *testing.T) {
--- a/hedge/replay_test.go
+++ b/hedge/replay_test.go
@@ -17,8 +17,11 @@
 	events  events
 	targets []*simTarget
 	entries []*Policy // nil elements send no copies
-	took    []time.Duration
-	result  replayResult
+	// canceledCounts is set if the daemons of the targets count the times of requests that were
+	// canceled after more than the usual time.
+	canceledCounts bool
+	took           []time.Duration
+	result         replayResult
 }
 
 type replayResult struct {
@@ -32,6 +35,7 @@
 	slots   int
 	running []*simCopy
 	waiting []*simCopy
+	work    float64 // mean time of requests as its daemon has measured it, in units of simWork
 	// slowdown multiplies the times of requests that start at a time; 0 means that the response
 	// is lost.
 	slowdown func(at clock.Time) float64
@@ -48,6 +52,7 @@
 type simCopy struct {
 	request *simRequest
 	target  *simTarget
+	started clock.Time // Never while it waits
 	ended   bool
 }
 
@@ -110,18 +115,23 @@
 	})
 }
 
-// choose returns the less loaded of two random targets other than one; with spare, only one
-// that has free slots.
+// choose returns the target of three random ones that is expected to respond first, without
+// one; with spare, only one that has free slots. Two of a hundred requests measure a target
+// whatever its time was, as in package placement.
 func (r *replay) choose(other *simTarget, spare bool) *simTarget {
+	probe := r.rand.Float64() < 0.02
 	var best *simTarget
-	for range 2 {
+	for range 3 {
 		t := r.targets[r.rand.IntN(len(r.targets))]
 		if t == other || spare && !Spare(t.inFlight(), t.slots) {
 			continue
 		}
-		if best == nil || t.inFlight() < best.inFlight() {
+		if best == nil || t.cost() < best.cost() {
 			best = t
 		}
+		if probe {
+			break
+		}
 	}
 	if best == nil && !spare {
 		return r.targets[r.rand.IntN(len(r.targets))]
@@ -131,6 +141,15 @@
 
 func (t *simTarget) inFlight() int { return len(t.running) + len(t.waiting) }
 
+func (t *simTarget) cost() float64 {
+	return max(t.work, 0.1) * (1 + 0.35*float64(t.inFlight())/float64(t.slots) + float64(max(t.inFlight()+1-t.slots, 0))/float64(t.slots))
+}
+
+// measure records the time of a request that has ended at the target.
+func (t *simTarget) measure(took time.Duration) {
+	t.work += 0.05 * (took.Seconds()/simWork.Seconds() - t.work)
+}
+
 func (r *replay) place(q *simRequest, t *simTarget) {
 	c := &simCopy{request: q, target: t}
 	q.copies = append(q.copies, c)
@@ -143,6 +162,7 @@
 		c := t.waiting[0]
 		t.waiting = t.waiting[1:]
 		t.running = append(t.running, c)
+		c.started = r.now
 		slowdown := t.slowdown(r.now)
 		if slowdown == 0 {
 			continue // it holds its slot until it is canceled
@@ -160,6 +180,8 @@
 	if len(q.copies) > 1 && c == q.copies[1] {
 		r.result.won++
 	}
+	c.target.measure(r.now.Sub(c.started))
+	c.started = clock.Never
 	r.finish(q, c == q.copies[len(q.copies)-1])
 }
 
@@ -183,6 +205,11 @@
 	}
 	for _, c := range q.copies {
 		c.ended = true
+		if c.started != clock.Never && r.canceledCounts {
+			if took := r.now.Sub(c.started); took.Seconds() > c.target.work*simWork.Seconds() {
+				c.target.measure(took)
+			}
+		}
 		same := func(x *simCopy) bool { return x == c }
 		c.target.running = slices.DeleteFunc(c.target.running, same)
 		c.target.waiting = slices.DeleteFunc(c.target.waiting, same)
--- a/sidecar/target_request.go
+++ b/sidecar/target_request.go
@@ -220,6 +220,9 @@
 			return workqueue.Canceled
 		}
 		r.b.d.metrics.count(metricCanceledSent)
+		if r.b.d.ingress.hedges != nil { // that another copy was answered first is likely
+			return workqueue.Replaced
+		}
 		return workqueue.Canceled
 	}
 	r.b.recordFailure(r.incarnation, r.req.RequestID, sent, err)
--- a/workqueue/estimator.go
+++ b/workqueue/estimator.go
@@ -191,6 +191,10 @@
 	switch completion {
 	case NotSent, Canceled:
 		return
+	case Replaced:
+		if !ok || took.Seconds() < mean {
+			return
+		}
 	case Shed, Failed:
 		e.failureRatio += targetWeight * (1 - e.failureRatio)
 		if completion == Shed || took.Seconds() < mean {
--- a/workqueue/item.go
+++ b/workqueue/item.go
@@ -94,4 +94,8 @@
 	NotSent Completion = 4
 	// Canceled means that the caller canceled the request while it ran.
 	Canceled Completion = 5
+	// Replaced is Canceled where slow requests get a second copy at another target. If it ran for
+	// longer than the mean time of its class, that time counts: otherwise a slow target whose
+	// requests are answered elsewhere would seem to be as quick as the others.
+	Replaced Completion = 6
 )
--- a/workqueue/queue_test.go
+++ b/workqueue/queue_test.go
@@ -214,3 +214,22 @@
 		t.Errorf("started %v after the hold, want 2", started)
 	}
 }
+
+// Guards against a slow target that seems to be quick, since second copies of its requests are
+// answered elsewhere, and against a quick one that seems slow, since they were canceled early.
+func TestReplacedRequestsCountIfTheyWereSlow(t *testing.T) {
+	for _, tc := range []struct {
+		completion Completion
+		took       time.Duration
+		counts     bool
+	}{{Replaced, time.Second, true}, {Replaced, 10 * time.Millisecond, false}, {Canceled, time.Second, false}} {
+		e := newEstimator()
+		item := Item{Class: "a", Objective: clock.Time(time.Second)}
+		e.observeEnd(&item, Answered, 100*time.Millisecond)
+		mean, ratio, failures := e.classes["a"], e.latencyRatio, e.failureRatio
+		e.observeEnd(&item, tc.completion, tc.took)
+		if counted := e.classes["a"] > mean && e.latencyRatio > ratio; counted != tc.counts || !counted && (e.classes["a"] != mean || e.latencyRatio != ratio) || e.failureRatio != failures {
+			t.Errorf("%v after %v: mean %v to %v, ratio %v to %v", tc.completion, tc.took, mean, e.classes["a"], ratio, e.latencyRatio)
+		}
+	}
+}
