--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -32,3 +32,23 @@
 		t.Errorf("%d commands found, want 3", commands)
 	}
 }
+
+// Guards against check commands of OPERATIONS.md that report faults or are misspelled.
+func TestOperationsCheckCommands(t *testing.T) {
+	commands := 0
+	for line := range strings.Lines(read(t, "OPERATIONS.md")) {
+		command, ok := strings.CutPrefix(line, "    parsley check ")
+		if !ok {
+			continue
+		}
+		commands++
+		argv := append([]string{"check"}, strings.Fields(strings.ReplaceAll(command, "docs/", ""))...)
+		var out, errs bytes.Buffer
+		if code := cli.Run(context.Background(), &cli.Env{Out: &out, Err: &errs}, argv); code != cli.ExitOK {
+			t.Errorf("%s: exit code %d: %s%s", line, code, out.String(), errs.String())
+		}
+	}
+	if commands != 2 {
+		t.Errorf("%d commands found, want 2", commands)
+	}
+}
