--- a/sidecar/caller_request_copy.go
+++ b/sidecar/caller_request_copy.go
@@ -50,6 +50,9 @@
 	f.tried = append(f.tried, c.second.lastTarget)
 	f.ingress.hedges.observeCopy(f.route.Name, copyFirst)
 	if copyFirst {
+		if !t.local { // its latency is not reported, so the value would stay
+			t.load.raiseLatency(clock.Now().Sub(started), f.route.Objective)
+		}
 		f.lastTarget = c.second.lastTarget
 		f.observeTime(b, started)
 		return f.resends.Next(*b, clock.Now())
--- a/sidecar/hedge_test.go
+++ b/sidecar/hedge_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/parsleystack/parsleystack/fleet"
 	"github.com/parsleystack/parsleystack/platform/platformtest"
 	"github.com/parsleystack/parsleystack/resend"
 )
@@ -346,3 +347,22 @@
 		t.Errorf("%d copies were refused for the budget", refused)
 	}
 }
+
+// Guards against an entry that goes on to choose a target which has just left a request
+// unanswered, and against one that takes a quicker time for a slower one.
+func TestRaiseLatencyUntilTheNextReport(t *testing.T) {
+	l := new(targetLoad)
+	l.report(&fleet.Load{LatencyRatio: 0.1})
+	for _, tc := range []struct {
+		took time.Duration
+		want uint64
+	}{{50 * time.Millisecond, 100}, {300 * time.Millisecond, 300}, {200 * time.Millisecond, 300}} {
+		if l.raiseLatency(tc.took, time.Second); l.latencyRatio.Load() != tc.want {
+			t.Errorf("after %v: %d, want %d", tc.took, l.latencyRatio.Load(), tc.want)
+		}
+	}
+	l.raiseLatency(time.Second, 0)
+	if l.report(&fleet.Load{LatencyRatio: 0.1}); l.latencyRatio.Load() != 100 {
+		t.Errorf("after a report: %d", l.latencyRatio.Load())
+	}
+}
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/fleet"
@@ -70,6 +71,17 @@
 	l.failureRatio.Store(uint64(load.FailureRatio * ratioScale))
 }
 
+// raiseLatency records that a request with an objective was not answered within a time. It holds
+// until the next report.
+func (l *targetLoad) raiseLatency(took, objective time.Duration) {
+	if objective <= 0 {
+		return
+	}
+	ratio := uint64(ratioScale * float64(took) / float64(objective))
+	for old := l.latencyRatio.Load(); ratio > old && !l.latencyRatio.CompareAndSwap(old, ratio); old = l.latencyRatio.Load() {
+	}
+}
+
 // observeStatement records what the target states in a response that is passed on to a
 // caller, or that it states nothing any more. A departure is final.
 func (l *targetLoad) observeStatement(headers []wire.Header, now clock.Time) {
