--- a/sidecar/hedge_test.go
+++ b/sidecar/hedge_test.go
@@ -9,9 +9,14 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
 	"github.com/parsleystack/parsleystack/fleet"
+	"github.com/parsleystack/parsleystack/outcome"
 	"github.com/parsleystack/parsleystack/platform/platformtest"
 	"github.com/parsleystack/parsleystack/resend"
+	"github.com/parsleystack/parsleystack/wire"
 )
 
 const (
@@ -366,3 +371,60 @@
 		t.Errorf("after a report: %d", l.latencyRatio.Load())
 	}
 }
+
+// Guards against a response of one copy that is taken although the other one has a better one,
+// and against one that is lost: a target's 5xx counts only if there is no other response.
+func TestWhichCopyHasTheResponse(t *testing.T) {
+	done := func(status int) (resend.Attempt, wire.Response) {
+		return resend.Attempt{Result: outcome.Result{Kind: outcome.Done}, Reached: true}, wire.Response{Kind: outcome.Done, Status: uint16(status)}
+	}
+	refused := func(int) (resend.Attempt, wire.Response) {
+		return resend.Attempt{Result: outcome.Result{Kind: outcome.NotRun, Reason: outcome.Overloaded}}, wire.Response{Kind: outcome.NotRun}
+	}
+	type result func(int) (resend.Attempt, wire.Response)
+	for name, tc := range map[string]struct {
+		first, second       result
+		firstCode, copyCode int
+		running             bool // the copy has not ended
+		copyFirst           bool
+		want                int // status of the response
+	}{
+		"both answered, the copy is late":       {done, done, 200, 200, true, false, 200},
+		"the first failed, the copy answered":   {refused, done, 0, 200, false, true, 200},
+		"the first has 500, the copy answered":  {done, done, 500, 200, false, true, 200},
+		"both have a 5xx":                       {done, done, 500, 503, false, false, 500},
+		"the first has 500, the copy failed":    {done, refused, 500, 0, false, false, 500},
+		"the first failed, the copy has 500":    {refused, done, 0, 500, false, true, 500},
+		"the first answered, the copy has 500":  {done, done, 404, 500, false, false, 404},
+		"the first answered, the copy failed":   {done, refused, 200, 0, false, false, 200},
+		"both failed":                           {refused, refused, 0, 0, false, false, 0},
+		"the first has 500, the copy goes on":   {done, done, 500, 200, true, true, 200},
+		"the first failed, the copy goes on":    {refused, done, 0, 200, true, true, 200},
+		"the first failed, the copy then fails": {refused, refused, 0, 0, true, false, 0},
+	} {
+		in := &ingress{d: &Daemon{metrics: newMetricSet(), log: zap.NewNop()}}
+		f := newCallerRequest(in, new(fasthttp.RequestCtx))
+		g := newCallerRequest(in, new(fasthttp.RequestCtx))
+		g.lastTarget = new(targetView)
+		c := &requestCopy{first: f, second: g, done: make(chan struct{})}
+		a, firstResponse := tc.first(tc.firstCode)
+		f.resp = firstResponse
+		end := func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.attempt, g.resp = tc.second(tc.copyCode)
+			c.ended = true
+			close(c.done)
+		}
+		switch {
+		case !tc.running:
+			end()
+		case !usable(&a, &f.resp):
+			time.AfterFunc(time.Millisecond, end)
+		}
+		b, copyFirst := c.conclude(&a)
+		if copyFirst != tc.copyFirst || int(f.resp.Status) != tc.want || (b == nil) != (tc.running && usable(&a, &f.resp) && !copyFirst) {
+			t.Errorf("%s: the copy's response is taken: %t, status %d, attempt %v", name, copyFirst, f.resp.Status, b)
+		}
+	}
+}
