--- a/sidecar/ingress.go
+++ b/sidecar/ingress.go
@@ -64,6 +64,7 @@
 	errCallerDisconnected = errors.New("the caller closed the connection")
 	errTimeout            = errors.New("the request's deadline has passed")
 	errStopping           = errors.New("the grace time of the stopping daemon has passed")
+	errAnsweredElsewhere  = errors.New("another copy of the request was answered")
 )
 
 // ingress is the HTTP server for callers and for calls of the local target.
@@ -76,6 +77,7 @@
 	mu      sync.Mutex
 	active  map[*callerRequest]struct{}
 	budgets map[ident.Service]*resend.Budget
+	hedges  *hedges // nil if no request gets a second copy
 	// refusing is set once new requests are refused and requests no longer wait for
 	// an owner. The schedule of a stop may say so before; see refuses.
 	refusing atomic.Bool
@@ -87,6 +89,9 @@
 		maxConns = min(maxConns, byFiles)
 	}
 	in := &ingress{d: d, active: make(map[*callerRequest]struct{}), budgets: make(map[ident.Service]*resend.Budget)}
+	if share := d.settings().HedgeShare; share > 0 {
+		in.hedges = newHedges(share)
+	}
 	in.server = callerhttp.NewServer(callerhttp.Config{
 		MaxConns:     maxConns,
 		FreshTime:    callerFreshTime,
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/hedge"
 	"github.com/parsleystack/parsleystack/metastore"
 	"github.com/parsleystack/parsleystack/outcome"
 	"github.com/parsleystack/parsleystack/recvlimit"
@@ -62,6 +63,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("parsley_canceled_requests_total{verdict=%q}", verdict)).Inc()
 }
 
+// countHedgeRefused counts a request that got no second copy after its delay.
+func (m *metricSet) countHedgeRefused(r hedge.Refusal) {
+	m.set.GetOrCreateCounter(fmt.Sprintf("parsley_hedges_total{result=%q}", "refused_"+r.String())).Inc()
+}
+
 // countRejection counts a response with a 4xx status of the daemon's own.
 func (m *metricSet) countRejection(status int, reason outcome.Reason) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`parsley_requests_rejected_total{status="%d",reason=%q}`, status, reason)).Inc()
@@ -83,7 +89,13 @@
 const (
 	metricResent       = "parsley_requests_resent_total"
 	metricBudgetDenied = "parsley_resend_budget_denied_total"
-	metricTargetFailed = "parsley_target_failures_total"
+	// metricHedges are second copies that were sent, and what became of them: they were
+	// answered first, were canceled since the first one was, or ended without a response.
+	metricHedgeSent     = `parsley_hedges_total{result="sent"}`
+	metricHedgeWon      = `parsley_hedges_total{result="won"}`
+	metricHedgeCanceled = `parsley_hedges_total{result="canceled"}`
+	metricHedgeFailed   = `parsley_hedges_total{result="failed"}`
+	metricTargetFailed  = "parsley_target_failures_total"
 	// metricRunCalls counts calls that runs at the local target have made.
 	metricRunCalls = "parsley_run_calls_total"
 	// metricStatusUnusable counts responses of the target whose status can't be used.
--- a/sidecar/view.go
+++ b/sidecar/view.go
@@ -2,9 +2,11 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/fleet"
+	"github.com/parsleystack/parsleystack/hedge"
 	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/outcome"
 	"github.com/parsleystack/parsleystack/ownertable"
@@ -96,6 +98,17 @@
 	l.failureRatio.Store(uint64(load.FailureRatio * ratioScale))
 }
 
+// raiseLatency records that a request with an objective was not answered within a time. It holds
+// until the next report.
+func (l *targetLoad) raiseLatency(took, objective time.Duration) {
+	if objective <= 0 {
+		return
+	}
+	ratio := uint64(ratioScale * float64(took) / float64(objective))
+	for old := l.latencyRatio.Load(); ratio > old && !l.latencyRatio.CompareAndSwap(old, ratio); old = l.latencyRatio.Load() {
+	}
+}
+
 // observeStatement records what the target states in a response that is passed on to a
 // caller, or that it states nothing any more. A departure is final.
 func (l *targetLoad) observeStatement(headers []wire.Header, now clock.Time) {
@@ -139,6 +152,11 @@
 	return t.evacuated && !now.Before(t.keysUntil)
 }
 
+// spare reports whether the target has free slots for the second copy of a request.
+func (t *targetView) spare() bool {
+	return !t.suspected && hedge.Spare(int(t.load.inFlight.Load()), int(t.load.limit.Load()))
+}
+
 // owner returns the target that owns a key, or nil if it is not known or was
 // replaced.
 func (s *serviceView) owner(key uint32) *targetView {
--- a/workqueue/estimator.go
+++ b/workqueue/estimator.go
@@ -196,6 +196,10 @@
 	switch completion {
 	case NotSent, Canceled:
 		return
+	case Replaced:
+		if !ok || took.Seconds() < mean {
+			return
+		}
 	case Shed, Failed:
 		e.failureRatio += targetWeight * (1 - e.failureRatio)
 		if completion == Shed || normal < mean {
