--- a/sidecar/caller_request.go
+++ b/sidecar/caller_request.go
@@ -342,7 +342,9 @@
 		a.Reached = true
 	}
 	if cause := context.Cause(f.ctx); cause != nil && a.Result.Kind != outcome.Done {
-		a.Result = f.abortedResult(cause, a.Result.Kind != outcome.NotRun)
+		refusal := a.Result
+		a.Result = f.abortedResult(cause, refusal.Kind != outcome.NotRun)
+		a.Result.RetryAfter = max(a.Result.RetryAfter, refusal.RetryAfter) // the target may have named it
 	}
 	return a
 }
--- a/sidecar/true_refusal_test.go
+++ b/sidecar/true_refusal_test.go
@@ -1,13 +1,17 @@
 package sidecar
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/parsleystack/parsleystack/outcome"
 	"github.com/parsleystack/parsleystack/platform/platformtest"
+	"github.com/parsleystack/parsleystack/resend"
+	"github.com/parsleystack/parsleystack/wire"
 )
 
 // latestAnswer is the time after its deadline within which a request must be answered.
@@ -135,3 +139,17 @@
 		t.Errorf("daemon of the target has ended: %+v, want 503", a)
 	}
 }
+
+// A request that a target has refused just before its entry ended it is told when the target
+// wants to be asked again, and counts as one that has reached a target.
+func TestRefusalThatCrossesTheDeadline(t *testing.T) {
+	for reason, reached := range map[outcome.Reason]bool{outcome.TargetShed: true, outcome.Overloaded: false} {
+		ctx, cancel := context.WithCancelCause(context.Background())
+		cancel(errTimeout)
+		f := &callerRequest{ctx: ctx, resp: wire.Response{Kind: outcome.NotRun, Reason: reason, RetryAfter: 2 * time.Second}}
+		want := resend.Attempt{Result: outcome.Result{Kind: outcome.NotRun, Reason: outcome.DeadlineExceeded, RetryAfter: 2 * time.Second}, Reached: reached}
+		if a := f.attemptResult(); a != want {
+			t.Errorf("%v: %+v, want %+v", reason, a, want)
+		}
+	}
+}
