--- a/transport/clientconn.go
+++ b/transport/clientconn.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		return 0, err
 	}
-	w.streamPos, w.streamEnd, w.sentAt = position, position+uint64(len(s.b)), clock.Fast()
+	w.streamPos, w.streamEnd, w.sentAt = position, position+uint64(len(s.b)+len(body)), clock.Fast()
 	if !c.usedSinceSweep.Load() {
 		c.usedSinceSweep.Store(true)
 	}
--- a/transport/scheduled_writer.go
+++ b/transport/scheduled_writer.go
@@ -207,6 +207,7 @@
 		return w.write(f.b)
 	}
 	if err := w.writeSegments(f, f.b); err != nil {
+		w.recordUnsent(len(f.body))
 		return err
 	}
 	return w.writeSegments(f, f.body)
