Requests that a target with free slots sheds are sent again, and keep its limit

A keyed request that was shed is sent to its owner once more, within MaxAttempts and the retry budget, and a shed request does not lower the limit of a target that has just stated free slots.

rejection: log fields are copied, since the memory of the request is used again; the race detector found it in TestRejectionsNameTheirCause.

--- a/resend/policy.go
+++ b/resend/policy.go
@@ -173,6 +173,12 @@
 			return r.finish(r.refusal)
 		}
 		return r.awaitOwner(a.Result, now)
+	case outcome.TargetShed:
+		// The daemon lets no more requests through than the target has slots, so this refusal
+		// is one of a target in trouble, which may serve the next attempt.
+		if r.reached-r.crashed < r.Constraints.MaxAttempts && r.placements < maxPlacements {
+			return Action{Kind: AwaitOwner, Resend: true}
+		}
 	}
 	return r.finish(a.Result)
 }
--- a/resend/policy_test.go
+++ b/resend/policy_test.go
@@ -97,6 +97,20 @@
 	}
 }
 
+// TestKeyShedByItsOwnerIsSentAgain guards against callers that are refused at once by an owner
+// that sheds a part of its requests at random, with free slots: no other target can run them.
+func TestKeyShedByItsOwnerIsSentAgain(t *testing.T) {
+	r := request(true, false)
+	shed := refused(outcome.TargetShed)
+	shed.Reached = true
+	if a := r.Next(shed, start); a.Kind != AwaitOwner || a.Pause != 0 || !a.Resend {
+		t.Fatalf("after the first attempt: %+v, want a resend from the budget", a)
+	}
+	if a := r.Next(shed, start); a.Kind != Finish || a.Result.Kind != outcome.NotRun {
+		t.Errorf("after the second attempt: %+v", a)
+	}
+}
+
 // TestKeysWithoutOwnerAreRefusedInTime guards against requests that wait too long
 // for the owner of their key. They must not wait for a failed or an overloaded
 // owner. For a moving key they wait a part of their objective, so that the caller
--- a/sidecar/rejection.go
+++ b/sidecar/rejection.go
@@ -22,7 +22,7 @@
 		size = h.ContentLength() // as announced; negative if it came in chunks
 	}
 	details = append(details,
-		zap.ByteString("host", h.Host()), zap.ByteString("uri", h.RequestURI()), zap.String("service", string(f.service.Name)),
+		zap.String("host", string(h.Host())), zap.String("uri", string(h.RequestURI())), zap.String("service", string(f.service.Name)),
 		zap.Int("body_bytes", size))
 	f.logResult(logevent.RequestRejected, outcome.Result{Kind: outcome.NotRun, Reason: reason}, status, details...)
 	f.ingress.d.metrics.countRejection(status, reason)
--- a/workqueue/queue.go
+++ b/workqueue/queue.go
@@ -168,9 +168,11 @@
 }
 
 // adjustLimit lowers the concurrency limit when the target sheds a request and
-// raises it again one by one while requests are answered.
+// raises it again one by one while requests are answered. A target that states free slots
+// sheds for another reason, which fewer requests would not end.
 func (q *Queue) adjustLimit(completion Completion, now clock.Time) {
 	switch {
+	case completion == Shed && q.statesFreeSlots(now):
 	case completion == Shed:
 		q.limit = max(min(q.limit, len(q.running)), q.slots/2, 1)
 		q.limitChangedAt = now
--- a/workqueue/stated_load.go
+++ b/workqueue/stated_load.go
@@ -99,3 +99,14 @@
 	late = now.Add(took).Sub(item.Objective)
 	return late, item.Movable && took > usual && late > 0 && now.Add(usual).Sub(item.Objective) <= 0
 }
+
+// maxLoadAge is the age up to which the stated numbers of requests tell whether the target is
+// full. A slot is taken or released every few milliseconds.
+const maxLoadAge = 100 * time.Millisecond
+
+// statesFreeSlots reports whether the target has just stated that it has free slots and that
+// no request waits in it.
+func (q *Queue) statesFreeSlots(now clock.Time) bool {
+	f, age, ok := q.StatedLoad(now)
+	return ok && age <= maxLoadAge && f.Waiting == 0 && f.Running < f.Slots
+}
--- a/workqueue/stated_load_test.go
+++ b/workqueue/stated_load_test.go
@@ -203,3 +203,30 @@
 		}
 	}
 }
+
+// A target in trouble that shed requests at random was sent half as many, and so served half of
+// what it could. One that is full, or says nothing, still gets fewer.
+func TestShedRequestsOfATargetWithFreeSlotsKeepItsLimit(t *testing.T) {
+	for name, tc := range map[string]struct {
+		stated *loadstate.Figures
+		want   int
+	}{
+		"free slots":       {&loadstate.Figures{Running: 4, Slots: 12, Slowness: 1}, 12},
+		"full":             {&loadstate.Figures{Running: 12, Slots: 12, Slowness: 1}, 6},
+		"requests waiting": {&loadstate.Figures{Running: 11, Waiting: 3, Slots: 12, Slowness: 1}, 6},
+		"nothing stated":   {nil, 6},
+	} {
+		q, now := New(12), clock.Time(time.Hour)
+		item := Item{ID: 1, Class: "a", Arrived: now, Objective: now.Add(time.Second), Deadline: now.Add(time.Second)}
+		if verdict, _ := q.Arrive(item, now); verdict != Start {
+			t.Fatalf("verdict %v", verdict)
+		}
+		if tc.stated != nil {
+			q.ObserveLoad(*tc.stated, now)
+		}
+		q.Finish(1, Shed, time.Millisecond, now)
+		if _, _, limit := q.Load(); limit != tc.want {
+			t.Errorf("%s: limit %d, want %d", name, limit, tc.want)
+		}
+	}
+}
