--- a/recvlimit/holding.go
+++ b/recvlimit/holding.go
@@ -180,7 +180,7 @@
 	for _, victim := range victims {
 		victim.evict()
 	}
-	if a.ok && more > FreeBytes && p.beforeLarge != nil {
+	if a.ok && more > largeStep && p.beforeLarge != nil {
 		p.beforeLarge(more)
 	}
 	return a
--- a/recvlimit/pool.go
+++ b/recvlimit/pool.go
@@ -15,6 +15,9 @@
 	evictedShare = 8
 )
 
+// largeStep is the number of bytes above which BeforeLarge is called.
+const largeStep = 16 << 10
+
 // Pool bounds the memory that messages of all sources take together. If it is exhausted,
 // the incomplete messages that have made progress least recently are evicted. A nil Pool
 // has no limit. It is safe for concurrent use.
@@ -36,7 +39,7 @@
 	return &Pool{limit: limit, incomplete: list.New(), sources: make(map[Source]*SourceStats)}
 }
 
-// BeforeLarge sets a function that is called when a message takes more than FreeBytes at
+// BeforeLarge sets a function that is called when a message takes more than 16 KB at
 // once, before the memory is allocated. It may wait, for instance until memory that was
 // returned has been collected. It must be set before the pool is used.
 func (p *Pool) BeforeLarge(f func(bytes int)) { p.beforeLarge = f }
