--- a/callerhttp/memory_test.go
+++ b/callerhttp/memory_test.go
@@ -163,3 +163,23 @@
 	runtime.ReadMemStats(&m)
 	return int(m.HeapInuse + m.StackInuse)
 }
+
+// Without memory for requests behind others, a connection goes on with one at a time, and none is
+// refused for it.
+func TestRequestsAheadNeedMemory(t *testing.T) {
+	h := newFakeHandler()
+	config := testConfig()
+	config.Memory = recvlimit.NewPool(connCost + 2*aheadCost + aheadCost/2)
+	s, addr := start(t, config, h)
+	c := dial(t, addr)
+	c.send(get("/a", "/b", "/c", "/d"))
+	h.await(t, "begin /c")
+	s.awaitRunning(t, 3)
+	if h.saw("read /d") {
+		t.Error("a request was read ahead without memory")
+	}
+	for _, path := range []string{"/a", "/b", "/c", "/d"} {
+		h.end(path)
+	}
+	c.expect(ok("/a"), ok("/b"), ok("/c"), ok("/d"))
+}
