--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -107,7 +107,7 @@
 		directory: metastore.Partition{Topic: platform.KeyedTopic(directoryTopic)}, viewReplaced: make(chan struct{}),
 	}
 	if s.MemoryBytes > 0 {
-		d.memory.BeforeLarge((&collector{limit: heapLimit(s.MemoryBytes)}).collectFor)
+		d.memory.BeforeLarge((&collector{limit: int(collectPart * float64(s.MemoryBytes))}).collectFor)
 	}
 	d.currentSettings.Store(s)
 	d.suspects.Store(quarantine.NewTable(quarantine.NewLedger()))
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -17,6 +17,9 @@
 	// included. The rest is for socket buffers and what the runtime takes beyond its limit
 	// for a moment.
 	heapPart = 0.75
+	// collectPart is the part of the process's memory that the heap takes before a large buffer
+	// waits for a collection. It is below heapPart, since small allocations go on meanwhile.
+	collectPart = 0.7
 	// baseMemory is left to the state of the daemon: tables, links, log lines, the heap's
 	// garbage. A daemon of a fleet of a hundred takes 15 MB of it.
 	baseMemory = 24 << 20
