--- a/loadstate/state.go
+++ b/loadstate/state.go
@@ -83,14 +83,10 @@
 // weightOf returns the weight of a figure by its age.
 func weightOf(age time.Duration) float64 { return math.Exp2(-float64(age) / float64(halfLife)) }
 
-// SlowSpell returns the expected time for which the target stays slower than usual, and how much
-// slower it is: a factor of 1 or more. The time is 0 if it is not slow now, or has probably ceased
-// to be.
-func (s *State) SlowSpell(now clock.Time) (remaining time.Duration, factor float64) {
-	if remaining = s.spells.remaining(now); remaining == 0 {
-		return 0, 1
-	}
-	return remaining, max(s.figures.Slowness/s.spells.usual, 1)
+// SlowSpell returns the expected time for which the target stays slower than usual, its present
+// slowness and its usual one. The time is 0 if it is not slow now, or has probably ceased to be.
+func (s *State) SlowSpell(now clock.Time) (remaining time.Duration, present, usual float64) {
+	return s.spells.remaining(now), s.figures.Slowness, s.spells.usual
 }
 
 // Newest returns the newest figures and their age. It reports false if there are none.
--- a/workqueue/stated_load.go
+++ b/workqueue/stated_load.go
@@ -78,19 +78,20 @@
 
 // slowWait returns the time for which an item should wait until the target, which shares its
 // machine, is no longer slow: work that is begun in a slow spell takes longer to its end. It is 0
-// if the item ends earlier when it starts now, if it would miss its deadline otherwise, or if
-// another target can run it.
+// if the item ends in time, or earlier, when it starts now, if it would miss its deadline
+// otherwise, or if another target can run it.
 func (q *Queue) slowWait(item *Item, now clock.Time) time.Duration {
 	if item.Movable || item.Exclusive {
 		return 0
 	}
-	remaining, factor := q.estimator.load.state.SlowSpell(now)
+	l := &q.estimator.load
+	remaining, present, usual := l.state.SlowSpell(now)
 	if remaining == 0 || len(q.running) == 0 { // an idle target gets the item, so that its speed is known
 		return 0
 	}
-	usual := q.estimator.meanTime(item)
-	slow := scale(usual, 1+q.estimator.load.sensitivity*(factor-1))
-	if slow-usual <= remaining || now.Add(remaining+scale(usual, runMargin)).Sub(item.Deadline) > 0 {
+	mean := q.estimator.meanTime(item)
+	slow, later := scale(mean, l.factor(present)), remaining+scale(mean, l.factor(usual))
+	if slow <= later || now.Add(scale(slow, runMargin)).Sub(item.Objective) <= 0 || now.Add(scale(later, runMargin)).Sub(item.Deadline) > 0 {
 		return 0
 	}
 	return remaining
