--- a/loadstate/state.go
+++ b/loadstate/state.go
@@ -26,9 +26,8 @@
 	at      clock.Time // when it was received; Never if there is none
 	// past has the last stated speeds, in the order in which they were received; next is the
 	// index of the oldest once there are kept of them.
-	past   []pastSpeed
-	next   int
-	spells spells
+	past []pastSpeed
+	next int
 }
 
 type pastSpeed struct {
@@ -43,7 +42,6 @@
 	}
 	f.Slowness = min(max(f.Slowness, minSlowness), maxSlowness)
 	s.figures, s.at = f, received
-	s.spells.observe(f.Slowness, received)
 	p := pastSpeed{at: received, slowness: f.Slowness}
 	if len(s.past) < kept {
 		s.past = append(s.past, p)
@@ -83,12 +81,6 @@
 // weightOf returns the weight of a figure by its age.
 func weightOf(age time.Duration) float64 { return math.Exp2(-float64(age) / float64(halfLife)) }
 
-// SlowSpell returns the expected time for which the target stays slower than usual, its present
-// slowness and its usual one. The time is 0 if it is not slow now, or has probably ceased to be.
-func (s *State) SlowSpell(now clock.Time) (remaining time.Duration, present, usual float64) {
-	return s.spells.remaining(now), s.figures.Slowness, s.spells.usual
-}
-
 // Newest returns the newest figures and their age. It reports false if there are none.
 func (s *State) Newest(now clock.Time) (f Figures, age time.Duration, ok bool) {
 	return s.figures, now.Sub(s.at), s.at != clock.Never
--- a/workqueue/queue.go
+++ b/workqueue/queue.go
@@ -112,7 +112,7 @@
 	}
 	slowdown := q.estimator.slowdown(q.running, now)
 	usual := q.estimator.expectedTime(&item, slowdown)
-	if q.startWait(&item, now) == 0 && q.mayStart(&item) && (len(q.waiting) == 0 || item.Exclusive || item.before(&q.waiting[0])) {
+	if q.pacedWait(&item, 0, now) == 0 && q.mayStart(&item) && (len(q.waiting) == 0 || item.Exclusive || item.before(&q.waiting[0])) {
 		took := scale(usual, q.estimator.load.at(now))
 		// An idle target receives the request even if it is expected to be late,
 		// so that a recovered target is detected.
@@ -131,14 +131,10 @@
 	wait, paced := q.expectedWait(&item, slowdown), q.expectedPacedWait(&item, now)
 	rateLimited := paced > wait
 	wait = max(wait, paced)
-	slow := q.slowWait(&item, now)
-	wait += slow
 	took := scale(usual, q.estimator.load.at(now.Add(wait)))
 	done := q.delivered(&item, now.Add(wait+took), now)
-	late := q.delivered(&item, now.Add(slow+time.Duration(waitMargin*float64(wait-slow)+runMargin*float64(took))), now).Sub(item.Objective)
+	late := q.delivered(&item, now.Add(time.Duration(waitMargin*float64(wait)+runMargin*float64(took))), now).Sub(item.Objective)
 	switch {
-	case slow > 0 && paced == 0 && len(q.running)+len(q.waiting) < q.availableSlots(item.urgency()):
-		// Its slot is free. No other target can run it, so it is served even if it is late.
 	case len(q.waiting) >= maxWaiting, done.Add(replyMargin).Sub(item.Deadline) > 0:
 		return Refuse, Refusal{ID: item.ID, RetryAfter: q.retryAfter(&item, wait), Late: true, RateLimited: rateLimited}
 	case late > 0 && now.Before(item.Objective) && !item.Call:
@@ -228,7 +224,7 @@
 func (q *Queue) advance(now clock.Time) ([]uint64, []Refusal) {
 	q.started, q.refused = q.started[:0], q.refused[:0]
 	q.refuseUnmeetable(now)
-	for len(q.waiting) > 0 && q.startWait(&q.waiting[0], now) == 0 && q.mayStart(&q.waiting[0]) {
+	for len(q.waiting) > 0 && q.pacedWait(&q.waiting[0], 0, now) == 0 && q.mayStart(&q.waiting[0]) {
 		i := q.nextIndex()
 		if !q.mayStart(&q.waiting[i]) {
 			i = 0
--- a/workqueue/rate_limit.go
+++ b/workqueue/rate_limit.go
@@ -27,14 +27,13 @@
 // RateLimited reports whether the target has a rate limit.
 func (q *Queue) RateLimited() bool { return q.pacer.Limited() }
 
-// NextStart returns the time until the rate limit, the cold start and the speed of the target
-// let the next waiting item start, and false if no item waits for that. Advance must be called
-// then.
+// NextStart returns the time until the rate limit lets the next waiting item start, and
+// false if no item waits for that. Advance must be called then.
 func (q *Queue) NextStart(now clock.Time) (time.Duration, bool) {
 	if len(q.waiting) == 0 {
 		return 0, false
 	}
-	wait := q.startWait(&q.waiting[0], now)
+	wait := q.pacedWait(&q.waiting[0], 0, now)
 	return wait, wait > 0
 }
 
@@ -66,12 +65,6 @@
 	return max(q.pacer.Wait(float64(ahead+1)+reserved, now), cold)
 }
 
-// startWait returns the time until the rate limit, the cold start and the speed of the target let
-// an item start.
-func (q *Queue) startWait(item *Item, now clock.Time) time.Duration {
-	return max(q.pacedWait(item, 0, now), q.slowWait(item, now))
-}
-
 // expectedPacedWait estimates the time until the rate limit lets an item start that arrives
 // now.
 func (q *Queue) expectedPacedWait(item *Item, now clock.Time) time.Duration {
--- a/workqueue/stated_load.go
+++ b/workqueue/stated_load.go
@@ -76,27 +76,6 @@
 	return q.estimator.load.state.Newest(now)
 }
 
-// slowWait returns the time for which an item should wait until the target, which shares its
-// machine, is no longer slow: work that is begun in a slow spell takes longer to its end. It is 0
-// if the item ends in time, or earlier, when it starts now, if it would miss its deadline
-// otherwise, or if another target can run it.
-func (q *Queue) slowWait(item *Item, now clock.Time) time.Duration {
-	if item.Movable || item.Exclusive {
-		return 0
-	}
-	l := &q.estimator.load
-	remaining, present, usual := l.state.SlowSpell(now)
-	if remaining == 0 || len(q.running) == 0 { // an idle target gets the item, so that its speed is known
-		return 0
-	}
-	mean := q.estimator.meanTime(item)
-	slow, later := scale(mean, l.factor(present)), remaining+scale(mean, l.factor(usual))
-	if slow <= later || now.Add(scale(slow, runMargin)).Sub(item.Objective) <= 0 || now.Add(scale(later, runMargin)).Sub(item.Deadline) > 0 {
-		return 0
-	}
-	return remaining
-}
-
 // TypicalTime returns the service time that the class of an item and the speed that the target
 // has stated since its start explain; 0 if nothing of the class is known, or if it has ended.
 func (q *Queue) TypicalTime(item *Item) time.Duration {
