callerhttp: read by package syscall, whose reads the race detector orders behind writes

TestRejectionsNameTheirCause reported a race with -race: its log observer keeps references to a request, and the detector did not see that the next request on that memory was sent later.

--- a/callerhttp/read_call.go
+++ b/callerhttp/read_call.go
@@ -5,10 +5,9 @@
 	"io"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
@@ -118,15 +117,15 @@
 		b = chunks.Get().(*chunk)
 		p = b[:]
 	}
-	n, err := unix.Read(int(fd), p)
-	for errors.Is(err, unix.EINTR) {
-		n, err = unix.Read(int(fd), p)
+	n, err := syscall.Read(int(fd), p)
+	for errors.Is(err, syscall.EINTR) {
+		n, err = syscall.Read(int(fd), p)
 	}
 	if b != nil {
 		c.keepChunk(b, n)
 	}
 	switch {
-	case errors.Is(err, unix.EAGAIN):
+	case errors.Is(err, syscall.EAGAIN):
 		if r.waited {
 			return false
 		}
