--- a/sidecar/pipelined_test.go
+++ b/sidecar/pipelined_test.go
@@ -34,8 +34,8 @@
 		}
 	}, plainService, plainService)
 	d.configureRoutes(
-		platformtest.Route{Prefix: idempotentPrefix, Idempotent: true, Service: plainService, TimeoutMS: 8000},
-		platformtest.Route{Prefix: oncePrefix, Service: plainService, TimeoutMS: 8000},
+		platformtest.Route{Prefix: idempotentPrefix, Idempotent: true, Service: plainService, TimeoutMS: 5000},
+		platformtest.Route{Prefix: oncePrefix, Service: plainService, TimeoutMS: 5000},
 	)
 	n := d.nodes[0]
 	for _, path := range []string{idempotentPrefix, oncePrefix} {
@@ -85,7 +85,7 @@
 // although the targets were idle. Here the work of all five takes longer than the timeout.
 func TestPipelinedBurstIsServed(t *testing.T) {
 	t.Parallel()
-	_, n := deployPipelined(t, 2*time.Second, nil)
+	_, n := deployPipelined(t, 1200*time.Millisecond, nil)
 	var paths []string
 	for i := range 5 {
 		paths = append(paths, fmt.Sprintf("%s%d", idempotentPrefix, i))
