callerhttp: the time to read a request counts from its own first wait

If the deadline of an earlier read had passed while the reader waited for other requests, the next read ended with 408 (TestExpectBehindASlowRequest).

--- a/callerhttp/read_call.go
+++ b/callerhttp/read_call.go
@@ -159,20 +159,12 @@
 // prepareWait is called before the reader waits for bytes. It sets the deadline, and counts
 // the memory of a request that is not complete.
 func (c *conn) prepareWait() error {
-	now := time.Now()
-	if c.x == nil {
-		if c.idle.IsZero() {
-			c.idle = now
-		}
-	} else {
-		if c.began.IsZero() {
-			c.began = now
-		}
+	if c.x != nil {
 		if err := c.count(c.x, cap(c.x.body)); err != nil {
 			return err
 		}
 	}
-	due := c.due(now)
+	due := c.due(time.Now())
 	if c.armed.IsZero() || c.armed.After(due) {
 		if err := c.arm(due); err != nil {
 			return err
@@ -197,6 +189,12 @@
 // due returns the time until which the reader may wait.
 func (c *conn) due(now time.Time) time.Time {
 	s := &c.server.config
+	if c.x != nil && c.began.IsZero() {
+		c.began = now
+	}
+	if c.idle.IsZero() {
+		c.idle = now
+	}
 	switch {
 	case c.x != nil:
 		return c.began.Add(s.ReadTimeout)
--- a/callerhttp/timeouts_test.go
+++ b/callerhttp/timeouts_test.go
@@ -71,3 +71,21 @@
 	h.await(t, "cancel /b")
 	c.expect(ok("/a"), ok("/b"), response{status: 400, closes: true}, ended)
 }
+
+// A caller that waits for "100 Continue" behind a slow request got 408: the deadline of an earlier
+// read had passed meanwhile.
+func TestExpectBehindASlowRequest(t *testing.T) {
+	t.Parallel()
+	h := newFakeHandler()
+	config := testConfig()
+	config.ReadTimeout = 300 * time.Millisecond
+	_, addr := start(t, config, h)
+	c := dial(t, addr)
+	c.send(get("/a") + "POST /now/b HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+	h.await(t, "begin /a")
+	time.Sleep(2 * config.ReadTimeout)
+	h.end("/a")
+	c.expect(ok("/a"), response{status: 100})
+	c.send("abc")
+	c.expect(response{status: 200, body: "/now/b abc"})
+}
