--- a/callerhttp/read_call.go
+++ b/callerhttp/read_call.go
@@ -5,10 +5,9 @@
 	"io"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
@@ -118,15 +117,15 @@
 		b = chunks.Get().(*chunk)
 		p = b[:]
 	}
-	n, err := unix.Read(int(fd), p)
-	for errors.Is(err, unix.EINTR) {
-		n, err = unix.Read(int(fd), p)
+	n, err := syscall.Read(int(fd), p)
+	for errors.Is(err, syscall.EINTR) {
+		n, err = syscall.Read(int(fd), p)
 	}
 	if b != nil {
 		c.keepChunk(b, n)
 	}
 	switch {
-	case errors.Is(err, unix.EAGAIN):
+	case errors.Is(err, syscall.EAGAIN):
 		if r.waited {
 			return false
 		}
@@ -160,20 +159,12 @@
 // prepareWait is called before the reader waits for bytes. It sets the deadline, and counts
 // the memory of a request that is not complete.
 func (c *conn) prepareWait() error {
-	now := time.Now()
-	if c.x == nil {
-		if c.idle.IsZero() {
-			c.idle = now
-		}
-	} else {
-		if c.began.IsZero() {
-			c.began = now
-		}
+	if c.x != nil {
 		if err := c.count(c.x, cap(c.x.body)); err != nil {
 			return err
 		}
 	}
-	due := c.due(now)
+	due := c.due(time.Now())
 	if c.armed.IsZero() || c.armed.After(due) {
 		if err := c.arm(due); err != nil {
 			return err
@@ -198,6 +189,12 @@
 // due returns the time until which the reader may wait.
 func (c *conn) due(now time.Time) time.Time {
 	s := &c.server.config
+	if c.x != nil && c.began.IsZero() {
+		c.began = now
+	}
+	if c.idle.IsZero() {
+		c.idle = now
+	}
 	switch {
 	case c.x != nil:
 		return c.began.Add(s.ReadTimeout)
