--- a/sidecar/memorytest/callers_test.go
+++ b/sidecar/memorytest/callers_test.go
@@ -168,7 +168,7 @@
 	const senders, size = 200, 1 << 20
 	f := start(t, memoryMB, maxBodyBytes)
 	crowd(t, f.nodes[0].addr(controlPort), senders, func(_ int, conn net.Conn) {
-		if write(conn, []byte(platformtest.Head(host, http.MethodPut, "/api/instances/t", newID(), fmt.Sprintf("Content-Length: %d\r\n", size))), 1, 0) {
+		if write(conn, []byte(platformtest.Head(host, http.MethodPut, platformtest.InstancesPath+"t", newID(), fmt.Sprintf("Content-Length: %d\r\n", size))), 1, 0) {
 			writeBody(conn, size-1, size, 0)
 		}
 	})
