--- a/callerhttp/crowded_test.go
+++ b/callerhttp/crowded_test.go
@@ -20,12 +20,14 @@
 	kept.expect(ok("/now/a"))
 	busy.send(get("/busy"))
 	h.await(t, "begin /busy")
-	for i := range 100 {
+	const crowd = 100
+	for i := range crowd {
 		c := dial(t, addr)
 		if i%2 == 0 {
 			c.send("GET /a HTTP/1.1\r\nHost")
 		}
 	}
+	s.awaitAccepted(t, 2+crowd)
 	for end := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
 		if n := s.GetOpenConnectionsCount(); n <= config.MaxConns {
 			break
--- a/callerhttp/harness_test.go
+++ b/callerhttp/harness_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -180,7 +181,9 @@
 	}
 	s := NewServer(c, h)
 	done := make(chan error, 1)
-	go func() { done <- s.Serve(l) }()
+	counting := &countingListener{Listener: l}
+	accepts.Store(s, counting)
+	go func() { done <- s.Serve(counting) }()
 	t.Cleanup(func() {
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
@@ -192,6 +195,32 @@
 	return s, l.Addr().String()
 }
 
+// accepts has the listeners of the servers that start has started.
+var accepts sync.Map
+
+// countingListener counts how often the server has asked for a connection.
+type countingListener struct {
+	net.Listener
+	calls atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	l.calls.Add(1)
+	return l.Listener.Accept()
+}
+
+// awaitAccepted waits until the server has decided on a number of connections. Others may still
+// wait to be accepted after their callers have connected.
+func (s *Server) awaitAccepted(t testing.TB, connections int) {
+	t.Helper()
+	l, _ := accepts.Load(s)
+	for end := time.Now().Add(10 * time.Second); l.(*countingListener).calls.Load() <= int64(connections); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections were accepted, want %d", l.(*countingListener).calls.Load()-1, connections)
+		}
+	}
+}
+
 // client is one connection of a caller.
 type client struct {
 	net.Conn
--- a/ownertable/soak_test.go
+++ b/ownertable/soak_test.go
@@ -36,18 +36,18 @@
 		mode      faultMode
 		firstSeed uint64
 	}{
-		{alwaysExtend, 165},
+		{alwaysExtend, 196},
 		{clockStopsWhenFrozen, 44},
 		{ignoreHeld, 0},
-		{confirmAtReadResponse, 48},
+		{confirmAtReadResponse, 53},
 		{ignoreAppendCondition, 0},
 		{ignoreEra, 0},
 		{olderTableInForce, 19},
 		{leaseKept, 34},
 		{assumeEstablished, 312},
-		{reportsNotAwaited, 0},
-		{extendAcrossEras, 334},
-		{inheritedReported, 357},
+		{reportsNotAwaited, 19},
+		{extendAcrossEras, 358},
+		{inheritedReported, 991},
 	} {
 		t.Run(string(c.mode), func(t *testing.T) {
 			for seed := c.firstSeed; seed < c.firstSeed+400; seed++ {
