--- a/recvlimit/pool_test.go
+++ b/recvlimit/pool_test.go
@@ -189,3 +189,32 @@
 		t.Errorf("%d bytes held after Release", p.Held())
 	}
 }
+
+// A message that is refused must leave the memory to the others, and small ones are received
+// while complete ones take the rest.
+func TestExhaustedPoolIsNotLeaked(t *testing.T) {
+	const limit = 8 << 20
+	p := NewPool(limit)
+	first, second := p.Open(Target, nil), p.Open(Target, nil)
+	mustGrow(t, first, limit-limit/smallShare)
+	first.Complete()
+	var exhausted *BudgetError
+	if err := second.Grow(1 << 20); !errors.As(err, &exhausted) {
+		t.Fatalf("got %v, want a BudgetError", err)
+	}
+	if err := second.Grow(FreeBytes); err != nil {
+		t.Errorf("a small message is refused: %v", err)
+	}
+	first.Release()
+	first.Release()
+	if err := second.Grow(1 << 20); err != nil {
+		t.Errorf("after a release: %v", err)
+	}
+	if source, ok := Exceeded(exhausted); !ok || source != Target {
+		t.Errorf("source %q, %v", source, ok)
+	}
+	second.Release()
+	if held := p.Held(); held != 0 {
+		t.Errorf("%d bytes stay reserved", held)
+	}
+}
