A call takes the priority of its run only upwards

Trials of variants name the cause: calls took the priority of their runs also where their route was more urgent, so that they were refused under load and their runs, which held slots, failed.

The test of the order now has a route of priority 3, on which the run's priority counts, and one without, whose calls stay most urgent.

--- a/sidecar/run_call.go
+++ b/sidecar/run_call.go
@@ -37,12 +37,14 @@
 	return current.runs.runOfCall(requestID)
 }
 
-// inherit gives a call the priority of its run, and a deadline no later than that of the run.
+// inherit gives a call the priority of its run, unless its own route is more urgent, and a
+// deadline no later than that of the run. A call that waits behind others keeps the slot of its run
+// occupied at another target, and one that is refused fails it.
 func (f *callerRequest) inherit(run runcalls.Run) {
 	f.run = true
 	f.deadline = min(f.deadline, run.Deadline)
 	f.resends.Constraints.Deadline = f.deadline
-	f.req.Priority = run.Priority
+	f.req.Priority = max(f.req.Priority, run.Priority)
 	if len(f.req.Headers) < wire.MaxHeaders {
 		f.req.Headers = append(f.req.Headers, wire.Header{Name: runCallHeader, Value: runCallValue})
 	}
--- a/sidecar/run_call_test.go
+++ b/sidecar/run_call_test.go
@@ -12,12 +12,26 @@
 	"github.com/parsleystack/parsleystack/platform/platformtest"
 )
 
-// Calls came as requests of the most urgent priority, since their routes have none, and
-// overtook urgent requests of the called service. A call has the priority of the run that makes
-// it, ahead of other requests of that priority; an id that names no run in progress claims
-// nothing.
+// A call of an urgent run waited behind requests that are less urgent than the run. It has the
+// priority of the run that makes it, ahead of other requests of that priority, unless its own route
+// is more urgent, as one without a priority is; an id that names no run in progress claims nothing.
 func TestCallHasThePriorityAndDeadlineOfItsRun(t *testing.T) {
 	t.Parallel()
+	for priority, want := range map[string][]string{
+		"3":    {"urgent", "call", "same", "call of no run"},
+		"null": {"call", "call of no run", "urgent", "same"},
+	} {
+		t.Run("priority of the route "+priority, func(t *testing.T) {
+			t.Parallel()
+			checkOrderOfCalls(t, priority, want)
+		})
+	}
+}
+
+// checkOrderOfCalls checks the order in which a target runs requests that wait: a call of a run of
+// priority 2, on a route of a priority, and others.
+func checkOrderOfCalls(t *testing.T, priority string, want []string) {
+	t.Helper()
 	const runTime = 1500 * time.Millisecond
 	d := deployWith(t, func(n *testNode) {
 		n.target.ProcessingTime = 20 * time.Millisecond
@@ -29,7 +43,7 @@
 	}, keyedService, plainService)
 	d.configureRoutes(
 		platformtest.Route{Prefix: "/run/", Service: keyedService, Priority: "2", TimeoutMS: 4000, LatencyMS: 3000},
-		platformtest.Route{Prefix: "/call/", Service: plainService, Priority: "null", LatencyMS: 1500},
+		platformtest.Route{Prefix: "/call/", Service: plainService, Priority: priority, LatencyMS: 1500},
 		platformtest.Route{Prefix: "/urgent/", Service: plainService, Priority: "1", LatencyMS: 1500},
 		platformtest.Route{Prefix: "/same/", Service: plainService, Priority: "2", LatencyMS: 1500})
 	caller, callee := d.nodes[0], d.nodes[1]
@@ -65,7 +79,6 @@
 		})
 	}
 	callee.daemon.backend.resumeQueue()
-	want := []string{"call of no run", "urgent", "call", "same"}
 	eventually(t, "all have run", func() bool { return len(d.order(ids)) == len(want) })
 	if got := d.order(ids); !slices.Equal(got, want) {
 		t.Errorf("order %q, want %q", got, want)
