--- a/loadstate/state.go
+++ b/loadstate/state.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// halfLife is the age at which a stated slowness counts half. Work was observed to take
-	// three times as long for 80 ms, in periods of 400 ms: after 200 ms a figure says little.
+	// halfLife is the age at which a stated slowness counts half. Machines
+	// were observed to be slow for 400 ms at a time, with a probability of a fifth: a figure is
+	// often outdated after 200 ms.
 	halfLife = 70 * time.Millisecond
 	// minSlowness and maxSlowness bound the stated figures, so that one that makes no sense
 	// stops neither all requests nor all refusals.
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -74,8 +74,8 @@
 }
 
 // Do sends a request to the daemon at addr and decodes the answer into resp,
-// which the caller must release. sent is false only if no byte of the request was
-// written completely. If ctx ends first, Do sends a cancel frame to the peer, waits for its
+// which the caller must release. sent is false only if the request was not
+// written completely: the peer can't have read it then. If ctx ends first, Do sends a cancel frame to the peer, waits for its
 // answer for Config.VerdictWait, and returns the cause of ctx if there is none.
 func (p *Pool) Do(ctx context.Context, addr string, req *wire.Request, resp *wire.Response) (sent bool, err error) {
 	conn, err := p.peer(addr, classOf(req)).get(ctx)
