--- a/review/testdata/fleet2/main.go
+++ b/review/testdata/fleet2/main.go
@@ -15,6 +15,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
 	"foreign-heartbeat": foreignHeartbeat,
 	"stale-start":       staleStart,
+	"slow-reader":       slowReader,
 }
 
 func main() {
--- a/review/testdata/fleet2/target.go
+++ b/review/testdata/fleet2/target.go
@@ -24,6 +24,7 @@
 	slots                            int
 	bornAhead                        time.Duration // by which the clock of its machine is ahead
 	work                             time.Duration
+	answerBytes                      int // size of the answers; a short text if 0
 
 	mu       sync.Mutex
 	born     int64
@@ -304,7 +305,12 @@
 	time.Sleep(t.work)
 	t.end(x)
 	h.Set(platformtest.StampHeader, "stamp-"+t.id)
-	_, _ = io.WriteString(w, "body of "+id) // the caller may have left
+	body := []byte("body of " + id)
+	if t.answerBytes > 0 {
+		body = bytes.Repeat([]byte("x"), t.answerBytes)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body) // the caller may have left
 }
 
 // begin takes a slot for a request. It returns a status if the request is rejected.
