--- a/review/testdata/fleet2/main.go
+++ b/review/testdata/fleet2/main.go
@@ -16,6 +16,7 @@
 	"foreign-heartbeat": foreignHeartbeat,
 	"stale-start":       staleStart,
 	"slow-reader":       slowReader,
+	"unfinished-bodies": unfinishedBodies,
 }
 
 func main() {
