callerhttp: connections that stop give way to new ones, whatever they did before

Cause: only connections on which no request had been read could be closed for a new one.

Change: each connection keeps in one word what it does and since when without progress. If nearly all are open that may be, one is closed for each new one, in the order of what that costs: those whose last response was written, fresh ones if they are many, then those that made no progress for 2 s (fresh, idle, within a head, within a body), then the others, last those whose caller takes no bytes of a response for 10 s. Requests in progress are never closed. 4 KB count as progress, so a byte now and then does not keep a place. The places of connections that are about to end are within the limit now, not above it: with 4,100 descriptors up to 4,151 connections were possible. A new connection waits up to 100 ms for them instead of being refused.

Ruled out: time limits for heads, bodies and idling. They would have to be far below those of the configuration to help against a crowd, and would cut callers off in calm.

Tests: the ordinary request of memorytest opens a connection of its own, since one that was open before the crowd says nothing of later callers. The watch of a process counts the unread bytes of all its sockets, dialed ones included, and of those that wait to be accepted; it missed the dialed ones. TestConnectionsWithRequestsStay and TestCallersLeaveDescriptorsForTheDaemon took idle connections for ones with requests, and demanded 503 for a new caller; the first has requests in progress now, and the second demands that new callers are served within the same bound. TestSilentCallersLeaveDescriptorsAndServiceToOthers has no eighth above the limit any more.

--- a/callerhttp/body.go
+++ b/callerhttp/body.go
@@ -49,6 +49,7 @@
 			return err
 		}
 	}
+	c.part = inBody
 	var err error
 	if length == chunkedLength {
 		err = c.readChunks(x, limit)
--- a/callerhttp/config.go
+++ b/callerhttp/config.go
@@ -9,10 +9,10 @@
 
 // Config has the limits of a Server.
 type Config struct {
-	// MaxConns is the number of connections that are served. A further one gets 503, or takes
-	// the place of the oldest one that has sent no request within FreshTime. 0 means no limit.
-	MaxConns  int
-	FreshTime time.Duration
+	// MaxConns is the number of connections that are open at most. If there are nearly as many,
+	// a new one takes the place of one without a request in progress; if there is none, it
+	// gets 503. 0 means no limit.
+	MaxConns int
 	// MaxHeader bounds the head of a request in bytes.
 	MaxHeader int
 	// MaxBody returns the largest size of a body in bytes. What exceeds it is not read.
--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"container/list"
 	"errors"
 	"io"
 	"net"
@@ -19,14 +18,12 @@
 
 // conn is one connection of a caller.
 type conn struct {
-	nc     net.Conn
-	server *Server
-	fresh  *list.Element // of Server.fresh; protected by the server's lock
-	// leaving is set once the connection is closed for another one; protected by the
-	// server's lock.
-	leaving bool
+	nc      net.Conn
+	server  *Server
 	raw     syscall.RawConn // nil if nc has no file descriptor
 	memory  *recvlimit.Holding
+	state   connState
+	writing atomic.Int64 // clock.Time of the last progress of the write in progress, or Never
 
 	// The following fields belong to the goroutine that reads.
 	br       *bufio.Reader // nil while there is nothing to parse
@@ -40,6 +37,8 @@
 	armed    time.Time // the deadline of reads that is set at nc
 	accepted time.Time
 	requests uint64
+	part     activity   // of x that is being read: inHead or inBody
+	moved    progress   // of the reading of x
 	newer    bool       // bytes were read since arrived was set
 	arrived  clock.Time // when the newest bytes arrived
 	unread   time.Duration
@@ -61,11 +60,15 @@
 	lingers   bool        // the caller may still send bytes when the connection closes
 	ending    bool        // end was called
 	written   time.Time   // of the last response
+	reading   activity    // fresh to inBody: what the reader waits for
+	quiet     clock.Time  // since when it has waited without progress
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
 	c := &conn{nc: nc, server: s, accepted: time.Now(), queue: pipeline.NewQueue[*Exchange](s.config.Window)}
 	c.cond.L = &c.mu
+	c.reading, c.quiet = fresh, clock.Fast()
+	c.updateState()
 	if sc, ok := nc.(syscall.Conn); ok {
 		if raw, err := sc.SyscallConn(); err == nil {
 			c.raw = raw
@@ -137,6 +140,7 @@
 	c.mu.Unlock()
 	x := newExchange(c)
 	c.x, c.began, x.Behind = x, time.Time{}, behind
+	c.part, c.moved = inHead, progress{}
 	if !behind {
 		return true
 	}
@@ -178,7 +182,7 @@
 	last := x.last
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.receiving = false
+	c.receiving, c.reading = false, idle
 	c.lingers = c.lingers || err != nil || x.BodyTooLarge
 	if !c.add(x) {
 		return false
@@ -235,6 +239,10 @@
 		c.mu.Lock()
 		c.queue.Written() // first: the caller may send its next request already
 		c.written = time.Now()
+		if c.reading == idle {
+			c.quiet = clock.Fast()
+		}
+		c.updateState()
 		if err != nil || closes {
 			c.failed = c.failed || err != nil
 			c.close()
@@ -354,12 +362,30 @@
 	c.mu.Unlock()
 }
 
-// evict ends the reading of a request to free its memory.
-func (c *conn) evict() {
+// evictBody ends the reading of a request to free its memory.
+func (c *conn) evictBody() {
 	c.evicted.Store(true)
 	c.interrupt()
 }
 
+// evict closes the connection for another one. What is being read gets a response; a response
+// that is being written is broken off.
+func (c *conn) evict() {
+	if c.writing.Load() != int64(clock.Never) {
+		_ = c.nc.Close() // ends its goroutines
+	}
+	c.interrupt()
+}
+
+// updateState records what the connection does. The caller holds the lock.
+func (c *conn) updateState() {
+	if c.queue.Len() > 0 {
+		c.state.set(busy, 0)
+		return
+	}
+	c.state.set(c.reading, c.quiet)
+}
+
 // shutDownIdle closes the connection if no request is in progress.
 func (c *conn) shutDownIdle() {
 	c.mu.Lock()
@@ -381,7 +407,7 @@
 	lingers, failed := c.lingers, c.failed
 	c.queue.Fail(nil) // nothing is left in it
 	c.mu.Unlock()
-	if !failed && !c.server.closedForOther(c) && (lingers || connprobe.Unread(c.nc)) {
+	if !failed && c.state.set(lingering, clock.Fast()) && (lingers || connprobe.Unread(c.nc)) {
 		c.linger()
 	}
 	_ = c.nc.Close() // nothing is left to do
--- a/callerhttp/read_call.go
+++ b/callerhttp/read_call.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
@@ -62,6 +63,7 @@
 		switch {
 		case n > 0:
 			c.newer = true
+			c.moved.bytes += n
 			return n, nil
 		case err == nil:
 			return 0, io.EOF
@@ -73,6 +75,9 @@
 
 // interruption returns the error of an interrupted read.
 func (c *conn) interruption() error {
+	if c.state.isDisplaced() {
+		return &ConnLimitError{Limit: c.server.config.MaxConns}
+	}
 	if c.evicted.Load() {
 		return &recvlimit.BudgetError{Source: recvlimit.Caller, Limit: c.server.config.Memory.Limit()}
 	}
@@ -156,14 +161,15 @@
 	}
 }
 
-// prepareWait is called before the reader waits for bytes. It sets the deadline, and counts
-// the memory of a request that is not complete.
+// prepareWait is called before the reader waits for bytes. It sets the deadline, counts
+// the memory of a request that is not complete, and records for what the reader waits.
 func (c *conn) prepareWait() error {
 	if c.x != nil {
 		if err := c.count(c.x, cap(c.x.body)); err != nil {
 			return err
 		}
 	}
+	c.recordWait(clock.Fast())
 	due := c.due(time.Now())
 	if c.armed.IsZero() || c.armed.After(due) {
 		if err := c.arm(due); err != nil {
@@ -173,6 +179,33 @@
 	return nil
 }
 
+// progressBytes is the number of bytes of a request that count as progress: a caller that sends
+// a byte now and then makes none.
+const progressBytes = 4 << 10
+
+// progress is how far the reading of a request has come.
+type progress struct {
+	bytes int        // that arrived since last
+	part  activity   // that was read at that time
+	last  clock.Time // of progress; Never before the reader has waited
+}
+
+// recordWait records for what the reader waits, and since when without progress.
+func (c *conn) recordWait(now clock.Time) {
+	if c.x != nil && (c.moved.last == clock.Never || c.moved.bytes >= progressBytes || c.moved.part != c.part) {
+		c.moved = progress{part: c.part, last: now}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.x != nil {
+		c.quiet = c.moved.last
+		if c.requests > 0 {
+			c.reading = c.part
+		}
+	}
+	c.updateState()
+}
+
 // arm sets the deadline of reads. An earlier one that is set stays until it has passed: then
 // extend sets the new one, so that most requests set none.
 func (c *conn) arm(due time.Time) error {
--- a/callerhttp/read_request.go
+++ b/callerhttp/read_request.go
@@ -45,7 +45,7 @@
 		c.callerLeft()
 	}
 	if c.requests == 0 && !errors.Is(err, io.EOF) && c.readAhead() {
-		c.finishRead(c.x, &ReadError{Part: "first byte", Err: err})
+		c.finishRead(c.x, &ReadError{Part: partFirstByte, Err: err})
 	}
 	return false
 }
@@ -82,24 +82,23 @@
 		if err == io.EOF { //nolint:errorlint // a wrapped one is the end within a head
 			return err
 		}
-		return &ReadError{Part: "head", Err: err}
+		return &ReadError{Part: partHead, Err: err}
 	}
 	if err := x.checkTarget(); err != nil {
-		return &ReadError{Part: "target", Err: err}
+		return &ReadError{Part: partTarget, Err: err}
 	}
 	if err := c.readBody(x); err != nil {
-		return &ReadError{Part: "body", Err: err}
+		return &ReadError{Part: partBody, Err: err}
 	}
 	if x.received != nil {
 		x.received.Complete()
 		if x.received.Evicted() {
 			c.evicted.Store(true)
-			return &ReadError{Part: "body", Err: c.interruption()}
+			return &ReadError{Part: partBody, Err: c.interruption()}
 		}
 	}
-	if c.requests == 0 && !c.server.notFresh(c) {
-		c.evicted.Store(true)
-		return &ReadError{Part: "body", Err: c.interruption()}
+	if !c.state.set(busy, 0) {
+		return &ReadError{Part: partBody, Err: c.interruption()}
 	}
 	return nil
 }
@@ -149,7 +148,7 @@
 		return nil
 	}
 	if x.received == nil {
-		x.received = c.server.config.Memory.Open(recvlimit.Caller, c.evict)
+		x.received = c.server.config.Memory.Open(recvlimit.Caller, c.evictBody)
 	}
 	return x.received.Grow(x.cost() + bytes)
 }
--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"container/list"
 	"context"
 	"errors"
 	"net"
@@ -10,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/connprobe"
 	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
@@ -31,14 +32,18 @@
 	mu        sync.Mutex
 	listeners []net.Listener
 	conns     map[*conn]struct{}
-	fresh     list.List // connections on which no request was read completely, oldest first
-	leaving   int       // connections that were closed for others and have not ended
+	victims   []victim   // that were selected, the next one last
+	scanAfter clock.Time // when victims may be selected again
+	leaving   int        // connections that were closed for others and have not ended
+	stats     ConnStats
 	shutDown  bool
+
+	left chan struct{} // signaled when a connection has ended that was closed for another one
 }
 
 // NewServer returns a server.
 func NewServer(c Config, h Handler) *Server {
-	s := &Server{config: c, handler: h, conns: make(map[*conn]struct{})}
+	s := &Server{config: c, handler: h, conns: make(map[*conn]struct{}), left: make(chan struct{}, 1)}
 	s.large.New = func() any { return bufio.NewReaderSize(nil, c.MaxHeader) }
 	return s
 }
@@ -73,78 +78,123 @@
 	}
 }
 
-// leavingShare bounds the connections above Config.MaxConns that were closed for others and
-// have not ended, as a divisor of it.
-const leavingShare = 8
+// leavingShare is the share of Config.MaxConns, as a divisor, that is left to connections which
+// are being closed for others and have not ended.
+const leavingShare = 16
+
+// leavingWait is how long a new connection waits for one to end that was closed for another.
+const leavingWait = 100 * time.Millisecond
 
-// add registers a connection, or refuses it and returns nil. If there are too many, it closes
-// the oldest one on which no request was read: that is one that stopped within its first head,
-// or never sent anything.
+// add registers a connection, or refuses it and returns nil.
 func (s *Server) add(nc net.Conn) *conn {
 	memory := s.config.Memory.Open(recvlimit.Caller, nil)
 	c := newConn(s, nc)
 	c.memory = memory
-	room := memory.Grow(connCost) == nil
-	var closed *conn
+	if memory.Grow(connCost) == nil && s.register(c) {
+		return c
+	}
+	memory.Release()
 	s.mu.Lock()
-	if limit := s.config.MaxConns; limit > 0 && len(s.conns)-s.leaving >= limit {
-		room = room && len(s.conns) < limit+limit/leavingShare
-		if room {
-			closed = s.takeFresh()
-			room = closed != nil
+	s.stats.Refused++
+	s.mu.Unlock()
+	reject(nc)
+	return nil
+}
+
+// register adds a connection to those that are served. If nearly all that may be open are,
+// another one is closed for it; see selectVictims. It reports false if there is no room.
+func (s *Server) register(c *conn) bool {
+	s.displaceOne()
+	var timeout <-chan time.Time
+	for {
+		added, leaving := s.tryRegister(c)
+		if added || !leaving {
+			return added
 		}
+		if timeout == nil {
+			timer := time.NewTimer(leavingWait)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		select {
+		case <-s.left:
+		case <-timeout:
+			return false
+		}
+	}
+}
+
+// tryRegister adds a connection if there is room. If there is none, it reports whether others
+// are about to end.
+func (s *Server) tryRegister(c *conn) (added, leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if limit := s.config.MaxConns; s.shutDown || limit > 0 && len(s.conns) >= limit {
+		return false, !s.shutDown && s.leaving > 0
+	}
+	s.conns[c] = struct{}{}
+	return true, false
+}
+
+// displaceOne closes a connection if there is little room for a new one.
+func (s *Server) displaceOne() {
+	limit := s.config.MaxConns
+	if limit == 0 {
+		return
 	}
-	if room && !s.shutDown {
-		s.conns[c] = struct{}{}
-		c.fresh = s.fresh.PushBack(c)
-	} else {
-		c = nil
+	s.mu.Lock()
+	var closed *conn
+	if len(s.conns)-s.leaving >= limit-max(limit/leavingShare, 1) {
+		closed = s.takeVictim(clock.Fast())
 	}
 	s.mu.Unlock()
 	if closed != nil {
 		closed.evict()
 	}
-	if c == nil {
-		memory.Release()
-		reject(nc)
-	}
-	return c
 }
 
-// takeFresh returns the oldest connection on which no request was read, which is to be closed.
-// It returns nil if there is none that is old enough. The caller holds the lock.
-func (s *Server) takeFresh() *conn {
-	e := s.fresh.Front()
-	if e == nil {
-		return nil
-	}
-	c := e.Value.(*conn)
-	if time.Since(c.accepted) < s.config.FreshTime {
-		return nil
+// takeVictim returns a connection that is to be closed for another one, or nil if there is none.
+// The caller holds the lock.
+func (s *Server) takeVictim(now clock.Time) *conn {
+	for {
+		for n := len(s.victims); n > 0; n = len(s.victims) {
+			v := s.victims[n-1]
+			s.victims[n-1] = victim{}
+			s.victims = s.victims[:n-1]
+			if s.displace(&v, now) {
+				return v.conn
+			}
+		}
+		if now.Before(s.scanAfter) {
+			return nil
+		}
+		if s.victims = selectVictims(s.conns, now); len(s.victims) == 0 {
+			s.scanAfter = now.Add(scanPause)
+			return nil
+		}
+		s.scanAfter = now.Add(1) // once for each new connection
 	}
-	s.fresh.Remove(e)
-	c.fresh, c.leaving = nil, true
-	s.leaving++
-	return c
 }
 
-// notFresh records that a request was read on a connection. It reports false if the connection
-// is being closed for another one.
-func (s *Server) notFresh(c *conn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if c.fresh != nil {
-		s.fresh.Remove(c.fresh)
-		c.fresh = nil
+// displace marks a connection as being closed. It reports false if it has ended or made
+// progress since it was selected, or is about to. The caller holds the lock.
+func (s *Server) displace(v *victim, now clock.Time) bool {
+	c := v.conn
+	if _, open := s.conns[c]; !open {
+		return false
 	}
-	return !c.leaving
-}
-
-// closedForOther reports whether the connection is being closed for another one.
-func (s *Server) closedForOther(c *conn) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return c.leaving
+	a, _ := unpack(v.word)
+	switch {
+	case a == busy && !isStalled(clock.Time(c.writing.Load()), now):
+		return false
+	case a >= fresh && a <= inBody && connprobe.Unread(c.nc): // it is about to make progress
+		return false
+	case !c.state.close(v.word):
+		return false
+	}
+	s.leaving++
+	s.stats.Closed[a]++
+	return true
 }
 
 // reject answers a connection that is not served.
@@ -161,13 +211,63 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
-	if c.fresh != nil {
-		s.fresh.Remove(c.fresh)
-		c.fresh = nil
-	}
-	if c.leaving {
+	if c.state.isDisplaced() {
 		s.leaving--
+		select {
+		case s.left <- struct{}{}:
+		default: // awaitRoom will look in any case
+		}
+	}
+}
+
+// ConnStats counts connections that were refused or closed for others.
+type ConnStats struct {
+	// Open is the number of connections that are open.
+	Open int
+	// Refused is the number of those that got 503 at once.
+	Refused uint64
+	// Closed is the number of those that were closed for others, by what they did.
+	Closed [busy + 1]uint64
+}
+
+// ConnActivities are the names of what connections do, by the index in ConnStats.Closed.
+func ConnActivities() []string { return activityNames[:displaced] }
+
+// ConnStats returns the counts since the server was created.
+func (s *Server) ConnStats() ConnStats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	stats := s.stats
+	stats.Open = len(s.conns)
+	return stats
+}
+
+// MaxConns returns the number of connections that are open at most, 0 if there is no limit.
+func (s *Server) MaxConns() int { return s.config.MaxConns }
+
+// LargestCaller returns the caller that has the most connections, and their number. nameOf
+// returns the name of the caller at an address.
+func (s *Server) LargestCaller(nameOf func(net.Addr) string) (name string, conns int) {
+	count := make(map[string]int)
+	for _, c := range s.all() {
+		caller := nameOf(c.nc.RemoteAddr())
+		if count[caller]++; count[caller] > conns {
+			name, conns = caller, count[caller]
+		}
+	}
+	return name, conns
+}
+
+// Writing reports whether responses are being written.
+func (s *Server) Writing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.writing.Load() != int64(clock.Never) {
+			return true
+		}
 	}
+	return false
 }
 
 // GetOpenConnectionsCount returns the number of connections that are open.
--- a/callerhttp/write.go
+++ b/callerhttp/write.go
@@ -66,8 +66,10 @@
 // reads slowly gets all of a long response.
 func (c *conn) Write(p []byte) (int, error) {
 	written := 0
+	defer c.writing.Store(int64(clock.Never))
 	for written < len(p) {
 		now := time.Now()
+		c.writing.Store(int64(clock.Fast()))
 		if timeout := c.server.config.WriteTimeout; c.writeBy.Sub(now) < timeout/2 {
 			c.writeBy = now.Add(timeout)
 			if err := c.nc.SetWriteDeadline(c.writeBy); err != nil {
@@ -90,7 +92,7 @@
 			return // the caller has closed
 		}
 	}
-	if c.nc.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+	if c.nc.SetReadDeadline(time.Now().Add(lingerTime)) != nil || c.state.isDisplaced() {
 		return
 	}
 	b := chunks.Get().(*chunk)
--- a/sidecar/ingress.go
+++ b/sidecar/ingress.go
@@ -32,9 +32,6 @@
 	callerIdleTimeout = 120 * time.Second
 	// callerReadTimeout bounds the time to read one request.
 	callerReadTimeout = 60 * time.Second
-	// callerFreshTime is how long a connection without a request is not closed for another
-	// one. Callers may open connections shortly before they use them.
-	callerFreshTime = 2 * time.Second
 	// callerWriteTimeout is how long a caller may take no bytes of a response.
 	callerWriteTimeout = 60 * time.Second
 	// maxPipelined is the number of requests of one connection that are in progress at a
@@ -94,7 +91,6 @@
 	}
 	in.server = callerhttp.NewServer(callerhttp.Config{
 		MaxConns:     maxConns,
-		FreshTime:    callerFreshTime,
 		MaxHeader:    maxCallerHeader,
 		MaxBody:      in.maxBody,
 		Memory:       d.memory,
--- a/sidecar/read_error.go
+++ b/sidecar/read_error.go
@@ -35,10 +35,11 @@
 	var small *fasthttp.ErrSmallBuffer
 	var timeout net.Error
 	var budget *recvlimit.BudgetError
+	var crowded *callerhttp.ConnLimitError
 	switch {
 	case errors.As(err, &small):
 		return fasthttp.StatusRequestHeaderFieldsTooLarge, outcome.HeaderTooLarge
-	case errors.As(err, &budget):
+	case errors.As(err, &budget), errors.As(err, &crowded):
 		return fasthttp.StatusServiceUnavailable, outcome.Overloaded
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return fasthttp.StatusRequestTimeout, outcome.RequestTimeout
