sidecar: idle connections to the servers for heartbeats and readiness give way

What was seen: 600 connections each to the addresses for heartbeats and readiness checks that were answered once and then stayed idle kept readiness checks on new connections out, 503 for 30 s and more (up to the idle timeout of 60 s). A machine whose readiness checks fail gets no callers, and one whose heartbeats fail loses its keys.

Cause: fasthttp refuses what exceeds its concurrency, idle connections count, and 256 suffice.

Change: connLimiter follows the states of the connections and closes one for each new one above 256: the oldest new one if these are many, else the one that has been idle for longest, else one that has been within a request for longer than any request takes.

Evidence: TestIdleConnectionsToServers/idle failed on the code before (readiness not within 30 s: 503) and passes now; its variant that stops within a head passed before, since a read ends after 5 s, and passes now.

--- /dev/null
+++ b/sidecar/memorytest/servers_test.go
@@ -0,0 +1,53 @@
+package memorytest
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/parsleystack/parsleystack/platform"
+	"github.com/parsleystack/parsleystack/platform/platformtest"
+)
+
+// Connections to the addresses for heartbeats, readiness checks and metrics that were served
+// and stay open, idle or within a further request, must not keep others out.
+func TestIdleConnectionsToServers(t *testing.T) {
+	const conns = 1200
+	request := platformtest.Head(host, http.MethodGet, "/", newID(), "")
+	for name, piece := range map[string]string{"idle": "", "head": request[:len(request)-2]} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, memoryMB, maxBodyBytes)
+			n := f.nodes[0]
+			addrs := []string{n.addr(controlPort), n.addr(readyPort)}
+			crowdAt(t, addrs, conns, func(_ int, conn net.Conn) {
+				if write(conn, []byte(request), 1, 0) {
+					_, _ = conn.Read(make([]byte, 512)) // the daemon may close the connection
+					write(conn, []byte(piece), 1, 0)
+				}
+			})
+			await(t, "a heartbeat is acknowledged", n.target.SendHeartbeat)
+			await(t, "a readiness check is answered", func() error {
+				status, _, err := platformtest.RawCall(n.addr(readyPort), platformtest.Head(host, http.MethodGet, platform.ReadyPath, newID(), ""))
+				if err == nil && status != http.StatusOK {
+					err = fmt.Errorf("status %d", status)
+				}
+				return err
+			})
+			f.awaitServed(n, localPath)
+		})
+	}
+}
+
+// await waits until try succeeds.
+func await(t *testing.T, what string, try func() error) {
+	t.Helper()
+	err := try()
+	for end := time.Now().Add(readyWait); err != nil; err = try() {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not within %v: %v", what, readyWait, err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
--- a/sidecar/servers.go
+++ b/sidecar/servers.go
@@ -53,7 +53,8 @@
 	s := &fasthttp.Server{
 		Handler: d.withBody(h), Name: "parsley", NoDefaultServerHeader: true, Logger: discardLogger{}, MaxRequestBodySize: maxHeartbeat,
 		StreamRequestBody: true,
-		ReadTimeout:       serverReadTimeout, IdleTimeout: serverIdleTimeout, Concurrency: maxServerConns,
+		ReadTimeout:       serverReadTimeout, IdleTimeout: serverIdleTimeout, Concurrency: maxServerConns + maxServerConns/closingConnsShare,
+		ConnState: newConnLimiter(maxServerConns).stateChanged,
 	}
 	d.serversMu.Lock()
 	d.servers = append(d.servers, s)
@@ -85,6 +86,9 @@
 	// maxServerConns is the number of connections to each of these servers. Few are
 	// in use; the rest of the process's descriptors is for callers and targets.
 	maxServerConns = 256
+	// closingConnsShare is the share of these, as a divisor, that may be open in addition while
+	// they are closed for others.
+	closingConnsShare = 4
 )
 
 // maxHeartbeat is the largest heartbeat in bytes, far above one with all shards of a
