listen, sidecar: bound what connections that are not read or not accepted hold

Cause: the kernel holds bytes for connections that wait to be accepted, too, and nothing bounded these but the kernel's own limit of 4,096; and it holds half as much again as the receive buffer that is asked for: 24 KB for one of 16 KB, measured on 50 connections, accepted or not.

Change: the queue of the callers' listener is bounded to a 32nd of the memory, those of the servers for heartbeats, readiness and metrics to 64 and that of links to 1,024 connections.

Ruled out: a receive buffer of 4 KB holds 4 KB, but 20 MB take 82 ms.

--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -31,15 +31,28 @@
 	// linkFilesPart is the part of the process's descriptors that links accepted from other
 	// daemons may take. Each of them opens up to three.
 	linkFilesPart = 4
-	// localReceiveBuffer bounds the bytes of a connection of a caller, target or operator that
-	// the kernel holds while they are not read. They are on the same machine, where that takes
-	// no speed: 20 MB took 14 ms.
-	localReceiveBuffer = 16 << 10
+	// localReceiveBuffer is the size of the receive buffers of connections of callers, targets
+	// and operators. The kernel holds half as much again for each of them that is not read,
+	// also before it is accepted. They are on the same machine, where that takes little
+	// speed: 20 MB took 36 ms.
+	localReceiveBuffer = 8 << 10
+	// unreadConnBytes is the memory that the kernel holds for a connection that is not read.
+	unreadConnBytes = 2 * localReceiveBuffer
 	// callerConnBytes is the memory of a connection of a caller that sends nothing more:
-	// that of the process, and localReceiveBuffer outside the heap.
-	callerConnBytes = 8<<10 + localReceiveBuffer
+	// that of the process, and what the kernel holds outside the heap.
+	callerConnBytes = 8<<10 + unreadConnBytes
 	// callerConnsPart is the part of the messages' memory that such connections may take.
 	callerConnsPart = 2
+	// callerBacklogPart is the part of the process's memory that connections of callers may take
+	// which wait to be accepted. It is outside the heap.
+	callerBacklogPart = 32
+	// minCallerBacklog is the least number of connections of callers that may wait.
+	minCallerBacklog = 128
+	// serverBacklog is the number of connections of targets and operators that may wait to be
+	// accepted by each server, and linkBacklog that of daemons. A fleet of 195 daemons opens
+	// 585 links to a daemon that has started.
+	serverBacklog = 64
+	linkBacklog   = 1024
 	// memoryReportInterval is the time between two reports of messages that were refused or
 	// evicted.
 	memoryReportInterval = time.Second
@@ -60,6 +73,12 @@
 // callerConnsFor returns the number of connections of callers for which messages have memory.
 func callerConnsFor(messages int) int { return messages / callerConnsPart / callerConnBytes }
 
+// callerBacklog returns the number of connections of callers that may wait to be accepted in a
+// process of a memory in bytes.
+func callerBacklog(memory int) int {
+	return max(memory/callerBacklogPart/unreadConnBytes, minCallerBacklog)
+}
+
 // gcPercent is the garbage, as a share of the live heap in per cent, at which a collection
 // starts. A daemon allocates about 4 MB a second, so that the default of 100 collects only
 // every few seconds and holds as much garbage as live data.
--- a/sidecar/servers.go
+++ b/sidecar/servers.go
@@ -22,21 +22,40 @@
 	links, callers, control, ready, metrics net.Listener
 }
 
+// Indices of the listeners that Daemon.listen opens.
+const (
+	linkListener = iota
+	callerListener
+	controlListener
+	readyListener
+	metricsListener
+)
+
 func (d *Daemon) listen() (*listeners, error) {
 	s := d.settings()
 	ls, err := listen.All(s.LinkAddr, s.CallerAddr, s.ControlAddr, s.ReadyAddr, s.MetricsAddr)
 	if err != nil {
 		return nil, err
 	}
-	for _, l := range ls[1:] { // all but that of links, which may cross long distances
-		if err := listen.SetReceiveBuffer(l, localReceiveBuffer); err != nil {
+	for i, l := range ls {
+		if err := listenLimits(i, s.MemoryBytes).Apply(l); err != nil {
 			return nil, errors.Join(err, listen.Close(ls))
 		}
-	}
-	for i, l := range ls {
 		ls[i] = listen.Tolerant(l, d.recordAcceptError)
 	}
-	return &listeners{links: ls[0], callers: ls[1], control: ls[2], ready: ls[3], metrics: ls[4]}, nil
+	return &listeners{links: ls[linkListener], callers: ls[callerListener], control: ls[controlListener], ready: ls[readyListener], metrics: ls[metricsListener]}, nil
+}
+
+// listenLimits returns the limits of listener i of Daemon.listen in a process of a memory in
+// bytes. The receive buffers of links are not bounded, since links may cross long distances.
+func listenLimits(i, memory int) listen.Limits {
+	switch i {
+	case linkListener:
+		return listen.Limits{Backlog: linkBacklog}
+	case callerListener:
+		return listen.Limits{ReceiveBuffer: localReceiveBuffer, Backlog: callerBacklog(memory)}
+	}
+	return listen.Limits{ReceiveBuffer: localReceiveBuffer, Backlog: serverBacklog}
 }
 
 // recordAcceptError logs and counts a connection that could not be accepted.
