target: bound the receive buffers of connections to the target

What was seen: 60 callers at each of two daemons that ask for responses of 10 MB (at 96 MB) or 30 MB (at 184 and 284 MB), half of them reading slowly and half not at all, ended the daemon of the target in 6 of 6 runs: 103 and 111 MB, 189 and 194 MB, 286 and 289 MB, 42 to 91 MB of it received and not read.

Cause: while a response waits for memory, the target goes on sending, and the kernel takes up to its own limit for each connection, 32 MB on this machine. The watch of the tests did not count these bytes so far, since the connections are dialed; the platform does.

Change: the receive buffer of a connection to the target is 32 KB, set before it is opened.

--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -33,6 +33,9 @@
 	targetMaxIdle = 8 * time.Second
 	// maxTargetBody is the largest response body of a target, in bytes.
 	maxTargetBody = 32 << 20
+	// targetReceiveBuffer is the size of the receive buffer of a connection to the target. A
+	// target of 64 slots may answer on 72 connections at a time.
+	targetReceiveBuffer = 32 << 10
 	// leavingServeFraction is the part of its drain time in which a leaving target
 	// still accepts requests, from daemons that do not have its new state yet.
 	leavingServeFraction = 0.6
@@ -119,7 +122,7 @@
 	if replaced {
 		current.client = target.New(target.Config{
 			Addr: b.d.settings().TargetAddr, MaxConns: conns, WarmConns: 1, MaxBody: maxTargetBody, Memory: b.d.memory,
-			DialTimeout: targetDialTimeout, AllowCloseDelimited: true, MaxIdle: targetMaxIdle,
+			DialTimeout: targetDialTimeout, ReceiveBuffer: targetReceiveBuffer, AllowCloseDelimited: true, MaxIdle: targetMaxIdle,
 			OnClosed: func() { b.doubtCold(current, coldstart.ConnectionClosed) },
 		})
 		current.runs = newRunTracker(current.target)
--- a/target/config.go
+++ b/target/config.go
@@ -30,6 +30,9 @@
 	MaxIdle time.Duration
 	// DialTimeout bounds the dialing of a connection; DefaultDialTimeout if 0.
 	DialTimeout time.Duration
+	// ReceiveBuffer is the size in bytes of the receive buffer of each connection, if not 0. The
+	// kernel holds up to twice as much of responses for which Memory has no room yet.
+	ReceiveBuffer int
 	// OnClosed is called when an idle connection that a call would use was closed by the
 	// target; nil for no call.
 	OnClosed func()
--- a/target/pool.go
+++ b/target/pool.go
@@ -1,18 +1,21 @@
 package target
 
 import (
+	"errors"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 )
 
 // pool holds up to maxConns connections for requests. The most recently used idle
 // connection is used first.
 type pool struct {
-	addr        string
-	dialTimeout time.Duration
-	onClosed    func() // may be nil
+	addr          string
+	dialTimeout   time.Duration
+	receiveBuffer int    // bytes; that of the kernel if 0
+	onClosed      func() // may be nil
 
 	mu         sync.Mutex
 	maxConns   int
@@ -23,7 +26,7 @@
 }
 
 func newPool(cfg Config) *pool {
-	return &pool{addr: cfg.Addr, maxConns: cfg.MaxConns, dialTimeout: cfg.DialTimeout, onClosed: cfg.OnClosed, connClosed: make(chan struct{}, 1)}
+	return &pool{addr: cfg.Addr, maxConns: cfg.MaxConns, dialTimeout: cfg.DialTimeout, receiveBuffer: cfg.ReceiveBuffer, onClosed: cfg.OnClosed, connClosed: make(chan struct{}, 1)}
 }
 
 func (p *pool) setMaxConns(n int) {
@@ -100,7 +103,8 @@
 	if left := time.Until(deadline); left < timeout {
 		timeout = left
 	}
-	raw, err := net.DialTimeout("tcp", p.addr, max(timeout, time.Nanosecond))
+	dialer := net.Dialer{Timeout: max(timeout, time.Nanosecond), Control: p.setReceiveBuffer}
+	raw, err := dialer.Dial("tcp", p.addr)
 	if err != nil {
 		p.releaseSlot()
 		return nil, err
@@ -114,6 +118,19 @@
 	return c, nil
 }
 
+// setReceiveBuffer implements net.Dialer.Control. The size is set before the connection is
+// opened, since the kernel derives the largest window from it then.
+func (p *pool) setReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+	if p.receiveBuffer == 0 {
+		return nil
+	}
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, p.receiveBuffer)
+	})
+	return errors.Join(err, failed)
+}
+
 // put returns a connection to the pool. Its last response must have been completely
 // read.
 func (p *pool) put(c *conn) {
