transport: large responses are not copied on any link, and none is dropped without a word

Cause: large responses on routes that are not declared for them share the connection for small ones. There each was copied twice, into a buffer for the frame and into the queue, neither of which the account refuses; the copies filled the queue, and a response beyond its limit was dropped, although its request had run.

Change: a response whose body is kept is queued without a copy on all connections, after the frame that is being written; its body counts where it was received, not towards the limit of the queue. If the queue is full all the same, responses with bodies of up to 4 KB are queued, and larger ones are answered as unknown at once.

--- a/transport/scheduled_writer.go
+++ b/transport/scheduled_writer.go
@@ -59,11 +59,15 @@
 	return nil
 }
 
-// writeResponse is writeScheduledFrame for a response. A large body that its sender keeps is
-// not copied; it is released when it was written or dropped.
+// writeResponse is writeFrame for a response. A large body that its sender keeps is not copied;
+// it is released when it was written or dropped. due is when the response should be sent
+// completely; Never if there is no such time.
 func (w *writer) writeResponse(id uint64, resp *wire.Response, due clock.Time) error {
 	if !resp.BodyKept || len(resp.Body) < minBulkBody {
-		return w.writeScheduledFrame(wire.KindResponse, id, resp, due)
+		if w.scheduled {
+			return w.writeScheduledFrame(wire.KindResponse, id, resp, due)
+		}
+		return w.writeFrame(wire.KindResponse, id, resp)
 	}
 	head, body, err := wire.AppendDetached(nil, wire.KindResponse, id, resp, w.maxFrame)
 	if err != nil {
@@ -71,13 +75,29 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err := w.checkLocked(); err != nil {
-		return err
+	if w.err != nil {
+		return w.err
 	}
+	// The body is counted where it was received, so the limit of the queue does not apply.
 	w.queueFrameLocked(queuedFrame{b: head, body: body, release: resp.Keep()}, due)
 	return nil
 }
 
+// forceFrame queues a small frame although the queue is full.
+func (w *writer) forceFrame(kind wire.Kind, id uint64, m msgp.Marshaler) error {
+	frame, err := wire.Append(nil, kind, id, m, w.maxFrame)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.err != nil {
+		return w.err
+	}
+	w.queueFrameLocked(queuedFrame{b: frame}, clock.Never)
+	return nil
+}
+
 // queueFrameLocked queues a frame, which it keeps, and returns its stream position.
 func (w *writer) queueFrameLocked(f queuedFrame, due clock.Time) uint64 {
 	start := w.endPos
@@ -182,23 +202,32 @@
 func (w *writer) runScheduled(count func(bytes int)) error {
 	for range w.wake {
 		for {
-			f, err := w.takeFrame()
+			written, err := w.writeNextFrame(count)
 			if err != nil {
 				return err
 			}
-			if f == nil {
+			if !written {
 				break
 			}
-			size := len(f.b) + len(f.body)
-			if err := w.writeScheduled(f); err != nil {
-				return err
-			}
-			count(size)
 		}
 	}
 	return nil
 }
 
+// writeNextFrame writes the first of the queued frames, and reports false if there is none.
+func (w *writer) writeNextFrame(count func(bytes int)) (written bool, err error) {
+	f, err := w.takeFrame()
+	if f == nil || err != nil {
+		return false, err
+	}
+	size := len(f.b) + len(f.body)
+	if err := w.writeScheduled(f); err != nil {
+		return false, err
+	}
+	count(size)
+	return true, nil
+}
+
 // writeScheduled writes a frame, in segments if it is large.
 func (w *writer) writeScheduled(f *queuedFrame) error {
 	defer f.end()
--- a/transport/serverconn.go
+++ b/transport/serverconn.go
@@ -183,15 +183,17 @@
 	c.writer.dropResponse(id)
 }
 
+// maxForced is the size in bytes up to which the body of a response is queued although the
+// queue is full. Its request was counted with more than that.
+const maxForced = 4 << 10
+
 // respond queues a response and removes its exchange. It returns an error only for a
 // response that exceeds a limit; one to a peer that has disconnected is dropped. due is
 // when the response should be sent; Never if there is no such time.
 func (c *serverConn) respond(id uint64, resp *wire.Response, due clock.Time) error {
-	var err error
-	if c.writer.scheduled {
-		err = c.writer.writeResponse(id, resp, due)
-	} else {
-		err = c.writer.writeFrame(wire.KindResponse, id, resp)
+	err := c.writer.writeResponse(id, resp, due)
+	if errors.Is(err, ErrBacklog) {
+		err = c.respondBeyondBacklog(id, resp)
 	}
 	var oversize *wire.OversizeError
 	if errors.As(err, &oversize) {
@@ -204,6 +206,15 @@
 	return nil
 }
 
+// respondBeyondBacklog queues a response although the queue is full: its request would wait for
+// it until its deadline. The body of a larger one is lost, and the outcome unknown to its caller.
+func (c *serverConn) respondBeyondBacklog(id uint64, resp *wire.Response) error {
+	if resp.Kind == outcome.Done && len(resp.Body) > maxForced {
+		resp = &wire.Response{Kind: outcome.Unknown, Reason: outcome.Overloaded, InFlight: resp.InFlight, Capacity: resp.Capacity}
+	}
+	return c.writer.forceFrame(wire.KindResponse, id, resp)
+}
+
 // goaway asks the peer to send no new requests on the connection.
 func (c *serverConn) goaway() { _, _ = c.writer.appendRaw(wire.KindGoaway, 0, nil) }
 
--- a/transport/writer.go
+++ b/transport/writer.go
@@ -40,8 +40,8 @@
 
 	mu        sync.Mutex
 	pending   []byte
-	frames    []queuedFrame // in place of pending if scheduled
-	writing   *queuedFrame  // that is being written, if scheduled
+	frames    []queuedFrame // in place of pending if scheduled, else responses with large bodies
+	writing   *queuedFrame  // of frames, that is being written
 	endPos    uint64        // stream position after the last queued byte
 	submitted uint64        // stream position up to which bytes are being or were passed to the socket
 	err       error
@@ -255,22 +255,30 @@
 	var spare []byte
 	var retention bufferRetention
 	for range w.wake {
-		runtime.Gosched() // let other goroutines add their frames to the batch
-		batch, err := w.takePending(spare)
-		if err != nil {
-			return err
-		}
-		if len(batch) == 0 {
+		for {
+			runtime.Gosched() // let other goroutines add their frames to the batch
+			batch, err := w.takePending(spare)
+			if err != nil {
+				return err
+			}
 			spare = batch
-			continue
-		}
-		if err := w.write(batch); err != nil {
-			return err
-		}
-		count(len(batch))
-		w.egress.Sent(len(batch))
-		if spare = retention.retain(batch); spare == nil {
-			w.dropBatch()
+			if len(batch) > 0 {
+				if err := w.write(batch); err != nil {
+					return err
+				}
+				count(len(batch))
+				w.egress.Sent(len(batch))
+				if spare = retention.retain(batch); spare == nil {
+					w.dropBatch()
+				}
+			}
+			written, err := w.writeNextFrame(count)
+			if err != nil {
+				return err
+			}
+			if !written {
+				break
+			}
 		}
 	}
 	return nil
