transport: large write buffers do not stay with their connections

Cause: a buffer was kept if the last batch filled a quarter of it, or for 256 batches.

Change: buffers of more than 64 KB are dropped after they were written.

Evidence: TestLargeWriteBuffersAreNotKept failed on the code before (the account still held the buffer after 10 s) and passes.

--- a/transport/large_response_test.go
+++ b/transport/large_response_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"strconv"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/parsleystack/parsleystack/outcome"
+	"github.com/parsleystack/parsleystack/recvlimit"
 	"github.com/parsleystack/parsleystack/wire"
 )
 
@@ -81,3 +83,20 @@
 		})
 	}
 }
+
+// Buffers of large responses must not stay with the connection: they would take the memory of
+// messages as long as it is open.
+func TestLargeWriteBuffersAreNotKept(t *testing.T) {
+	memory := recvlimit.NewPool(64 << 20)
+	_, addr := startHandler(t, &counted{}, func(c *Config) { c.Memory = memory })
+	p := newTestPool(t, nil)
+	body := make([]byte, 8<<20)
+	for range 3 {
+		var resp wire.Response
+		if _, err := p.Do(ctxFor(t, 5*time.Second), addr, &wire.Request{URI: fmt.Append(nil, len(body))}, &resp); err != nil || !bytes.Equal(resp.Body, body) {
+			t.Fatalf("%d bytes, error %v", len(resp.Body), err)
+		}
+		resp.Release()
+		eventually(t, "the buffer is returned", func() bool { return memory.Held() <= connCost+2*maxRetainedBuffer })
+	}
+}
--- a/transport/writer.go
+++ b/transport/writer.go
@@ -14,13 +14,10 @@
 	"github.com/parsleystack/parsleystack/wire"
 )
 
-// maxRetainedBuffer is the largest write buffer, in bytes, that is always reused.
+// maxRetainedBuffer is the largest write buffer, in bytes, that is reused. Larger ones would
+// stay with each connection and take the memory of messages.
 const maxRetainedBuffer = 64 << 10
 
-// maxUnderused is the number of consecutive small batches after which a large
-// write buffer is dropped.
-const maxUnderused = 256
-
 // writer queues outgoing frames of a connection and writes all queued frames with
 // one system call.
 type writer struct {
@@ -253,7 +250,6 @@
 		return w.runScheduled(count)
 	}
 	var spare []byte
-	var retention bufferRetention
 	for range w.wake {
 		for {
 			runtime.Gosched() // let other goroutines add their frames to the batch
@@ -268,7 +264,8 @@
 				}
 				count(len(batch))
 				w.egress.Sent(len(batch))
-				if spare = retention.retain(batch); spare == nil {
+				if cap(batch) > maxRetainedBuffer {
+					spare = nil
 					w.dropBatch()
 				}
 			}
@@ -284,27 +281,6 @@
 	return nil
 }
 
-// bufferRetention decides which write buffers are reused. A buffer above
-// maxRetainedBuffer is dropped after maxUnderused consecutive batches that filled
-// less than a quarter of it.
-type bufferRetention struct {
-	underused int // consecutive batches
-}
-
-// retain returns batch for reuse, or nil to drop it.
-func (r *bufferRetention) retain(batch []byte) []byte {
-	if cap(batch) <= maxRetainedBuffer || len(batch) >= cap(batch)/4 {
-		r.underused = 0
-		return batch
-	}
-	r.underused++
-	if r.underused < maxUnderused {
-		return batch
-	}
-	r.underused = 0
-	return nil
-}
-
 func (w *writer) write(batch []byte) error {
 	if err := w.conn.SetWriteDeadline(time.Now().Add(w.timeout)); err != nil {
 		w.recordUnsent(len(batch))
