sidecar: a heartbeat with missing fields does not replace the target

Its 16,384 keys were granted to others while it held them, and its own heartbeats were ignored from then on.

Cause: any heartbeat with an address, a start, a service, slots, a state and a seq could replace the target at once.

Change: a heartbeat that names another target and lacks a field that the present one's heartbeats have is answered with 400 and changes nothing while those go on.

--- a/sidecar/control_heartbeat.go
+++ b/sidecar/control_heartbeat.go
@@ -35,12 +35,13 @@
 
 // heartbeatState is the state of the heartbeat exchange with the target.
 type heartbeatState struct {
-	heard        bool            // a heartbeat was received
-	seq          uint64          // of the newest one
-	behind       heartbeatSeries // since seq was received
-	lastAt       clock.Time      // when the newest heartbeat was received or the target was inherited
-	leavingSince clock.Time      // when the target announced its departure; Never if it is not leaving
-	grantsExpire clock.Time      // when the newest grants end
+	heard        bool                     // a heartbeat was received
+	seq          uint64                   // of the newest one
+	behind       heartbeatSeries          // since seq was received
+	fields       platform.HeartbeatFields // of the newest one
+	lastAt       clock.Time               // when the newest heartbeat was received or the target was inherited
+	leavingSince clock.Time               // when the target announced its departure; Never if it is not leaving
+	grantsExpire clock.Time               // when the newest grants end
 	deferred     *deferredHeartbeat
 	departure    departureState
 }
@@ -103,6 +104,10 @@
 		logevent.Log(c.log, logevent.HeartbeatIgnored, zap.String("target", hb.Target.ID), zap.String("service", string(hb.Service)), zap.Uint64("config", c.configVersion()), zap.Int("status", status))
 		return heartbeatResponse{status: status}, true
 	}
+	if c.isForeign(hb) {
+		logevent.Log(c.log, logevent.HeartbeatIgnored, zap.String("target", hb.Target.ID), zap.Uint8("fields", uint8(hb.Fields)), zap.Uint8("want", uint8(c.heartbeats.fields)))
+		return heartbeatResponse{status: http.StatusBadRequest}, true
+	}
 	if !c.isNewer(hb) && !c.isTargetsSeries(hb) {
 		logevent.Log(c.log, logevent.HeartbeatOutOfOrder, zap.String("target", hb.Target.ID), zap.Int64("born", hb.Target.StartTime), zap.Uint64("seq", hb.Seq))
 		return heartbeatResponse{status: 200, body: platform.AppendAcknowledgement(nil)}, true
@@ -110,6 +115,17 @@
 	return heartbeatResponse{}, false
 }
 
+// isForeign reports whether a heartbeat that names another target is of another writer: the
+// target's own go on, and have fields that it lacks.
+func (c *control) isForeign(hb *platform.Heartbeat) bool {
+	return c.heartbeats.heard && hb.Target != c.target() && hb.Fields.Lacks(c.heartbeats.fields) && !c.isSilent(clock.Now())
+}
+
+// isSilent reports whether the target has sent no heartbeat for several intervals.
+func (c *control) isSilent(now clock.Time) bool {
+	return now.Sub(c.heartbeats.lastAt) > time.Duration(missedIntervals*float64(c.d.settings().HeartbeatInterval))
+}
+
 // knowsService reports whether a target may be of the service: the one in the settings,
 // which a later version may add, or any of the configuration. Any is accepted before there
 // is a configuration.
@@ -185,7 +201,8 @@
 	if state == fleet.TargetLeaving && c.heartbeats.leavingSince == clock.Never {
 		c.heartbeats.leavingSince = now
 	}
-	c.heartbeats.heard, c.heartbeats.seq, c.heartbeats.lastAt, c.heartbeats.behind = true, hb.Seq, now, heartbeatSeries{}
+	c.heartbeats.heard, c.heartbeats.seq, c.heartbeats.lastAt, c.heartbeats.fields = true, hb.Seq, now, hb.Fields
+	c.heartbeats.behind = heartbeatSeries{}
 	m := c.self
 	m.Service, m.TargetID, m.TargetStartMS, m.Slots, m.State = string(hb.Service), hb.Target.ID, hb.Target.StartTime, hb.Slots, state
 	if m != c.self {
@@ -300,7 +317,7 @@
 	if !c.self.State.Serving() || !c.keyed() && c.heartbeats.heard {
 		return
 	}
-	if now.Sub(c.heartbeats.lastAt) > time.Duration(missedIntervals*float64(c.d.settings().HeartbeatInterval)) {
+	if c.isSilent(now) {
 		m := c.self
 		m.State = fleet.TargetSilent
 		c.setTarget(m, "no heartbeat")
