sidecar: a target that states an earlier start takes its place

Cause: a heartbeat with an earlier start was taken for a late one of an earlier target for ever.

Ruled out: to accept an earlier start at once. A late heartbeat of an earlier target would replace the one that runs.

--- a/sidecar/control_heartbeat.go
+++ b/sidecar/control_heartbeat.go
@@ -38,6 +38,8 @@
 	heard        bool                     // a heartbeat was received
 	seq          uint64                   // of the newest one
 	behind       heartbeatSeries          // since seq was received
+	earlier      earlierTarget            // whose heartbeats go on since then
+	ended        ownertable.Target        // whose place a target with an earlier start has taken
 	fields       platform.HeartbeatFields // of the newest one
 	lastAt       clock.Time               // when the newest heartbeat was received or the target was inherited
 	leavingSince clock.Time               // when the target announced its departure; Never if it is not leaving
@@ -108,8 +110,11 @@
 		logevent.Log(c.log, logevent.HeartbeatIgnored, zap.String("target", hb.Target.ID), zap.Uint8("fields", uint8(hb.Fields)), zap.Uint8("want", uint8(c.heartbeats.fields)))
 		return heartbeatResponse{status: http.StatusBadRequest}, true
 	}
-	if !c.isNewer(hb) && !c.isTargetsSeries(hb) {
+	if !c.isNewer(hb) && !c.isTargetsSeries(hb) && !c.isStartedAgain(hb) {
 		logevent.Log(c.log, logevent.HeartbeatOutOfOrder, zap.String("target", hb.Target.ID), zap.Int64("born", hb.Target.StartTime), zap.Uint64("seq", hb.Seq))
+		if hb.Draining && hb.Target != c.target() { // nothing keeps its departure
+			return heartbeatResponse{status: http.StatusServiceUnavailable}, true
+		}
 		return heartbeatResponse{status: 200, body: platform.AppendAcknowledgement(nil)}, true
 	}
 	return heartbeatResponse{}, false
@@ -161,6 +166,9 @@
 
 func (c *control) isNewer(hb *platform.Heartbeat) bool {
 	current := c.target()
+	if hb.Target == c.heartbeats.ended {
+		return false
+	}
 	if hb.Target.StartTime != current.StartTime {
 		return hb.Target.StartTime > current.StartTime
 	}
@@ -177,6 +185,18 @@
 	return true
 }
 
+// isStartedAgain reports whether a heartbeat is of a target that has taken the place of the
+// current one although it states an earlier start, which a clock that was set back explains.
+func (c *control) isStartedAgain(hb *platform.Heartbeat) bool {
+	now := clock.Now()
+	if hb.Target == c.target() || !c.heartbeats.earlier.add(hb.Target, hb.Seq, c.d.settings().HeartbeatInterval, now) || !c.isSilent(now) || now.Before(c.heartbeats.grantsExpire) {
+		return false
+	}
+	logevent.Log(c.log, logevent.TargetStartedAgain, zap.String("target", hb.Target.ID), zap.Int64("born", hb.Target.StartTime), zap.Int64("earlier_born", c.target().StartTime))
+	c.heartbeats.ended = c.target()
+	return true
+}
+
 func (c *control) target() ownertable.Target {
 	return ownertable.Target{ID: c.self.TargetID, StartTime: c.self.TargetStartMS}
 }
@@ -202,7 +222,7 @@
 		c.heartbeats.leavingSince = now
 	}
 	c.heartbeats.heard, c.heartbeats.seq, c.heartbeats.lastAt, c.heartbeats.fields = true, hb.Seq, now, hb.Fields
-	c.heartbeats.behind = heartbeatSeries{}
+	c.heartbeats.behind, c.heartbeats.earlier = heartbeatSeries{}, earlierTarget{}
 	m := c.self
 	m.Service, m.TargetID, m.TargetStartMS, m.Slots, m.State = string(hb.Service), hb.Target.ID, hb.Target.StartTime, hb.Slots, state
 	if m != c.self {
--- a/sidecar/heartbeat_series.go
+++ b/sidecar/heartbeat_series.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/ownertable"
 )
 
 const (
@@ -34,3 +35,19 @@
 	s.last = seq
 	return s.count >= minSeries && now.Sub(s.since) >= minSeriesIntervals*interval
 }
+
+// earlierTarget is a target that states an earlier start than the current one, and the series
+// of its heartbeats.
+type earlierTarget struct {
+	target ownertable.Target
+	series heartbeatSeries
+}
+
+// add adds a heartbeat. It reports whether those of its target go on for so long that they are
+// not late ones of a target that has ended.
+func (e *earlierTarget) add(t ownertable.Target, seq uint64, interval time.Duration, now clock.Time) bool {
+	if e.target != t {
+		*e = earlierTarget{target: t}
+	}
+	return e.series.add(seq, interval, now)
+}
--- a/sidecar/other_writer_test.go
+++ b/sidecar/other_writer_test.go
@@ -52,3 +52,33 @@
 	}
 	return keys
 }
+
+// A target whose clock was set back between two starts states an earlier one than before. Its
+// heartbeats were ignored, also the one that announced its departure.
+func TestTargetWithAnEarlierStartCounts(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, plainService, plainService)
+	for _, n := range d.nodes {
+		n.awaitUnkeyedServing(t)
+	}
+	n := d.nodes[0]
+	n.target.Stop()
+	ahead := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":"z","slots":8},"status":{"state":"ready","coldRemainingMs":0,"seq":1}}`,
+		n.target.Addr, time.Now().Add(2*time.Second).UnixMilli(), plainService)
+	if status, err := platformtest.SendHeartbeat(n.settings.ControlAddr, n.target.ID, ahead); err != nil || status != http.StatusOK {
+		t.Fatalf("heartbeat under a clock ahead: status %d, %v", status, err)
+	}
+	if err := n.target.Start(); err != nil {
+		t.Fatal(err)
+	}
+	n.target.Drain()
+	var acknowledged time.Time
+	eventually(t, "its departure is acknowledged", func() bool {
+		if n.target.SendHeartbeat() != nil {
+			return false
+		}
+		acknowledged = time.Now()
+		return true
+	})
+	d.expectNoWork(n, acknowledged, time.Now())
+}
