sidecar: a stopping daemon waits for responses that callers read

Cause: the stop waited until no request was in progress, and a request ends before its response is written.

--- a/sidecar/scripted_target_test.go
+++ b/sidecar/scripted_target_test.go
@@ -32,9 +32,16 @@
 
 // deployScripted starts an entry and another daemon, which has a scripted target.
 func deployScripted(t *testing.T) (*deployment, *scriptedTarget) {
+	t.Helper()
+	return deployScriptedWith(t, func(*testNode) {})
+}
+
+// deployScriptedWith is deployScripted with a function that changes each node before it starts.
+func deployScriptedWith(t *testing.T, tune func(*testNode)) (*deployment, *scriptedTarget) {
 	t.Helper()
 	s := &scriptedTarget{answer: signedAnswer, received: make(map[string]int), headers: make(map[string]http.Header)}
 	d := deployWith(t, func(n *testNode) {
+		tune(n)
 		if n.settings.Service != plainService {
 			return
 		}
--- a/sidecar/stop.go
+++ b/sidecar/stop.go
@@ -17,8 +17,8 @@
 // not ready, so that callers switch to other daemons; it still serves requests, and
 // the target gets those that finish in time. In the second, the target gets no more
 // requests, but calls of the target are still served. In the third, new requests and
-// those that wait for an owner are refused, and the running ones finish. In the last, those
-// that are still in progress are aborted and answered.
+// those that wait for an owner are refused, the running ones finish, and callers read their
+// responses. In the last, those that are still in progress are aborted and answered.
 func (d *Daemon) stop() {
 	s := newStopSchedule(clock.Now(), d.settings().GraceTime)
 	d.stopping.Store(s)
@@ -29,7 +29,7 @@
 	d.backend.close()
 	waitUntil(s.refuses, func() bool { return !d.backend.busy() })
 	d.ingress.refusing.Store(true)
-	waitUntil(s.ends, func() bool { return d.ingress.inFlight() == 0 && !d.backend.busy() })
+	waitUntil(s.ends, func() bool { return d.ingress.inFlight() == 0 && !d.backend.busy() && !d.ingress.server.Writing() })
 	if n := d.ingress.abortAll(errStopping); n > 0 {
 		logevent.Log(d.log, logevent.StopIncomplete, zap.Int("in_flight", n), zap.Error(errStopping))
 		waitUntil(clock.Now().Add(lastAnswersTime), func() bool { return d.ingress.inFlight() == 0 })
