sidecar: refusals of incomplete requests name them; crowds show in metrics and event 7603

A request whose body was evicted, or whose connection was closed for another one, got 503 without its id although its head had been read (TestRefusalOfAnIncompleteRequestNamesIt failed before and passes). Its log line has the id, too.

Once a second while connections of callers are refused or closed for new ones, event 7603 says how many, by what they did, and which caller has the most; metrics count the same.

--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -203,6 +203,7 @@
 	g.Go(func() error { return d.ingress.cancelAbandoned(work) })
 	g.Go(func() error { return d.reportDropped(work) })
 	g.Go(func() error { return d.reportMemory(work) })
+	g.Go(func() error { return d.reportCallerConns(work) })
 	g.Go(func() error { return d.directoryFollower().run(work) })
 	g.Go(func() error { return d.configurationFollower().run(work) })
 	select {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -147,7 +147,7 @@
 	gauge("parsley_zones_evacuated", func() float64 { return float64(d.control.evacuatedCount.Load()) })
 	gauge("parsley_daemons", func() float64 { return float64(d.control.view.Load().daemons) })
 	gauge("parsley_callers_in_flight", func() float64 { return float64(d.ingress.inFlight()) })
-	gauge("parsley_caller_connections", func() float64 { return float64(d.ingress.server.GetOpenConnectionsCount()) })
+	m.registerCallerConns(d.ingress.server)
 	gauge("parsley_target_running", func() float64 { running, _, _ := d.backend.requests(); return float64(running) })
 	gauge("parsley_target_waiting", func() float64 { return float64(d.backend.load().Waiting) })
 	gauge("parsley_target_limit", func() float64 { _, _, limit := d.backend.requests(); return float64(limit) })
--- a/sidecar/other_writer_test.go
+++ b/sidecar/other_writer_test.go
@@ -63,8 +63,7 @@
 	}
 	n := d.nodes[0]
 	n.target.Stop()
-	ahead := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":"z","slots":8},"status":{"state":"ready","coldRemainingMs":0,"seq":1}}`,
-		n.target.Addr, time.Now().Add(2*time.Second).UnixMilli(), plainService)
+	ahead := platformtest.HeartbeatBody(n.target.Addr, plainService, "ready", time.Now().Add(2*time.Second).UnixMilli(), 1)
 	if status, err := platformtest.SendHeartbeat(n.settings.ControlAddr, n.target.ID, ahead); err != nil || status != http.StatusOK {
 		t.Fatalf("heartbeat under a clock ahead: status %d, %v", status, err)
 	}
--- a/sidecar/read_error.go
+++ b/sidecar/read_error.go
@@ -11,6 +11,7 @@
 	"github.com/parsleystack/parsleystack/connprobe"
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/outcome"
+	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
@@ -19,13 +20,19 @@
 	ctx := &x.Ctx
 	status, reason := readErrorStatus(err, ctx.Conn())
 	ctx.Error(reason.String(), status)
+	id := ""
+	var read *callerhttp.ReadError
+	if errors.As(err, &read) && read.HeadComplete() {
+		id = platform.RequestID(&ctx.Request.Header)
+		platform.SetRequestID(&ctx.Response.Header, id)
+	}
 	event := logevent.RequestRejected
 	if status == fasthttp.StatusServiceUnavailable {
 		event = logevent.RequestRefused
 	} else {
 		in.d.metrics.countRejection(status, reason)
 	}
-	logevent.Log(in.d.log, event, zap.Int("status", status), zap.Stringer("reason", reason), zap.Error(err),
+	logevent.Log(in.d.log, event, zap.String("request", id), zap.Int("status", status), zap.Stringer("reason", reason), zap.Error(err),
 		zap.Stringer("caller", ctx.RemoteAddr()), zap.Uint64("requests_before", x.Before))
 }
 
--- a/sidecar/read_error_test.go
+++ b/sidecar/read_error_test.go
@@ -1,6 +1,9 @@
 package sidecar
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -31,6 +34,34 @@
 	}
 }
 
+// A request that could not be read must be refused by its id if its head was read.
+func TestRefusalOfAnIncompleteRequestNamesIt(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, plainService)
+	n := d.nodes[0]
+	n.awaitUnkeyedServing(t)
+	id := newID()
+	c, err := net.Dial("tcp", n.settings.CallerAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }() // the response was read
+	if _, err := io.WriteString(c, platformtest.Head(host, http.MethodPost, "/book/a", id, "Content-Length: 100\r\n")+"part"); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close() // it is not read
+	if got := resp.Header.Get("Request-Id"); resp.StatusCode != http.StatusServiceUnavailable || got != id {
+		t.Errorf("status %d for request %q, want 503 for %q", resp.StatusCode, got, id)
+	}
+}
+
 // cutCall sends bytes, closes the sending direction and returns the response.
 func (n *testNode) cutCall(t *testing.T, request string) (status int, body string) {
 	t.Helper()
