logsink: bound the bytes of lines that wait to be written

What was seen: while nothing reads the log, 64 callers that send requests with ids of 6 KB took a daemon of 96 MB over its limit in 8 s, on one core.

Cause: the queues bound the number of lines, 5,120, but not their size, and texts that callers choose, an id or a path of up to 32 KB, went into lines as they were, three times as long once their bytes are escaped.

Change: a text of a line has at most 512 bytes, and all lines that wait have 2 MB; further ones are dropped and counted, as before.

--- a/logsink/core.go
+++ b/logsink/core.go
@@ -1,6 +1,7 @@
 package logsink
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,12 @@
 	// maxLinesPerS is the limit of lines per second of one event. It is about the
 	// rate of refused requests at one daemon under load.
 	maxLinesPerS = 150
+	// maxQueuedBytes bounds the lines that wait to be written. A line takes some 300 bytes, so
+	// it holds more than both queues unless lines are long.
+	maxQueuedBytes = 2 << 20
+	// maxFieldBytes is the size in bytes up to which a text of a line is written. Callers choose
+	// ids and paths of several kilobytes.
+	maxFieldBytes = 512
 	// eventField is the log field that holds the number of the event.
 	eventField = "event"
 )
@@ -33,6 +40,7 @@
 	urgent  chan []byte
 	routine chan []byte
 	dropped atomic.Uint64
+	queued  atomic.Int64 // bytes of the lines in both queues
 	out     zapcore.WriteSyncer
 	stop    chan struct{}
 	done    chan struct{}
@@ -75,7 +83,7 @@
 		c.sink.dropped.Add(1)
 		return nil
 	}
-	buf, err := c.encoder.EncodeEntry(e, fields)
+	buf, err := c.encoder.EncodeEntry(e, shorten(fields))
 	if err != nil {
 		return err
 	}
@@ -85,14 +93,61 @@
 	if e.Level < zapcore.InfoLevel {
 		queue = c.sink.routine
 	}
-	select {
-	case queue <- line:
-	default:
-		c.sink.dropped.Add(1)
-	}
+	c.sink.enqueue(queue, line)
 	return nil
 }
 
+// shorten returns fields whose texts have at most maxFieldBytes. It does not change its
+// argument.
+func shorten(fields []zapcore.Field) []zapcore.Field {
+	copied := false
+	for i := range fields {
+		short, ok := shortened(&fields[i])
+		if !ok {
+			continue
+		}
+		if !copied {
+			fields, copied = slices.Clone(fields), true
+		}
+		fields[i] = short
+	}
+	return fields
+}
+
+// shortened returns a field with a shorter text, or false if the field may stay as it is.
+func shortened(f *zapcore.Field) (short zapcore.Field, ok bool) {
+	text := ""
+	switch f.Type {
+	case zapcore.StringType:
+		text = f.String
+	case zapcore.ByteStringType:
+		if b, isBytes := f.Interface.([]byte); isBytes && len(b) > maxFieldBytes {
+			text = string(b[:maxFieldBytes+1])
+		}
+	case zapcore.ErrorType:
+		if err, isError := f.Interface.(error); isError && err != nil {
+			text = err.Error()
+		}
+	}
+	if len(text) <= maxFieldBytes {
+		return zapcore.Field{}, false
+	}
+	return zapcore.Field{Key: f.Key, Type: zapcore.StringType, String: text[:maxFieldBytes]}, true
+}
+
+// enqueue adds a line to a queue, or drops it if there is no room.
+func (s *sink) enqueue(queue chan<- []byte, line []byte) {
+	if s.queued.Add(int64(len(line))) <= maxQueuedBytes {
+		select {
+		case queue <- line:
+			return
+		default:
+		}
+	}
+	s.queued.Add(-int64(len(line)))
+	s.dropped.Add(1)
+}
+
 // Sync implements zapcore.Core. It does nothing, since lines are written
 // asynchronously; Close waits for them.
 func (c *Core) Sync() error { return nil }
@@ -141,6 +196,7 @@
 		if !ok {
 			return
 		}
+		s.queued.Add(-int64(len(line)))
 		_, _ = s.out.Write(line) // there is no other place to report an error
 	}
 }
--- a/logsink/core_test.go
+++ b/logsink/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"strings"
 	"sync"
@@ -92,3 +93,33 @@
 func (c fixedClock) Now() time.Time { return c.at }
 
 func (c fixedClock) NewTicker(d time.Duration) *time.Ticker { return time.NewTicker(d) }
+
+// Texts that callers choose must not make lines long, nor long lines fill the memory while the
+// output blocks.
+func TestLongLinesAreBounded(t *testing.T) {
+	out := blockedWriter{release: make(chan struct{})}
+	core := New(encoder(), zapcore.AddSync(out), zapcore.DebugLevel)
+	defer func() {
+		close(out.release)
+		core.Close(10 * time.Second)
+	}()
+	log := zap.New(core)
+	long := strings.Repeat("x", 10*maxFieldBytes)
+	for i := range 200 {
+		texts := make([]zap.Field, 0, 50)
+		for range cap(texts) {
+			texts = append(texts, zap.String("text", long), zap.ByteString("bytes", []byte(long)), zap.Error(errors.New(long)))
+		}
+		log.Info("refused", append(texts, zap.Int(eventField, i))...)
+	}
+	if n := core.sink.queued.Load(); n > maxQueuedBytes || n < maxQueuedBytes/2 {
+		t.Errorf("%d bytes are queued, want nearly %d", n, maxQueuedBytes)
+	}
+	if core.TakeDropped() == 0 {
+		t.Error("no line was dropped")
+	}
+	line := <-core.sink.urgent
+	if len(line) > 160*maxFieldBytes {
+		t.Errorf("a line has %d bytes", len(line))
+	}
+}
--- a/sidecar/memorytest/fleet_test.go
+++ b/sidecar/memorytest/fleet_test.go
@@ -67,7 +67,6 @@
 // fleet is two daemons, each with a target beside it, and their store.
 type fleet struct {
 	t     *testing.T
-	cores cores
 	nodes [2]*node
 }
 
@@ -109,7 +108,20 @@
 // startOn is start for daemons that use a number of cores.
 func startOn(t *testing.T, c cores, memory, maxBody int) *fleet {
 	t.Helper()
-	f := &fleet{t: t, cores: c}
+	return startWith(t, conditions{cores: c, memory: memory}, maxBody)
+}
+
+// conditions are those that the daemons of a fleet run under.
+type conditions struct {
+	cores    cores
+	memory   int  // MB
+	stuckLog bool // nothing reads their log lines
+}
+
+// startWith is start for daemons under other conditions.
+func startWith(t *testing.T, c conditions, maxBody int) *fleet {
+	t.Helper()
+	f := &fleet{t: t}
 	store := platformtest.NewStore()
 	t.Cleanup(store.Close)
 	store.MaxBodyBytes = maxBody
@@ -127,7 +139,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		n.start(t, service, storeAddr, memory, f.cores)
+		n.start(t, service, storeAddr, c)
 		startTarget(t, n, service)
 	}
 	for _, n := range f.nodes {
@@ -137,13 +149,13 @@
 	return f
 }
 
-func (n *node) start(t *testing.T, service, storeAddr string, memory int, c cores) {
+func (n *node) start(t *testing.T, service, storeAddr string, c conditions) {
 	t.Helper()
 	dir := t.TempDir()
 	f := platformtest.SettingsFile{
 		Instance: "node-" + service, IP: n.ip, Zone: "z", Service: service, Target: n.addr(targetPort), Callers: n.addr(callerPort),
 		Ready: n.addr(readyPort), Control: n.addr(controlPort), FirstPort: firstLinkPort, LastPort: lastLinkPort, Store: storeAddr,
-		MemoryMB: memory, MaxFiles: maxFiles,
+		MemoryMB: c.memory, MaxFiles: maxFiles,
 	}
 	settings := filepath.Join(dir, "settings.yaml")
 	if err := os.WriteFile(settings, []byte(f.Text()), 0o600); err != nil {
@@ -154,10 +166,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if c.stuckLog {
+		log = stuckPipe(t, log)
+	}
 	n.process = exec.Command(program, "--settings", settings)
 	n.process.Stdout, n.process.Stderr = log, log
-	if c != allCores {
-		n.process.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", c))
+	if c.cores != allCores {
+		n.process.Env = append(os.Environ(), fmt.Sprintf("GOMAXPROCS=%d", c.cores))
 	}
 	n.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := errors.Join(n.process.Start(), log.Close()); err != nil {
@@ -168,10 +183,21 @@
 		_ = n.process.Wait() // the watch reports an unexpected end
 		close(n.ended)
 	}()
-	n.watch = startWatch(n, memory)
+	n.watch = startWatch(n, c.memory)
 	t.Cleanup(func() { n.stop(t) })
 }
 
+// stuckPipe returns a pipe that nothing reads, in place of a file.
+func stuckPipe(t *testing.T, file *os.File) *os.File {
+	t.Helper()
+	r, w, err := os.Pipe()
+	if err = errors.Join(err, file.Close()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = r.Close() }) // the process has ended
+	return w
+}
+
 // stop ends the process and reports what its watch has seen.
 func (n *node) stop(t *testing.T) {
 	n.watch.stop(t)
