transport: connections that send no handshake give way to other daemons

Connections to the port for links that send nothing kept other daemons out until their handshake timed out; a crowd that connects again at once kept them out for good. If there is no room, the connection whose handshake has begun first is closed for a new one.

TestSilentConnectionsGiveWay failed on the code before (EOF) and passes. TestMetricsThatAreNotRead joins the tests of the other ports: it failed on (metrics not within 30 s: 503) and passes since idle connections to the servers give way.

--- a/sidecar/memorytest/servers_test.go
+++ b/sidecar/memorytest/servers_test.go
@@ -1,6 +1,7 @@
 package memorytest
 
 import (
+	"bytes"
 	"fmt"
 	"net"
 	"net/http"
@@ -40,6 +41,23 @@
 	}
 }
 
+// Requests for metrics whose responses are not read must not fill the memory, nor keep others out.
+func TestMetricsThatAreNotRead(t *testing.T) {
+	const conns, requests = 600, 400
+	f := startOn(t, oneCore, memoryMB, maxBodyBytes)
+	n := f.nodes[0]
+	request := []byte(platformtest.Head(host, http.MethodGet, "/metrics", newID(), ""))
+	crowd(t, n.addr(lastLinkPort), conns, func(_ int, conn net.Conn) { write(conn, bytes.Repeat(request, requests), 1, 0) })
+	await(t, "metrics are read", func() error {
+		status, _, err := platformtest.RawCall(n.addr(lastLinkPort), string(request))
+		if err == nil && status != http.StatusOK {
+			err = fmt.Errorf("status %d", status)
+		}
+		return err
+	})
+	f.awaitServed(n, localPath)
+}
+
 // await waits until try succeeds.
 func await(t *testing.T, what string, try func() error) {
 	t.Helper()
--- a/transport/memory_test.go
+++ b/transport/memory_test.go
@@ -115,6 +115,25 @@
 	eventually(t, "six are refused", func() bool { return s.Counters().RefusedConns.Load() == 6 })
 }
 
+// Connections that never complete their handshake must not keep other daemons out.
+func TestSilentConnectionsGiveWay(t *testing.T) {
+	const limit = 4
+	_, addr := startHandler(t, &echo{}, func(c *Config) { c.MaxConns, c.HandshakeTimeout = limit, time.Minute })
+	for range 3 * limit {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = conn.Close() }) // the server may have closed it
+	}
+	p := newTestPool(t, nil)
+	var resp wire.Response
+	if _, err := p.Do(ctxFor(t, 5*time.Second), addr, &wire.Request{Body: []byte("a")}, &resp); err != nil || string(resp.Body) != "a" {
+		t.Errorf("response %q, error %v", resp.Body, err)
+	}
+	resp.Release()
+}
+
 // Memory for a response that is expected to be large is taken before the request is sent, so
 // that a request that was run does not lose its response for want of it.
 func TestMemoryForResponsesIsTakenInAdvance(t *testing.T) {
--- a/transport/server.go
+++ b/transport/server.go
@@ -28,7 +28,7 @@
 	mu           sync.Mutex
 	listener     net.Listener
 	conns        map[*serverConn]struct{}
-	handshaking  map[net.Conn]struct{} // connections whose handshake is not complete
+	handshaking  map[net.Conn]time.Time // connections whose handshake is not complete, and since when
 	closed       bool
 	draining     bool
 	shuttingDown bool // Shutdown was called and closes the listener
@@ -47,7 +47,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Server{
 		cfg: cfg.withDefaults(), handler: handler, log: log, ctx: ctx, cancel: cancel,
-		conns: make(map[*serverConn]struct{}), handshaking: make(map[net.Conn]struct{}),
+		conns: make(map[*serverConn]struct{}), handshaking: make(map[net.Conn]time.Time),
 	}
 }
 
@@ -90,13 +90,30 @@
 	}
 	if s.cfg.MaxConns > 0 && len(s.conns)+len(s.handshaking) >= s.cfg.MaxConns {
 		s.counters.RefusedConns.Add(1)
-		_ = conn.Close()
-		return
+		oldest := s.oldestHandshake()
+		if oldest == nil {
+			_ = conn.Close()
+			return
+		}
+		delete(s.handshaking, oldest)
+		_ = oldest.Close() // ends its handshake
 	}
-	s.handshaking[conn] = struct{}{}
+	s.handshaking[conn] = time.Now()
 	s.wg.Go(func() { s.serveConn(conn) })
 }
 
+// oldestHandshake returns the connection whose handshake has begun first, or nil: daemons
+// complete theirs at once, so it is likely of a client that sends none. The caller holds the lock.
+func (s *Server) oldestHandshake() (oldest net.Conn) {
+	var since time.Time
+	for conn, begun := range s.handshaking {
+		if oldest == nil || begun.Before(since) {
+			oldest, since = conn, begun
+		}
+	}
+	return oldest
+}
+
 func (s *Server) serveConn(conn net.Conn) {
 	reader, peer, err := serverHandshake(conn, &s.cfg)
 	if err != nil {
