--- a/sidecar/memorytest/burst_test.go
+++ b/sidecar/memorytest/burst_test.go
@@ -39,6 +39,8 @@
 		"small chunks":       append(headOf(localPath, chunkedLine), bytes.Repeat([]byte("1\r\nx\r\n"), size/6)...),
 		"far over the limit": append(headOf(localPath, "Content-Length: 99999999999999\r\n"), body...),
 		"small fields":       headOf(localPath, strings.Repeat("A:\r\n", 7000)+"Content-Length: 9\r\n"),
+		"nothing":            nil,
+		"whole and slow":     append(headOf(localPath+slowPath, fmt.Sprintf("Content-Length: %d\r\n", 60<<10)), filler[:60<<10]...),
 		"to the other":       append(headOf(remotePath, fmt.Sprintf("Content-Length: %d\r\n", size)), filler[:size]...),
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -104,3 +106,19 @@
 	_, err := conn.Read(make([]byte, 1))
 	return err != nil && !time.Now().Before(end)
 }
+
+// Bodies at the same moment while large responses take the memory that their callers do not
+// return.
+func TestBodiesBesideLargeResponses(t *testing.T) {
+	for _, limit := range []struct{ memory, response int }{{memoryMB, 10 << 20}, {284, 30 << 20}} {
+		t.Run(fmt.Sprintf("%d MB", limit.memory), func(t *testing.T) {
+			f := startOn(t, oneCore, limit.memory, maxBodyBytes)
+			largeResponses(t, f, limit.response)
+			burst(t, f.nodes[:], append(headOf(remotePath, fmt.Sprintf("Content-Length: %d\r\n", 1<<20)), filler[:1<<20-1]...))
+			for _, n := range f.nodes {
+				f.awaitServed(n, localPath)
+				f.awaitServed(n, remotePath)
+			}
+		})
+	}
+}
