sidecar: callers leave descriptors for all other connections

What was seen: 3,800 idle connections of callers at a machine of 284 MB and 4,100 descriptors, and 400 each to the addresses for heartbeats, readiness and metrics, took 4,276 descriptors.

Cause: each kind of connection had a bound of its own, and the bounds together exceed the process's: 3,690 for callers, 1,025 for links, 320 for each of three servers.

Change: callers get five sixths, each server a 64th, and links whose handshake is not complete a sixteenth. What links, the target and the servers use beyond a sixth is taken from the callers ten times a second; connections beyond the lower number are closed like those that give way to new ones.

--- a/callerhttp/read_call.go
+++ b/callerhttp/read_call.go
@@ -76,7 +76,7 @@
 // interruption returns the error of an interrupted read.
 func (c *conn) interruption() error {
 	if c.state.isDisplaced() {
-		return &ConnLimitError{Limit: c.server.config.MaxConns}
+		return &ConnLimitError{Limit: c.server.MaxConns()}
 	}
 	if c.evicted.Load() {
 		return &recvlimit.BudgetError{Source: recvlimit.Caller, Limit: c.server.config.Memory.Limit()}
--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -32,6 +32,7 @@
 	mu        sync.Mutex
 	listeners []net.Listener
 	conns     map[*conn]struct{}
+	maxConns  int        // 0 if there is no limit
 	victims   []victim   // that were selected, the next one last
 	scanAfter clock.Time // when victims may be selected again
 	leaving   int        // connections that were closed for others and have not ended
@@ -43,7 +44,7 @@
 
 // NewServer returns a server.
 func NewServer(c Config, h Handler) *Server {
-	s := &Server{config: c, handler: h, conns: make(map[*conn]struct{}), left: make(chan struct{}, 1)}
+	s := &Server{config: c, handler: h, maxConns: c.MaxConns, conns: make(map[*conn]struct{}), left: make(chan struct{}, 1)}
 	s.large.New = func() any { return bufio.NewReaderSize(nil, c.MaxHeader) }
 	return s
 }
@@ -129,7 +130,7 @@
 func (s *Server) tryRegister(c *conn) (added, leaving bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if limit := s.config.MaxConns; s.shutDown || limit > 0 && len(s.conns) >= limit {
+	if limit := s.maxConns; s.shutDown || limit > 0 && len(s.conns) >= limit {
 		return false, !s.shutDown && s.leaving > 0
 	}
 	s.conns[c] = struct{}{}
@@ -138,13 +139,9 @@
 
 // displaceOne closes a connection if there is little room for a new one.
 func (s *Server) displaceOne() {
-	limit := s.config.MaxConns
-	if limit == 0 {
-		return
-	}
 	s.mu.Lock()
 	var closed *conn
-	if len(s.conns)-s.leaving >= limit-max(limit/leavingShare, 1) {
+	if limit := s.maxConns; limit > 0 && len(s.conns)-s.leaving >= limit-max(limit/leavingShare, 1) {
 		closed = s.takeVictim(clock.Fast())
 	}
 	s.mu.Unlock()
@@ -243,7 +240,30 @@
 }
 
 // MaxConns returns the number of connections that are open at most, 0 if there is no limit.
-func (s *Server) MaxConns() int { return s.config.MaxConns }
+func (s *Server) MaxConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.maxConns
+}
+
+// SetMaxConns replaces Config.MaxConns. Connections beyond a lower number are closed in the
+// order of selectVictims; those with requests in progress stay.
+func (s *Server) SetMaxConns(n int) {
+	s.mu.Lock()
+	s.maxConns = n
+	var closed []*conn
+	for n > 0 && len(s.conns)-s.leaving > n {
+		c := s.takeVictim(clock.Fast())
+		if c == nil {
+			break
+		}
+		closed = append(closed, c)
+	}
+	s.mu.Unlock()
+	for _, c := range closed {
+		c.evict()
+	}
+}
 
 // LargestCaller returns the caller that has the most connections, and their number. nameOf
 // returns the name of the caller at an address.
--- a/sidecar/caller_conns_test.go
+++ b/sidecar/caller_conns_test.go
@@ -19,7 +19,7 @@
 		n.awaitUnkeyedServing(t)
 	}
 	n := d.nodes[0]
-	limit := maxCallerConns(files)
+	limit := maxCallerConns(files, 0)
 	var kept []net.Conn
 	t.Cleanup(func() {
 		for _, c := range kept {
@@ -76,7 +76,7 @@
 		n.awaitUnkeyedServing(t)
 	}
 	n := d.nodes[0]
-	limit := maxCallerConns(files)
+	limit := maxCallerConns(files, 0)
 	for range 2 * limit {
 		c, err := net.Dial("tcp", n.settings.CallerAddr)
 		if err != nil {
--- a/sidecar/conn_limiter.go
+++ b/sidecar/conn_limiter.go
@@ -55,6 +55,13 @@
 	l.conns[c] = connActivity{state: state, since: now}
 }
 
+// open returns the number of connections that are open.
+func (l *connLimiter) open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
 // victim returns the connection that is closed for another one: a new one if there are many,
 // else one that is idle, or that has been active for too long. It returns nil if there is none.
 // The caller holds the lock.
--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -93,6 +93,7 @@
 
 	serversMu sync.Mutex
 	servers   []*fasthttp.Server // all but the one for callers
+	limiters  []*connLimiter     // of their connections
 
 	viewMu       sync.Mutex
 	viewReplaced chan struct{} // closed when the next view is published
@@ -123,7 +124,7 @@
 	d.egress = egress.NewLink(s.LinkRate)
 	links := transport.Config{
 		Hello: hello, MaxFrame: maxCallerBody + maxCallerHeader, Egress: d.egress, Memory: d.memory, VerdictWait: verdictWait,
-		MaxBacklog: min(transport.DefaultMaxBacklog, d.memory.Limit()/linkBacklogPart), MaxConns: s.MaxFiles / linkFilesPart,
+		MaxBacklog: min(transport.DefaultMaxBacklog, d.memory.Limit()/linkBacklogPart), MaxConns: s.MaxFiles / linkFilesPart, MaxHandshakes: s.MaxFiles / handshakeFilesPart,
 	}
 	d.peerLinks = transport.NewPool(links)
 	d.server = transport.NewServer(links, d, log)
@@ -204,6 +205,7 @@
 	g.Go(func() error { return d.reportDropped(work) })
 	g.Go(func() error { return d.reportMemory(work) })
 	g.Go(func() error { return d.reportCallerConns(work) })
+	g.Go(func() error { return d.shareDescriptors(work) })
 	g.Go(func() error { return d.directoryFollower().run(work) })
 	g.Go(func() error { return d.configurationFollower().run(work) })
 	select {
--- a/sidecar/ingress.go
+++ b/sidecar/ingress.go
@@ -25,9 +25,6 @@
 	// configuration. The limits of the configuration are checked in addition.
 	maxCallerHeader = 32 << 10
 	maxCallerBody   = 64 << 20
-	// minReservedFiles is the least number of descriptors that connections of callers leave
-	// for the target, other daemons, the store and files; a tenth in a larger process.
-	minReservedFiles = 256
 	// callerIdleTimeout is longer than callers keep an idle connection.
 	callerIdleTimeout = 120 * time.Second
 	// callerReadTimeout bounds the time to read one request.
@@ -81,16 +78,12 @@
 }
 
 func newIngress(d *Daemon) *ingress {
-	maxConns := callerConnsFor(d.memory.Limit())
-	if byFiles := maxCallerConns(d.settings().MaxFiles); byFiles > 0 {
-		maxConns = min(maxConns, byFiles)
-	}
 	in := &ingress{d: d, active: make(map[*callerRequest]struct{}), budgets: make(map[ident.Service]*resend.Budget)}
 	if share := d.settings().HedgeShare; share > 0 {
 		in.hedges = newHedges(share)
 	}
 	in.server = callerhttp.NewServer(callerhttp.Config{
-		MaxConns:     maxConns,
+		MaxConns:     d.callerConns(0),
 		MaxHeader:    maxCallerHeader,
 		MaxBody:      in.maxBody,
 		Memory:       d.memory,
@@ -102,16 +95,6 @@
 	return in
 }
 
-// maxCallerConns returns the number of connections of callers that a process serves which may
-// have a number of descriptors. Further ones get 503 at once. It returns 0, which means no
-// limit, if that number is not known.
-func maxCallerConns(files int) int {
-	if files <= 0 {
-		return 0
-	}
-	return max(files-max(files/10, minReservedFiles), files/2)
-}
-
 // discardLogger drops the messages of fasthttp; each request has its own log line.
 type discardLogger struct{}
 
--- a/sidecar/memorytest/servers_test.go
+++ b/sidecar/memorytest/servers_test.go
@@ -69,3 +69,22 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 }
+
+// Crowds at all ports together must leave descriptors for the daemon itself.
+func TestDescriptorsWithCrowdsAtAllPorts(t *testing.T) {
+	const callers, others = 3800, 1200
+	f := start(t, 284, maxBodyBytes)
+	n := f.nodes[0]
+	idle := func(request string) member {
+		return func(_ int, conn net.Conn) {
+			if write(conn, []byte(request), 1, 0) {
+				_, _ = conn.Read(make([]byte, 512)) // the daemon may close the connection
+			}
+		}
+	}
+	crowd(t, n.addr(callerPort), callers, idle(string(headOf(localPath, "Content-Length: 0\r\n"))))
+	crowdAt(t, []string{n.addr(controlPort), n.addr(readyPort), n.addr(lastLinkPort)}, others, idle(platformtest.Head(host, http.MethodGet, "/", newID(), "")))
+	f.awaitServed(n, localPath)
+	f.awaitServed(n, remotePath)
+	await(t, "a heartbeat is acknowledged", n.target.SendHeartbeat)
+}
--- a/sidecar/servers.go
+++ b/sidecar/servers.go
@@ -69,14 +69,15 @@
 }
 
 func (d *Daemon) serveHTTP(l net.Listener, h fasthttp.RequestHandler) error {
+	limiter := newConnLimiter(serverConns(d.settings().MaxFiles))
 	s := &fasthttp.Server{
 		Handler: d.withBody(h), Name: "parsley", NoDefaultServerHeader: true, Logger: discardLogger{}, MaxRequestBodySize: maxHeartbeat,
 		StreamRequestBody: true,
-		ReadTimeout:       serverReadTimeout, IdleTimeout: serverIdleTimeout, Concurrency: maxServerConns + maxServerConns/closingConnsShare,
-		ConnState: newConnLimiter(maxServerConns).stateChanged,
+		ReadTimeout:       serverReadTimeout, IdleTimeout: serverIdleTimeout, Concurrency: limiter.limit + limiter.limit/closingConnsShare,
+		ConnState: limiter.stateChanged,
 	}
 	d.serversMu.Lock()
-	d.servers = append(d.servers, s)
+	d.servers, d.limiters = append(d.servers, s), append(d.limiters, limiter)
 	d.serversMu.Unlock()
 	return s.Serve(l)
 }
@@ -102,11 +103,8 @@
 	serverReadTimeout = 5 * time.Second
 	// serverIdleTimeout is longer than the time between two heartbeats or scrapes.
 	serverIdleTimeout = 60 * time.Second
-	// maxServerConns is the number of connections to each of these servers. Few are
-	// in use; the rest of the process's descriptors is for callers and targets.
-	maxServerConns = 256
-	// closingConnsShare is the share of these, as a divisor, that may be open in addition while
-	// they are closed for others.
+	// closingConnsShare is the share of the connections of a server, as a divisor, that may be
+	// open in addition while they are closed for others.
 	closingConnsShare = 4
 )
 
--- a/transport/config.go
+++ b/transport/config.go
@@ -32,6 +32,9 @@
 	// MaxConns is the number of connections that a Server accepts; further ones are closed
 	// at once. No limit if 0.
 	MaxConns int
+	// MaxHandshakes is the number of these whose handshake is not complete; for a further one
+	// the oldest is closed. No limit of its own if 0.
+	MaxHandshakes int
 	// HandshakeTimeout bounds dialing and the exchange of Hello frames;
 	// DefaultHandshakeTimeout if 0.
 	HandshakeTimeout time.Duration
--- a/transport/pool.go
+++ b/transport/pool.go
@@ -101,6 +101,13 @@
 	return true, nil
 }
 
+// Conns returns the number of connections that are open.
+func (p *Pool) Conns() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
+
 // Close closes all connections. Requests and calls in flight fail.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/transport/server.go
+++ b/transport/server.go
@@ -88,7 +88,8 @@
 		_ = conn.Close()
 		return
 	}
-	if s.cfg.MaxConns > 0 && len(s.conns)+len(s.handshaking) >= s.cfg.MaxConns {
+	full := s.cfg.MaxConns > 0 && len(s.conns)+len(s.handshaking) >= s.cfg.MaxConns
+	if full || s.cfg.MaxHandshakes > 0 && len(s.handshaking) >= s.cfg.MaxHandshakes {
 		s.counters.RefusedConns.Add(1)
 		oldest := s.oldestHandshake()
 		if oldest == nil {
@@ -179,6 +180,13 @@
 	logevent.Log(s.log, logevent.PeerMessageMalformed, zap.Stringer("daemon", from), zap.Error(err))
 }
 
+// Conns returns the number of connections that are open.
+func (s *Server) Conns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns) + len(s.handshaking)
+}
+
 // startHandler runs the request handler in its own goroutine.
 func (s *Server) startHandler(e *Exchange) {
 	s.wg.Add(1)
