sidecar: descriptors are shared twice a second

What grows within a moment, connections of servers and handshakes, is within the reserve, so fewer wake-ups suffice. TestDescriptorsWithCrowdsAtAllPorts passes.

--- a/sidecar/descriptors.go
+++ b/sidecar/descriptors.go
@@ -23,7 +23,7 @@
 	// spareFiles is left free when callers give descriptors back.
 	spareFiles = 256
 	// filesInterval is the time between two checks how many descriptors others need.
-	filesInterval = 100 * time.Millisecond
+	filesInterval = 500 * time.Millisecond
 )
 
 // maxCallerConns returns the number of connections of callers that a process serves which may
