--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -33,8 +33,8 @@
 	linkFilesPart = 4
 	// localReceiveBuffer is the size of the receive buffers of connections of callers, targets
 	// and operators. The kernel holds half as much again for each of them that is not read,
-	// also before it is accepted. They are on the same machine, where that takes little
-	// speed: 20 MB took 36 ms.
+	// also before it is accepted. They are on the same machine, where a small one takes little
+	// speed.
 	localReceiveBuffer = 8 << 10
 	// unreadConnBytes is the memory that the kernel holds for a connection that is not read.
 	unreadConnBytes = 2 * localReceiveBuffer
