callerhttp: idle connections about to be used do not hide others that may give way

Cause: one scan selected only a sixteenth of the connections, the cheapest ones. If all of these were idle ones whose bytes had just arrived, which are passed over, nothing was closed although others could be.

Change: a scan orders all connections, and others are selected anew once a sixteenth was closed.

--- a/callerhttp/admit.go
+++ b/callerhttp/admit.go
@@ -86,24 +86,31 @@
 // takeVictim returns a connection that is to be closed for another one, or nil if there is none.
 // The caller holds the lock.
 func (s *Server) takeVictim(now clock.Time) *conn {
-	for {
-		for n := len(s.victims); n > 0; n = len(s.victims) {
-			v := s.victims[n-1]
-			s.victims[n-1] = victim{}
-			s.victims = s.victims[:n-1]
-			if s.displace(&v, now) {
-				return v.conn
-			}
-		}
-		if now.Before(s.scanAfter) {
-			return nil
-		}
-		if s.victims = selectVictims(s.conns, now); len(s.victims) == 0 {
-			s.scanAfter = now.Add(scanPause)
-			return nil
+	if c := s.nextVictim(now); c != nil || now.Before(s.scanAfter) {
+		return c
+	}
+	s.victims, s.victimsLeft = selectVictims(s.conns, now), len(s.conns)/victimShare+1
+	c := s.nextVictim(now)
+	if c == nil {
+		s.scanAfter = now.Add(scanPause)
+	}
+	return c
+}
+
+// nextVictim returns the next of the connections that were selected, without those that can't
+// be closed any more. The caller holds the lock.
+func (s *Server) nextVictim(now clock.Time) *conn {
+	for n := len(s.victims); n > 0 && s.victimsLeft > 0; n = len(s.victims) {
+		v := s.victims[n-1]
+		s.victims[n-1] = victim{}
+		s.victims = s.victims[:n-1]
+		if s.displace(&v, now) {
+			s.victimsLeft--
+			return v.conn
 		}
-		s.scanAfter = now.Add(1) // once for each new connection
 	}
+	s.victims = nil
+	return nil
 }
 
 // displace marks a connection as being closed. It reports false if it has ended or made
--- a/callerhttp/server.go
+++ b/callerhttp/server.go
@@ -24,15 +24,16 @@
 	draining atomic.Bool
 	large    sync.Pool // readers of Config.MaxHeader bytes
 
-	mu        sync.Mutex
-	listeners []net.Listener
-	conns     map[*conn]struct{}
-	maxConns  int        // 0 if there is no limit
-	victims   []victim   // that were selected, the next one last
-	scanAfter clock.Time // when victims may be selected again
-	leaving   int        // connections that were closed for others and have not ended
-	stats     ConnStats
-	shutDown  bool
+	mu          sync.Mutex
+	listeners   []net.Listener
+	conns       map[*conn]struct{}
+	maxConns    int        // 0 if there is no limit
+	victims     []victim   // that were selected, the next one last
+	victimsLeft int        // number of these that are closed before others are selected
+	scanAfter   clock.Time // when victims may be selected again
+	leaving     int        // connections that were closed for others and have not ended
+	stats       ConnStats
+	shutDown    bool
 
 	left chan struct{} // signaled when a connection has ended that was closed for another one
 }
--- a/callerhttp/victims.go
+++ b/callerhttp/victims.go
@@ -20,7 +20,7 @@
 	// oldest of these are closed first, whatever their age: a flood of connections must not
 	// displace the idle ones of other callers.
 	freshShare = 4
-	// victimShare is the share of the connections, as a divisor, that one scan selects.
+	// victimShare is the share of the connections, as a divisor, that are closed after one scan.
 	victimShare = 16
 	// scanPause is the time between two scans if nothing was found.
 	scanPause = 20 * time.Millisecond
@@ -49,8 +49,8 @@
 	return progress != clock.Never && now.Sub(progress) >= stalledWrite
 }
 
-// selectVictims returns the connections that are closed for new ones, the next one last, at
-// most one in victimShare. Connections with requests in progress are not among them.
+// selectVictims returns the connections that may be closed for new ones, the next one last.
+// Connections with requests in progress are not among them.
 func selectVictims(conns map[*conn]struct{}, now clock.Time) []victim {
 	all := make([]victim, 0, len(conns))
 	freshCount := 0
@@ -86,7 +86,6 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b victim) int { return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.since, b.since)) })
-	all = slices.Clone(all[:min(len(all), len(conns)/victimShare+1)])
 	slices.Reverse(all)
 	return all
 }
