callerhttp: a refusal that is not read does not keep the place of its connection

What could happen: a caller that reads nothing, and whose socket is full, keeps a connection that was closed for another one until the write timeout of the 503, 30 to 60 s. A sixteenth of all connections in this state, and new callers wait for 100 ms each and get 503.

Cause: only a write that had begun before was broken off; the refusal itself had the usual timeout.

Change: once a connection is being closed for another one, what it still writes has 100 ms. A request that was read is marked as in progress under the lock of its connection, so that the end of an earlier response can't make the connection look idle again before the request is in the queue.

The second part was found by reading and has no test of its own.

--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -60,7 +60,7 @@
 	lingers   bool        // the caller may still send bytes when the connection closes
 	ending    bool        // end was called
 	written   time.Time   // of the last response
-	reading   activity    // fresh to inBody: what the reader waits for
+	reading   activity    // fresh to inBody: what the reader waits for; busy: a request was read
 	quiet     clock.Time  // since when it has waited without progress
 }
 
@@ -377,6 +377,15 @@
 	c.interrupt()
 }
 
+// commit records that a request was read, before it may be begun. It reports false if the connection
+// is being closed for another one.
+func (c *conn) commit() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = busy // until it is in the queue: the end of an earlier response must not undo this
+	return c.state.set(busy, 0)
+}
+
 // updateState records what the connection does. The caller holds the lock.
 func (c *conn) updateState() {
 	if c.queue.Len() > 0 {
--- a/callerhttp/crowded_test.go
+++ b/callerhttp/crowded_test.go
@@ -1,9 +1,13 @@
 package callerhttp
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"os"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -109,6 +113,80 @@
 	}
 }
 
+// stuckConn is a connection whose caller takes no more bytes once stuck is set.
+type stuckConn struct {
+	net.Conn
+	stuck    *atomic.Bool
+	deadline time.Time // of writes
+}
+
+func (c *stuckConn) SetWriteDeadline(t time.Time) error {
+	c.deadline = t
+	return c.Conn.SetWriteDeadline(t)
+}
+
+func (c *stuckConn) Write(b []byte) (int, error) {
+	if !c.stuck.Load() {
+		return c.Conn.Write(b)
+	}
+	time.Sleep(min(time.Until(c.deadline), 20*time.Second))
+	return 0, os.ErrDeadlineExceeded
+}
+
+type stuckListener struct {
+	net.Listener
+	stuck atomic.Bool
+}
+
+func (l *stuckListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &stuckConn{Conn: c, stuck: &l.stuck}, nil
+}
+
+// The refusal of a request whose caller takes no bytes must not keep the place of its connection
+// for the write timeout.
+func TestRefusalsThatAreNotReadGiveWay(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &stuckListener{Listener: inner}
+	config := testConfig()
+	config.MaxConns = 4
+	s := NewServer(config, newFakeHandler())
+	go func() { _ = s.Serve(l) }() // ends with the listener
+	t.Cleanup(func() {
+		l.stuck.Store(false)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = s.ShutdownWithContext(ctx) // closes what is left
+	})
+	for range config.MaxConns {
+		c := dial(t, inner.Addr().String())
+		c.send(get("/now/a"))
+		c.expect(ok("/now/a"))
+		c.send(post("/a", 9) + "b")
+	}
+	l.stuck.Store(true)
+	for range 2 * config.MaxConns {
+		dial(t, inner.Addr().String())
+	}
+	for end := time.Now().Add(10 * time.Second); s.ConnStats().Closed[inBody] == 0 || s.leavingConns() > 0; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%d connections that were closed for others have not ended", s.leavingConns())
+		}
+	}
+}
+
+func (s *Server) leavingConns() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
 // The connection goes first whose closing costs least.
 func TestOrderOfVictims(t *testing.T) {
 	now := clock.Time(1 << 50)
--- a/callerhttp/read_request.go
+++ b/callerhttp/read_request.go
@@ -97,7 +97,7 @@
 			return &ReadError{Part: partBody, Err: c.interruption()}
 		}
 	}
-	if !c.state.set(busy, 0) {
+	if !c.commit() {
 		return &ReadError{Part: partBody, Err: c.interruption()}
 	}
 	return nil
--- a/callerhttp/write.go
+++ b/callerhttp/write.go
@@ -70,7 +70,12 @@
 	for written < len(p) {
 		now := time.Now()
 		c.writing.Store(int64(clock.Fast()))
-		if timeout := c.server.config.WriteTimeout; c.writeBy.Sub(now) < timeout/2 {
+		timeout := c.server.config.WriteTimeout
+		displaced := c.state.isDisplaced() // and has a refusal left, or responses that were not taken
+		if displaced {
+			timeout = rejectTimeout
+		}
+		if displaced || c.writeBy.Sub(now) < timeout/2 {
 			c.writeBy = now.Add(timeout)
 			if err := c.nc.SetWriteDeadline(c.writeBy); err != nil {
 				return written, err
