callerhttp: the test of refusals that are not read waits until the server has read the bodies

Cause: in the test. All new connections came at once, and could come before the server had read the partial bodies. Connections with unread bytes are not closed for others, so that all new ones were refused, and none came later. The fourth of the connections to be stuck also displaced one of the others before they were.

Change: one connection less, so that none is displaced while they are set up; the new ones come once all partial bodies are read. The conditions and the 10 s are the same. The product code is unchanged.

--- a/callerhttp/crowded_test.go
+++ b/callerhttp/crowded_test.go
@@ -164,21 +164,41 @@
 		cancel()
 		_ = s.ShutdownWithContext(ctx) // closes what is left
 	})
-	for range config.MaxConns {
+	const stopped = 3 // one more would displace a connection
+	for range stopped {
 		c := dial(t, inner.Addr().String())
 		c.send(get("/now/a"))
 		c.expect(ok("/now/a"))
 		c.send(post("/a", 9) + "b")
 	}
+	end := time.Now().Add(10 * time.Second)
+	for s.countConns(inBody) < stopped { // unread bytes would keep the connections
+		if time.Now().After(end) {
+			t.Fatalf("%d of %d connections wait for the rest of a body", s.countConns(inBody), stopped)
+		}
+		time.Sleep(time.Millisecond)
+	}
 	l.stuck.Store(true)
 	for range 2 * config.MaxConns {
 		dial(t, inner.Addr().String())
 	}
-	for end := time.Now().Add(10 * time.Second); s.ConnStats().Closed[inBody] == 0 || s.leavingConns() > 0; time.Sleep(10 * time.Millisecond) {
+	for s.ConnStats().Closed[inBody] == 0 || s.leavingConns() > 0 {
 		if time.Now().After(end) {
-			t.Fatalf("%d connections that were closed for others have not ended", s.leavingConns())
+			t.Fatalf("%d connections in a body were closed for others; %d have not ended", s.ConnStats().Closed[inBody], s.leavingConns())
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// countConns returns the number of connections with an activity.
+func (s *Server) countConns(a activity) int {
+	n := 0
+	for _, c := range s.all() {
+		if current, _ := unpack(c.state.word.Load()); current == a {
+			n++
 		}
 	}
+	return n
 }
 
 func (s *Server) leavingConns() int {
