Refusals of connections and of incomplete requests name the time of a retry

What callers saw: 503 without Retry-After if all connections carried requests, or if their connection was closed for another one, or the memory was short, within a request. All other refusals name a time.

Cause: both are written before a request exists to the rest of the daemon.

Change: both name the time of other refusals. callerhttp gets the field from its configuration.

Evidence: TestRefusedConnectionNamesTheTimeOfARetry and TestRefusalOfAnIncompleteRequestNamesIt failed before ("the response names no time for a retry"), and pass 3 of 3 with the race detector.

--- a/callerhttp/admit.go
+++ b/callerhttp/admit.go
@@ -31,7 +31,7 @@
 	s.mu.Lock()
 	s.stats.Refused++
 	s.mu.Unlock()
-	reject(nc)
+	reject(nc, s.config.RejectFields)
 	return nil
 }
 
@@ -160,9 +160,9 @@
 	}
 }
 
-// reject answers a connection that is not served.
-func reject(nc net.Conn) {
-	const response = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+// reject answers a connection that is not served. fields are added to the head of the response.
+func reject(nc net.Conn, fields string) {
+	response := "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n" + fields + "Content-Length: 0\r\n\r\n"
 	_ = nc.SetWriteDeadline(time.Now().Add(rejectTimeout)) // the write fails then, too
 	_, _ = nc.Write([]byte(response))                      // the connection is closed all the same
 	_ = nc.Close()
--- a/sidecar/caller_conns_test.go
+++ b/sidecar/caller_conns_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"github.com/parsleystack/parsleystack/platform/platformtest"
 )
 
 // Connections of callers took all descriptors: the daemon could reach neither its target nor
@@ -89,3 +91,34 @@
 	}
 	n.awaitUnkeyedServing(t)
 }
+
+// A caller that is refused because all connections carry requests must learn when to return.
+func TestRefusedConnectionNamesTheTimeOfARetry(t *testing.T) {
+	t.Parallel()
+	d := deploy(t, plainService)
+	n := d.nodes[0]
+	n.awaitUnkeyedServing(t)
+	if err := n.target.Behave(platformtest.Behavior{Delay: 5 * time.Second}); err != nil {
+		t.Fatal(err)
+	}
+	busy, err := net.Dial("tcp", n.settings.CallerAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = busy.Close() }) // the test has ended
+	request := head(http.MethodPost, "/book/a", "Content-Length: 0\r\n")
+	if _, err := busy.Write([]byte(request)); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the request is in progress", func() bool { return n.daemon.ingress.inFlight() > 0 })
+	var header http.Header
+	eventually(t, "a connection is refused", func() bool {
+		n.daemon.ingress.server.SetMaxConns(1) // until the daemon sets it the next time
+		var status int
+		status, header = n.rawCall(t, request)
+		return status == http.StatusServiceUnavailable && header.Get("Request-Id") == ""
+	})
+	if header.Get("Retry-After") == "" {
+		t.Error("the response names no time for a retry")
+	}
+}
--- a/sidecar/ingress.go
+++ b/sidecar/ingress.go
@@ -13,6 +13,7 @@
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/pipeline"
+	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/resend"
 )
 
@@ -84,6 +85,7 @@
 	}
 	in.server = callerhttp.NewServer(callerhttp.Config{
 		MaxConns:     d.callerConns(0),
+		RejectFields: platform.RetryAfterLine(retryRefused),
 		MaxHeader:    maxCallerHeader,
 		MaxBody:      in.maxBody,
 		Memory:       d.memory,
--- a/sidecar/read_error.go
+++ b/sidecar/read_error.go
@@ -29,6 +29,7 @@
 	event := logevent.RequestRejected
 	if status == fasthttp.StatusServiceUnavailable {
 		event = logevent.RequestRefused
+		platform.SetRetryAfter(&ctx.Response.Header, retryRefused)
 	} else {
 		in.d.metrics.countRejection(status, reason)
 	}
--- a/sidecar/read_error_test.go
+++ b/sidecar/read_error_test.go
@@ -34,7 +34,8 @@
 	}
 }
 
-// A request that could not be read must be refused by its id if its head was read.
+// A request that could not be read must be refused by its id if its head was read, with the time
+// of a retry like every refusal.
 func TestRefusalOfAnIncompleteRequestNamesIt(t *testing.T) {
 	t.Parallel()
 	d := deploy(t, plainService)
@@ -57,6 +58,9 @@
 		t.Fatal(err)
 	}
 	_ = resp.Body.Close() // it is not read
+	if resp.Header.Get("Retry-After") == "" {
+		t.Error("the response names no time for a retry")
+	}
 	if got := resp.Header.Get("Request-Id"); resp.StatusCode != http.StatusServiceUnavailable || got != id {
 		t.Errorf("status %d for request %q, want 503 for %q", resp.StatusCode, got, id)
 	}
