sidecar: connections that never pause do not keep heartbeats and readiness checks out

What could happen: connections to the address for heartbeats whose next request has always arrived keep the target's heartbeats out (503), and the same with readiness checks.

Cause: such a server closed idle connections for new ones, and those that had been active for a second. These connections are idle for no moment that counts, and each of them runs for whole time slices of the scheduler.

Change: a connection that was served before gives way to a new one; while there is no room for more, each ends after one response; a connection yields the processor before each request, and the one that accepts after each connection that it closes.

--- a/sidecar/conn_limiter.go
+++ b/sidecar/conn_limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"runtime"
 	"sync"
 	"time"
 
@@ -26,8 +27,9 @@
 
 // connActivity is the state of a connection and since when it is in that state.
 type connActivity struct {
-	state fasthttp.ConnState
-	since clock.Time
+	state  fasthttp.ConnState
+	since  clock.Time
+	served bool // at least one request
 }
 
 func newConnLimiter(limit int) *connLimiter {
@@ -36,23 +38,44 @@
 
 // stateChanged implements fasthttp.Server.ConnState.
 func (l *connLimiter) stateChanged(c net.Conn, state fasthttp.ConnState) {
-	now := clock.Now()
+	if l.record(c, state, clock.Now()) {
+		runtime.Gosched() // the server counts the connection until its goroutine has ended
+	}
+}
+
+// record records a state. It reports whether it has closed another connection.
+func (l *connLimiter) record(c net.Conn, state fasthttp.ConnState, now clock.Time) (closed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if state == fasthttp.StateClosed || state == fasthttp.StateHijacked {
 		delete(l.conns, c)
-		return
+		return false
 	}
-	if _, known := l.conns[c]; !known && state != fasthttp.StateNew {
-		return // it is being closed for another one
+	before, known := l.conns[c]
+	if !known && state != fasthttp.StateNew {
+		return false // it is being closed for another one
 	}
 	if state == fasthttp.StateNew && len(l.conns) >= l.limit {
 		if victim := l.victim(now); victim != nil {
 			delete(l.conns, victim)
 			_ = victim.Close() // its goroutine ends when it reads or writes
+			closed = true
+		}
+	}
+	l.conns[c] = connActivity{state: state, since: now, served: before.served || state == fasthttp.StateIdle}
+	return closed
+}
+
+// shareConns returns a handler that calls h, and lets connections of a server that has no more of
+// them end after one response.
+func (l *connLimiter) shareConns(h fasthttp.RequestHandler) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		runtime.Gosched() // the next request on the connection may have arrived, and so on
+		h(ctx)
+		if l.open() >= l.limit {
+			ctx.SetConnectionClose()
 		}
 	}
-	l.conns[c] = connActivity{state: state, since: now}
 }
 
 // open returns the number of connections that are open.
@@ -63,25 +86,43 @@
 }
 
 // victim returns the connection that is closed for another one: a new one if there are many,
-// else one that is idle, or that has been active for too long. It returns nil if there is none.
-// The caller holds the lock.
+// else one that is idle, that was served before, or that has been active for too long. It returns
+// nil if there is none. The caller holds the lock.
 func (l *connLimiter) victim(now clock.Time) net.Conn {
-	oldest := make(map[fasthttp.ConnState]net.Conn)
-	count := make(map[fasthttp.ConnState]int)
+	const (
+		isNew = iota
+		isIdle
+		isServed // active again
+		isActive // for the first time
+		classes
+	)
+	var oldest [classes]net.Conn
+	newConns := 0
 	for c, a := range l.conns {
-		count[a.state]++
-		if o := oldest[a.state]; o == nil || a.since.Before(l.conns[o].since) {
-			oldest[a.state] = c
+		class := isActive
+		switch {
+		case a.state == fasthttp.StateNew:
+			class = isNew
+			newConns++
+		case a.state == fasthttp.StateIdle:
+			class = isIdle
+		case a.served:
+			class = isServed
+		}
+		if o := oldest[class]; o == nil || a.since.Before(l.conns[o].since) {
+			oldest[class] = c
 		}
 	}
-	active := oldest[fasthttp.StateActive]
+	active := oldest[isActive]
 	switch {
-	case count[fasthttp.StateNew] > l.limit/2:
-		return oldest[fasthttp.StateNew]
-	case oldest[fasthttp.StateIdle] != nil:
-		return oldest[fasthttp.StateIdle]
+	case newConns > l.limit/2:
+		return oldest[isNew]
+	case oldest[isIdle] != nil:
+		return oldest[isIdle]
+	case oldest[isServed] != nil:
+		return oldest[isServed]
 	case active != nil && now.Sub(l.conns[active].since) >= activeTime:
 		return active
 	}
-	return oldest[fasthttp.StateNew]
+	return oldest[isNew]
 }
--- /dev/null
+++ b/sidecar/memorytest/busy_test.go
@@ -0,0 +1,91 @@
+package memorytest
+
+import (
+	"bytes"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/parsleystack/parsleystack/platform"
+	"github.com/parsleystack/parsleystack/platform/platformtest"
+)
+
+const (
+	// busyCrowd is the number of connections to each daemon that send as fast as they can.
+	busyCrowd = 400
+	// busyTime is how long they do so before an ordinary request must be answered.
+	busyTime = 5 * time.Second
+)
+
+// Connections to the ports for heartbeats, readiness checks, metrics and links that always have more
+// to be read must not keep others out.
+func TestConnectionsToServersThatNeverPause(t *testing.T) {
+	for name, c := range map[string]struct {
+		port     int
+		requests []byte
+	}{
+		"heartbeats":       {controlPort, bytes.Repeat([]byte(platformtest.Head(host, http.MethodPut, "/", newID(), "Content-Length: 2\r\n")+"{}"), 100)},
+		"readiness checks": {readyPort, bytes.Repeat([]byte(platformtest.Head(host, http.MethodGet, platform.ReadyPath, newID(), "")), 100)},
+		"metrics":          {lastLinkPort, bytes.Repeat([]byte(platformtest.Head(host, http.MethodGet, "/metrics", newID(), "")), 100)},
+		"links":            {firstLinkPort, filler},
+	} {
+		t.Run(name, func(t *testing.T) { neverPause(t, c.port, c.requests) })
+	}
+}
+
+// neverPause lets a crowd send requests to a port of all daemons without a pause. Meanwhile all
+// must serve requests, heartbeats and readiness checks.
+func neverPause(t *testing.T, port int, requests []byte) {
+	f := startOn(t, oneCore, memoryMB, maxBodyBytes)
+	done := make(chan struct{})
+	var all sync.WaitGroup
+	for _, n := range f.nodes {
+		for range busyCrowd {
+			all.Go(func() { sendAgain(n.addr(port), requests, done) })
+		}
+	}
+	t.Cleanup(func() {
+		close(done)
+		all.Wait()
+	})
+	time.Sleep(busyTime)
+	for _, n := range f.nodes {
+		f.awaitServed(n, localPath)
+		f.awaitServed(n, remotePath)
+		await(t, "a heartbeat is acknowledged", n.target.SendHeartbeat)
+		await(t, "a readiness check is answered", n.checkReady)
+	}
+}
+
+// sendAgain opens a connection, sends requests and reads what comes, again and again until done is
+// closed. A connection that stays open is used again.
+func sendAgain(addr string, requests []byte, done <-chan struct{}) {
+	b := make([]byte, 32<<10)
+	for {
+		select {
+		case <-done:
+			return
+		default:
+		}
+		conn, err := net.DialTimeout("tcp", addr, time.Second)
+		if err != nil {
+			continue // the daemon does not take it
+		}
+		for len(requests) > 0 && err == nil {
+			select {
+			case <-done:
+				_ = conn.Close() // the test has ended
+				return
+			default:
+			}
+			if err = conn.SetDeadline(time.Now().Add(time.Second)); err == nil {
+				if _, err = conn.Write(requests); err == nil {
+					_, err = conn.Read(b)
+				}
+			}
+		}
+		_ = conn.Close() // the daemon may have closed it
+	}
+}
--- a/sidecar/memorytest/fleet_test.go
+++ b/sidecar/memorytest/fleet_test.go
@@ -18,7 +18,6 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/parsleystack/parsleystack/platform/platformtest"
-	_ "github.com/parsleystack/parsleystack/sidecar" // so that go test does not use the results of an earlier version
 )
 
 // Limits of each daemon. The crowds and bounds follow from them.
--- a/sidecar/memorytest/servers_test.go
+++ b/sidecar/memorytest/servers_test.go
@@ -29,13 +29,7 @@
 				}
 			})
 			await(t, "a heartbeat is acknowledged", n.target.SendHeartbeat)
-			await(t, "a readiness check is answered", func() error {
-				status, _, err := platformtest.RawCall(n.addr(readyPort), platformtest.Head(host, http.MethodGet, platform.ReadyPath, newID(), ""))
-				if err == nil && status != http.StatusOK {
-					err = fmt.Errorf("status %d", status)
-				}
-				return err
-			})
+			await(t, "a readiness check is answered", n.checkReady)
 			f.awaitServed(n, localPath)
 		})
 	}
@@ -58,6 +52,15 @@
 	f.awaitServed(n, localPath)
 }
 
+// checkReady sends a readiness check. It fails if the daemon is not ready.
+func (n *node) checkReady() error {
+	status, _, err := platformtest.RawCall(n.addr(readyPort), platformtest.Head(host, http.MethodGet, platform.ReadyPath, newID(), ""))
+	if err == nil && status != http.StatusOK {
+		err = fmt.Errorf("status %d", status)
+	}
+	return err
+}
+
 // await waits until try succeeds.
 func await(t *testing.T, what string, try func() error) {
 	t.Helper()
--- a/sidecar/servers.go
+++ b/sidecar/servers.go
@@ -71,7 +71,7 @@
 func (d *Daemon) serveHTTP(l net.Listener, h fasthttp.RequestHandler) error {
 	limiter := newConnLimiter(serverConns(d.settings().MaxFiles))
 	s := &fasthttp.Server{
-		Handler: d.withBody(h), Name: "parsley", NoDefaultServerHeader: true, Logger: discardLogger{}, MaxRequestBodySize: maxHeartbeat,
+		Handler: limiter.shareConns(d.withBody(h)), Name: "parsley", NoDefaultServerHeader: true, Logger: discardLogger{}, MaxRequestBodySize: maxHeartbeat,
 		StreamRequestBody: true,
 		ReadTimeout:       serverReadTimeout, IdleTimeout: serverIdleTimeout, Concurrency: limiter.limit + limiter.limit/closingConnsShare,
 		ConnState: limiter.stateChanged,
