callerhttp: connections that always have more to be read yield the processor

What callers saw: on one core, beside 400 connections to each daemon that send requests to an unknown path, chunks of one byte, or a body over the limit without a pause, ordinary requests on new connections got 503 or no answer for 30 s; beside a hundred they took 0.5 to 10 s, and the daemons suspected each other 25 times in 130 s.

Cause: a goroutine that is never out of input runs for a whole time slice, 10 ms. Each step of an ordinary request (accept, read, run, send, response) waits for as many slices as there are such connections.

Change: a connection yields after a request that is followed by another one in its buffer, before each further read within a request, and after each read of bytes that are discarded.

--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -84,6 +85,9 @@
 		if !c.readNext() {
 			break
 		}
+		if c.hasUnparsed() {
+			runtime.Gosched() // the next request may be answered at once, and so on
+		}
 	}
 	c.dropBuffers()
 	c.mu.Lock()
--- a/callerhttp/read_call.go
+++ b/callerhttp/read_call.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"os"
+	"runtime"
 	"sync"
 	"syscall"
 	"time"
@@ -59,6 +60,9 @@
 		if c.interrupted.Load() {
 			return 0, c.interruption()
 		}
+		if c.moved.bytes > 0 {
+			runtime.Gosched() // there may always be more to read
+		}
 		n, err := c.readOnce(p)
 		switch {
 		case n > 0:
--- a/callerhttp/read_request.go
+++ b/callerhttp/read_request.go
@@ -31,7 +31,7 @@
 
 // awaitBytes waits for the first byte of a request. It reports false if the connection ends.
 func (c *conn) awaitBytes() bool {
-	if c.br != nil && c.br.Buffered() > 0 || len(c.pending) > 0 {
+	if c.hasUnparsed() {
 		return true
 	}
 	c.dropBuffers()
@@ -50,6 +50,11 @@
 	return false
 }
 
+// hasUnparsed reports whether bytes were read that belong to the next request.
+func (c *conn) hasUnparsed() bool {
+	return c.br != nil && c.br.Buffered() > 0 || len(c.pending) > 0
+}
+
 // dropBuffers returns the buffers of the reader.
 func (c *conn) dropBuffers() {
 	c.dropChunk()
--- a/callerhttp/write.go
+++ b/callerhttp/write.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"runtime"
 	"sync"
 	"time"
 
@@ -108,5 +109,6 @@
 			return
 		}
 		discarded += n
+		runtime.Gosched() // there may always be more to read
 	}
 }
--- a/sidecar/memorytest/busy_test.go
+++ b/sidecar/memorytest/busy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -19,8 +20,24 @@
 	busyTime = 5 * time.Second
 )
 
-// Connections to the ports for heartbeats, readiness checks, metrics and links that always have more
-// to be read must not keep others out.
+// Callers that always have more to be read must leave the processor to the requests of others, and
+// to the daemons themselves.
+func TestCallersThatNeverPause(t *testing.T) {
+	for name, requests := range map[string][]byte{
+		"connections without requests": nil,
+		"invalid heads":                []byte("GET\r\n\r\n"),
+		"refused requests":             bytes.Repeat(headOf("/unknown/", ""), 100),
+		"short requests":               bytes.Repeat(headOf(localPath, "Content-Length: 0\r\n"), 100),
+		"requests through a link":      bytes.Repeat(headOf(remotePath, "Content-Length: 0\r\n"), 100),
+		"large bodies":                 append(headOf(localPath, fmt.Sprintf("Content-Length: %d\r\n", 1<<20)), filler[:1<<20]...),
+		"small chunks":                 append(headOf(localPath, chunkedLine), bytes.Repeat([]byte("1\r\nx\r\n"), 1<<20)...),
+		"bodies over the limit":        append(headOf(localPath, "Content-Length: 99999999999999\r\n"), filler...),
+	} {
+		t.Run(name, func(t *testing.T) { neverPause(t, callerPort, requests) })
+	}
+}
+
+// The same at the ports for heartbeats, readiness checks, metrics and links.
 func TestConnectionsToServersThatNeverPause(t *testing.T) {
 	for name, c := range map[string]struct {
 		port     int
