sidecar: connections to the port for links that wait to be accepted take a bounded share of the memory

What could happen: 1,600 connections to the port for links that send without a pause end a process of 96 MB.

Cause: 1,024 connections might wait to be accepted and 256 for the end of their handshake, whatever the memory. The kernel holds up to 128 KB for each of them. The buffers of links are not made smaller, since that bounds the window of a link over a long distance for good.

Change: both numbers are bounded by an eighth of the memory, 96 each at 96 MB. From 1 GB on the queue is as long as before; at 284 MB it is 284.

--- a/sidecar/daemon.go
+++ b/sidecar/daemon.go
@@ -124,7 +124,8 @@
 	d.egress = egress.NewLink(s.LinkRate)
 	links := transport.Config{
 		Hello: hello, MaxFrame: maxCallerBody + maxCallerHeader, Egress: d.egress, Memory: d.memory, VerdictWait: verdictWait,
-		MaxBacklog: min(transport.DefaultMaxBacklog, d.memory.Limit()/linkBacklogPart), MaxConns: s.MaxFiles / linkFilesPart, MaxHandshakes: s.MaxFiles / handshakeFilesPart,
+		MaxBacklog: min(transport.DefaultMaxBacklog, d.memory.Limit()/linkBacklogPart), MaxConns: s.MaxFiles / linkFilesPart,
+		MaxHandshakes: min(s.MaxFiles/handshakeFilesPart, waitingLinks(s.MemoryBytes)),
 	}
 	d.peerLinks = transport.NewPool(links)
 	d.server = transport.NewServer(links, d, log)
--- a/sidecar/memory.go
+++ b/sidecar/memory.go
@@ -49,10 +49,20 @@
 	// minCallerBacklog is the least number of connections of callers that may wait.
 	minCallerBacklog = 128
 	// serverBacklog is the number of connections of targets and operators that may wait to be
-	// accepted by each server, and linkBacklog that of daemons. A fleet of 195 daemons opens
-	// 585 links to a daemon that has started.
+	// accepted by each server.
 	serverBacklog = 64
-	linkBacklog   = 1024
+	// unreadLinkBytes is the memory that the kernel usually holds for a connection of a daemon
+	// that was never read. Their buffers have no bound of ours, since links may cross long
+	// distances.
+	unreadLinkBytes = 128 << 10
+	// waitingLinksPart is the part of the process's memory that connections of daemons may take
+	// which wait to be accepted, and likewise those whose handshake is not complete. It is
+	// outside the heap.
+	waitingLinksPart = 8
+	// minWaitingLinks and maxWaitingLinks bound the number of either. A fleet of 195 daemons opens
+	// 585 links to a daemon that has started.
+	minWaitingLinks = 64
+	maxWaitingLinks = 1024
 	// memoryReportInterval is the time between two reports of messages that were refused or
 	// evicted.
 	memoryReportInterval = time.Second
@@ -79,6 +89,12 @@
 	return max(memory/callerBacklogPart/unreadConnBytes, minCallerBacklog)
 }
 
+// waitingLinks returns the number of connections of daemons that may wait to be accepted, or for
+// the end of their handshake, in a process of a memory in bytes.
+func waitingLinks(memory int) int {
+	return max(min(memory/waitingLinksPart/unreadLinkBytes, maxWaitingLinks), minWaitingLinks)
+}
+
 // gcPercent is the garbage, as a share of the live heap in per cent, at which a collection
 // starts. A daemon allocates about 4 MB a second, so that the default of 100 collects only
 // every few seconds and holds as much garbage as live data.
--- a/sidecar/memorytest/busy_test.go
+++ b/sidecar/memorytest/busy_test.go
@@ -16,6 +16,8 @@
 const (
 	// busyCrowd is the number of connections to each daemon that send as fast as they can.
 	busyCrowd = 400
+	// waitingCrowd is more than may wait to be accepted.
+	waitingCrowd = 1600
 	// busyTime is how long they do so before an ordinary request must be answered.
 	busyTime = 5 * time.Second
 )
@@ -33,7 +35,7 @@
 		"small chunks":                 append(headOf(localPath, chunkedLine), bytes.Repeat([]byte("1\r\nx\r\n"), 1<<20)...),
 		"bodies over the limit":        append(headOf(localPath, "Content-Length: 99999999999999\r\n"), filler...),
 	} {
-		t.Run(name, func(t *testing.T) { neverPause(t, callerPort, requests) })
+		t.Run(name, func(t *testing.T) { neverPause(t, callerPort, busyCrowd, requests) })
 	}
 }
 
@@ -48,18 +50,24 @@
 		"metrics":          {lastLinkPort, bytes.Repeat([]byte(platformtest.Head(host, http.MethodGet, "/metrics", newID(), "")), 100)},
 		"links":            {firstLinkPort, filler},
 	} {
-		t.Run(name, func(t *testing.T) { neverPause(t, c.port, c.requests) })
+		t.Run(name, func(t *testing.T) { neverPause(t, c.port, busyCrowd, c.requests) })
 	}
 }
 
-// neverPause lets a crowd send requests to a port of all daemons without a pause. Meanwhile all
+// Bytes on connections to the port for links that wait to be accepted must not make the daemon exceed
+// its memory.
+func TestManyConnectionsToLinksThatNeverPause(t *testing.T) {
+	neverPause(t, firstLinkPort, waitingCrowd, filler)
+}
+
+// neverPause lets a crowd of size connections to each daemon send requests to a port without a pause. Meanwhile all
 // must serve requests, heartbeats and readiness checks.
-func neverPause(t *testing.T, port int, requests []byte) {
+func neverPause(t *testing.T, port, size int, requests []byte) {
 	f := startOn(t, oneCore, memoryMB, maxBodyBytes)
 	done := make(chan struct{})
 	var all sync.WaitGroup
 	for _, n := range f.nodes {
-		for range busyCrowd {
+		for range size {
 			all.Go(func() { sendAgain(n.addr(port), requests, done) })
 		}
 	}
--- a/sidecar/servers.go
+++ b/sidecar/servers.go
@@ -51,7 +51,7 @@
 func listenLimits(i, memory int) listen.Limits {
 	switch i {
 	case linkListener:
-		return listen.Limits{Backlog: linkBacklog}
+		return listen.Limits{Backlog: waitingLinks(memory)}
 	case callerListener:
 		return listen.Limits{ReceiveBuffer: localReceiveBuffer, Backlog: callerBacklog(memory)}
 	}
