sidecar: the test of responses that are read during a stop does not depend on the heap of other tests

Cause: in the test. It gave its daemons 284 MB. Before each large buffer a daemon collects garbage if the heap exceeds 0.7 of that, up to twice, for at most half of the time. In the test the heap is that of all tests that run in parallel with the race detector.

Change: 4 GB. What the test checks does not depend on the memory.

--- a/sidecar/stop_slow_reader_test.go
+++ b/sidecar/stop_slow_reader_test.go
@@ -25,7 +25,9 @@
 		readTime      = 4 * time.Second // of a response, within the grace time
 		readyTime     = 20 * time.Second
 	)
-	d, target := deployScriptedWith(t, func(n *testNode) { n.settings.MemoryBytes = 284 << 20 })
+	// The memory is far above what the process of all tests takes: daemons collect garbage before
+	// large buffers if the heap exceeds a share of it.
+	d, target := deployScriptedWith(t, func(n *testNode) { n.settings.MemoryBytes = 4 << 30 })
 	entry := d.nodes[0]
 	target.set(fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", platformtest.StampHeader, size, strings.Repeat("a", size)))
 	var begun, done sync.WaitGroup
