--- a/callerhttp/config.go
+++ b/callerhttp/config.go
@@ -13,7 +13,7 @@
 	// a new one takes the place of one without a request in progress; if there is none, it
 	// gets 503. 0 means no limit.
 	MaxConns int
-	// RejectFields are header fields of that 503, each with its line end.
+	// RejectFields are header fields that are added to that 503, each with its line end.
 	RejectFields string
 	// MaxHeader bounds the head of a request in bytes.
 	MaxHeader int
--- a/callerhttp/conn.go
+++ b/callerhttp/conn.go
@@ -86,7 +86,7 @@
 			break
 		}
 		if c.hasUnparsed() {
-			runtime.Gosched() // the next request may be answered at once, and so on
+			runtime.Gosched() // requests that are answered at once would take whole time slices
 		}
 	}
 	c.dropBuffers()
--- a/callerhttp/read_call.go
+++ b/callerhttp/read_call.go
@@ -61,7 +61,7 @@
 			return 0, c.interruption()
 		}
 		if c.moved.bytes > 0 {
-			runtime.Gosched() // there may always be more to read
+			runtime.Gosched() // a caller that sends without a pause would take whole time slices
 		}
 		n, err := c.readOnce(p)
 		switch {
--- a/callerhttp/write.go
+++ b/callerhttp/write.go
@@ -109,6 +109,6 @@
 			return
 		}
 		discarded += n
-		runtime.Gosched() // there may always be more to read
+		runtime.Gosched() // likewise in receive
 	}
 }
--- a/sidecar/conn_limiter.go
+++ b/sidecar/conn_limiter.go
@@ -66,11 +66,11 @@
 	return closed
 }
 
-// shareConns returns a handler that calls h, and lets connections of a server that has no more of
-// them end after one response.
+// shareConns returns a handler that calls h. While there is no room for further connections, it
+// closes each one after its response.
 func (l *connLimiter) shareConns(h fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		runtime.Gosched() // the next request on the connection may have arrived, and so on
+		runtime.Gosched() // a client that sends without a pause would take whole time slices
 		h(ctx)
 		if l.open() >= l.limit {
 			ctx.SetConnectionClose()
