ownertable: a hold ends by expiry or by a stated release only

Cause: two conclusions took more than their evidence proves. A heartbeat or record that names a later start of the target counted as the end of the one before: TargetReplaced dropped its grants and every planner reassigned its shards at once (ownerEnded). And a heartbeat that did not list a shard after a reply without it counted as its release, also if it had no lists at all.

Change: GrantTracker outlives the targets of an instance. A shard whose owner is not the present target of its instance is revoked in favour of that one, and its daemon releases it when the grants have expired. A release counts where the target states it, for all parts that it may hold. A report of a later era keeps what an earlier target may hold.

TestShardThatIsNeitherListedNorReleasedIsHeld and TestReplacedTargetKeepsItsShardsUntilTheyAreReleased fail before. TestBrokenRulesAreCaught has the old rule as one more broken rule.

--- a/ownertable/agent.go
+++ b/ownertable/agent.go
@@ -1,7 +1,6 @@
 package ownertable
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -120,11 +119,17 @@
 // MembershipChanged records that a daemon or target of the service has changed.
 func (a *Agent) MembershipChanged(now clock.Time) { a.membershipChangedAt = now }
 
-// TargetReplaced discards the grants to an earlier incarnation of the target.
-// A later incarnation at the same address proves that the earlier one has ended.
-func (a *Agent) TargetReplaced() {
-	a.grants = NewGrantTracker(clock.Time(math.MinInt64 / 2))
-}
+// TargetReplaced records that another target has taken the place of the local one. What
+// was granted to the earlier one stays assigned to it until those grants have expired: it
+// may still run.
+func (a *Agent) TargetReplaced() { a.grants.targetReplaced() }
+
+// Owns reports whether the table in force names the owner.
+func (a *Agent) Owns(o Owner) bool { return a.table != nil && len(a.table.OwnedBy(o)) > 0 }
+
+// HoldsExpire returns when all grants to targets of this instance have certainly expired,
+// those of earlier processes of this daemon included.
+func (a *Agent) HoldsExpire() clock.Time { return a.grants.lastExpiry() }
 
 // Applied records that the directory was read up to the offset end by a read
 // that was sent at sent. complete says that the read reached the end of the
@@ -321,19 +326,22 @@
 	if t == nil {
 		t = NewTable()
 	}
-	if !s.Self.Ready {
-		a.releaseExpired(t, s.Self.Owner, s.Now)
-	}
+	a.releaseExpired(t, &s.Self, s.Now)
 	return Plan(t, a.readEnd, input)
 }
 
-// releaseExpired marks revoked shards as released if their grants have expired at a
-// target that is not ready.
-func (a *Agent) releaseExpired(t *Table, owner Owner, now clock.Time) {
+// releaseExpired marks shards as released whose grants have expired: those of earlier
+// targets of this instance, and revoked ones of the local target if it is not ready.
+func (a *Agent) releaseExpired(t *Table, self *Candidate, now clock.Time) {
+	if self.Target.IsZero() {
+		return // it is not known yet which of them are of earlier targets
+	}
 	var shards []Shard
-	for _, r := range t.OwnedBy(owner) {
-		if r.Revoked != NotRevoked {
-			shards = append(shards, r)
+	for i := range t.Shards {
+		r := &t.Shards[i]
+		earlier := r.Owner.Instance == self.Instance && r.Owner != self.Owner
+		if earlier || r.Owner == self.Owner && r.Revoked != NotRevoked && !self.Ready {
+			shards = append(shards, *r)
 		}
 	}
 	for id, handover := range a.grants.Expired(shards, now) {
--- a/ownertable/drill_test.go
+++ b/ownertable/drill_test.go
@@ -107,10 +107,8 @@
 // isHeld reports whether a running target holds a key.
 func (w *simulation) isHeld(key uint32) bool {
 	for _, n := range w.nodes {
-		for _, h := range n.target.holds {
-			if n.target.up && h.Contains(key) && w.now < h.until {
-				return true
-			}
+		if n.target.holding(key, w.now) != nil {
+			return true
 		}
 	}
 	return false
--- a/ownertable/grant_tracker.go
+++ b/ownertable/grant_tracker.go
@@ -1,21 +1,30 @@
 package ownertable
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/parsleystack/parsleystack/clock"
 )
 
-// GrantTracker tracks the shards that one incarnation of a target holds: which
-// were granted, when the grants expire and which were released. It is used by
-// the daemon beside the target, from one goroutine at a time.
+// GrantTracker tracks the shards that the targets of an instance hold: which were
+// granted, when the grants expire and which were released. Only these two end a hold:
+// that another target answers for the instance says nothing about the one before, which
+// may still run. So one tracker outlives the targets. It is used by the daemon beside
+// them, from one goroutine at a time.
 type GrantTracker struct {
 	// inheritedExpiry is when all grants of an earlier process of the daemon have
 	// expired.
 	inheritedExpiry clock.Time
 	grants          map[ShardID]*trackedGrant
-	handovers       []Released // released ranges whose shards are not yet reassigned
+	releases        []statedRelease // of the present target, oldest first
+}
+
+// statedRelease is a range that the target has released, as it states in a heartbeat.
+type statedRelease struct {
+	Released
+	seq uint64 // of the heartbeat
 }
 
 type trackedGrant struct {
@@ -51,7 +60,9 @@
 // assigns to the target, left is the remaining time of the lease, and longest
 // is the longest TTL that the target accepts.
 func (t *GrantTracker) Heartbeat(shards []Shard, report *Report, left, longest time.Duration, now clock.Time) HeartbeatReply {
-	t.handovers = append(t.handovers, report.Released...)
+	for _, r := range report.Released {
+		t.releases = append(t.releases, statedRelease{Released: r, seq: report.Seq})
+	}
 	var reply HeartbeatReply
 	reply.TTL = GrantTTL(left, longest)
 	for i := range report.Held {
@@ -121,12 +132,13 @@
 }
 
 // release marks a revoked shard as released when its grant has expired, or when
-// the target has received a reply without the shard and a later heartbeat no
-// longer lists it.
+// the target has received a reply without the shard and states in later heartbeats
+// that it has released it. That a heartbeat does not list the shard is not enough:
+// it may be one of another writer.
 func (t *GrantTracker) release(reply *HeartbeatReply, shard *Shard, report *Report, now clock.Time) {
 	g := t.grantOf(shard)
 	switch {
-	case g.omittedSeq > 0 && report.Seq > g.omittedSeq && !reportsHeld(report, shard.Range), !now.Before(g.expires):
+	case g.omittedSeq > 0 && !reportsHeld(report, shard.Range) && t.releaseStated(shard.Range, g.omittedSeq, now), !now.Before(g.expires):
 		if reply.Released == nil {
 			reply.Released = make(map[ShardID]string)
 		}
@@ -179,6 +191,31 @@
 	return g
 }
 
+// releaseStated reports whether the target has stated the release of all keys of r that it
+// may hold, in heartbeats after the one numbered seq.
+func (t *GrantTracker) releaseStated(r Range, seq uint64, now clock.Time) bool {
+	rest := []Range{r}
+	for i := range t.releases {
+		if s := &t.releases[i]; s.seq > seq {
+			rest = subtract(rest, s.Range)
+		}
+	}
+	return !slices.ContainsFunc(rest, func(r Range) bool { return t.mayHoldPart(r, now) })
+}
+
+// mayHoldPart reports whether a target may hold keys of r.
+func (t *GrantTracker) mayHoldPart(r Range, now clock.Time) bool {
+	if now.Before(t.inheritedExpiry) {
+		return true
+	}
+	for _, g := range t.grants {
+		if g.Overlaps(r) && now.Before(g.ownExpiry) {
+			return true
+		}
+	}
+	return false
+}
+
 func reportsHeld(report *Report, r Range) bool {
 	for i := range report.Held {
 		if report.Held[i].Overlaps(r) {
@@ -191,22 +228,31 @@
 // handover returns the handover that the target reported for a range when it
 // released it, or an empty string.
 func (t *GrantTracker) handover(r Range) string {
-	for i := len(t.handovers) - 1; i >= 0; i-- {
-		if t.handovers[i].Covers(r) {
-			return t.handovers[i].Handover
+	for i := len(t.releases) - 1; i >= 0; i-- {
+		if t.releases[i].Covers(r) {
+			return t.releases[i].Handover
 		}
 	}
 	return ""
 }
 
-// maxHandovers is the largest number of released ranges that are kept.
-const maxHandovers = 4 * smallTableShards
+// targetReplaced drops what the earlier target has stated. Its grants stay until they
+// have expired.
+func (t *GrantTracker) targetReplaced() {
+	t.releases = nil
+	for _, g := range t.grants {
+		g.omittedSeq, g.confirmed = 0, false
+	}
+}
+
+// maxReleases is the largest number of released ranges that are kept.
+const maxReleases = 4 * smallTableShards
 
-// prune removes the oldest handovers and the state of shards that the target no
+// prune removes the oldest stated releases and the state of shards that the target no
 // longer owns and whose grants have expired, once there are too many of either.
 func (t *GrantTracker) prune(shards []Shard, now clock.Time) {
-	if n := len(t.handovers) - maxHandovers; n > 0 {
-		t.handovers = append(t.handovers[:0], t.handovers[n:]...)
+	if n := len(t.releases) - maxReleases; n > 0 {
+		t.releases = append(t.releases[:0], t.releases[n:]...)
 	}
 	if len(t.grants) <= 2*len(shards)+smallTableShards {
 		return
--- a/ownertable/grant_tracker_split_test.go
+++ b/ownertable/grant_tracker_split_test.go
@@ -26,9 +26,12 @@
 		t.Run(name, func(t *testing.T) {
 			now := clock.Time(time.Hour)
 			tracker := NewGrantTracker(now.Add(-time.Minute))
-			heartbeat := func(seq uint64, shards []Shard, held ...Held) HeartbeatReply {
+			report := func(shards []Shard, r *Report) HeartbeatReply {
 				now = now.Add(900 * time.Millisecond)
-				return tracker.Heartbeat(shards, &Report{Seq: seq, Held: held}, LeaseTime, 10*time.Second, now)
+				return tracker.Heartbeat(shards, r, LeaseTime, 10*time.Second, now)
+			}
+			heartbeat := func(seq uint64, shards []Shard, held ...Held) HeartbeatReply {
+				return report(shards, &Report{Seq: seq, Held: held})
 			}
 			whole := Shard{Range: Range{From: 100, To: 300}, Token: 7}
 			heartbeat(1, []Shard{whole})
@@ -45,13 +48,39 @@
 					revoked++
 				}
 			}
-			if a := heartbeat(4, later); len(a.Released) != revoked {
+			if a := report(later, &Report{Seq: 4, Released: []Released{{Range: whole.Range}}}); len(a.Released) != revoked {
 				t.Errorf("%v are released after the target released %d shards", a.Released, revoked)
 			}
 		})
 	}
 }
 
+// A heartbeat without the lists of keys, of another writer under the target's name, counted
+// as the release of every shard that the last reply had omitted.
+func TestShardThatIsNeitherListedNorReleasedIsHeld(t *testing.T) {
+	now := clock.Time(time.Hour)
+	tracker := NewGrantTracker(now.Add(-time.Minute))
+	heartbeat := func(shard Shard, r Report) HeartbeatReply {
+		now = now.Add(100 * time.Millisecond)
+		return tracker.Heartbeat([]Shard{shard}, &r, LeaseTime, 10*time.Second, now)
+	}
+	shard := Shard{Range: Range{From: 100, To: 300}, Token: 7}
+	reply := heartbeat(shard, Report{Seq: 1})
+	expiry := now.Add(GrantExpiryBound(reply.TTL))
+	shard.Revoked = RevokedToMove
+	heartbeat(shard, Report{Seq: 2, Held: []Held{{Range: shard.Range, Token: 7}}})
+	if a := heartbeat(shard, Report{Seq: 1 << 40}); len(a.Released) > 0 {
+		t.Error("the shard is released by a heartbeat that does not mention it")
+	}
+	if a := heartbeat(shard, Report{Seq: 1<<40 + 1, Released: []Released{{Range: Range{From: 100, To: 299}}}}); len(a.Released) > 0 {
+		t.Error("the shard is released by the release of a part")
+	}
+	now = expiry
+	if a := heartbeat(shard, Report{Seq: 1<<40 + 2}); len(a.Released) != 1 {
+		t.Errorf("%v are released after the grant has expired, want one shard", a.Released)
+	}
+}
+
 // TestRestOfASplitShardIsHeldUntilItsGrantExpires checks that the second part of a
 // split shard counts as released when the grant of the whole shard has expired,
 // and not before, if the target sends no further heartbeats.
--- a/ownertable/plan.go
+++ b/ownertable/plan.go
@@ -92,7 +92,7 @@
 const (
 	ReasonFirst      Reason = "first-assignment"
 	ReasonReleased   Reason = "released"
-	ReasonEnded      Reason = "target-ended"
+	ReasonReplaced   Reason = "target-replaced"
 	ReasonTakeover   Reason = "lease-ran-out"
 	ReasonSuspected  Reason = "daemon-silent"
 	ReasonLeaving    Reason = "target-leaving"
@@ -210,8 +210,6 @@
 		p.assign(r, p.successor(r), r.Handover, ReasonUnassigned)
 	case released:
 		p.assign(r, p.successor(r), handover, ReasonReleased)
-	case p.ownerEnded(r):
-		p.assign(r, p.successor(r), "", ReasonEnded)
 	case r.Revoked != NotRevoked:
 		p.advanceRevoked(r)
 	default:
@@ -239,21 +237,12 @@
 	return r.Revoked == RevokedSuspected && c != nil && c.Ready && !c.Suspected && c.Responded
 }
 
-// ownerEnded reports whether the owner of a shard has ended and holds no keys. Only a
-// later incarnation of a target at the same instance proves this; connections are also
-// refused by targets that are busy.
-func (p *planner) ownerEnded(r *Shard) bool {
-	if p.candidates[r.Owner] != nil {
-		return false
-	}
-	later, ok := p.newest[r.Owner.Instance]
-	return ok && later.Target.StartTime > r.Owner.Target.StartTime
-}
-
 // ownerLost reports whether the owner of a shard must be replaced, and why.
 func (p *planner) ownerLost(r *Shard) (Reason, bool) {
 	c := p.candidates[r.Owner]
 	switch {
+	case c == nil && p.newest[r.Owner.Instance] != nil:
+		return ReasonReplaced, true
 	case c == nil || c.Suspected:
 		return ReasonSuspected, true
 	case !c.Ready:
@@ -263,8 +252,7 @@
 }
 
 func (p *planner) revokeFromLost(r *Shard, reason Reason) {
-	next := p.fewestKeys()
-	p.keyCounts[next] += r.Len()
+	next := p.successor(r)
 	how := RevokedToMove
 	if reason == ReasonSuspected {
 		how = RevokedSuspected
@@ -283,10 +271,9 @@
 	p.changes = append(p.changes, Change{Shard: *r, PreviousOwner: r.Owner, Reason: reason})
 }
 
-// successor returns the next owner of a shard that can be reassigned: its
-// planned owner, or else a later incarnation of the target at the same
-// instance, or else the target with the fewest keys per slot. countKeys has
-// already counted a revoked shard for its planned owner.
+// successor returns the next owner of a shard: its planned owner, or else another
+// target at the same instance, or else the target with the fewest keys per slot.
+// countKeys has already counted a revoked shard for its planned owner.
 func (p *planner) successor(r *Shard) Owner {
 	if _, ok := p.keyCounts[r.NextOwner]; ok && r.Revoked != NotRevoked {
 		return r.NextOwner
--- a/ownertable/range.go
+++ b/ownertable/range.go
@@ -25,6 +25,24 @@
 // String formats the range as from-to.
 func (r Range) String() string { return fmt.Sprintf("%d-%d", r.From, r.To) }
 
+// subtract returns the parts of the ranges that s does not cover.
+func subtract(ranges []Range, s Range) []Range {
+	var rest []Range
+	for _, r := range ranges {
+		if !r.Overlaps(s) {
+			rest = append(rest, r)
+			continue
+		}
+		if r.From < s.From {
+			rest = append(rest, Range{From: r.From, To: s.From - 1})
+		}
+		if s.To < r.To {
+			rest = append(rest, Range{From: s.To + 1, To: r.To})
+		}
+	}
+	return rest
+}
+
 // Held is a range that a target reports as held or as still in use by running
 // requests.
 type Held struct {
--- a/ownertable/recovery_plan.go
+++ b/ownertable/recovery_plan.go
@@ -40,7 +40,7 @@
 // era. An owner that has reported it keeps it also while its daemon does not
 // respond. Shards of the older table are marked as revoked, see fillGaps.
 func (p *planner) keepsOwner(r *Shard) bool {
-	if r.Unassigned() || p.ownerEnded(r) {
+	if r.Unassigned() {
 		return false
 	}
 	_, ready := p.keyCounts[r.Owner]
--- a/ownertable/soak_test.go
+++ b/ownertable/soak_test.go
@@ -46,8 +46,9 @@
 		{leaseKept, 34},
 		{assumeEstablished, 312},
 		{reportsNotAwaited, 19},
-		{extendAcrossEras, 358},
-		{inheritedReported, 991},
+		{extendAcrossEras, 92},
+		{inheritedReported, 221},
+		{earlierHoldsForgotten, 0},
 	} {
 		t.Run(string(c.mode), func(t *testing.T) {
 			for seed := c.firstSeed; seed < c.firstSeed+400; seed++ {
@@ -78,6 +79,7 @@
 	reportsNotAwaited     faultMode = "the first table of an era does not wait for reports"
 	extendAcrossEras      faultMode = "the lease of a member in an older era is extended"
 	inheritedReported     faultMode = "shards granted by an earlier process are reported as held"
+	earlierHoldsForgotten faultMode = "what a target holds counts as free once another one takes its place"
 )
 
 const (
@@ -132,8 +134,9 @@
 	seq           uint64
 	sentAt        map[uint64]clock.Time
 	target        *fakeTarget
-	load          float64   // offered load as a share of the target's slots
-	localTarget   Candidate // the target as seen by the daemon
+	replaced      []*fakeTarget // that run on although another target has taken their place
+	load          float64       // offered load as a share of the target's slots
+	localTarget   Candidate     // the target as seen by the daemon
 	heartbeatSeq  uint64
 	reading       bool
 	reporting     bool // the append of a report has not returned
@@ -253,7 +256,11 @@
 		n.frozenUntil = max(n.frozenUntil, w.now+span)
 		n.frozenTotal += span
 	case 2:
-		w.logf("%s target restarted", n.name)
+		runsOn := span/time.Millisecond%2 == 0
+		w.logf("%s target replaced, the earlier one runs on: %t", n.name, runsOn)
+		if runsOn {
+			n.replaced = append(n.replaced, n.target)
+		}
 		n.newTarget()
 	case 3:
 		w.logf("%s disconnected from the store for %v", n.name, span)
@@ -284,15 +291,12 @@
 	for key := uint32(0); key <= MaxKey; key += sampledKeys {
 		var holder Owner
 		for _, n := range w.nodes {
-			if !n.target.up {
-				continue
-			}
-			for i := range n.target.holds {
-				h := &n.target.holds[i]
-				if !h.Contains(key) || w.now >= h.until {
+			for _, t := range append([]*fakeTarget{n.target}, n.replaced...) {
+				h := t.holding(key, w.now)
+				if h == nil {
 					continue
 				}
-				o := Owner{Instance: n.name, Target: n.target.id}
+				o := Owner{Instance: n.name, Target: t.id}
 				if !holder.IsZero() && holder != o {
 					return fmt.Errorf("key %d is held by %v and %v at %v", key, holder, o, w.now-time.Hour)
 				}
@@ -307,6 +311,16 @@
 	return nil
 }
 
+// holding returns the shard with the key that a running target holds, or nil.
+func (t *fakeTarget) holding(key uint32, now time.Duration) *heldShard {
+	for i := range t.holds {
+		if h := &t.holds[i]; t.up && h.Contains(key) && now < h.until {
+			return h
+		}
+	}
+	return nil
+}
+
 func (n *node) clock() clock.Time {
 	t := n.sim.now
 	if n.sim.activeFault == clockStopsWhenFrozen {
@@ -532,6 +546,9 @@
 	}
 	if w.activeFault == ignoreHeld {
 		report.Held = nil
+		for r := range t.busy {
+			report.Released = append(report.Released, Released{Range: r})
+		}
 	}
 	delay := time.Millisecond
 	if w.rng.IntN(12) == 0 && !w.quiet {
@@ -550,8 +567,9 @@
 		return
 	}
 	if n.localTarget.Target != t.id {
-		if !n.localTarget.Target.IsZero() {
-			n.agent.TargetReplaced()
+		n.agent.TargetReplaced()
+		if n.sim.activeFault == earlierHoldsForgotten {
+			n.agent.grants = NewGrantTracker(0)
 		}
 		n.localTarget.Target, n.localTarget.Ready = t.id, true
 		n.agent.MembershipChanged(n.clock())
--- a/ownertable/table_test.go
+++ b/ownertable/table_test.go
@@ -136,10 +136,16 @@
 	if len(table.Shards) > MaxShards(24) {
 		t.Fatalf("the initial table has %d shards", len(table.Shards))
 	}
-	for i := range all[1:] { // the targets have started again, with nothing that the earlier ones held
+	released := make(map[ShardID]string)
+	for i := range table.Shards { // the other targets have started again, and what the earlier ones held has expired
+		if r := &table.Shards[i]; r.Owner != all[0].Owner {
+			released[r.ID()] = ""
+		}
+	}
+	for i := range all[1:] {
 		all[i+1].Ready, all[i+1].Target.StartTime = false, 1000+int64(i)
 	}
-	table, _ = Plan(table, 1, &PlanInput{Candidates: all, MembershipStable: true})
+	table, _ = Plan(table, 1, &PlanInput{Candidates: all, Released: released, MembershipStable: true})
 	if shards := len(table.OwnedBy(all[0].Owner)); shards > maxShardsPerOwner {
 		t.Errorf("the remaining target has %d shards, want at most %d", shards, maxShardsPerOwner)
 	}
@@ -193,14 +199,28 @@
 			t.Fatalf("the unreachable target is to receive the shard %v", s.Range)
 		}
 	}
-	all[1].Ready, all[1].Unreachable = true, false
-	started := all[1]
-	started.Target.StartTime++
-	all[1] = started
-	next, changes := Plan(table, 1, &PlanInput{Candidates: all[:2], MembershipStable: true})
-	for _, s := range next.Shards {
-		if s.Owner.Instance == "b" && s.Owner != started.Owner {
-			t.Fatalf("the shard %v stays with an incarnation that a later one has replaced; changes: %d", s.Range, len(changes))
+}
+
+// A target that another one had replaced at its instance counted as ended, and its shards
+// were reassigned at once, while it held them. They are revoked in favour of the later one.
+func TestReplacedTargetKeepsItsShardsUntilTheyAreReleased(t *testing.T) {
+	all := []Candidate{simpleCandidate("a"), simpleCandidate("b")}
+	table, _ := Plan(NewTable(), 0, &PlanInput{Candidates: all, MembershipStable: true})
+	earlier := all[1].Owner
+	all[1].Target.StartTime++
+	next, _ := Plan(table, 1, &PlanInput{Candidates: all, MembershipStable: true})
+	released := make(map[ShardID]string)
+	for i := range next.Shards {
+		r := &next.Shards[i]
+		if was := table.Shards[i].Owner; r.Owner != was || was == earlier && r.NextOwner != all[1].Owner {
+			t.Fatalf("the shard %v of %v has the owner %v and the next owner %v", r.Range, was, r.Owner, r.NextOwner)
 		}
+		if r.Owner == earlier {
+			released[r.ID()] = ""
+		}
+	}
+	next, _ = Plan(next, 2, &PlanInput{Candidates: all, Released: released, MembershipStable: true})
+	if n := len(next.OwnedBy(all[1].Owner)); n != len(released) {
+		t.Errorf("the later target has %d shards of %d that were released", n, len(released))
 	}
 }
