sidecar: a heartbeat that names another target does not displace the present one

What callers saw: after one heartbeat of another writer the target, which lived and went on with its heartbeats, held no key for the rest of the run, or its keys went to others.

Cause: the first heartbeat that stated a later start made that the present target. The filter for other writers compared three optional fields, for other targets only, only after a first heartbeat of this process.

Change: another target takes the place of the present one when that is silent for 1.7 intervals and all grants of the instance have expired, or when it is leaving; until then its heartbeats get 503 and event 7327. The same holds for a process that has just started. Heartbeats with a missing field are rejected with 400, and so are those without the lists of keys for a service that is divided by key. A target that changes its service and comes back starts with grants that may be as young as the change. An answer that waited while another target took the sender's place grants nothing.

Same id without keys is accepted at once: requests for the earlier start reach the later one, and TestDaemonRestartsBesideAColdTarget failed (414 requests in a second at a cold target, 27 allowed) when it was not.

Tests changed: TestColdStartOfAHeartbeat required that a heartbeat without the time of its cold start is decoded as stating none; it is rejected now, which the test requires. TestTargetWithAnEarlierStartCounts waits until its heartbeat under a clock ahead is accepted.

--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -46,6 +46,7 @@
 	HeartbeatIgnored    = define(7307, "heartbeat ignored", warning, "A heartbeat can't be decoded or names another target; it is ignored.", "Check who sends heartbeats to this daemon.")
 	HeartbeatOutOfOrder = define(7308, "heartbeat out of order", info, "A heartbeat is older than one already processed; it renews no grant.", "")
 	HeartbeatsContinued = define(7321, "heartbeats continued", warning, "Heartbeats that are numbered below an earlier one have gone on for so long that they are the target's own; they count again.", "Check which program sends heartbeats to this daemon: the earlier one was not the target's.")
+	TargetNotReplaced   = define(7327, "target not replaced", warning, "A heartbeat names another target than the current one, which still sends heartbeats or may hold keys; it is not accepted.", "If it goes on for more than some seconds, check which two programs send heartbeats to this daemon.")
 	TargetStartedAgain  = define(7326, "target started again", warning, "A target that states an earlier start than the current one sends heartbeats, and the current one none: it has taken its place.", "Check the clock of the instance: it was set back between the two starts.")
 	GrantsNotRenewed    = define(7309, "grants not renewed", warning, "A heartbeat was answered without grants, since the lease of the daemon is not confirmed.", "Look for events 7101 (store unavailable) and 7302 (daemon suspected) before this line.")
 
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -157,7 +157,7 @@
 func (b *backend) heartbeatReceived(hb *platform.Heartbeat, now clock.Time) {
 	if current := b.incarnation.Load(); current != nil {
 		current.runs.alive(now)
-		b.observeCold(coldstart.HeartbeatStatement(hb.WarmupStated, hb.WarmupRemaining, now), now)
+		b.observeCold(coldstart.HeartbeatStatement(true, hb.WarmupRemaining, now), now)
 	}
 }
 
--- a/sidecar/control_heartbeat.go
+++ b/sidecar/control_heartbeat.go
@@ -35,15 +35,14 @@
 
 // heartbeatState is the state of the heartbeat exchange with the target.
 type heartbeatState struct {
-	heard        bool                     // a heartbeat was received
-	seq          uint64                   // of the newest one
-	behind       heartbeatSeries          // since seq was received
-	earlier      earlierTarget            // whose heartbeats go on since then
-	ended        ownertable.Target        // whose place a target with an earlier start has taken
-	fields       platform.HeartbeatFields // of the newest one
-	lastAt       clock.Time               // when the newest heartbeat was received or the target was inherited
-	leavingSince clock.Time               // when the target announced its departure; Never if it is not leaving
-	grantsExpire clock.Time               // when the newest grants end
+	heard        bool              // a heartbeat was received
+	seq          uint64            // of the newest one
+	behind       heartbeatSeries   // since seq was received
+	earlier      earlierTarget     // whose heartbeats go on since then
+	ended        ownertable.Target // whose place a target with an earlier start has taken
+	lastAt       clock.Time        // when the newest heartbeat was received or the target was inherited
+	leavingSince clock.Time        // when the target announced its departure; Never if it is not leaving
+	grantsExpire clock.Time        // when the newest grants end
 	deferred     *deferredHeartbeat
 	departure    departureState
 }
@@ -106,8 +105,8 @@
 		logevent.Log(c.log, logevent.HeartbeatIgnored, zap.String("target", hb.Target.ID), zap.String("service", string(hb.Service)), zap.Uint64("config", c.configVersion()), zap.Int("status", status))
 		return heartbeatResponse{status: status}, true
 	}
-	if c.isForeign(hb) {
-		logevent.Log(c.log, logevent.HeartbeatIgnored, zap.String("target", hb.Target.ID), zap.Uint8("fields", uint8(hb.Fields)), zap.Uint8("want", uint8(c.heartbeats.fields)))
+	if c.isKeyed(hb.Service) && !hb.ListsKeys {
+		logevent.Log(c.log, logevent.HeartbeatIgnored, zap.String("target", hb.Target.ID), zap.String("missing", "lists of keys"))
 		return heartbeatResponse{status: http.StatusBadRequest}, true
 	}
 	if !c.isNewer(hb) && !c.isTargetsSeries(hb) && !c.isStartedAgain(hb) {
@@ -117,15 +116,36 @@
 		}
 		return heartbeatResponse{status: 200, body: platform.AppendAcknowledgement(nil)}, true
 	}
+	if now := clock.Now(); !c.mayBecomeTarget(hb.Target, now) {
+		logevent.Log(c.log, logevent.TargetNotReplaced, zap.String("target", hb.Target.ID), zap.Int64("born", hb.Target.StartTime), zap.String("current", c.self.TargetID),
+			zap.Int64("current_born", c.self.TargetStartMS), zap.Duration("since_heartbeat", now.Sub(c.heartbeats.lastAt)), zap.Duration("holds_left", c.agent.HoldsExpire().Sub(now)))
+		return heartbeatResponse{status: http.StatusServiceUnavailable}, true
+	}
 	return heartbeatResponse{}, false
 }
 
-// isForeign reports whether a heartbeat that names another target is of another writer: the
-// target's own go on, and have fields that it lacks.
-func (c *control) isForeign(hb *platform.Heartbeat) bool {
-	return c.heartbeats.heard && hb.Target != c.target() && hb.Fields.Lacks(c.heartbeats.fields) && !c.isSilent(clock.Now())
+// mayBecomeTarget reports whether a target may take the place of the current one, which the
+// heartbeat of any program may claim: the current one sends no heartbeats any more and its
+// grants have expired, or it is leaving. Two cases need no wait: without keys, requests for the
+// current one also reach a later start under its ID, and a process that has just started knows
+// owners in the table in force from an earlier process.
+func (c *control) mayBecomeTarget(t ownertable.Target, now clock.Time) bool {
+	if t == c.target() || c.self.TargetID == "" || c.self.State == fleet.TargetLeaving {
+		return true
+	}
+	if !c.mayHoldKeys() && t.ID == c.self.TargetID && t.StartTime > c.self.TargetStartMS {
+		return true
+	}
+	if !c.heartbeats.heard && c.agent.Owns(ownertable.Owner{Instance: ident.Instance(c.self.Instance), Target: t}) {
+		return true
+	}
+	return c.isSilent(now) && (!c.mayHoldKeys() || !now.Before(c.agent.HoldsExpire()))
 }
 
+// mayHoldKeys reports whether the current target may hold keys: its service is divided by
+// key, or there is no configuration yet that tells.
+func (c *control) mayHoldKeys() bool { return c.routes == nil || c.keyed() }
+
 // isSilent reports whether the target has sent no heartbeat for several intervals.
 func (c *control) isSilent(now clock.Time) bool {
 	return now.Sub(c.heartbeats.lastAt) > time.Duration(missedIntervals*float64(c.d.settings().HeartbeatInterval))
@@ -189,7 +209,7 @@
 // current one although it states an earlier start, which a clock that was set back explains.
 func (c *control) isStartedAgain(hb *platform.Heartbeat) bool {
 	now := clock.Now()
-	if hb.Target == c.target() || !c.heartbeats.earlier.add(hb.Target, hb.Seq, c.d.settings().HeartbeatInterval, now) || !c.isSilent(now) || now.Before(c.heartbeats.grantsExpire) {
+	if hb.Target == c.target() || !c.heartbeats.earlier.add(hb.Target, hb.Seq, c.d.settings().HeartbeatInterval, now) || !c.isSilent(now) || !c.mayBecomeTarget(hb.Target, now) {
 		return false
 	}
 	logevent.Log(c.log, logevent.TargetStartedAgain, zap.String("target", hb.Target.ID), zap.Int64("born", hb.Target.StartTime), zap.Int64("earlier_born", c.target().StartTime))
@@ -208,9 +228,7 @@
 		state = fleet.TargetLeaving
 	}
 	if hb.Target != c.target() {
-		if c.heartbeats.heard { // else an earlier process may have granted shards to this target
-			c.agent.TargetReplaced()
-		}
+		c.agent.TargetReplaced()
 		c.heartbeats.leavingSince = clock.Never
 	} else if c.heartbeats.leavingSince != clock.Never {
 		state = fleet.TargetLeaving
@@ -221,7 +239,7 @@
 	if state == fleet.TargetLeaving && c.heartbeats.leavingSince == clock.Never {
 		c.heartbeats.leavingSince = now
 	}
-	c.heartbeats.heard, c.heartbeats.seq, c.heartbeats.lastAt, c.heartbeats.fields = true, hb.Seq, now, hb.Fields
+	c.heartbeats.heard, c.heartbeats.seq, c.heartbeats.lastAt = true, hb.Seq, now
 	c.heartbeats.behind, c.heartbeats.earlier = heartbeatSeries{}, earlierTarget{}
 	m := c.self
 	m.Service, m.TargetID, m.TargetStartMS, m.Slots, m.State = string(hb.Service), hb.Target.ID, hb.Target.StartTime, hb.Slots, state
@@ -259,10 +277,10 @@
 }
 
 // changeService makes this daemon a new member of the service that its record names
-// since a moment ago.
+// since a moment ago. It may have been one before, and granted shards as late as now.
 func (c *control) changeService() {
 	c.self.JoinedMS = time.Now().UnixMilli()
-	c.agent = ownertable.NewAgent(ident.Instance(c.self.Instance), c.d.started)
+	c.agent = ownertable.NewAgent(ident.Instance(c.self.Instance), clock.Now())
 	c.enterAgentEra(c.era())
 	if t := c.tables[ident.Service(c.self.Service)]; t != nil && c.applied.Position() > 0 {
 		c.agent.TableRead(t, uint64(c.applied-1), clock.Now())
@@ -272,9 +290,10 @@
 
 // answerHeartbeat grants the target's shards of the newest table while the lease
 // lasts. The target counts the TTL of a grant from when it sent the heartbeat, so
-// the TTL may reach to the end of the lease, counted from received.
+// the TTL may reach to the end of the lease, counted from received. A heartbeat that waited
+// for its answer while another target took the place of its own is granted nothing.
 func (c *control) answerHeartbeat(hb *platform.Heartbeat, received, now clock.Time) heartbeatResponse {
-	if !c.keyed() || c.agent.Table() == nil && !c.agent.Recovering() {
+	if hb.Target != c.target() || !c.keyed() || c.agent.Table() == nil && !c.agent.Recovering() {
 		return heartbeatResponse{status: 200, body: platform.AppendAcknowledgement(nil)}
 	}
 	report := ownertable.Report{Seq: hb.Seq, Held: hb.Held, Released: hb.Released}
@@ -294,11 +313,14 @@
 }
 
 // keyed reports whether the service of the local target is divided by key.
-func (c *control) keyed() bool {
+func (c *control) keyed() bool { return c.isKeyed(ident.Service(c.self.Service)) }
+
+// isKeyed reports whether a service is divided by key, as far as that is known.
+func (c *control) isKeyed(name ident.Service) bool {
 	if c.routes == nil {
 		return false
 	}
-	s, ok := c.routes.Service(ident.Service(c.self.Service))
+	s, ok := c.routes.Service(name)
 	return ok && s.Keyed
 }
 
--- a/sidecar/heartbeat_series_test.go
+++ b/sidecar/heartbeat_series_test.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -20,9 +19,8 @@
 		return n.call(http.MethodGet, "/view/a", newID(), 40000).Status == http.StatusOK
 	}
 	eventually(t, "the key is served", view)
-	odd := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"slots":8},"status":{"state":"ready","seq":%d}}`,
-		n.target.Addr, n.target.Born(), keyedService, uint64(1)<<49)
-	if status, err := platformtest.SendHeartbeat(n.settings.ControlAddr, n.target.ID, odd); err != nil || status != http.StatusOK {
+	odd := platformtest.HeartbeatForm{Addr: n.target.Addr, Service: keyedService, State: "ready", Born: n.target.Born(), Seq: 1 << 49}
+	if status, err := platformtest.SendHeartbeat(n.settings.ControlAddr, n.target.ID, odd.Body()); err != nil || status != http.StatusOK {
 		t.Fatalf("heartbeat of another writer: status %d, %v", status, err)
 	}
 	eventually(t, "the target's own heartbeats count again", func() bool {
--- a/sidecar/losses_test.go
+++ b/sidecar/losses_test.go
@@ -116,6 +116,13 @@
 				}
 			}
 		}},
+		{"target started again", 5 * time.Second, func(t *testing.T, _ *deployment, n *testNode) func() {
+			n.target.Stop()
+			if err := n.target.Start(); err != nil {
+				t.Fatal(err)
+			}
+			return func() {}
+		}},
 		{"instance", 6400 * time.Millisecond, func(t *testing.T, d *deployment, n *testNode) func() {
 			n.crash(d)
 			return func() { n.restart(t, d) }
