target: answers without end leave the processor to others

What callers saw: while a target answered with a body in chunks of one byte, without end, a daemon with one core served few other callers, and some not at all; while it sent bytes behind complete empty answers, single requests of others got 502.

Cause: the time to decode a body grows with the number of its chunks, which no limit bounded, and a goroutine that always finds more to read is only stopped after a whole time slice. And a connection was used again at once after its answer, so that a request could cross bytes that the target sent behind it.

For 10 s after bytes beyond a response were found, a connection is used again only 20 ms after its last response.

TestAnswersWithoutEnd, TestBodyInTinyChunks and TestConnectionsSettleAfterSurplusBytes fail before.

--- a/sidecar/memorytest/fleet_test.go
+++ b/sidecar/memorytest/fleet_test.go
@@ -115,6 +115,9 @@
 	cores    cores
 	memory   int  // MB
 	stuckLog bool // nothing reads their log lines
+	// endless is how targets answer requests whose path ends with endlessPath; nil if they
+	// answer them like others.
+	endless *endlessForm
 }
 
 // startWith is start for daemons under other conditions.
@@ -139,7 +142,7 @@
 			t.Fatal(err)
 		}
 		n.start(t, service, storeAddr, c)
-		startTarget(t, n, service)
+		startTarget(t, n, service, c.endless)
 	}
 	for _, n := range f.nodes {
 		f.awaitServed(n, localPath)
@@ -211,7 +214,7 @@
 
 // startTarget starts the target beside a daemon. Requests arrive at a server of its own,
 // which discards their bodies.
-func startTarget(t *testing.T, n *node, service string) {
+func startTarget(t *testing.T, n *node, service string, endless *endlessForm) {
 	t.Helper()
 	target := &platformtest.Target{
 		ID: "target-" + service, Service: service, Zone: "z", Addr: n.addr(targetPort), ListenAddr: n.addr(targetListenPort), Control: n.addr(controlPort), Slots: 64,
@@ -229,6 +232,10 @@
 		}
 		ctx.Response.Header.Set("Request-Id", string(ctx.Request.Header.Peek("Request-Id")))
 		ctx.Response.Header.Set(platformtest.StampHeader, "s")
+		if endless != nil && strings.HasSuffix(string(ctx.Path()), endlessPath) {
+			answerEndless(ctx, *endless)
+			return
+		}
 		if strings.HasSuffix(string(ctx.Path()), slowPath) {
 			time.Sleep(slowWork)
 		}
--- a/target/client.go
+++ b/target/client.go
@@ -106,6 +106,9 @@
 		c.pool.put(conn)
 		return
 	}
+	if err == nil && conn.reader.Buffered() > 0 {
+		c.pool.surplusFound()
+	}
 	c.pool.discard(conn)
 }
 
--- a/target/conn.go
+++ b/target/conn.go
@@ -11,6 +11,8 @@
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
+
+	"github.com/parsleystack/parsleystack/fairread"
 )
 
 const connBufferSize = 4 << 10 // bytes
@@ -18,16 +20,21 @@
 // conn is one connection to the target.
 type conn struct {
 	net.Conn
-	raw    syscall.RawConn
-	reader *bufio.Reader
-	writer *bufio.Writer
-	wrote  atomic.Bool // bytes of the current request were written to the socket
+	raw      syscall.RawConn
+	reader   *bufio.Reader
+	writer   *bufio.Writer
+	fair     fairread.Conn
+	received int         // bytes read from the socket
+	wrote    atomic.Bool // bytes of the current request were written to the socket
 
 	sent            sentIDs
 	writeIncomplete bool      // the current request was not completely written
 	idleDeadline    time.Time // not reused after it; no limit if zero
+	idleSince       time.Time
 
 	probedIdle bool // result of probe: open, and no bytes to read
+	// probedSurplus is set if the last probe has found bytes that belong to no response.
+	probedSurplus bool
 	// probedClosed is set if the last probe has found that the target has closed the connection.
 	probedClosed bool
 	probeFn      func(fd uintptr) bool // probe as a function value, allocated once
@@ -35,7 +42,7 @@
 }
 
 func newConn(c net.Conn) (*conn, error) {
-	tc := &conn{Conn: c, sent: make(sentIDs)}
+	tc := &conn{Conn: c, fair: fairread.Conn{Conn: c}, sent: make(sentIDs)}
 	if sc, ok := c.(syscall.Conn); ok {
 		raw, err := sc.SyscallConn()
 		if err != nil {
@@ -44,11 +51,21 @@
 		tc.raw = raw
 	}
 	tc.probeFn = tc.probe
-	tc.reader = bufio.NewReaderSize(c, connBufferSize)
+	tc.reader = bufio.NewReaderSize(tc, connBufferSize)
 	tc.writer = bufio.NewWriterSize(tc, connBufferSize)
 	return tc, nil
 }
 
+// Read reads from the socket.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.fair.Read(b)
+	c.received += n
+	return n, err
+}
+
+// consumed returns the number of bytes received that were decoded.
+func (c *conn) consumed() int { return c.received - c.reader.Buffered() }
+
 // Write writes bytes to the socket and records whether it has taken any. It takes none if the
 // target has reset the connection.
 func (c *conn) Write(b []byte) (int, error) {
@@ -79,6 +96,7 @@
 func (c *conn) probe(fd uintptr) bool {
 	n, _, err := unix.Recvfrom(int(fd), c.probeBuf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	c.probedIdle = err == unix.EAGAIN
+	c.probedSurplus = n > 0 && err == nil
 	c.probedClosed = n == 0 && err == nil || err == unix.ECONNRESET
 	return true
 }
--- a/target/endless_test.go
+++ b/target/endless_test.go
@@ -1,8 +1,12 @@
 package target
 
 import (
+	"errors"
 	"fmt"
+	"io"
+	"net"
 	"runtime/metrics"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -168,3 +172,76 @@
 		awaitClosed(t, e)
 	}
 }
+
+// A body in chunks of one byte took seconds to decode up to the limit of its size. It must be cut
+// when its framing is far larger than the body, and be read whole while it is not.
+func TestBodyInTinyChunks(t *testing.T) {
+	const fits = 200_000
+	for name, c := range map[string]struct {
+		body string
+		want error
+	}{
+		"endless":            {strings.Repeat("1\r\nx\r\n", 300_000), ErrTooMuchFraming},
+		"of moderate length": {strings.Repeat("1\r\nx\r\n", fits) + "0\r\n\r\n", nil},
+		"small chunks":       {strings.Repeat("6\r\nxxxxxx\r\n", 500_000) + "0\r\n\r\n", nil},
+	} {
+		e := &platformtest.Endless{Prefix: chunkHead + c.body, Repeat: "\x00", Pause: 100 * time.Millisecond}
+		client := New(Config{Addr: startEndless(t, e), MaxBody: 32 << 20})
+		call, sent, err := do(client, 20*time.Second)
+		if !sent || !errors.Is(err, c.want) {
+			t.Errorf("%s: sent %v, error %v, want %v", name, sent, err, c.want)
+		}
+		if n := len(call.Response.Body()); err == nil && n < fits {
+			t.Errorf("%s: %d bytes", name, n)
+		}
+		call.Release()
+		client.Close()
+	}
+}
+
+// After a target has sent bytes beyond a response, the next requests must not use connections
+// on which such bytes may be on their way: the outcome of those requests would be unknown.
+func TestConnectionsSettleAfterSurplusBytes(t *testing.T) {
+	c := New(Config{Addr: startSurplus(t, 5*time.Millisecond), MaxConns: 4})
+	defer c.Close()
+	if call, _, err := do(c, time.Second); err != nil {
+		t.Fatalf("first request: %v", err)
+	} else {
+		call.Release()
+	}
+	time.Sleep(2 * settleTime) // until bytes beyond the response have arrived
+	for i := range 50 {
+		call, _, err := do(c, time.Second)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		call.Release()
+		time.Sleep(time.Duration(i%10) * time.Millisecond)
+	}
+}
+
+// startSurplus starts a server that answers one request a connection and sends further bytes
+// after a pause.
+func startSurplus(t *testing.T, pause time.Duration) (addr string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() }) // the test has ended
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = conn.Read(make([]byte, 4096))
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+				time.Sleep(pause)
+				_, _ = io.WriteString(conn, "xxxx") // the client may have closed the connection
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
--- a/target/errors.go
+++ b/target/errors.go
@@ -18,6 +18,8 @@
 	// ErrTooManyInterim reports that a response has too many interim (1xx)
 	// responses before it.
 	ErrTooManyInterim = errors.New("target: too many interim responses; check the target")
+	// ErrTooMuchFraming reports a body in very many small chunks.
+	ErrTooMuchFraming = errors.New("target: the framing of the chunks of a response is far larger than its body; let the target send larger chunks")
 	// ErrClosed reports use of a closed client.
 	ErrClosed = errors.New("target: client is closed; create a new one")
 )
--- a/target/pool.go
+++ b/target/pool.go
@@ -20,7 +20,8 @@
 	mu         sync.Mutex
 	maxConns   int
 	idle       []*conn
-	open       int // number of connections that are idle, in use or being dialed
+	open       int       // number of connections that are idle, in use or being dialed
+	surplusAt  time.Time // when bytes that belong to no response were last found
 	closed     bool
 	connClosed chan struct{} // receives a value when a connection was closed
 }
@@ -52,6 +53,9 @@
 			return c, nil
 		}
 		p.discard(c)
+		if c.probedSurplus || c.reader.Buffered() > 0 {
+			p.surplusFound()
+		}
 		if c.probedClosed && p.onClosed != nil {
 			p.onClosed()
 		}
@@ -87,7 +91,7 @@
 func (p *pool) popUnsent(call *Call) *conn {
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
-		if !call.mayUse(c) {
+		if !call.mayUse(c) || !p.isSettled(c) {
 			continue
 		}
 		p.idle = slices.Delete(p.idle, i, i+1)
@@ -96,6 +100,29 @@
 	return nil
 }
 
+const (
+	// surplusMemory is how long connections of a target that has sent bytes beyond a response
+	// are used with care.
+	surplusMemory = 10 * time.Second
+	// settleTime is how long after a response bytes beyond it may arrive. They are found when
+	// the connection is next needed, unless they cross the next request, which would then be
+	// of unknown outcome.
+	settleTime = 20 * time.Millisecond
+)
+
+// surplusFound records that the target has sent bytes that belong to no response.
+func (p *pool) surplusFound() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.surplusAt = time.Now()
+}
+
+// isSettled reports whether an idle connection may be used as far as surplus bytes are
+// concerned. A target that sends none is given no time. The caller holds p.mu.
+func (p *pool) isSettled(c *conn) bool {
+	return p.surplusAt.IsZero() || time.Since(p.surplusAt) > surplusMemory || time.Since(c.idleSince) > settleTime
+}
+
 // dial opens a connection in a slot that was reserved before, and releases the slot
 // on failure.
 func (p *pool) dial(deadline time.Time) (*conn, error) {
@@ -134,6 +161,7 @@
 // put returns a connection to the pool. Its last response must have been completely
 // read.
 func (p *pool) put(c *conn) {
+	c.idleSince = time.Now()
 	p.mu.Lock()
 	if !p.closed {
 		p.idle = append(p.idle, c)
