--- a/standin/sidecarsoak/leavers.go
+++ b/standin/sidecarsoak/leavers.go
@@ -19,9 +19,9 @@
 	// leaverDeadline is the time to the deadline of their requests.
 	leaverDeadline = 1200 * time.Millisecond
 	// furtherBody is the size in bytes of the body of a further request on the connection. It
-	// is larger than the read buffer of a daemon, and fits into the receive window: a close
-	// behind more bytes does not reach a daemon that does not read them.
-	furtherBody = 40 << 10
+	// is larger than the first read buffer of a daemon, and fits into the receive window, which
+	// is 8 KiB: a close behind more bytes does not reach a daemon that does not read them.
+	furtherBody = 6 << 10
 	// incompleteBody is the size in bytes of a body of which only a part is sent.
 	incompleteBody = 128 << 10
 )
