transport: a cancellation behind a large frame comes before its request

Cause: a daemon starts the requests of a link when it has read what arrived with them, since a cancellation may be among that. But it looked no further than its buffer of 16 KiB: a frame that is not whole in there let all requests before it start, with their cancellations in the socket behind it.

Change: received requests start when the socket has nothing more to be read (drainedConn), or after 20 ms on a connection that always has more. Requests of a connection that ends are started canceled, as before.

TestCancellationBehindALargeFrameComesBeforeItsRequest fails before (one of five requests was started before its cancellation).

--- a/transport/canceled_test.go
+++ b/transport/canceled_test.go
@@ -1,11 +1,13 @@
 package transport
 
 import (
+	"bytes"
 	"net"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/outcome"
 	"github.com/parsleystack/parsleystack/wire"
 )
@@ -64,3 +66,76 @@
 		t.Errorf("%d of %d requests were started, %d of them after their cancellation; want all", started, batches*perBatch, canceled)
 	}
 }
+
+// ServeCellMessage implements Handler.
+func (h *canceledCount) ServeCellMessage(ident.Node, []byte) {}
+
+// pausedReader is a handler that keeps a connection from being read while it handles a message.
+type pausedReader struct {
+	canceledCount
+	resume chan struct{}
+}
+
+func (h *pausedReader) ServeCellMessage(ident.Node, []byte) { <-h.resume }
+
+// A daemon that found a request and its cancellation in a socket, after a time without the
+// processor, started the request if a frame that its buffer does not hold lay between them: it
+// looked no further than the buffer (GONE).
+func TestCancellationBehindALargeFrameComesBeforeItsRequest(t *testing.T) {
+	h := &pausedReader{resume: make(chan struct{})}
+	_, addr := startHandler(t, h, nil)
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := conn.Write(frame(t, wire.KindHello, 0, helloOf(1, 1, ClassRequest))); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := wire.NewReader(conn, wire.DefaultMaxFrame).Next(); err != nil {
+		t.Fatal(err)
+	}
+	const requests = 5 // they fit the socket's buffers
+	b := frame(t, wire.KindCellMessage, 0, nil)
+	for i := range uint64(requests) {
+		b = append(b, frame(t, wire.KindRequest, i+1, &wire.Request{Body: make([]byte, i%5*8<<10)})...)
+	}
+	for i := range uint64(requests) {
+		b = append(b, frame(t, wire.KindCancel, i+1, nil)...)
+	}
+	if _, err := conn.Write(b); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond) // until all of it has arrived
+	close(h.resume)
+	for end := time.Now().Add(5 * time.Second); h.started.Load() < requests && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if started, canceled := h.started.Load(), h.canceled.Load(); started != requests || canceled != started {
+		t.Errorf("%d of %d requests were started, %d of them after their cancellation; want all", started, requests, canceled)
+	}
+}
+
+// A request must not wait for the frames behind it on a connection that always has more to be read.
+func TestRequestOnABusyConnectionIsStarted(t *testing.T) {
+	h := new(canceledCount)
+	_, addr := startHandler(t, h, nil)
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := conn.Write(frame(t, wire.KindHello, 0, helloOf(1, 1, ClassRequest))); err != nil {
+		t.Fatal(err)
+	}
+	request := frame(t, wire.KindRequest, 1, &wire.Request{Body: []byte("x")})
+	messages := bytes.Repeat(frame(t, wire.KindCellMessage, 0, nil), 4096)
+	if _, err := conn.Write(request); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(5 * time.Second); h.started.Load() == 0; {
+		if _, err := conn.Write(messages); err != nil || time.Now().After(end) {
+			t.Fatalf("the request is not started beside further frames, error %v", err)
+		}
+	}
+}
--- a/transport/handshake.go
+++ b/transport/handshake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"time"
 
@@ -74,14 +75,14 @@
 	reader.SetMemory(cfg.Memory)
 }
 
-// serverHandshake exchanges Hellos on an accepted connection and checks the peer's
-// identity. It bounds the exchange by HandshakeTimeout. The local Hello is sent even
+// serverHandshake exchanges Hellos on an accepted connection, which is read through in, and
+// checks the peer's identity. It bounds the exchange by HandshakeTimeout. The local Hello is sent even
 // to a peer of an incompatible version, so that the peer can report the mismatch.
-func serverHandshake(conn net.Conn, cfg *Config) (*wire.Reader, wire.Hello, error) {
+func serverHandshake(conn net.Conn, in io.Reader, cfg *Config) (*wire.Reader, wire.Hello, error) {
 	if err := conn.SetDeadline(time.Now().Add(cfg.HandshakeTimeout)); err != nil {
 		return nil, wire.Hello{}, err
 	}
-	reader := wire.NewReader(conn, wire.MaxHello)
+	reader := wire.NewReader(in, wire.MaxHello)
 	peer, helloErr := readHello(reader, &cfg.Hello)
 	if peer.Magic != wire.Magic {
 		return nil, peer, helloErr
--- a/transport/server.go
+++ b/transport/server.go
@@ -116,13 +116,15 @@
 }
 
 func (s *Server) serveConn(conn net.Conn) {
-	reader, peer, err := serverHandshake(conn, &s.cfg)
+	in := newDrainedConn(conn)
+	reader, peer, err := serverHandshake(conn, in, &s.cfg)
 	if err != nil {
 		s.rejectConn(conn, err)
 		return
 	}
 	c := &serverConn{server: s, conn: conn, peerHello: peer, class: Class(peer.Class), reader: reader, exchanges: make(map[uint64]*Exchange)}
 	c.writer = newWriter(conn, c.class, &s.cfg)
+	in.onDrained = c.startReceived
 	setUserTimeout(conn)
 	c.ctx, c.cancel = context.WithCancel(s.ctx)
 	if !s.track(c) {
@@ -133,6 +135,7 @@
 		s.recordBadConn(conn, err)
 	}
 	c.close()
+	c.startReceived() // canceled
 	s.mu.Lock()
 	delete(s.conns, c)
 	s.mu.Unlock()
--- a/transport/serverconn.go
+++ b/transport/serverconn.go
@@ -27,8 +27,10 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 
-	// received holds the requests that were read and not yet passed to the handler.
-	received []*Exchange
+	// received holds the requests that were read and not yet passed to the handler, and
+	// receivedSince is when the first of them was read.
+	received      []*Exchange
+	receivedSince clock.Time
 
 	mu        sync.Mutex
 	exchanges map[uint64]*Exchange
@@ -42,7 +44,7 @@
 		_ = c.conn.Close()
 	}()
 	for {
-		if !c.reader.Buffered() {
+		if len(c.received) > 0 && clock.Now().Sub(c.receivedSince) > maxReceiving {
 			c.startReceived()
 		}
 		before := c.reader.Bytes()
@@ -122,6 +124,9 @@
 	c.mu.Lock()
 	c.exchanges[f.ID] = e
 	c.mu.Unlock()
+	if len(c.received) == 0 {
+		c.receivedSince = clock.Now()
+	}
 	c.received = append(c.received, e)
 	return nil
 }
@@ -131,8 +136,14 @@
 	return c.respond(id, &wire.Response{Kind: outcome.NotRun, Reason: outcome.Overloaded, RetryAfter: retryNoMemory}, clock.Never)
 }
 
-// startReceived passes the requests that were read to the handler. It is called when no
-// further frame is buffered: a cancellation that has arrived with its request comes first.
+// maxReceiving is how long a request waits for the frames behind it that have arrived, on a
+// connection on which there are always more.
+const maxReceiving = 20 * time.Millisecond
+
+// startReceived passes the requests that were read to the handler. It is called when all bytes
+// that have arrived were read, also those of an incomplete frame: a cancellation that has arrived
+// behind its request comes first. After a time without the processor there may be more of them
+// than the reader's buffer holds.
 func (c *serverConn) startReceived() {
 	for _, e := range c.received {
 		c.server.startHandler(e)
