--- a/transport/canceled_test.go
+++ b/transport/canceled_test.go
@@ -28,23 +28,45 @@
 	}
 }
 
-// A daemon that read a request and its cancellation together, after a time without the
-// processor or behind a congested link, started the request before it looked at the
-// cancellation (GONE).
-func TestCancellationReadWithItsRequestComesFirst(t *testing.T) {
-	h := new(canceledCount)
-	_, addr := startHandler(t, h, nil)
+// awaitCanceled waits until a number of requests were started, and fails the test unless each was
+// canceled before.
+func (h *canceledCount) awaitCanceled(t *testing.T, requests int64) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); h.started.Load() < requests && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	if started, canceled := h.started.Load(), h.canceled.Load(); started != requests || canceled != started {
+		t.Errorf("%d of %d requests were started, %d of them after their cancellation; want all", started, requests, canceled)
+	}
+}
+
+// dialRaw opens a connection for requests to a server, for frames that the test writes itself.
+func dialRaw(t *testing.T, addr string) net.Conn {
+	t.Helper()
 	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = conn.Close() }()
+	t.Cleanup(func() { _ = conn.Close() }) // the server may have closed it
+	if err := conn.SetDeadline(time.Now().Add(20 * time.Second)); err != nil {
+		t.Fatal(err)
+	}
 	if _, err := conn.Write(frame(t, wire.KindHello, 0, helloOf(1, 1, ClassRequest))); err != nil {
 		t.Fatal(err)
 	}
 	if _, err := wire.NewReader(conn, wire.DefaultMaxFrame).Next(); err != nil {
 		t.Fatal(err)
 	}
+	return conn
+}
+
+// A daemon that read a request and its cancellation together, after a time without the
+// processor or behind a congested link, started the request before it looked at the
+// cancellation (GONE).
+func TestCancellationReadWithItsRequestComesFirst(t *testing.T) {
+	h := new(canceledCount)
+	_, addr := startHandler(t, h, nil)
+	conn := dialRaw(t, addr)
 	const batches, perBatch = 50, 20
 	for batch := range uint64(batches) {
 		var b []byte
@@ -59,12 +81,7 @@
 		}
 		time.Sleep(time.Millisecond) // so that each batch is read on its own
 	}
-	for end := time.Now().Add(5 * time.Second); h.started.Load() < batches*perBatch && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
-	}
-	if started, canceled := h.started.Load(), h.canceled.Load(); started != batches*perBatch || canceled != started {
-		t.Errorf("%d of %d requests were started, %d of them after their cancellation; want all", started, batches*perBatch, canceled)
-	}
+	h.awaitCanceled(t, batches*perBatch)
 }
 
 // ServeCellMessage implements Handler.
@@ -84,21 +101,11 @@
 func TestCancellationBehindALargeFrameComesBeforeItsRequest(t *testing.T) {
 	h := &pausedReader{resume: make(chan struct{})}
 	_, addr := startHandler(t, h, nil)
-	conn, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	if _, err := conn.Write(frame(t, wire.KindHello, 0, helloOf(1, 1, ClassRequest))); err != nil {
-		t.Fatal(err)
-	}
-	if _, err := wire.NewReader(conn, wire.DefaultMaxFrame).Next(); err != nil {
-		t.Fatal(err)
-	}
+	conn := dialRaw(t, addr)
 	const requests = 5 // they fit the socket's buffers
 	b := frame(t, wire.KindCellMessage, 0, nil)
 	for i := range uint64(requests) {
-		b = append(b, frame(t, wire.KindRequest, i+1, &wire.Request{Body: make([]byte, i%5*8<<10)})...)
+		b = append(b, frame(t, wire.KindRequest, i+1, &wire.Request{Body: make([]byte, i*8<<10)})...)
 	}
 	for i := range uint64(requests) {
 		b = append(b, frame(t, wire.KindCancel, i+1, nil)...)
@@ -108,26 +115,14 @@
 	}
 	time.Sleep(50 * time.Millisecond) // until all of it has arrived
 	close(h.resume)
-	for end := time.Now().Add(5 * time.Second); h.started.Load() < requests && time.Now().Before(end); {
-		time.Sleep(time.Millisecond)
-	}
-	if started, canceled := h.started.Load(), h.canceled.Load(); started != requests || canceled != started {
-		t.Errorf("%d of %d requests were started, %d of them after their cancellation; want all", started, requests, canceled)
-	}
+	h.awaitCanceled(t, requests)
 }
 
 // A request must not wait for the frames behind it on a connection that always has more to be read.
 func TestRequestOnABusyConnectionIsStarted(t *testing.T) {
 	h := new(canceledCount)
 	_, addr := startHandler(t, h, nil)
-	conn, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = conn.Close() }()
-	if _, err := conn.Write(frame(t, wire.KindHello, 0, helloOf(1, 1, ClassRequest))); err != nil {
-		t.Fatal(err)
-	}
+	conn := dialRaw(t, addr)
 	request := frame(t, wire.KindRequest, 1, &wire.Request{Body: []byte("x")})
 	messages := bytes.Repeat(frame(t, wire.KindCellMessage, 0, nil), 4096)
 	if _, err := conn.Write(request); err != nil {
