transport: the test of cancellations behind large frames fails reliably before the mend

One round of five requests passed now and then on the code before, since handlers start on other goroutines.

--- a/transport/canceled_test.go
+++ b/transport/canceled_test.go
@@ -102,20 +102,22 @@
 	h := &pausedReader{resume: make(chan struct{})}
 	_, addr := startHandler(t, h, nil)
 	conn := dialRaw(t, addr)
-	const requests = 5 // they fit the socket's buffers
-	b := frame(t, wire.KindCellMessage, 0, nil)
-	for i := range uint64(requests) {
-		b = append(b, frame(t, wire.KindRequest, i+1, &wire.Request{Body: make([]byte, i*8<<10)})...)
-	}
-	for i := range uint64(requests) {
-		b = append(b, frame(t, wire.KindCancel, i+1, nil)...)
-	}
-	if _, err := conn.Write(b); err != nil {
-		t.Fatal(err)
+	const rounds, perRound = 20, 5 // the frames of a round fit the socket's buffers
+	for round := range uint64(rounds) {
+		b := frame(t, wire.KindCellMessage, 0, nil)
+		for i := range uint64(perRound) {
+			b = append(b, frame(t, wire.KindRequest, round*perRound+i+1, &wire.Request{Body: make([]byte, i*6<<10)})...)
+		}
+		for i := range uint64(perRound) {
+			b = append(b, frame(t, wire.KindCancel, round*perRound+i+1, nil)...)
+		}
+		if _, err := conn.Write(b); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond) // until all of it has arrived
+		h.resume <- struct{}{}
 	}
-	time.Sleep(50 * time.Millisecond) // until all of it has arrived
-	close(h.resume)
-	h.awaitCanceled(t, requests)
+	h.awaitCanceled(t, rounds*perRound)
 }
 
 // A request must not wait for the frames behind it on a connection that always has more to be read.
