--- a/sidecar/other_writer_test.go
+++ b/sidecar/other_writer_test.go
@@ -22,7 +22,8 @@
 // One heartbeat of another writer, in which fields are missing, was taken for a later start of
 // the target, or for the target's own: others got its keys while it held them, or its own
 // heartbeats were ignored and it held no key any more. No single heartbeat may do that,
-// whatever it lacks, and none that names another target while the present one goes on.
+// whatever it lacks, and none that names another target while the present one goes on. What
+// targets were granted is judged, also of the target beside the daemon that was asked.
 func TestHeartbeatOfAnotherWriterTakesNoKeys(t *testing.T) {
 	t.Parallel()
 	type writer struct {
