target: a response that is reset within an upload is not taken for a whole one

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection. The caller got the part as the whole answer, with 200.

Cause: a body without a length ends with its connection. The kernel reports the error of a reset once, to the next read or write of the socket. While the request is still being written, the write may get it; the read after that returns the end of the data as if the target had closed the connection. roundTripConcurrent dropped the error of the write.

Change: the write is ended before such a response is accepted, and an error of the connection that it got makes the response a *CutOffError: unknown outcome, 502. EPIPE and an expired deadline are no such errors: the kernel reports EPIPE for a reset that arrives after the end of the target's data (state CLOSE_WAIT), so an answer that ends in order beside an upload stays whole.

--- a/sidecar/scripted_target_test.go
+++ b/sidecar/scripted_target_test.go
@@ -18,7 +18,8 @@
 	listener net.Listener
 
 	mu       sync.Mutex
-	answer   string // "ID" stands for the id of the request
+	answer   string             // "ID" stands for the id of the request
+	end      func(*net.TCPConn) // of a connection after the answer, if not nil; the body of the request is not read
 	received map[string]int
 	headers  map[string]http.Header
 	conns    int // that were accepted
@@ -84,7 +85,7 @@
 		s.mu.Lock()
 		s.received[id]++
 		s.headers[id] = req.Header
-		answer := strings.ReplaceAll(s.answer, "ID", id)
+		answer, end := strings.ReplaceAll(s.answer, "ID", id), s.end
 		s.mu.Unlock()
 		if req.URL.Path == hangingPath {
 			_, _ = io.Copy(io.Discard, c) // until it is canceled
@@ -93,6 +94,10 @@
 		if _, err := c.Write([]byte(answer)); err != nil {
 			return
 		}
+		if end != nil {
+			end(c.(*net.TCPConn))
+			return
+		}
 		if err := req.Body.Close(); err != nil { // reads the rest of it
 			return
 		}
@@ -100,10 +105,13 @@
 }
 
 // set sets the answer to further requests.
-func (s *scriptedTarget) set(answer string) {
+func (s *scriptedTarget) set(answer string) { s.setWithEnd(answer, nil) }
+
+// setWithEnd sets the answer to further requests, after which end ends the connection.
+func (s *scriptedTarget) setWithEnd(answer string, end func(*net.TCPConn)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.answer = answer
+	s.answer, s.end = answer, end
 }
 
 // connections returns the number of connections that were accepted.
--- a/target/client.go
+++ b/target/client.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"os"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -131,19 +134,34 @@
 	written := make(chan error, 1)
 	go func() { written <- conn.write(call.Request) }()
 	if err := c.readAccepted(conn, call); err != nil {
-		_ = conn.SetWriteDeadline(expiredDeadline)
-		<-written
+		_ = endWrite(conn, written)
 		return conn.wrote.Load(), err
 	}
+	writeErr := endWrite(conn, written)
+	conn.writeIncomplete = writeErr != nil
+	if conn.untilClose && tookConnError(writeErr) {
+		return true, &CutOffError{Cause: writeErr}
+	}
+	return true, nil
+}
+
+// endWrite breaks off the write of a request unless it has ended, and returns its error.
+func endWrite(conn *conn, written <-chan error) error {
 	select {
 	case err := <-written:
-		conn.writeIncomplete = err != nil
+		return err
 	default:
-		conn.writeIncomplete = true
-		_ = conn.SetWriteDeadline(expiredDeadline)
-		<-written
 	}
-	return true, nil
+	_ = conn.SetWriteDeadline(expiredDeadline)
+	return <-written
+}
+
+// tookConnError reports whether a write has failed with an error of the connection before the
+// target closed it. The kernel reports such an error once, to a read or to a write. If the write
+// got it, reads reach the end of the connection as if the target had closed it. EPIPE reports a
+// reset behind the end of the target's data.
+func tookConnError(writeErr error) bool {
+	return writeErr != nil && !errors.Is(writeErr, os.ErrDeadlineExceeded) && !errors.Is(writeErr, syscall.EPIPE)
 }
 
 // readAccepted reads responses until one is accepted by the call.
@@ -163,6 +181,7 @@
 func (c *Client) readResponse(conn *conn, call *Call) error {
 	resp := call.Response
 	resp.Reset()
+	conn.untilClose = false
 	call.held.Shrink(0) // what an answer that was skipped has taken
 	resp.Header.SetNoDefaultContentType(true)
 	if err := readFinalHeader(conn, resp); err != nil {
@@ -172,7 +191,8 @@
 		return nil
 	}
 	length := resp.Header.ContentLength()
-	if length == lengthUntilClose && !c.cfg.AllowCloseDelimited {
+	conn.untilClose = length == lengthUntilClose
+	if conn.untilClose && !c.cfg.AllowCloseDelimited {
 		return ErrCloseDelimited
 	}
 	return c.readBody(conn, call, length)
--- a/target/conn.go
+++ b/target/conn.go
@@ -29,6 +29,7 @@
 
 	sent            sentIDs
 	writeIncomplete bool      // the current request was not completely written
+	untilClose      bool      // the body of the newest response ends with the connection
 	idleDeadline    time.Time // not reused after it; no limit if zero
 	idleSince       time.Time
 
