target: heads and trailers of responses are judged before they are parsed

What callers saw: a target in trouble sent a head in which the name of a field held a blank. The caller got the answer, with the line as it was ("Na me: x"), read as if the blank weren't there ("Content-Length : 2", "Transfer-Encoding : chunked", the stamp and the request's id likewise), or with all bytes up to the end of the connection as the body ("Content -Length: 2", 504 on a connection that stays open). A line that begins with a blank was joined to the value of the field before it, the stamp for example. The same in interim heads, in trailers, and in answers without a body.

Cause: the judgement was left to the parser of fasthttp, which accepts blanks in names on purpose, and takes messages of any version: HTTP/2.0 was read as HTTP/1.0, and a chunked body of HTTP/1.0 as one up to the end of the connection. The one check of ours, of the status, repaired a single form.

Change: package httphead judges the bytes by the grammar of RFC 9110 and 9112, in one place; the check of the status is a part of it. Package target asks it for each head and trailer before it parses them. A malformed one is, like an unusable status, of unknown outcome at once (unusable-response, 502); the connection is closed, an idempotent request is sent to another target, event 7510 has the request's id, the number of the line and what precedes its colon, and parsley_target_responses_malformed_total counts. Continuation lines are rejected, as section 5.2 of RFC 9112 lets a gateway do. What else is tolerated today stays so: bare LF, empty lines first, several blanks before the status, no reason.

--- /dev/null
+++ b/httphead/fuzz_test.go
@@ -0,0 +1,128 @@
+package httphead
+
+import (
+	"math/rand/v2"
+	"regexp"
+	"testing"
+)
+
+// sections are proper and malformed heads and trailers.
+var sections = []string{
+	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n",
+	"HTTP/1.1 200\r\n\r\n",
+	"HTTP/1.1  200 \r\nA:\r\n\r\n",
+	"\r\n\nHTTP/1.0 599 \xe9t\xe9\nA: b\tc \n\n",
+	"HTTP/1.1 103 x\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+	"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+	"HTTP/1.1 000 OK\r\n\r\n",
+	"HTTP/1.1 600 OK\r\n\r\n",
+	"HTTP/2.0 200 OK\r\n\r\n",
+	"HTTP/1.1 200 O\x01K\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nNa me: x\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nName : x\r\n\r\n",
+	"HTTP/1.1 200 OK\r\n Name: x\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nA: b\r\n Name: x\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nNa\tme: x\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nNa\x00me: x\r\n\r\n",
+	"HTTP/1.1 200 OK\r\n: x\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nName\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nName: x\ry\r\n\r\n",
+	"HTTP/1.1 200 OK\r\r\n\r\n",
+	"GET /a?b HTTP/1.1\r\nHost: h\r\n\r\n",
+	"\r\nOPTIONS * HTTP/1.0\nHost: h\n\n",
+	"GET  / HTTP/1.1\r\n\r\n",
+	"GET / HTTP/1.1 \r\n\r\n",
+	"POST /\x7f HTTP/1.1\r\n\r\n",
+	"POST / HTTP/1.1\r\nContent -Length: 5\r\n\r\n",
+	"X-Sum: 1\r\n\r\n",
+	"X Sum: 1\r\n\r\n",
+	"\r\n",
+}
+
+// judgement is a function of the package, and the strict reading of what it judges.
+type judgement struct {
+	judge  func([]byte) (size int, err error)
+	strict *regexp.Regexp
+}
+
+var judgements = map[string]judgement{
+	"response": {func(b []byte) (int, error) {
+		h, err := Response(b)
+		return h.Size, err
+	}, strictResponse},
+	"request": {Request, strictRequest},
+	"trailer": {Trailer, strictTrailer},
+}
+
+// emptyLine matches what has an empty line behind one that is not empty.
+var emptyLine = regexp.MustCompile("[^\r\n][^\n]*\n\r?\n")
+
+// check compares the judgement of a text with the strict reading, and the judgements of what
+// arrives in parts with that of the whole.
+func (j judgement) check(t *testing.T, text string) {
+	t.Helper()
+	size, err := j.judge([]byte(text))
+	if want := strictSize(j.strict, text); size != want {
+		t.Errorf("%q: size %d, error %v; want size %d", text, size, err, want)
+	}
+	if size == 0 && err == nil && j.strict != strictTrailer && emptyLine.MatchString(text) {
+		t.Errorf("%q: neither complete nor malformed", text)
+	}
+	for n := range len(text) {
+		part, partErr := j.judge([]byte(text[:n]))
+		switch {
+		case partErr != nil && err == nil:
+			t.Errorf("%q: error %v after %d bytes, none later", text, partErr, n)
+		case part > 0 && part != size, n < size && part > 0:
+			t.Errorf("%q: size %d after %d bytes, %d in the end", text, part, n, size)
+		}
+	}
+}
+
+func FuzzJudgements(f *testing.F) {
+	for _, s := range sections {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		for _, j := range judgements {
+			j.check(t, text)
+		}
+	})
+}
+
+// All sections, and those that come from them by seeded changes, are judged as by the strict
+// reading.
+func TestJudgementsAreThoseOfTheGrammar(t *testing.T) {
+	t.Parallel()
+	random := rand.New(rand.NewPCG(58, 1))
+	for range 20_000 {
+		text := []byte(sections[random.IntN(len(sections))])
+		for range random.IntN(4) {
+			text = mutate(random, text)
+		}
+		for _, j := range judgements {
+			j.check(t, string(text))
+		}
+	}
+}
+
+// mutate changes, inserts or removes a byte. Those that mean something in a head are likely.
+func mutate(random *rand.Rand, text []byte) []byte {
+	const likely = " \t\r\n:\x00\x7f\xff/0123456789AHTP"
+	c := likely[random.IntN(len(likely))]
+	if random.IntN(4) == 0 {
+		c = byte(random.IntN(256))
+	}
+	if len(text) == 0 {
+		return append(text, c)
+	}
+	i := random.IntN(len(text))
+	switch random.IntN(3) {
+	case 0:
+		text[i] = c
+		return text
+	case 1:
+		return append(text[:i], text[i+1:]...)
+	}
+	return append(text[:i], append([]byte{c}, text[i:]...)...)
+}
--- a/logtrace/trace.go
+++ b/logtrace/trace.go
@@ -78,7 +78,7 @@
 	"rate-limited":      "the target has stated a limit of requests a second or is in cold start, and the request would have waited too long for it; look for events 7313 (target limit changed) and 7322 (target cold), and at other targets of the service",
 	"quarantined":       "requests of this content were in progress when targets crashed: look for its fingerprint in events 7316 (target crashed), 7317 (request quarantined) and 7318 (request acquitted)",
 	"target-crashed":    "the target crashed while it ran the request and perhaps others; event 7316 (target crashed) names them",
-	"unusable-response": "the response of the target can't be used; look for event 7509 (unusable status)",
+	"unusable-response": "the response of the target can't be used; look for events 7509 (unusable status) and 7510 (malformed response)",
 	"crash-suspect":     "the request ran alone, since targets had crashed under it before, and the target crashed again; look for event 7316 (target crashed)",
 	"deadline-exceeded": "the request could not be completed before its deadline; look for a slow target or a late arrival",
 	"no-owner":          "no target was available for the request; look below for daemons without recent status and targets that left",
--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -12,6 +12,7 @@
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/coldstart"
 	"github.com/parsleystack/parsleystack/fleet"
+	"github.com/parsleystack/parsleystack/httphead"
 	"github.com/parsleystack/parsleystack/ident"
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/outcome"
@@ -443,11 +444,16 @@
 	}
 }
 
-// recordUnusableStatus logs and counts a response of the target whose status can't be used.
-func (d *Daemon) recordUnusableStatus(r *targetRequest, err error) {
+// recordMalformed logs and counts a response of the target whose head or trailer is malformed.
+func (d *Daemon) recordMalformed(r *targetRequest, err error) {
+	event, metric := logevent.ResponseMalformed, metricResponseMalformed
+	var status *httphead.StatusError
+	if errors.As(err, &status) {
+		event, metric = logevent.StatusUnusable, metricStatusUnusable
+	}
 	d.metrics.count(metricTargetFailed)
-	d.metrics.count(metricStatusUnusable)
-	logevent.Log(d.log, logevent.StatusUnusable, zap.ByteString("request", r.req.RequestID), zap.String("target", r.incarnation.target.ID), zap.Error(err))
+	d.metrics.count(metric)
+	logevent.Log(d.log, event, zap.ByteString("request", r.req.RequestID), zap.String("target", r.incarnation.target.ID), zap.Error(err))
 }
 
 // ServeRequest implements transport.Handler.
--- /dev/null
+++ b/sidecar/malformed_answer_test.go
@@ -0,0 +1,149 @@
+package sidecar
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/parsleystack/parsleystack/logevent"
+	"github.com/parsleystack/parsleystack/logtrace"
+	"github.com/parsleystack/parsleystack/platform/platformtest"
+)
+
+// malformedAnswers are answers of a scriptedTarget with a line that HTTP excludes, by the number
+// of the line.
+func malformedAnswers() map[string]int {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n" + platformtest.StampHeader + ": s\r\n"
+	all := map[string]int{
+		"HTTP/2.0 200 OK" + strings.TrimPrefix(signedAnswer, "HTTP/1.1 200 OK"):                          1,
+		"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n" + platformtest.StampHeader + " : s\r\n\r\n":              3,
+		head + "Content-Length : 2\r\n\r\nwhole":                                                         4,
+		head + "Content -Length: 2\r\n\r\nwhole":                                                         4,
+		head + "Transfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n":                              4,
+		head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\nX Sum: 1\r\n\r\n":                   1,
+		strings.Replace(head, "200 OK", "204 No Content", 1) + "Na me: x\r\n\r\n":                        4,
+		strings.Replace(head, "200 OK", "503 x", 1) + "Retry-After: 1\r\nNa me: x\r\n\r\n":               5,
+		strings.Replace(head, "HTTP/1.1", "HTTP/1.0", 1) + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n": 4,
+	}
+	for _, name := range []string{"Na me", "Name ", " Name", "Na\tme", "Na\x00me", "Na\x01me", "Na\x1fme", "Na\x7fme", ""} {
+		all[head+name+": x\r\nContent-Length: 5\r\n\r\nwhole"] = 4
+		all["HTTP/1.1 103 x\r\nLink: a\r\n"+name+": x\r\n\r\n"+signedAnswer] = 3
+	}
+	return all
+}
+
+// A target in trouble sent heads in which the name of a field held a blank. Callers got the line
+// as it was, or another body than the target meant.
+func TestMalformedAnswerIsNotPassedOn(t *testing.T) {
+	t.Parallel()
+	var log jsonLog
+	d, target := deployScriptedWith(t, func(n *testNode) { n.log = log.logger() })
+	d.configureRoutes(platformtest.Route{Prefix: listPrefix, Idempotent: true, Service: plainService})
+	d.awaitRoute(listPrefix + "a")
+	count := 0
+	var checks []func(lines []logtrace.Line)
+	for answer, line := range malformedAnswers() {
+		for _, n := range d.nodes { // over a link, and at the target's own instance
+			for _, path := range []string{"/book/a", listPrefix + "a"} {
+				target.set(answer)
+				before := target.connections()
+				id, started := newID(), time.Now()
+				a := n.call(http.MethodPost, path, id, platformtest.NoKey)
+				received := target.requests(id)
+				if a.Status != http.StatusBadGateway || a.Signed || received == 0 || path == "/book/a" && received != 1 || time.Since(started) > time.Second {
+					t.Errorf("%q to %s: %+v after %v, received %d times; want 502 at once", answer, path, a, time.Since(started), received)
+				}
+				count += received
+				checks = append(checks, func(lines []logtrace.Line) { checkTrace(t, lines, id, received, line) })
+				target.set(signedAnswer)
+				if a := n.call(http.MethodPost, path, newID(), platformtest.NoKey); a.Status != http.StatusOK || a.Body != "whole" || target.connections() == before {
+					t.Errorf("after %q: %+v, reused its connection: %t", answer, a, target.connections() == before)
+				}
+			}
+		}
+	}
+	lines := log.read(t)
+	for _, check := range checks {
+		check(lines)
+	}
+	if m := d.nodes[1].metrics(t); !strings.Contains(m, fmt.Sprintf("%s %d\n", metricResponseMalformed, count)) {
+		t.Errorf("the metric does not count %d malformed responses", count)
+	}
+}
+
+// jsonLog is the output of loggers.
+type jsonLog struct {
+	mu    sync.Mutex
+	lines bytes.Buffer
+}
+
+// logger returns a logger that writes lines as the program does.
+func (l *jsonLog) logger() *zap.Logger {
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(l), zap.InfoLevel))
+}
+
+// Write implements io.Writer.
+func (l *jsonLog) Write(line []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lines.Write(line)
+}
+
+// read returns the lines so far.
+func (l *jsonLog) read(t *testing.T) []logtrace.Line {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	lines, err := logtrace.Read(bytes.NewReader(l.lines.Bytes()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return lines
+}
+
+// checkTrace checks that the log has a line for each malformed answer to a request, which names
+// the line at fault.
+func checkTrace(t *testing.T, lines []logtrace.Line, id string, count, line int) {
+	t.Helper()
+	found := 0
+	for _, l := range logtrace.Find(lines, id).Request {
+		if l.Event != logevent.ResponseMalformed.Number {
+			continue
+		}
+		found++
+		if text := fmt.Sprint(l.Fields["error"]); !strings.Contains(text, fmt.Sprintf("line %d of the ", line)) {
+			t.Errorf("logged %q, want line %d", text, line)
+		}
+	}
+	if found != count {
+		t.Errorf("request %s: %d lines in the log, want %d", id, found, count)
+	}
+}
+
+// The answers of a target to others are delivered beside malformed ones, also on connections that
+// are in use at the time.
+func TestMalformedAnswerDoesNotEndThoseOfOthers(t *testing.T) {
+	t.Parallel()
+	d, target := deployScripted(t)
+	const pairs = 20
+	target.setFor("/book/broken", strings.Replace(signedAnswer, "Request-Id", "Request Id", 1))
+	statuses := make(chan int, pairs)
+	for range pairs {
+		go func() {
+			statuses <- d.nodes[0].call(http.MethodPost, "/book/broken", newID(), platformtest.NoKey).Status
+		}()
+		if a := d.nodes[0].call(http.MethodPost, "/book/a", newID(), platformtest.NoKey); a.Status != http.StatusOK || a.Body != "whole" {
+			t.Errorf("beside a malformed answer: %+v", a)
+		}
+		if status := <-statuses; status != http.StatusBadGateway {
+			t.Errorf("a malformed answer was passed on with status %d", status)
+		}
+	}
+}
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -100,6 +100,8 @@
 	metricRunCalls = "parsley_run_calls_total"
 	// metricStatusUnusable counts responses of the target whose status can't be used.
 	metricStatusUnusable = "parsley_target_statuses_unusable_total"
+	// metricResponseMalformed counts responses of the target with another line that HTTP excludes.
+	metricResponseMalformed = "parsley_target_responses_malformed_total"
 	// metricTargetCrashes counts crashes of the target while requests were in progress.
 	metricTargetCrashes = "parsley_target_crashes_total"
 	// metricAcceptErrors counts connections that could not be accepted.
--- a/sidecar/scripted_target_test.go
+++ b/sidecar/scripted_target_test.go
@@ -19,6 +19,7 @@
 
 	mu       sync.Mutex
 	answer   string             // "ID" stands for the id of the request
+	others   map[string]string  // answers in place of it, by path
 	end      func(*net.TCPConn) // of a connection after the answer, if not nil; the body of the request is not read
 	received map[string]int
 	headers  map[string]http.Header
@@ -40,7 +41,7 @@
 // deployScriptedWith is deployScripted with a function that changes each node before it starts.
 func deployScriptedWith(t *testing.T, tune func(*testNode)) (*deployment, *scriptedTarget) {
 	t.Helper()
-	s := &scriptedTarget{answer: signedAnswer, received: make(map[string]int), headers: make(map[string]http.Header)}
+	s := &scriptedTarget{answer: signedAnswer, others: make(map[string]string), received: make(map[string]int), headers: make(map[string]http.Header)}
 	d := deployWith(t, func(n *testNode) {
 		tune(n)
 		if n.settings.Service != plainService {
@@ -85,7 +86,11 @@
 		s.mu.Lock()
 		s.received[id]++
 		s.headers[id] = req.Header
-		answer, end := strings.ReplaceAll(s.answer, "ID", id), s.end
+		answer, end := s.answer, s.end
+		if other, ok := s.others[req.URL.Path]; ok {
+			answer = other
+		}
+		answer = strings.ReplaceAll(answer, "ID", id)
 		s.mu.Unlock()
 		if req.URL.Path == hangingPath {
 			_, _ = io.Copy(io.Discard, c) // until it is canceled
@@ -107,6 +112,13 @@
 // set sets the answer to further requests.
 func (s *scriptedTarget) set(answer string) { s.setWithEnd(answer, nil) }
 
+// setFor sets the answer to further requests of a path.
+func (s *scriptedTarget) setFor(path, answer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.others[path] = answer
+}
+
 // setWithEnd sets the answer to further requests, after which end ends the connection.
 func (s *scriptedTarget) setWithEnd(answer string, end func(*net.TCPConn)) {
 	s.mu.Lock()
--- a/sidecar/target_request.go
+++ b/sidecar/target_request.go
@@ -9,6 +9,7 @@
 
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/fleet"
+	"github.com/parsleystack/parsleystack/httphead"
 	"github.com/parsleystack/parsleystack/outcome"
 	"github.com/parsleystack/parsleystack/platform"
 	"github.com/parsleystack/parsleystack/recvlimit"
@@ -245,9 +246,8 @@
 		}
 		return workqueue.Canceled
 	}
-	var status *target.StatusError
-	if errors.As(err, &status) {
-		r.b.d.recordUnusableStatus(r, err)
+	if httphead.Malformed(err) {
+		r.b.d.recordMalformed(r, err)
 		r.incarnation.runs.answered(r, clock.Now()) // it has ended, and the target lives
 		r.resp.Kind, r.resp.Reason = outcome.Unknown, outcome.UnusableResponse
 		return workqueue.Failed
--- a/target/body.go
+++ b/target/body.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http/httputil"
 
+	"github.com/parsleystack/parsleystack/httphead"
 	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
@@ -23,10 +24,13 @@
 		return err
 	}
 	resp.SetBodyRaw(b)
-	if length == lengthChunked {
-		return resp.Header.ReadTrailer(conn.reader)
+	if length != lengthChunked {
+		return nil
+	}
+	if _, err := httphead.PeekTrailer(conn.reader); err != nil {
+		return err
 	}
-	return nil
+	return resp.Header.ReadTrailer(conn.reader)
 }
 
 // maxFraming is how much larger than the body the framing of its chunks may be, in bytes. Chunks
--- a/target/client.go
+++ b/target/client.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/parsleystack/parsleystack/httphead"
 )
 
 // refillInterval is how often Run opens missing idle connections.
@@ -202,7 +204,7 @@
 // (1xx) response.
 func readFinalHeader(conn *conn, resp *fasthttp.Response) error {
 	for range maxInterim {
-		if err := checkStatus(conn.reader); err != nil {
+		if _, err := httphead.PeekResponse(conn.reader); err != nil {
 			return err
 		}
 		if err := resp.Header.Read(conn.reader); err != nil {
