platform: answers of the store are judged like those of targets

What was seen: an answer of the store with the status 000 was taken for 200, so an append that the store may have refused counted as done; one with 020, 099 or 600 counted as refused without effect, so that it would be repeated. Names of fields with blanks were accepted, in interim heads and trailers too. Of the three things that a write of a token or a record can be, it is neither done nor refused: it is of unknown outcome, and the partition is read.

Cause: the client of fasthttp reads the answers, and its parser does not tell 000 from 200. storeConn saw all bytes and judged none.

Change: httphead.ClientConn is a connection for clients of fasthttp that follows the responses (interim heads, chunks) and passes on heads and trailers once they are judged. It takes the place of storeConn, with its two other duties: no call begins while bytes of the store are unread, also those that arrived with an answer, and reads without end yield.

--- a/httphead/clientconn.go
+++ b/httphead/clientconn.go
@@ -5,6 +5,9 @@
 	"bytes"
 	"io"
 	"net"
+
+	"github.com/parsleystack/parsleystack/connprobe"
+	"github.com/parsleystack/parsleystack/fairread"
 )
 
 // connBufferSize is the largest head of a response that a ClientConn passes on, in bytes. It is
@@ -12,14 +15,15 @@
 const connBufferSize = 4 << 10
 
 // ClientConn is a connection of a client of fasthttp, which sends one request at a time. It
-// follows the responses and passes on their heads and trailers only once these have been judged.
+// follows the responses, passes on their heads and trailers only once these have been judged, and
+// begins no request while bytes of the server are unread. Reads without end yield the processor.
 type ClientConn struct {
 	net.Conn
 	reader *bufio.Reader
 	stage  stage
 	ready  int  // bytes that are passed on before the next stage
 	fresh  bool // nothing was read since the request was written
-	// malformed is what is wrong with the head or trailer of which a byte was passed on.
+	// malformed is what is wrong with the head or trailer in place of which a byte was passed on.
 	malformed error
 }
 
@@ -35,21 +39,24 @@
 
 // NewClientConn returns a connection that judges what is received on c.
 func NewClientConn(c net.Conn) *ClientConn {
-	return &ClientConn{Conn: c, reader: bufio.NewReaderSize(c, connBufferSize)}
+	return &ClientConn{Conn: c, reader: bufio.NewReaderSize(&fairread.Conn{Conn: c}, connBufferSize)}
 }
 
-// Write writes a part of a request. It returns ErrSurplus if the request begins while bytes are
-// left of which no request was the cause.
+// Write writes a part of a request. It returns ErrSurplus, without writing anything, if a request
+// begins while bytes of the server are unread: they would be taken for its response.
 func (c *ClientConn) Write(b []byte) (int, error) {
-	if !c.fresh && c.reader.Buffered() > 0 {
+	if !c.fresh && (c.reader.Buffered() > 0 || connprobe.Unread(c.Conn)) {
 		return 0, ErrSurplus
 	}
 	c.fresh, c.stage, c.ready = true, atHead, 0
 	return c.Conn.Write(b)
 }
 
-// Read returns a *LineError or *StatusError in place of a malformed head or trailer, behind one
-// byte of it: fasthttp takes an error of the first byte for the end of the connection.
+// placeholder is a byte with which a head or a trailer may begin.
+const placeholder = 'H'
+
+// Read returns a *LineError or *StatusError in place of a malformed head or trailer. A placeholder
+// comes first, as fasthttp takes any error of the first byte for the end of the connection.
 func (c *ClientConn) Read(p []byte) (int, error) {
 	c.fresh = false
 	for c.ready == 0 && c.stage != atEnd {
@@ -60,7 +67,8 @@
 		switch {
 		case Malformed(err) && len(p) > 0:
 			c.malformed = err
-			return c.reader.Read(p[:1])
+			p[0] = placeholder
+			return 1, nil
 		case err != nil:
 			return 0, err
 		}
