target: answers to control requests are judged like those to requests

The client of fasthttp that sends them reads from a httphead.ClientConn now.

TestMalformedAnswerToAControlRequestIsNoAnswer: of four forms, three grants gave no error before and one that of status 20; all eight calls get the error of a malformed response now. A proper answer is taken, twice on one connection.

--- a/target/client.go
+++ b/target/client.go
@@ -52,6 +52,7 @@
 			MaxConnWaitTimeout:        cfg.ControlTimeout,
 			MaxIdemponentCallAttempts: 1,
 			NoDefaultUserAgentHeader:  true,
+			Dial:                      dialControl,
 		},
 	}
 }
--- a/target/control.go
+++ b/target/control.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"net"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"github.com/parsleystack/parsleystack/cell"
+	"github.com/parsleystack/parsleystack/httphead"
 	"github.com/parsleystack/parsleystack/ident"
 )
 
@@ -96,6 +98,15 @@
 	})
 }
 
+// dialControl opens a connection for control requests.
+func dialControl(addr string) (net.Conn, error) {
+	c, err := fasthttp.Dial(addr)
+	if err != nil {
+		return nil, err
+	}
+	return httphead.NewClientConn(c), nil
+}
+
 // sendControl sends a control request and passes a response with a 2xx status to
 // read. It returns a *ControlError for any other status.
 func (c *Client) sendControl(method, path string, payload []byte, read func(*fasthttp.Response) error) error {
