platformlog: answers of the log service are judged before they are parsed

An append that was answered with the status 000 counted as done; with a blank in the name of a field it counted as done, or with 503 as one without effect. Its outcome is unknown.

The client of fasthttp reads from a httphead.ClientConn now. A call that was not begun because of bytes that belong to no call (httphead.ErrSurplus) was not sent.

--- a/platformlog/dial.go
+++ b/platformlog/dial.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/parsleystack/parsleystack/httphead"
 )
 
 // dialError wraps an error that occurred before the connection was
@@ -25,12 +27,12 @@
 		if err != nil {
 			return nil, &dialError{cause: err}
 		}
-		return conn, nil
+		return httphead.NewClientConn(conn), nil
 	}
 }
 
 // notSent reports whether err proves that no byte of the request was written.
 func notSent(err error) bool {
 	var dial *dialError
-	return errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns)
+	return errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns) || errors.Is(err, httphead.ErrSurplus)
 }
