callerhttp: requests whose heads or trailers are malformed are rejected

What callers saw: a request with "Na me: x", "Content -Length: 5" or a malformed trailer got the answer of the target: it was passed on, in the second case without its body, whose bytes were then read as the next request. A line that begins with a blank was joined to the value of the field before it, the id of the request for example. Blanks before the colon were rejected already.

Cause: as for answers, the parser judged the head alone.

Change: the same rule, httphead.Request and httphead.Trailer, before the parser reads what awaitFields has waited for. A malformed request gets 400 (malformed-request) and is not passed on. Its log line (7508) has the number of the line and the fault, without bytes of the request.

Evidence: TestMalformedRequestIsNotPassedOn, through two daemons: 10 of 18 calls got 200 before, all get 400 now and none reaches the target. TestMalformedRequestIsRejected: 34 of 152 before, none now. TestFormsAreReadAsByFasthttp passes unchanged.

--- a/callerhttp/errors.go
+++ b/callerhttp/errors.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"strings"
+
+	"github.com/parsleystack/parsleystack/httphead"
 )
 
 var (
@@ -28,8 +30,13 @@
 }
 
 func (e *ReadError) Error() string {
+	message := e.Err.Error()
+	var line *httphead.LineError
+	if errors.As(e.Err, &line) {
+		message = fmt.Sprintf("line %d of the %s: %s", line.Line, line.Part, line.Fault)
+	}
 	// fasthttp appends the bytes that it could not parse.
-	message, _, _ := strings.Cut(e.Err.Error(), ", contents: ")
+	message, _, _ = strings.Cut(message, ", contents: ")
 	return fmt.Sprintf("read the %s of a request: %s", e.Part, message)
 }
 
--- a/callerhttp/read_request.go
+++ b/callerhttp/read_request.go
@@ -13,6 +13,7 @@
 
 	"github.com/parsleystack/parsleystack/clock"
 	"github.com/parsleystack/parsleystack/connprobe"
+	"github.com/parsleystack/parsleystack/httphead"
 	"github.com/parsleystack/parsleystack/recvlimit"
 )
 
@@ -139,8 +140,20 @@
 	return x.readFields(c.br, trailer)
 }
 
-// readFields reads a head or a trailer with the parser of fasthttp.
+// readFields judges a head or a trailer, as far as it is buffered, and reads it with the parser of
+// fasthttp. The parser waits for no more bytes than awaitFields does.
 func (x *Exchange) readFields(r *bufio.Reader, trailer bool) error {
+	b, err := r.Peek(r.Buffered())
+	if err != nil {
+		return err
+	}
+	judge := httphead.Request
+	if trailer {
+		judge = httphead.Trailer
+	}
+	if _, err := judge(b); err != nil {
+		return err
+	}
 	if trailer {
 		return x.Ctx.Request.Header.ReadTrailer(r)
 	}
