entry: requests with blanks in the names of fields are rejected

What callers of parsleyd saw: a request with "X A: b", "Content -Length: 4" or "Transfer -Encoding: chunked" was run by the target, in the last two cases without its body, whose bytes were then read as the next request.

Cause: the server of fasthttp accepts blanks in names; the check of what it read looked for folded fields only.

Change: checkFraming judges the fields as received by httphead.RequestFields, which covers the folded ones. The request gets 400 and its connection is closed.

The tests of entry pass.

--- a/entry/badcaller_test.go
+++ b/entry/badcaller_test.go
@@ -52,6 +52,9 @@
 		"space before colon":       "Transfer-Encoding : chunked\r\n",
 		"folded field":             "X-A: b\r\n Transfer-Encoding: chunked\r\n",
 		"field without a name":     ": x\r\n",
+		"blank in a name":          "X A: b\r\n",
+		"blank in the length":      "Content -Length: 4\r\n",
+		"blank in the coding":      "Transfer -Encoding: chunked\r\n",
 		"carriage return in value": "X-A: b\rTransfer-Encoding: chunked\r\n",
 		"null in value":            "X-A: b\x00c\r\n",
 	} {
--- a/entry/framing.go
+++ b/entry/framing.go
@@ -4,6 +4,8 @@
 	"bytes"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/parsleystack/parsleystack/httphead"
 )
 
 // checkFraming refuses requests whose body another server could delimit
@@ -16,7 +18,7 @@
 		return problemMethod
 	}
 	raw := h.RawHeaders()
-	if hasFoldedField(raw) {
+	if httphead.RequestFields(raw) != nil {
 		return problemMalformed
 	}
 	if hasField(raw, fasthttp.HeaderTransferEncoding) && hasField(raw, fasthttp.HeaderContentLength) {
@@ -28,12 +30,6 @@
 	return nil
 }
 
-// hasFoldedField reports whether raw has a header field that is folded over
-// several lines (obs-fold).
-func hasFoldedField(raw []byte) bool {
-	return bytes.Contains(raw, []byte("\n ")) || bytes.Contains(raw, []byte("\n\t"))
-}
-
 // hasField reports whether raw has a header field of the given name.
 func hasField(raw []byte, name string) bool {
 	for line := range bytes.SplitSeq(raw, []byte{'\n'}) {
--- a/httphead/message.go
+++ b/httphead/message.go
@@ -57,6 +57,14 @@
 	return s.fieldsSize(b)
 }
 
+// RequestFields judges the fields of the head of a request, as RequestHeader.RawHeaders of fasthttp
+// returns them. It is for servers of fasthttp, which read heads themselves.
+func RequestFields(raw []byte) error {
+	s := scanner{part: PartHead, rest: raw, lines: 1} // the request line
+	_, err := s.checkFields()
+	return err
+}
+
 // Trailer judges the complete lines of a trailer at the beginning of b, like Request.
 func Trailer(b []byte) (size int, err error) {
 	s := scanner{part: PartTrailer, rest: b}
