sidecar: heartbeats and notices with malformed fields are ignored

What was seen: a notice that a target leaves took effect although the name of a field in it held a blank, or a line that began with one was joined to the field before it.

Cause: as in package entry, the server of fasthttp accepts them.

Change: handleControl judges the fields with httphead.RequestFields first. The sender gets 400, its connection is closed, event 7307 names the line.

Evidence: TestMalformedNoticeOfATargetIsIgnored: three of four forms were answered with 200, and the service had no target afterwards; now 400 each, and requests are served. A proper notice is accepted.

--- a/sidecar/servers.go
+++ b/sidecar/servers.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/parsleystack/parsleystack/clock"
+	"github.com/parsleystack/parsleystack/httphead"
 	"github.com/parsleystack/parsleystack/listen"
 	"github.com/parsleystack/parsleystack/logevent"
 	"github.com/parsleystack/parsleystack/platform"
@@ -119,6 +120,12 @@
 		ctx.SetStatusCode(http.StatusNotFound)
 		return
 	}
+	if err := httphead.RequestFields(ctx.Request.Header.RawHeaders()); err != nil {
+		logevent.Log(d.log, logevent.HeartbeatIgnored, zap.String("target", id), zap.Error(err))
+		ctx.SetConnectionClose() // a malformed field may have stated the length of the body
+		ctx.SetStatusCode(http.StatusBadRequest)
+		return
+	}
 	answers := make(chan heartbeatResponse, 1)
 	reply := func(a heartbeatResponse) { answers <- a }
 	switch string(ctx.Method()) {
