docs: the incident of broken answers, and the way from a request's id to the line at fault

OPERATIONS.md has the way from an id to the line, on log lines of two real daemons beside a target that sent "Content -Length: 5" (docs/operations/malformed.log); its command is run by TestOperationsCommands, which now wants four.

--- a/docs/operations_test.go
+++ b/docs/operations_test.go
@@ -28,8 +28,8 @@
 			t.Errorf("%s prints no cause:\n%s", line, out.String())
 		}
 	}
-	if commands != 3 {
-		t.Errorf("%d commands found, want 3", commands)
+	if commands != 4 {
+		t.Errorf("%d commands found, want 4", commands)
 	}
 }
 
