--- a/callerhttp/read_request.go
+++ b/callerhttp/read_request.go
@@ -140,18 +140,18 @@
 	return x.readFields(c.br, trailer)
 }
 
-// readFields judges a head or a trailer, as far as it is buffered, and reads it with the parser of
-// fasthttp. The parser waits for no more bytes than awaitFields does.
+// readFields validates a head or a trailer, as far as it is buffered, and reads it with the parser
+// of fasthttp. The parser waits for no more bytes than awaitFields does.
 func (x *Exchange) readFields(r *bufio.Reader, trailer bool) error {
 	b, err := r.Peek(r.Buffered())
 	if err != nil {
 		return err
 	}
-	judge := httphead.Request
+	validate := httphead.Request
 	if trailer {
-		judge = httphead.Trailer
+		validate = httphead.Trailer
 	}
-	if _, err := judge(b); err != nil {
+	if _, err := validate(b); err != nil {
 		return err
 	}
 	if trailer {
--- a/httphead/bench_test.go
+++ b/httphead/bench_test.go
@@ -2,7 +2,7 @@
 
 import "testing"
 
-// BenchmarkResponse judges a head with as many fields as usual.
+// BenchmarkResponse validates a head with as many fields as usual.
 func BenchmarkResponse(b *testing.B) {
 	head := []byte("HTTP/1.1 200 OK\r\nDate: Mon, 07 Dec 2026 12:00:00 GMT\r\nServer: bookings/2.4\r\n" +
 		"Content-Type: application/json; charset=utf-8\r\nRequest-Id: 4f1c2a7e9b3d\r\nStamp: 0123456789abcdef0123456789abcdef\r\nCache-Control: no-store\r\nContent-Length: 5\r\n\r\n")
--- a/httphead/clientconn.go
+++ b/httphead/clientconn.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
-	"io"
 	"net"
 
 	"github.com/parsleystack/parsleystack/connprobe"
@@ -15,14 +13,15 @@
 const connBufferSize = 4 << 10
 
 // ClientConn is a connection of a client of fasthttp, which sends one request at a time. It
-// follows the responses, passes on their heads and trailers only once these have been judged, and
-// begins no request while bytes of the server are unread. Reads without end yield the processor.
+// follows the responses, passes on their heads and trailers only once these are validated, and begins
+// no request while bytes of the server are unread. Reads without end yield the processor.
 type ClientConn struct {
 	net.Conn
 	reader *bufio.Reader
 	stage  stage
-	ready  int  // bytes that are passed on before the next stage
-	fresh  bool // nothing was read since the request was written
+	ready  int // bytes that are passed on before the next stage
+	// sending is set if a request was written of whose response nothing was read yet.
+	sending bool
 	// malformed is what is wrong with the head or trailer in place of which a byte was passed on.
 	malformed error
 }
@@ -34,10 +33,10 @@
 	atHead stage = iota
 	atChunk
 	atTrailer
-	atEnd // what follows is not judged: a body by its length or to the end of the connection
+	atEnd // what follows is not validated: a body by its length, or to the end of the connection
 )
 
-// NewClientConn returns a connection that judges what is received on c.
+// NewClientConn returns a connection that validates what is received on c.
 func NewClientConn(c net.Conn) *ClientConn {
 	return &ClientConn{Conn: c, reader: bufio.NewReaderSize(&fairread.Conn{Conn: c}, connBufferSize)}
 }
@@ -45,10 +44,10 @@
 // Write writes a part of a request. It returns ErrSurplus, without writing anything, if a request
 // begins while bytes of the server are unread: they would be taken for its response.
 func (c *ClientConn) Write(b []byte) (int, error) {
-	if !c.fresh && (c.reader.Buffered() > 0 || connprobe.Unread(c.Conn)) {
+	if !c.sending && (c.reader.Buffered() > 0 || connprobe.Unread(c.Conn)) {
 		return 0, ErrSurplus
 	}
-	c.fresh, c.stage, c.ready = true, atHead, 0
+	c.sending, c.stage, c.ready = true, atHead, 0
 	return c.Conn.Write(b)
 }
 
@@ -58,7 +57,7 @@
 // Read returns a *LineError or *StatusError in place of a malformed head or trailer. A placeholder
 // comes first, as fasthttp takes any error of the first byte for the end of the connection.
 func (c *ClientConn) Read(p []byte) (int, error) {
-	c.fresh = false
+	c.sending = false
 	for c.ready == 0 && c.stage != atEnd {
 		if c.malformed != nil {
 			return 0, c.malformed
@@ -81,7 +80,7 @@
 	return n, err
 }
 
-// advance judges what is received next and sets how many bytes of it are passed on.
+// advance validates what is received next and sets how many bytes of it are passed on.
 func (c *ClientConn) advance() error {
 	switch c.stage {
 	case atHead:
@@ -98,7 +97,7 @@
 			c.stage = atEnd
 		}
 	case atChunk:
-		line, size, err := c.peekChunkSize()
+		line, size, err := peekChunkSize(c.reader)
 		if err != nil {
 			return err
 		}
@@ -118,46 +117,3 @@
 	}
 	return nil
 }
-
-// maxSizeDigits is the number of hexadecimal digits of the largest size of a chunk.
-const maxSizeDigits = 15
-
-// peekChunkSize waits for the line with the size of a chunk. It returns the size of the line and
-// that of the chunk in bytes.
-func (c *ClientConn) peekChunkSize() (line, size int, err error) {
-	err = peek(c.reader, func(b []byte) (int, error) {
-		line = bytes.IndexByte(b, '\n') + 1
-		return line, nil
-	})
-	if err != nil {
-		return 0, 0, err
-	}
-	b, err := c.reader.Peek(line)
-	if err != nil {
-		return 0, 0, err
-	}
-	digits := 0
-	for ; digits < len(b); digits++ {
-		digit := bytes.IndexByte([]byte("0123456789abcdef"), lower(b[digits]))
-		if digit < 0 {
-			break
-		}
-		size = size<<4 | digit
-		if digits == maxSizeDigits {
-			return 0, 0, errChunkSize
-		}
-	}
-	if digits == 0 {
-		return 0, 0, errChunkSize
-	}
-	return line, size, nil
-}
-
-func lower(c byte) byte {
-	if 'A' <= c && c <= 'F' {
-		return c + ('a' - 'A')
-	}
-	return c
-}
-
-var _ io.ReadWriter = (*ClientConn)(nil)
--- a/httphead/errors.go
+++ b/httphead/errors.go
@@ -16,7 +16,7 @@
 // errChunkSize reports a chunk whose size can't be read.
 var errChunkSize = errors.New("httphead: the size of a chunk is malformed; correct the sender")
 
-// Part is the part of a message that was judged.
+// Part is a part of a message.
 type Part string
 
 // Values of Part.
--- a/httphead/example_test.go
+++ b/httphead/example_test.go
@@ -19,6 +19,6 @@
 	// Output:
 	// 38 200 <nil>
 	// 0 0 <nil>
-	// 0 0 httphead: line 2 of the head, "Content -Length": the name of a field is a token, without blanks and control bytes; correct the sender
+	// 0 0 httphead: line 2 of the head, "Content -Length": a field name is a token, without whitespace or control characters; correct the sender
 	// 0 0 httphead: the response has the status "000", which is not a number from 100 to 599 of three digits; correct the sender
 }
--- a/httphead/fuzz_test.go
+++ b/httphead/fuzz_test.go
@@ -39,13 +39,13 @@
 	"\r\n",
 }
 
-// judgement is a function of the package, and the strict reading of what it judges.
-type judgement struct {
-	judge  func([]byte) (size int, err error)
-	strict *regexp.Regexp
+// validation is a function of the package, and the strict reading of what it validates.
+type validation struct {
+	validate func([]byte) (size int, err error)
+	strict   *regexp.Regexp
 }
 
-var judgements = map[string]judgement{
+var validations = map[string]validation{
 	"response": {func(b []byte) (int, error) {
 		h, err := Response(b)
 		return h.Size, err
@@ -57,19 +57,19 @@
 // emptyLine matches what has an empty line behind one that is not empty.
 var emptyLine = regexp.MustCompile("[^\r\n][^\n]*\n\r?\n")
 
-// check compares the judgement of a text with the strict reading, and the judgements of what
-// arrives in parts with that of the whole.
-func (j judgement) check(t *testing.T, text string) {
+// check compares the result for a text with the strict reading, and the results for what arrives
+// in parts with that for the whole.
+func (v validation) check(t *testing.T, text string) {
 	t.Helper()
-	size, err := j.judge([]byte(text))
-	if want := strictSize(j.strict, text); size != want {
+	size, err := v.validate([]byte(text))
+	if want := strictSize(v.strict, text); size != want {
 		t.Errorf("%q: size %d, error %v; want size %d", text, size, err, want)
 	}
-	if size == 0 && err == nil && j.strict != strictTrailer && emptyLine.MatchString(text) {
+	if size == 0 && err == nil && v.strict != strictTrailer && emptyLine.MatchString(text) {
 		t.Errorf("%q: neither complete nor malformed", text)
 	}
 	for n := range len(text) {
-		part, partErr := j.judge([]byte(text[:n]))
+		part, partErr := v.validate([]byte(text[:n]))
 		switch {
 		case partErr != nil && err == nil:
 			t.Errorf("%q: error %v after %d bytes, none later", text, partErr, n)
@@ -79,20 +79,20 @@
 	}
 }
 
-func FuzzJudgements(f *testing.F) {
+func FuzzValidations(f *testing.F) {
 	for _, s := range sections {
 		f.Add(s)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
-		for _, j := range judgements {
-			j.check(t, text)
+		for _, v := range validations {
+			v.check(t, text)
 		}
 	})
 }
 
-// All sections, and those that come from them by seeded changes, are judged as by the strict
+// All sections, and those that come from them by seeded changes, are taken as by the strict
 // reading.
-func TestJudgementsAreThoseOfTheGrammar(t *testing.T) {
+func TestValidationsFollowTheGrammar(t *testing.T) {
 	t.Parallel()
 	random := rand.New(rand.NewPCG(58, 1))
 	for range 20_000 {
@@ -100,8 +100,8 @@
 		for range random.IntN(4) {
 			text = mutate(random, text)
 		}
-		for _, j := range judgements {
-			j.check(t, string(text))
+		for _, v := range validations {
+			v.check(t, string(text))
 		}
 	}
 }
--- a/httphead/line.go
+++ b/httphead/line.go
@@ -12,15 +12,15 @@
 func (s *scanner) checkStatusLine(line []byte) (status int, err error) {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	if !isVersion(version) {
-		return 0, s.fault(line, "a status line begins with a version of HTTP/1 and a blank")
+		return 0, s.fault(line, "a status line begins with an HTTP/1 version and a space")
 	}
-	s.old = string(version) != version11
+	s.otherMinor = string(version) != version11
 	code, reason, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	if !isStatus(code) {
 		return 0, &StatusError{Status: shorten(code)}
 	}
 	if !isText(reason) {
-		return 0, s.fault(line, "a reason phrase holds no control bytes")
+		return 0, s.fault(line, "a reason phrase has no control characters")
 	}
 	return int(code[0]-'0')*100 + int(code[1]-'0')*10 + int(code[2]-'0'), nil
 }
@@ -31,13 +31,13 @@
 	target, version, _ := bytes.Cut(rest, []byte(" "))
 	switch {
 	case !isToken(method):
-		return s.fault(line, "a request begins with a method, which is a token")
+		return s.fault(line, "a method is a token")
 	case len(target) == 0 || !isText(target) || bytes.IndexByte(target, '\t') >= 0:
-		return s.fault(line, "a request has a target without control bytes")
+		return s.fault(line, "a request target is not empty and has no control characters")
 	case !isVersion(version):
-		return s.fault(line, "a request line ends with a version of HTTP/1")
+		return s.fault(line, "a request line ends with an HTTP/1 version")
 	}
-	s.old = string(version) != version11
+	s.otherMinor = string(version) != version11
 	return nil
 }
 
@@ -46,17 +46,17 @@
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	switch {
 	case !ok:
-		return s.fault(line, "a field has a colon")
+		return s.fault(line, "a field line has a colon")
 	case !isToken(name):
-		return s.fault(line, "the name of a field is a token, without blanks and control bytes")
+		return s.fault(line, "a field name is a token, without whitespace or control characters")
 	case !isText(value):
-		return s.fault(line, "the value of a field holds no control bytes")
+		return s.fault(line, "a field value has no control characters")
 	}
 	if isTransferEncoding(name) {
-		if s.old {
-			return s.fault(line, "only HTTP/1.1 has transfer codings")
+		if s.otherMinor {
+			return s.fault(line, "Transfer-Encoding belongs to HTTP/1.1")
 		}
-		s.coded = true
+		s.hasCoding = true
 	}
 	return nil
 }
@@ -85,7 +85,7 @@
 	return len(b) > 0
 }
 
-// isText reports whether b consists of visible characters, bytes above 127, blanks and tabs.
+// isText reports whether b consists of visible characters, bytes above 127, spaces and tabs.
 func isText(b []byte) bool {
 	for _, c := range b {
 		if classes[c]&inText == 0 {
--- a/httphead/peek.go
+++ b/httphead/peek.go
@@ -5,7 +5,7 @@
 	"errors"
 )
 
-// PeekResponse waits until the head of a response has arrived at r, and judges it without
+// PeekResponse waits until the head of a response has arrived at r, and validates it without
 // reading it. It returns the errors of Response, a *SizeError if the head does not fit the buffer
 // of r, and otherwise the error of the connection.
 func PeekResponse(r *bufio.Reader) (Head, error) {
@@ -28,8 +28,8 @@
 	return size, err
 }
 
-// peek judges what r has received, until that is complete.
-func peek(r *bufio.Reader, judge func([]byte) (size int, err error)) error {
+// peek validates what r has received, until that is complete.
+func peek(r *bufio.Reader, validate func([]byte) (size int, err error)) error {
 	for n := 1; ; n = r.Buffered() + 1 {
 		if _, err := r.Peek(n); err != nil {
 			if errors.Is(err, bufio.ErrBufferFull) {
@@ -41,7 +41,7 @@
 		if err != nil {
 			return err
 		}
-		if size, err := judge(b); size > 0 || err != nil {
+		if size, err := validate(b); size > 0 || err != nil {
 			return err
 		}
 	}
--- a/target/malformed_test.go
+++ b/target/malformed_test.go
@@ -122,7 +122,7 @@
 	}
 }
 
-// A head that does not fit the buffer is an error of its own, and its lines are judged first.
+// A head that does not fit the buffer is an error of its own, and its lines are validated first.
 func TestLargeHeadIsNotAResponse(t *testing.T) {
 	t.Parallel()
 	const start, end = "HTTP/1.1 200 OK\r\n", "Content-Length: 0\r\n\r\n"
