httphead: a line ends with CRLF, for validation and parser alike

What callers saw: a target sent a line feed before, or in place of the first byte of, the name of a field ("...\r\n\nContent-Length: 2\r\n\r\nok"). The caller got 200, 204 or 503 with the rest of the head as the body, or, with "Content-Length: 2" before it, the first two bytes of the next name. The same in the head of a caller's request was sent on, and the rest was read as the next request. Heads with LF alone ended at the deadline with 504.

Cause: the validation took LF alone for the end of a line, the parser of fasthttp only if CRLF CRLF stands somewhere behind it. So an empty line of LF ended the head for both, before lines that were never validated, or for the validation alone, after which the parser waited.

Change: one rule, CRLF, in heads, interim heads, trailers and the sizes of chunks, for all who read with package httphead. A line of which a control byte has arrived is rejected without its end. ReadResponse, ReadTrailer, ParseRequest and ParseRequestTrailer hand the parser the validated bytes alone, and fail with ErrOtherEnd if it ends them elsewhere. callerhttp finds the end of a head by the same validation, in place of a search of its own. RequestFields rejects fields that do not end with the head, and a head of HTTP/1.1 without fields.

--- a/callerhttp/fields.go
+++ b/callerhttp/fields.go
@@ -1,6 +1,10 @@
 package callerhttp
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/parsleystack/parsleystack/httphead"
+)
 
 const (
 	// smallHead is the size in bytes of a head whose fields exchangeCost includes.
@@ -10,47 +14,43 @@
 	fieldCost = 256
 )
 
-var (
-	lineEnd  = []byte("\r\n")
-	headEnd  = []byte("\n\r\n")
-	shortEnd = []byte("\n\n")
-	fieldEnd = []byte("\n")
-)
-
 // awaitFields waits until a head or trailer has arrived completely or fills the buffer, and
 // counts the memory of its fields: thousands of small ones take far more than their bytes, and
-// the parser allocates that at once. An error of the connection is left to the parser.
-func (c *conn) awaitFields(x *Exchange, trailer bool) error {
+// the parser allocates that at once. It returns the size of the head or trailer, or 0 if it is not
+// complete. An error of the connection is left to the parser.
+func (c *conn) awaitFields(x *Exchange, trailer bool) (size int, err error) {
+	validate := httphead.Request
+	if trailer {
+		validate = httphead.Trailer
+	}
 	for {
 		b, _ := c.br.Peek(c.br.Buffered()) // they are buffered
-		size := len(b)
-		switch {
-		case !trailer:
-			b = bytes.TrimLeft(b, "\r\n") // the parser skips empty lines
-		case bytes.HasPrefix(b, lineEnd):
-			return nil
-		}
-		end := bytes.Index(b, headEnd)
-		if end < 0 {
-			end = bytes.Index(b, shortEnd)
+		size, err := validate(b)
+		if err != nil {
+			return 0, err
 		}
-		if end < 0 && size < c.br.Size() {
-			if _, c.peeked = c.br.Peek(size + 1); c.peeked == nil {
+		if size == 0 && len(b) < c.br.Size() {
+			if _, c.peeked = c.br.Peek(len(b) + 1); c.peeked == nil {
 				continue
 			}
-			return nil
+			return 0, nil
 		}
-		if end >= 0 {
-			b = b[:end]
+		if size > 0 {
+			b = b[:size]
 		}
-		if len(b) <= smallHead {
-			return nil
-		}
-		cost := bytes.Count(b, fieldEnd) * fieldCost
-		if trailer {
-			cost += x.fields
-		}
-		x.fields = max(x.fields, cost)
-		return c.count(x, cap(x.body))
+		return size, c.countFields(x, bytes.Trim(b, "\r\n"), trailer)
+	}
+}
+
+// countFields counts the memory of the fields in the lines of a head or trailer.
+func (c *conn) countFields(x *Exchange, lines []byte, trailer bool) error {
+	if len(lines) <= smallHead {
+		return nil
+	}
+	cost := bytes.Count(lines, []byte{'\n'}) * fieldCost
+	if trailer {
+		cost += x.fields
 	}
+	x.fields = max(x.fields, cost)
+	return c.count(x, cap(x.body))
 }
--- a/callerhttp/read_request.go
+++ b/callerhttp/read_request.go
@@ -111,10 +111,7 @@
 
 // parse parses a head or trailer, again with a larger buffer if it does not fit.
 func (c *conn) parse(x *Exchange, trailer bool) error {
-	if err := c.awaitFields(x, trailer); err != nil {
-		return err
-	}
-	err := x.readFields(c.br, trailer)
+	err := c.readFields(x, trailer)
 	if err == nil {
 		return nil
 	}
@@ -134,30 +131,30 @@
 	large.Reset(io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c))
 	c.server.readers(c.br.Size()).Put(c.br)
 	c.br = large
-	if err := c.awaitFields(x, trailer); err != nil {
-		return err
-	}
-	return x.readFields(c.br, trailer)
+	return c.readFields(x, trailer)
 }
 
-// readFields validates a head or a trailer, as far as it is buffered, and reads it with the parser
-// of fasthttp. The parser waits for no more bytes than awaitFields does.
-func (x *Exchange) readFields(r *bufio.Reader, trailer bool) error {
-	b, err := r.Peek(r.Buffered())
-	if err != nil {
-		return err
-	}
-	validate := httphead.Request
-	if trailer {
-		validate = httphead.Trailer
-	}
-	if _, err := validate(b); err != nil {
+// readFields reads a head or a trailer once it has arrived. If it does not arrive completely, the
+// parser names the reason.
+func (c *conn) readFields(x *Exchange, trailer bool) error {
+	size, err := c.awaitFields(x, trailer)
+	h := &x.Ctx.Request.Header
+	switch {
+	case err != nil:
 		return err
+	case size > 0 && trailer:
+		return httphead.ParseRequestTrailer(c.br, size, h)
+	case size > 0:
+		return httphead.ParseRequest(c.br, size, h)
+	case trailer:
+		err = h.ReadTrailer(c.br)
+	default:
+		err = h.Read(c.br)
 	}
-	if trailer {
-		return x.Ctx.Request.Header.ReadTrailer(r)
+	if err == nil {
+		return httphead.ErrOtherEnd
 	}
-	return x.Ctx.Request.Header.Read(r)
+	return err
 }
 
 // count counts the memory of a request that is being received, with a body of bytes.
--- a/entry/badcaller_test.go
+++ b/entry/badcaller_test.go
@@ -57,6 +57,10 @@
 		"blank in the coding":      "Transfer -Encoding: chunked\r\n",
 		"carriage return in value": "X-A: b\rTransfer-Encoding: chunked\r\n",
 		"null in value":            "X-A: b\x00c\r\n",
+		"line feed before a name":  "\nTransfer-Encoding: chunked\r\n",
+		"line feed in a name":      "Transfer\n-Encoding: chunked\r\n",
+		"line feed at the end":     "Transfer-Encoding: chunked\n",
+		"line feed in the end":     "Transfer-Encoding: chunked\r\n\n",
 	} {
 		request := "POST /reports/shape HTTP/1.1\r\nHost: x\r\n" + head + "\r\n0\r\n\r\n" + smuggled
 		statuses, closed := r.entry.sendRaw(t, request)
--- a/entry/framing.go
+++ b/entry/framing.go
@@ -18,7 +18,7 @@
 		return problemMethod
 	}
 	raw := h.RawHeaders()
-	if httphead.RequestFields(raw) != nil {
+	if httphead.RequestFields(h) != nil {
 		return problemMalformed
 	}
 	if hasField(raw, fasthttp.HeaderTransferEncoding) && hasField(raw, fasthttp.HeaderContentLength) {
--- a/httphead/chunk.go
+++ b/httphead/chunk.go
@@ -26,8 +26,12 @@
 	return line, size, err
 }
 
-// chunkSize parses the size that a line begins with; extensions may follow.
+// chunkSize parses the size that a line begins with; extensions may follow. As in a head, the line
+// ends with CRLF.
 func chunkSize(line []byte) (int, error) {
+	if !bytes.HasSuffix(line, []byte("\r\n")) {
+		return 0, errChunkSize
+	}
 	digits := line[:len(line)-len(bytes.TrimLeft(line, hexDigits))]
 	size, err := strconv.ParseUint(string(digits), 16, maxSizeBits)
 	if err != nil {
--- a/httphead/errors.go
+++ b/httphead/errors.go
@@ -13,6 +13,10 @@
 // call. Nothing of the call was sent.
 var ErrSurplus = errors.New("httphead: the server sent bytes that belong to no call; correct the server")
 
+// ErrOtherEnd reports a head or trailer that was validated and that the parser ends at another byte.
+// What follows would be taken for a part of another message.
+var ErrOtherEnd = errors.New("httphead: the parser and the validation end a head or trailer at different bytes; correct the sender and report its bytes")
+
 // errChunkSize reports a chunk whose size can't be read.
 var errChunkSize = errors.New("httphead: the size of a chunk is malformed; correct the sender")
 
@@ -62,7 +66,7 @@
 func Malformed(err error) bool {
 	var line *LineError
 	var status *StatusError
-	return errors.As(err, &line) || errors.As(err, &status)
+	return errors.As(err, &line) || errors.As(err, &status) || errors.Is(err, ErrOtherEnd)
 }
 
 func shorten(b []byte) string { return string(b[:min(len(b), maxShown)]) }
--- a/httphead/message.go
+++ b/httphead/message.go
@@ -1,5 +1,7 @@
 package httphead
 
+import "github.com/valyala/fasthttp"
+
 // Head is what Response found out about a complete head.
 type Head struct {
 	Size    int // bytes, through the empty line that ends the head; 0 if it is not complete
@@ -25,9 +27,9 @@
 // a *StatusError or *LineError for the first one that is malformed.
 func Response(b []byte) (Head, error) {
 	s := scanner{part: PartHead, rest: b}
-	line, ok := s.firstLine()
+	line, ok, err := s.firstLine()
 	if !ok {
-		return Head{}, nil
+		return Head{}, err
 	}
 	status, err := s.checkStatusLine(line)
 	if err != nil {
@@ -45,9 +47,9 @@
 // *LineError for the first line that is malformed.
 func Request(b []byte) (size int, err error) {
 	s := scanner{part: PartHead, rest: b}
-	line, ok := s.firstLine()
+	line, ok, err := s.firstLine()
 	if !ok {
-		return 0, nil
+		return 0, err
 	}
 	if err := s.checkRequestLine(line); err != nil {
 		return 0, err
@@ -55,12 +57,27 @@
 	return s.fieldsSize(b)
 }
 
-// RequestFields validates the fields of the head of a request, as RequestHeader.RawHeaders of fasthttp
-// returns them. It is for servers of fasthttp, which read heads themselves.
-func RequestFields(raw []byte) error {
+// RequestFields validates the fields of the head of a request that a server of fasthttp has read,
+// through the empty line.
+func RequestFields(h *fasthttp.RequestHeader) error {
+	raw := h.RawHeaders()
 	s := scanner{part: PartHead, rest: raw, lines: 1} // the request line
-	_, err := s.checkFields()
-	return err
+	if len(raw) == 0 {
+		// RawHeaders does not tell how a head without fields ended. After one of HTTP/1.0 the
+		// connection closes, so that what follows is not read.
+		if h.IsHTTP11() {
+			return s.fault(nil, "a request of HTTP/1.1 has a Host")
+		}
+		return nil
+	}
+	complete, err := s.checkFields()
+	if err != nil {
+		return err
+	}
+	if !complete || len(s.rest) > 0 {
+		return ErrOtherEnd
+	}
+	return nil
 }
 
 // Trailer validates the complete lines of a trailer at the beginning of b, like Request.
--- a/httphead/scanner.go
+++ b/httphead/scanner.go
@@ -11,27 +11,38 @@
 	hasCoding  bool // a Transfer-Encoding was seen
 }
 
-// next takes a line, and returns it without its end. It returns false if none is complete.
-func (s *scanner) next() ([]byte, bool) {
+// next takes a line, and returns it without its CRLF. It returns false if none is complete. A line
+// feed alone does not end a line: the parser takes it for the end of the head in some places only.
+func (s *scanner) next() (line []byte, ok bool, err error) {
 	i := bytes.IndexByte(s.rest, '\n')
 	if i < 0 {
-		return nil, false
+		return nil, false, s.checkBegun()
 	}
-	line := s.rest[:i]
+	line = s.rest[:i]
 	s.rest = s.rest[i+1:]
 	s.lines++
-	if i > 0 && line[i-1] == '\r' {
-		line = line[:i-1]
+	if i == 0 || line[i-1] != '\r' {
+		return nil, false, s.fault(line, "a line ends with CRLF, not with LF alone")
 	}
-	return line, true
+	return line[:i-1], true, nil
+}
+
+// checkBegun checks what has arrived of a line, so that one with control characters is rejected
+// although its end may never arrive.
+func (s *scanner) checkBegun() error {
+	if isText(bytes.TrimSuffix(s.rest, []byte("\r"))) {
+		return nil
+	}
+	s.lines++
+	return s.fault(s.rest, "a line has no control characters and ends with CRLF")
 }
 
 // firstLine takes the first line that is not empty.
-func (s *scanner) firstLine() ([]byte, bool) {
+func (s *scanner) firstLine() (line []byte, ok bool, err error) {
 	for {
-		line, ok := s.next()
+		line, ok, err := s.next()
 		if !ok || len(line) > 0 {
-			return line, ok
+			return line, ok, err
 		}
 	}
 }
@@ -40,9 +51,9 @@
 // not arrived.
 func (s *scanner) checkFields() (complete bool, err error) {
 	for {
-		line, ok := s.next()
+		line, ok, err := s.next()
 		if !ok {
-			return false, nil
+			return false, err
 		}
 		if len(line) == 0 {
 			return true, nil
--- a/platformlog/malformed_test.go
+++ b/platformlog/malformed_test.go
@@ -51,6 +51,10 @@
 		"HTTP/1.1 200 OK\r\nName : x\r\n" + body:    true,
 		"HTTP/1.1 503 x\r\nNa me: x\r\n" + body:     true,
 		"HTTP/1.1 100 x\r\nName : x\r\n\r\n" + body: true,
+		"HTTP/1.1 200 OK\r\n\n" + body:              true,
+		"HTTP/1.1 503 x\r\n\n" + body:               true,
+		"HTTP/1.1 200 OK\r\nNa\nme: x\r\n" + body:   true,
+		"HTTP/1.1 200 OK\n" + body:                  true,
 	} {
 		c := NewClient(ClientConfig{Addr: startAnswering(t, answer), AppendTimeout: 5 * time.Second})
 		_, err := c.Append(t.Context(), "cell", []byte("a"))
--- a/sidecar/scripted_target_test.go
+++ b/sidecar/scripted_target_test.go
@@ -126,6 +126,9 @@
 	s.answer, s.end = answer, end
 }
 
+// closeNow ends a connection with the answer.
+func closeNow(c *net.TCPConn) { _ = c.Close() }
+
 // connections returns the number of connections that were accepted.
 func (s *scriptedTarget) connections() int {
 	s.mu.Lock()
--- a/sidecar/servers.go
+++ b/sidecar/servers.go
@@ -120,7 +120,7 @@
 		ctx.SetStatusCode(http.StatusNotFound)
 		return
 	}
-	if err := httphead.RequestFields(ctx.Request.Header.RawHeaders()); err != nil {
+	if err := httphead.RequestFields(&ctx.Request.Header); err != nil {
 		logevent.Log(d.log, logevent.HeartbeatIgnored, zap.String("target", id), zap.Error(err))
 		ctx.SetConnectionClose() // a malformed field may have stated the length of the body
 		ctx.SetStatusCode(http.StatusBadRequest)
--- a/target/body.go
+++ b/target/body.go
@@ -27,10 +27,7 @@
 	if length != lengthChunked {
 		return nil
 	}
-	if _, err := httphead.PeekTrailer(conn.reader); err != nil {
-		return err
-	}
-	return resp.Header.ReadTrailer(conn.reader)
+	return httphead.ReadTrailer(conn.reader, &resp.Header)
 }
 
 // maxFraming is how much larger than the body the framing of its chunks may be, in bytes. Chunks
--- a/target/client.go
+++ b/target/client.go
@@ -205,10 +205,7 @@
 // (1xx) response.
 func readFinalHeader(conn *conn, resp *fasthttp.Response) error {
 	for range maxInterim {
-		if _, err := httphead.PeekResponse(conn.reader); err != nil {
-			return err
-		}
-		if err := resp.Header.Read(conn.reader); err != nil {
+		if _, err := httphead.ReadResponse(conn.reader, &resp.Header); err != nil {
 			return err
 		}
 		if resp.StatusCode() >= fasthttp.StatusOK {
--- a/target/malformed_control_test.go
+++ b/target/malformed_control_test.go
@@ -17,6 +17,8 @@
 		"HTTP/1.1 020 OK\r\nContent-Length: 2\r\n\r\n{}",
 		"HTTP/1.1 200 OK\r\nNa me: x\r\nContent-Length: 2\r\n\r\n{}",
 		"HTTP/1.1 103 x\r\nNa me: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\n\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\nContent-Length: 2\n\n{}",
 	} {
 		c := New(Config{Addr: startScriptedServer(t, answer, answer, answer), ControlTimeout: 5 * time.Second})
 		if err := c.Grant("reports", cell.Grant{}, time.Second); !httphead.Malformed(err) {
