target: a response that ends with its connection is whole once the request was taken

What callers saw: a target answered an upload at once without a length, sent a part, ended its direction and reset the connection, at once or milliseconds later, while the upload was being written. The part was delivered as a whole answer.

Cause: at the end of the data, roundTripConcurrent broke off the write, so that nothing was seen of what followed. It took EPIPE, the error of a reset behind an end, for proof of an answer that had ended in order. It proves the contrary: the kernel also ends the direction of a process that dies, or closes the connection, after it has read all that has arrived, and resets the connection when more arrives.

Change: Upload.AwaitTaken (connprobe). After the end, the write goes on until the kernel of the target has acknowledged all bytes; a reset, an error of the write, or a second without progress make it a CutOffError, of unknown outcome, the deadline or a cancellation end it.

--- a/connprobe/connprobe.go
+++ b/connprobe/connprobe.go
@@ -1,5 +1,5 @@
-// Package connprobe checks whether the peer has closed a connection, without
-// consuming data from it.
+// Package connprobe asks the kernel about a connection, without consuming data from it: whether the
+// peer has closed it, and whether the peer has taken what was written to it.
 package connprobe
 
 import (
--- a/httphead/errors.go
+++ b/httphead/errors.go
@@ -61,6 +61,18 @@
 
 func (e *SizeError) Unwrap() error { return bufio.ErrBufferFull }
 
+// CutOffError reports a response without a length that ended with its connection before the server had
+// taken the request. Whether it is whole is not known.
+type CutOffError struct {
+	Cause error // as of connprobe.AwaitTaken
+}
+
+func (e *CutOffError) Error() string {
+	return fmt.Sprintf("httphead: a response without a length ended before the request was taken: %v; check why the server ends connections, and let it read requests to their end or send Content-Length", e.Cause)
+}
+
+func (e *CutOffError) Unwrap() error { return e.Cause }
+
 // Malformed reports whether err says that a message was received whose head or trailer can't be
 // used, in contrast to one that has not arrived completely.
 func Malformed(err error) bool {
--- a/target/bench_test.go
+++ b/target/bench_test.go
@@ -1,8 +1,10 @@
 package target
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -24,6 +26,69 @@
 	}
 }
 
+// BenchmarkUpload is one upload at a time, which the target reads before it responds. A response
+// without a length ends its connection.
+func BenchmarkUpload(b *testing.B) {
+	for name, c := range map[string]struct {
+		answer string
+		work   time.Duration // of the target, after it has read the upload
+	}{
+		"length":                       {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", 0},
+		"to close":                     {"HTTP/1.1 200 OK\r\n\r\nwhole", 0},
+		"to close, after 60 ms":        {"HTTP/1.1 200 OK\r\n\r\nwhole", 60 * time.Millisecond},
+		"length and close":             {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwhole", 0},
+		"length and close after 60 ms": {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwhole", 60 * time.Millisecond},
+	} {
+		b.Run(name, func(b *testing.B) { benchmarkUpload(b, c.answer, c.work) })
+	}
+}
+
+func benchmarkUpload(b *testing.B, answer string, work time.Duration) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = l.Close() }() // the benchmark ends
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				for r := bufio.NewReader(c); ; {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					time.Sleep(work)
+					_, _ = io.WriteString(c, answer) // a failed write shows in the response
+					if !strings.Contains(answer, "Length") || strings.Contains(answer, "close") {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	client := New(Config{Addr: l.Addr().String(), MaxConns: 1, AllowCloseDelimited: true})
+	defer client.Close()
+	var req fasthttp.Request
+	var resp fasthttp.Response
+	req.Header.SetMethod(http.MethodPost)
+	req.Header.SetHost("h")
+	req.SetRequestURI("/")
+	req.SetBody(make([]byte, 100_000))
+	b.ReportAllocs()
+	for b.Loop() {
+		call := Call{Request: &req, Response: &resp, Deadline: time.Now().Add(time.Minute)}
+		if _, err := client.Do(&call); err != nil || string(resp.Body()) != "whole" {
+			b.Fatalf("body %q, error %v", resp.Body(), err)
+		}
+	}
+}
+
 func benchmarkDo(b *testing.B, answer string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/target/client.go
+++ b/target/client.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"os"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/parsleystack/parsleystack/connprobe"
 	"github.com/parsleystack/parsleystack/httphead"
 )
 
@@ -127,7 +125,10 @@
 	if err := conn.write(call.Request); err != nil {
 		return conn.wrote.Load(), err
 	}
-	return true, c.readAccepted(conn, call)
+	if err := c.readAccepted(conn, call); err != nil || !conn.untilClose {
+		return true, err
+	}
+	return true, awaitTaken(conn, call, nil)
 }
 
 // roundTripConcurrent reads the response while it writes the request, since a
@@ -135,20 +136,23 @@
 // on which the request was not completely written is not reused.
 func (c *Client) roundTripConcurrent(conn *conn, call *Call) (sent bool, err error) {
 	written := make(chan error, 1)
-	go func() { written <- conn.write(call.Request) }()
-	if err := c.readAccepted(conn, call); err != nil {
-		_ = endWrite(conn, written)
-		return conn.wrote.Load(), err
+	go func() {
+		written <- conn.write(call.Request)
+		close(written)
+	}()
+	err = c.readAccepted(conn, call)
+	if err == nil && conn.untilClose {
+		err = awaitTaken(conn, call, written)
 	}
-	writeErr := endWrite(conn, written)
-	conn.writeIncomplete = writeErr != nil
-	if conn.untilClose && tookConnError(writeErr) {
-		return true, &CutOffError{Cause: writeErr}
+	conn.writeIncomplete = endWrite(conn, written) != nil
+	if err != nil {
+		return conn.wrote.Load(), err
 	}
 	return true, nil
 }
 
-// endWrite breaks off the write of a request unless it has ended, and returns its error.
+// endWrite breaks off the write of a request unless it has ended, and returns its error if nobody
+// has received it before.
 func endWrite(conn *conn, written <-chan error) error {
 	select {
 	case err := <-written:
@@ -159,12 +163,14 @@
 	return <-written
 }
 
-// tookConnError reports whether a write has failed with an error of the connection before the
-// target closed it. The kernel reports such an error once, to a read or to a write. If the write
-// got it, reads reach the end of the connection as if the target had closed it. EPIPE reports a
-// reset behind the end of the target's data.
-func tookConnError(writeErr error) bool {
-	return writeErr != nil && !errors.Is(writeErr, os.ErrDeadlineExceeded) && !errors.Is(writeErr, syscall.EPIPE)
+// awaitTaken waits, after a response that has ended with its connection, until the target has taken
+// the request. written is as in connprobe.Upload.
+func awaitTaken(conn *conn, call *Call, written <-chan error) error {
+	upload := connprobe.Upload{Conn: conn.Conn, Size: len(call.Request.Body()), Window: conn.window, Written: written}
+	if err := upload.AwaitTaken(); err != nil {
+		return &httphead.CutOffError{Cause: err}
+	}
+	return nil
 }
 
 // readAccepted reads responses until one is accepted by the call.
--- a/target/conn.go
+++ b/target/conn.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
+	"github.com/parsleystack/parsleystack/connprobe"
 	"github.com/parsleystack/parsleystack/fairread"
 )
 
@@ -24,6 +25,7 @@
 	reader   *bufio.Reader
 	writer   *bufio.Writer
 	fair     fairread.Conn
+	window   int         // as of connprobe.Upload
 	received int         // bytes read from the socket
 	wrote    atomic.Bool // bytes of the current request were written to the socket
 
@@ -50,6 +52,8 @@
 			return nil, err
 		}
 		tc.raw = raw
+		opened, _ := connprobe.Sent(c) // without a window if the kernel does not tell
+		tc.window = opened.Window
 	}
 	tc.probeFn = tc.probe
 	tc.reader = bufio.NewReaderSize(tc, connBufferSize)
--- a/target/errors.go
+++ b/target/errors.go
@@ -33,15 +33,3 @@
 func (e *ControlError) Error() string {
 	return fmt.Sprintf("target: control request %s was answered with status %d; check that the target implements the target protocol", e.Path, e.Status)
 }
-
-// CutOffError reports a response whose body was to end with the connection, which ended with an
-// error while the request was still being written.
-type CutOffError struct {
-	Cause error // of the write
-}
-
-func (e *CutOffError) Error() string {
-	return fmt.Sprintf("target: the connection failed within a response without a length: %v; check why the target resets connections, and let it send Content-Length", e.Cause)
-}
-
-func (e *CutOffError) Unwrap() error { return e.Cause }
