httphead: an answer of the store that ends with its connection is whole once the call was taken

What was seen: a store that ended its answer and closed or reset the connection while it still received the call had its part of an answer taken for the whole, in 21 of 30 calls of 1 MiB with three such ends. The log service and control requests to targets are read in the same way.

The client writes the call to the socket, then reads; what the server has not taken by then lies in the buffers, and the reset that meets it comes behind the end of the answer.

Change: ClientConn calls AwaitTaken at the end of a body without a length, and returns a CutOffError in place of the end. The outcome of the call is unknown then.

Evidence: TestAnswerThatEndsBeforeItsCallIsIndeterminate: 21 of 30 calls had an answer before, none now. TestAnswerThatEndsWithItsConnectionIsWhole: an answer of a store that reads the call to its end is whole, with calls of 0 bytes to 1 MiB.

--- a/httphead/clientconn.go
+++ b/httphead/clientconn.go
@@ -2,6 +2,8 @@
 
 import (
 	"bufio"
+	"errors"
+	"io"
 	"net"
 
 	"github.com/parsleystack/parsleystack/connprobe"
@@ -24,6 +26,10 @@
 	sending bool
 	// malformed is what is wrong with the head or trailer in place of which a byte was passed on.
 	malformed error
+
+	window       int  // as of connprobe.Upload
+	requestSize  int  // bytes of the request that were written
+	endsWithConn bool // the body of the response ends with the connection
 }
 
 // stage is what is received next of a response.
@@ -38,7 +44,8 @@
 
 // NewClientConn returns a connection that validates what is received on c.
 func NewClientConn(c net.Conn) *ClientConn {
-	return &ClientConn{Conn: c, reader: bufio.NewReaderSize(&fairread.Conn{Conn: c}, connBufferSize)}
+	opened, _ := connprobe.Sent(c) // without a window if the kernel does not tell
+	return &ClientConn{Conn: c, reader: bufio.NewReaderSize(&fairread.Conn{Conn: c}, connBufferSize), window: opened.Window}
 }
 
 // Write writes a part of a request. It returns ErrSurplus, without writing anything, if a request
@@ -47,15 +54,21 @@
 	if !c.sending && (c.reader.Buffered() > 0 || connprobe.Unread(c.Conn)) {
 		return 0, ErrSurplus
 	}
-	c.sending, c.stage, c.ready = true, atHead, 0
-	return c.Conn.Write(b)
+	if !c.sending {
+		c.requestSize = 0
+	}
+	c.sending, c.stage, c.ready, c.endsWithConn = true, atHead, 0, false
+	n, err := c.Conn.Write(b)
+	c.requestSize += n
+	return n, err
 }
 
 // placeholder is a byte with which a head or a trailer may begin.
 const placeholder = 'H'
 
 // Read returns a *LineError or *StatusError in place of a malformed head or trailer. A placeholder
-// comes first, as fasthttp takes any error of the first byte for the end of the connection.
+// comes first, as fasthttp takes any error of the first byte for the end of the connection. It returns
+// a *CutOffError in place of the end of a response that is not known to be whole.
 func (c *ClientConn) Read(p []byte) (int, error) {
 	c.sending = false
 	for c.ready == 0 && c.stage != atEnd {
@@ -77,6 +90,12 @@
 	}
 	n, err := c.reader.Read(p)
 	c.ready = max(0, c.ready-n)
+	if c.endsWithConn && errors.Is(err, io.EOF) {
+		upload := connprobe.Upload{Conn: c.Conn, Size: c.requestSize, Window: c.window}
+		if taken := upload.AwaitTaken(); taken != nil {
+			return n, &CutOffError{Cause: taken}
+		}
+	}
 	return n, err
 }
 
@@ -94,7 +113,7 @@
 		case h.Chunked && h.hasBody():
 			c.stage = atChunk
 		default:
-			c.stage = atEnd
+			c.stage, c.endsWithConn = atEnd, h.endsWithConn()
 		}
 	case atChunk:
 		line, size, err := peekChunkSize(c.reader)
--- a/httphead/line.go
+++ b/httphead/line.go
@@ -1,6 +1,10 @@
 package httphead
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/valyala/fasthttp"
+)
 
 const (
 	versionPrefix = "HTTP/1." // of all versions of which messages can be read
@@ -52,7 +56,10 @@
 	case !isText(value):
 		return s.fault(line, "a field value has no control characters")
 	}
-	if isTransferEncoding(name) {
+	switch {
+	case isName(name, fasthttp.HeaderContentLength):
+		s.hasLength = true
+	case isName(name, fasthttp.HeaderTransferEncoding):
 		if s.otherMinor {
 			return s.fault(line, "Transfer-Encoding belongs to HTTP/1.1")
 		}
@@ -61,8 +68,7 @@
 	return nil
 }
 
-func isTransferEncoding(name []byte) bool {
-	const want = "Transfer-Encoding"
+func isName(name []byte, want string) bool {
 	return len(name) == len(want) && bytes.EqualFold(name, []byte(want))
 }
 
--- a/httphead/message.go
+++ b/httphead/message.go
@@ -7,8 +7,13 @@
 	Size    int // bytes, through the empty line that ends the head; 0 if it is not complete
 	Status  int
 	Chunked bool // it has a Transfer-Encoding; fasthttp accepts chunked alone
+
+	hasLength bool // it has a Content-Length
 }
 
+// endsWithConn reports whether the body of a response with this head ends with its connection.
+func (h Head) endsWithConn() bool { return h.hasBody() && !h.Chunked && !h.hasLength }
+
 // IsInterim reports whether the head of another response to the same request follows.
 func (h Head) IsInterim() bool { return h.Status < 200 && h.Status != statusSwitchingProtocols }
 
@@ -39,7 +44,7 @@
 	if err != nil || !complete {
 		return Head{}, err
 	}
-	return Head{Size: len(b) - len(s.rest), Status: status, Chunked: s.hasCoding}, nil
+	return Head{Size: len(b) - len(s.rest), Status: status, Chunked: s.hasCoding, hasLength: s.hasLength}, nil
 }
 
 // Request validates the complete lines of the head of a request at the beginning of b. It returns
--- a/httphead/scanner.go
+++ b/httphead/scanner.go
@@ -9,6 +9,7 @@
 	lines      int  // taken so far
 	otherMinor bool // the version of the message is not HTTP/1.1
 	hasCoding  bool // a Transfer-Encoding was seen
+	hasLength  bool // a Content-Length was seen
 }
 
 // next takes a line, and returns it without its CRLF. It returns false if none is complete. A line
