--- a/logevent/sidecar.go
+++ b/logevent/sidecar.go
@@ -84,11 +84,11 @@
 	CopyAnswered    = define(7512, "second copy answered first", info, "The second copy of a request was answered first; the first copy is canceled.", "")
 	CopyCanceled    = define(7513, "second copy canceled", routine, "The first copy of a request was answered, or the request has ended; the second copy is canceled.", "")
 	CopyRefused     = define(7514, "second copy refused", routine, "A request that has waited for long gets no second copy; the reason is in the line. The metric parsley_hedges_total counts by result.", "")
-	TargetFailed    = define(7507, "target failed", info, "A target returned no complete response.", "")
+	TargetFailed    = define(7507, "target failed", info, "A target returned no complete response.", "The error has the cause; one of a response without a length that ended before the request was taken is explained in OPERATIONS.md.")
 
 	StatusUnusable = define(7509, "unusable status", warning, "A response of the target has a status that is not a number from 100 to 599 of three digits; the outcome of the request is unknown, and the connection is closed.", "Correct the target; the error has the status.")
 
-	ResponseMalformed = define(7510, "malformed response", warning, "A line in the head or the trailer of a response of the target is malformed, for example a field name with a space in it; the outcome of the request is unknown, and the connection is closed.", "Correct the target; the error has the number of the line, what precedes its colon, and what is wrong with it.")
+	ResponseMalformed = define(7510, "malformed response", warning, "A line in the head or the trailer of a response of the target is malformed, for example a field name with a space in it, or a line that ends with LF alone; the outcome of the request is unknown, and the connection is closed.", "Correct the target; the error has the number of the line, what precedes its colon, and what is wrong with it.")
 
 	MessageTooLarge        = define(7601, "message too large", warning, "A message from the named source exceeded its size limit or the memory for messages; its connection was closed.", "Check why the source sends so much; the metric parsley_messages_too_large_total counts by source.")
 	MessageMemoryExhausted = define(7602, "message memory exhausted", warning, "Messages of the named source were refused or evicted in the last second, since all messages together take the memory for them: held and limit are bytes.", "See which source holds the memory by the metric parsley_receive_memory_bytes; find callers that send large bodies and do not end them, or raise limits.memoryMb.")
--- a/sidecar/reset_answer_test.go
+++ b/sidecar/reset_answer_test.go
@@ -9,6 +9,8 @@
 	"testing"
 	"time"
 
+	"github.com/parsleystack/parsleystack/logevent"
+	"github.com/parsleystack/parsleystack/logtrace"
 	"github.com/parsleystack/parsleystack/platform/platformtest"
 )
 
@@ -105,6 +107,28 @@
 	}
 }
 
+// The daemon beside the target logs why an answer was not passed on, with the id of the request.
+func TestAnswerThatEndsBeforeAResetIsNamedInTheLog(t *testing.T) {
+	t.Parallel()
+	var log jsonLog
+	d, target := deployScriptedWith(t, func(n *testNode) { n.log = log.logger() })
+	target.setWithEnd(answerToClose, endThen(resetAfter(10*time.Millisecond)))
+	id, size := newID(), platformtest.DefaultMaxBodyBytes
+	request := platformtest.Head(host, http.MethodPost, "/book/a", id, fmt.Sprintf("Content-Length: %d\r\n", size)) + strings.Repeat("x", size)
+	if status, _ := d.nodes[0].rawCall(t, request); status != http.StatusBadGateway {
+		t.Fatalf("status %d", status)
+	}
+	found := 0
+	for _, l := range logtrace.Find(log.read(t), id).Request {
+		if l.Event == logevent.TargetFailed.Number && strings.Contains(fmt.Sprint(l.Fields["error"]), "ended before the request was taken") {
+			found++
+		}
+	}
+	if found != 1 {
+		t.Errorf("%d lines of the log name the cause, want 1", found)
+	}
+}
+
 // An answer that ends while its target reads on what it is being sent is whole.
 func TestAnswerThatEndsBeforeItsUploadIsPassedOn(t *testing.T) {
 	t.Parallel()
