--- a/callerhttp/fields.go
+++ b/callerhttp/fields.go
@@ -25,8 +25,7 @@
 	}
 	for {
 		b, _ := c.br.Peek(c.br.Buffered()) // they are buffered
-		size, err := validate(b)
-		if err != nil {
+		if size, err = validate(b); err != nil {
 			return 0, err
 		}
 		if size == 0 && len(b) < c.br.Size() {
--- a/connprobe/taken.go
+++ b/connprobe/taken.go
@@ -10,16 +10,16 @@
 )
 
 const (
-	// smallRequest is the size in bytes of a request that the host of a peer takes as a whole before
-	// the peer can respond to it.
+	// smallRequest is the size in bytes of a request that is sent at once. Behind one that the peer
+	// has acknowledged, no reset is waited for.
 	smallRequest = 8 << 10
-	// resetGrace is how long after the last byte of a request a reset is waited for. The host of a
-	// peer acknowledges bytes that the peer has not read, and resets the connection if it then ends
-	// it.
+	// resetGrace is how long a reset is waited for after the last byte was acknowledged. The kernel
+	// of the peer acknowledges bytes before the peer reads them, and resets the connection if the peer
+	// closes it without having read them.
 	resetGrace = 50 * time.Millisecond
 	// maxStall is how long a peer may take no byte of a request after it has ended its response.
 	maxStall = time.Second
-	// takenPoll is the time between two looks at the connection.
+	// takenPoll is the time between two checks of the connection.
 	takenPoll = time.Millisecond
 )
 
@@ -113,8 +113,9 @@
 	}
 }
 
-// isTaken reports whether the peer has taken the whole request. A reset of the connection after that
-// is none within the request.
+// isTaken reports whether the peer had taken the whole request when it ended its direction. A later
+// reset does not cut off the response. One that has come already does, if the request was large enough
+// for the peer to have read only a part.
 func (u *Upload) isTaken() bool {
 	s, _ := Sent(u.Conn)
 	if u.Size <= smallRequest {
--- a/httphead/scanner.go
+++ b/httphead/scanner.go
@@ -12,12 +12,12 @@
 	hasLength  bool // a Content-Length was seen
 }
 
-// next takes a line, and returns it without its CRLF. It returns false if none is complete. A line
-// feed alone does not end a line: the parser takes it for the end of the head in some places only.
+// next takes a line, and returns it without its CRLF. It returns false if none is complete. LF alone
+// is an error: the parser takes it for the end of a line in some places only.
 func (s *scanner) next() (line []byte, ok bool, err error) {
 	i := bytes.IndexByte(s.rest, '\n')
 	if i < 0 {
-		return nil, false, s.checkBegun()
+		return nil, false, s.checkIncomplete()
 	}
 	line = s.rest[:i]
 	s.rest = s.rest[i+1:]
@@ -28,9 +28,9 @@
 	return line[:i-1], true, nil
 }
 
-// checkBegun checks what has arrived of a line, so that one with control characters is rejected
+// checkIncomplete checks what has arrived of a line, so that one with control characters is rejected
 // although its end may never arrive.
-func (s *scanner) checkBegun() error {
+func (s *scanner) checkIncomplete() error {
 	if isText(bytes.TrimSuffix(s.rest, []byte("\r"))) {
 		return nil
 	}
@@ -41,8 +41,7 @@
 // firstLine takes the first line that is not empty.
 func (s *scanner) firstLine() (line []byte, ok bool, err error) {
 	for {
-		line, ok, err := s.next()
-		if !ok || len(line) > 0 {
+		if line, ok, err = s.next(); !ok || len(line) > 0 {
 			return line, ok, err
 		}
 	}
--- a/target/reset_test.go
+++ b/target/reset_test.go
@@ -236,17 +236,24 @@
 	}
 }
 
+// startStalled starts a server that ends its direction after an answer, and neither reads on nor
+// closes the connection until the test ends. It returns its address.
+func startStalled(t *testing.T) (addr string) {
+	t.Helper()
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	return startAtOnce(t, wholeToClose, func(c *net.TCPConn) {
+		_ = c.CloseWrite()
+		<-ended
+		_ = c.Close()
+	})
+}
+
 // A target that has ended its answer, and neither reads the upload on nor resets the connection, has
 // not proved that the answer is whole. The call must not wait for that until its deadline.
 func TestAnswerThatEndsBesideAStalledUploadIsNotWhole(t *testing.T) {
 	t.Parallel()
-	done := make(chan struct{})
-	defer close(done)
-	client := New(Config{Addr: startAtOnce(t, wholeToClose, func(c *net.TCPConn) {
-		_ = c.CloseWrite()
-		<-done
-		_ = c.Close()
-	}), MaxConns: 1, AllowCloseDelimited: true})
+	client := New(Config{Addr: startStalled(t), MaxConns: 1, AllowCloseDelimited: true})
 	defer client.Close()
 	resp, err := upload(client, 8<<20)
 	var stall *connprobe.StallError
@@ -258,13 +265,7 @@
 // A call that is canceled, or whose deadline passes, does not wait for its upload.
 func TestWaitForAnUploadEndsWithTheCall(t *testing.T) {
 	t.Parallel()
-	done := make(chan struct{})
-	defer close(done)
-	client := New(Config{Addr: startAtOnce(t, wholeToClose, func(c *net.TCPConn) {
-		_ = c.CloseWrite()
-		<-done
-		_ = c.Close()
-	}), MaxConns: 1, AllowCloseDelimited: true})
+	client := New(Config{Addr: startStalled(t), MaxConns: 1, AllowCloseDelimited: true})
 	defer client.Close()
 	newCall := func(limit time.Duration) *Call {
 		call := &Call{Request: new(fasthttp.Request), Response: new(fasthttp.Response), Deadline: time.Now().Add(limit)}
