target, sidecar: the time for which a response waits for its upload is a metric

A response without a length waits until its target has taken the request, up to the deadline of the request if the target reads slowly. No line of the log and no metric told so. parsley_target_upload_wait_seconds has these times; TestAnswerThatEndsBeforeItsUploadIsPassedOn counts one for each such answer.

--- a/sidecar/backend.go
+++ b/sidecar/backend.go
@@ -124,7 +124,8 @@
 		current.client = target.New(target.Config{
 			Addr: b.d.settings().TargetAddr, MaxConns: conns, WarmConns: 1, MaxBody: maxTargetBody, Memory: b.d.memory,
 			DialTimeout: targetDialTimeout, ReceiveBuffer: targetReceiveBuffer, AllowCloseDelimited: true, MaxIdle: targetMaxIdle,
-			OnClosed: func() { b.doubtCold(current, coldstart.ConnectionClosed) },
+			OnClosed:     func() { b.doubtCold(current, coldstart.ConnectionClosed) },
+			OnUploadWait: func(d time.Duration) { b.d.metrics.uploadWait.Update(d.Seconds()) },
 		})
 		current.runs = newRunTracker(current.target)
 	} else {
--- a/sidecar/metrics.go
+++ b/sidecar/metrics.go
@@ -23,6 +23,8 @@
 	// behindTime is how long requests that were read behind others of their connection waited
 	// until they were begun, and turnTime how long responses waited for those in front of them.
 	behindTime, turnTime *metrics.Histogram
+	// uploadWait is how long responses without a length waited until the target had taken the request.
+	uploadWait *metrics.Histogram
 	// callerCheckDelay is by how much checks for callers that have left were late.
 	callerCheckDelay *metrics.Histogram
 }
@@ -32,6 +34,7 @@
 	return &metricSet{
 		set: set, storeTime: set.NewHistogram("parsley_store_call_duration_seconds"),
 		behindTime: set.NewHistogram("parsley_request_behind_seconds"), turnTime: set.NewHistogram("parsley_response_turn_seconds"),
+		uploadWait: set.NewHistogram("parsley_target_upload_wait_seconds"),
 		unreadTime: set.NewHistogram("parsley_request_unread_seconds"), callerCheckDelay: set.NewHistogram("parsley_caller_check_delay_seconds"),
 	}
 }
--- a/sidecar/reset_answer_test.go
+++ b/sidecar/reset_answer_test.go
@@ -137,6 +137,7 @@
 func TestAnswerThatEndsBeforeItsUploadIsPassedOn(t *testing.T) {
 	t.Parallel()
 	d, target := deployUploads(t)
+	answers := 0
 	for name, end := range map[string]func(*net.TCPConn){
 		"read to the end": func(c *net.TCPConn) { _, _ = io.Copy(io.Discard, c) },
 		"read slowly": func(c *net.TCPConn) {
@@ -151,10 +152,14 @@
 		target.setWithEnd(answerToClose, endThen(end))
 		for _, size := range uploadSizes {
 			d.uploadAll(t, size, 2, func(upload string, status int, body string) {
+				answers++
 				if status != http.StatusOK || body != "whole" {
 					t.Errorf("%s, ended, then %s: status %d, body %.40q; want the whole answer", upload, name, status, body)
 				}
 			})
 		}
 	}
+	if m := d.nodes[1].metrics(t); !strings.Contains(m, fmt.Sprintf("parsley_target_upload_wait_seconds_count %d\n", answers)) {
+		t.Errorf("the metric does not have the waits of %d answers", answers)
+	}
 }
--- a/target/client.go
+++ b/target/client.go
@@ -129,7 +129,7 @@
 	if err := c.readAccepted(conn, call); err != nil || !conn.untilClose {
 		return true, err
 	}
-	return true, conn.awaitTaken(nil)
+	return true, c.awaitTaken(conn, nil)
 }
 
 // roundTripConcurrent reads the response while it writes the request, since a
@@ -143,7 +143,7 @@
 	}()
 	err = c.readAccepted(conn, call)
 	if err == nil && conn.untilClose {
-		err = conn.awaitTaken(written)
+		err = c.awaitTaken(conn, written)
 	}
 	conn.writeIncomplete = endWrite(conn, written) != nil
 	if err != nil {
@@ -164,6 +164,20 @@
 	return <-written
 }
 
+// awaitTaken waits, after a response that has ended with its connection, until the target has taken
+// the request. written is as in connprobe.Upload.
+func (c *Client) awaitTaken(conn *conn, written <-chan error) error {
+	start := time.Now()
+	err := conn.upload.AwaitTaken(written)
+	if c.cfg.OnUploadWait != nil {
+		c.cfg.OnUploadWait(time.Since(start))
+	}
+	if err != nil {
+		return &httphead.CutOffError{Cause: err}
+	}
+	return nil
+}
+
 // readAccepted reads responses until one is accepted by the call.
 func (c *Client) readAccepted(conn *conn, call *Call) error {
 	for range maxUnmatched {
--- a/target/config.go
+++ b/target/config.go
@@ -36,6 +36,9 @@
 	// OnClosed is called when an idle connection that a call would use was closed by the
 	// target; nil for no call.
 	OnClosed func()
+	// OnUploadWait is called with the time for which a response that ended with its connection waited
+	// until the target had taken the request; nil for no call.
+	OnUploadWait func(time.Duration)
 	// ControlTimeout bounds a control request; DefaultControlTimeout if 0.
 	ControlTimeout time.Duration
 }
--- a/target/conn.go
+++ b/target/conn.go
@@ -14,7 +14,6 @@
 
 	"github.com/parsleystack/parsleystack/connprobe"
 	"github.com/parsleystack/parsleystack/fairread"
-	"github.com/parsleystack/parsleystack/httphead"
 )
 
 const connBufferSize = 4 << 10 // bytes
@@ -113,15 +112,6 @@
 	return c.writer.Flush()
 }
 
-// awaitTaken waits, after a response that has ended with the connection, until the target has taken
-// the request. written is as in connprobe.Upload.
-func (c *conn) awaitTaken(written <-chan error) error {
-	if err := c.upload.AwaitTaken(written); err != nil {
-		return &httphead.CutOffError{Cause: err}
-	}
-	return nil
-}
-
 // keepAliveMargin is subtracted from the keep-alive timeout that a target states, so
 // that a request does not cross the target's close of the connection.
 const keepAliveMargin = time.Second
