httphead: a head that arrives in parts is checked once

Each arrival had all that had come before validated again, so the cost grew with the square of the head, which a caller decides.

Change: Scanner, which goes on where it stopped, also within a line. Response, Request and Trailer scan at once with it; the readers of targets and callers keep it while bytes arrive. It has one loop in place of three functions for first lines, fields and their end.

Evidence: the property tests feed each text byte by byte too.

--- a/callerhttp/fields.go
+++ b/callerhttp/fields.go
@@ -19,13 +19,13 @@
 // the parser allocates that at once. It returns the size of the head or trailer, or 0 if it is not
 // complete. An error of the connection is left to the parser.
 func (c *conn) awaitFields(x *Exchange, trailer bool) (size int, err error) {
-	validate := httphead.Request
+	scanner := httphead.NewRequestScanner()
 	if trailer {
-		validate = httphead.Trailer
+		scanner = httphead.NewTrailerScanner()
 	}
 	for {
 		b, _ := c.br.Peek(c.br.Buffered()) // they are buffered
-		if size, err = validate(b); err != nil {
+		if size, err = scanner.Scan(b); err != nil {
 			return 0, err
 		}
 		if size == 0 && len(b) < c.br.Size() {
--- a/httphead/bench_test.go
+++ b/httphead/bench_test.go
@@ -1,6 +1,9 @@
 package httphead
 
-import "testing"
+import (
+	"strings"
+	"testing"
+)
 
 // BenchmarkResponse validates a head with as many fields as usual.
 func BenchmarkResponse(b *testing.B) {
@@ -14,3 +17,22 @@
 		}
 	}
 }
+
+// BenchmarkHeadInParts validates a head of 16 kB that arrives byte by byte.
+func BenchmarkHeadInParts(b *testing.B) {
+	for name, fields := range map[string]string{"one line": "A: " + strings.Repeat("x", 16000) + "\r\n", "lines": strings.Repeat("A:\r\n", 4000)} {
+		head := []byte("GET / HTTP/1.1\r\n" + fields + "\r\n")
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				s := NewRequestScanner()
+				size, err := 0, error(nil)
+				for n := 0; n <= len(head) && size == 0 && err == nil; n++ {
+					size, err = s.Scan(head[:n])
+				}
+				if size != len(head) || err != nil {
+					b.Fatalf("size %d, error %v", size, err)
+				}
+			}
+		})
+	}
+}
--- a/httphead/chunk.go
+++ b/httphead/chunk.go
@@ -14,16 +14,17 @@
 // peekChunkSize waits for the line with the size of a chunk. It returns the length of the line and
 // the size of the chunk in bytes.
 func peekChunkSize(r *bufio.Reader) (line, size int, err error) {
-	err = peek(r, func(b []byte) (int, error) {
-		line = bytes.IndexByte(b, '\n') + 1
-		if line == 0 {
-			return 0, nil
+	for n := 1; ; {
+		b, err := await(r, n)
+		if err != nil {
+			return 0, 0, err
 		}
-		var err error
-		size, err = chunkSize(b[:line])
-		return line, err
-	})
-	return line, size, err
+		if line := bytes.IndexByte(b, '\n') + 1; line > 0 {
+			size, err := chunkSize(b[:line])
+			return line, size, err
+		}
+		n = len(b) + 1
+	}
 }
 
 // chunkSize parses the size that a line begins with; extensions may follow. As in a head, the line
--- a/httphead/fuzz_test.go
+++ b/httphead/fuzz_test.go
@@ -55,17 +55,18 @@
 // validation is a function of the package, and the strict reading of what it validates.
 type validation struct {
 	validate func([]byte) (size int, err error)
+	scanner  func() Scanner
 	strict   *regexp.Regexp
 	parse    func(*bufio.Reader) error // what the parser of fasthttp reads by itself
 }
 
 var validations = map[string]validation{
-	"response": {func(b []byte) (int, error) {
+	"response": {validate: func(b []byte) (int, error) {
 		h, err := Response(b)
 		return h.Size, err
-	}, strictResponse, func(r *bufio.Reader) error { return new(fasthttp.ResponseHeader).Read(r) }},
-	"request": {Request, strictRequest, func(r *bufio.Reader) error { return new(fasthttp.RequestHeader).Read(r) }},
-	"trailer": {Trailer, strictTrailer, func(r *bufio.Reader) error { return new(fasthttp.ResponseHeader).ReadTrailer(r) }},
+	}, scanner: NewResponseScanner, strict: strictResponse, parse: func(r *bufio.Reader) error { return new(fasthttp.ResponseHeader).Read(r) }},
+	"request": {Request, NewRequestScanner, strictRequest, func(r *bufio.Reader) error { return new(fasthttp.RequestHeader).Read(r) }},
+	"trailer": {Trailer, NewTrailerScanner, strictTrailer, func(r *bufio.Reader) error { return new(fasthttp.ResponseHeader).ReadTrailer(r) }},
 }
 
 var (
@@ -89,6 +90,7 @@
 	if size == 0 && err == nil && controlByte.MatchString(text) {
 		t.Errorf("%q: waits for more behind a control byte", text)
 	}
+	v.checkParts(t, text, size, err)
 	if size > 0 {
 		v.checkParser(t, text, size)
 	}
@@ -103,6 +105,31 @@
 	}
 }
 
+// checkParts checks that a text that arrives byte by byte is taken as the whole, or rejected earlier
+// for the same line.
+func (v validation) checkParts(t *testing.T, text string, size int, err error) {
+	t.Helper()
+	s := v.scanner()
+	for n := range len(text) + 1 {
+		part, partErr := s.Scan([]byte(text[:n]))
+		if part > 0 || partErr != nil {
+			if part != size || (partErr == nil) != (err == nil) || !sameLine(partErr, err) {
+				t.Errorf("%q: size %d, error %v after %d bytes; as a whole %d, %v", text, part, partErr, n, size, err)
+			}
+			return
+		}
+	}
+	if size > 0 || err != nil {
+		t.Errorf("%q: incomplete byte by byte; as a whole size %d, error %v", text, size, err)
+	}
+}
+
+// sameLine reports whether two errors are not of different lines. A *StatusError has no line.
+func sameLine(a, b error) bool {
+	var line, other *LineError
+	return !errors.As(a, &line) || !errors.As(b, &other) || line.Line == other.Line
+}
+
 // checkParser checks that the parser, if it accepts a text that was validated, ends its first section
 // at the same byte, and that it does not wait for more.
 func (v validation) checkParser(t *testing.T, text string, size int) {
--- a/httphead/line.go
+++ b/httphead/line.go
@@ -13,7 +13,7 @@
 )
 
 // checkStatusLine checks: HTTP-version SP status-code [ SP reason-phrase ].
-func (s *scanner) checkStatusLine(line []byte) (status int, err error) {
+func (s *Scanner) checkStatusLine(line []byte) (status int, err error) {
 	version, rest, _ := bytes.Cut(line, []byte(" "))
 	if !isVersion(version) {
 		return 0, s.fault(line, "a status line begins with an HTTP/1 version and a space")
@@ -30,7 +30,7 @@
 }
 
 // checkRequestLine checks: method SP request-target SP HTTP-version.
-func (s *scanner) checkRequestLine(line []byte) error {
+func (s *Scanner) checkRequestLine(line []byte) error {
 	method, rest, _ := bytes.Cut(line, []byte(" "))
 	target, version, _ := bytes.Cut(rest, []byte(" "))
 	switch {
@@ -46,7 +46,7 @@
 }
 
 // checkField checks: field-name ":" OWS field-value OWS.
-func (s *scanner) checkField(line []byte) error {
+func (s *Scanner) checkField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	switch {
 	case !ok:
--- a/httphead/message.go
+++ b/httphead/message.go
@@ -29,44 +29,39 @@
 )
 
 // Response validates the complete lines of the head of a response at the beginning of b. It returns
-// a *StatusError or *LineError for the first one that is malformed.
+// the errors of Scanner.Scan.
 func Response(b []byte) (Head, error) {
-	s := scanner{part: PartHead, rest: b}
-	line, ok, err := s.firstLine()
-	if !ok {
-		return Head{}, err
-	}
-	status, err := s.checkStatusLine(line)
-	if err != nil {
-		return Head{}, err
-	}
-	complete, err := s.checkFields()
-	if err != nil || !complete {
-		return Head{}, err
+	s := NewResponseScanner()
+	size, err := s.Scan(b)
+	return s.head(size), err
+}
+
+// head returns the head that was scanned, or none if size is 0.
+func (s *Scanner) head(size int) Head {
+	if size == 0 {
+		return Head{}
 	}
-	return Head{Size: len(b) - len(s.rest), Status: status, Chunked: s.hasCoding, hasLength: s.hasLength}, nil
+	return Head{Size: size, Status: s.status, Chunked: s.hasCoding, hasLength: s.hasLength}
 }
 
 // Request validates the complete lines of the head of a request at the beginning of b. It returns
-// the size of the head, through the empty line that ends it, or 0 if it is not complete, and a
-// *LineError for the first line that is malformed.
+// what Scanner.Scan does.
 func Request(b []byte) (size int, err error) {
-	s := scanner{part: PartHead, rest: b}
-	line, ok, err := s.firstLine()
-	if !ok {
-		return 0, err
-	}
-	if err := s.checkRequestLine(line); err != nil {
-		return 0, err
-	}
-	return s.fieldsSize(b)
+	s := NewRequestScanner()
+	return s.Scan(b)
+}
+
+// Trailer is Request for a trailer.
+func Trailer(b []byte) (size int, err error) {
+	s := NewTrailerScanner()
+	return s.Scan(b)
 }
 
 // RequestFields validates the fields of the head of a request that a server of fasthttp has read,
 // through the empty line.
 func RequestFields(h *fasthttp.RequestHeader) error {
 	raw := h.RawHeaders()
-	s := scanner{part: PartHead, rest: raw, lines: 1} // the request line
+	s := Scanner{part: PartHead, lines: 1} // the request line
 	if len(raw) == 0 {
 		// RawHeaders does not tell how a head without fields ended. After one of HTTP/1.0 the
 		// connection closes, so that what follows is not read.
@@ -75,18 +70,12 @@
 		}
 		return nil
 	}
-	complete, err := s.checkFields()
+	size, err := s.Scan(raw)
 	if err != nil {
 		return err
 	}
-	if !complete || len(s.rest) > 0 {
+	if size != len(raw) {
 		return ErrOtherEnd
 	}
 	return nil
 }
-
-// Trailer validates the complete lines of a trailer at the beginning of b, like Request.
-func Trailer(b []byte) (size int, err error) {
-	s := scanner{part: PartTrailer, rest: b}
-	return s.fieldsSize(b)
-}
--- a/httphead/peek.go
+++ b/httphead/peek.go
@@ -9,40 +9,38 @@
 // reading it. It returns the errors of Response, a *SizeError if the head does not fit the buffer
 // of r, and otherwise the error of the connection.
 func PeekResponse(r *bufio.Reader) (Head, error) {
-	var h Head
-	err := peek(r, func(b []byte) (int, error) {
-		var err error
-		h, err = Response(b)
-		return h.Size, err
-	})
-	return h, err
+	s := NewResponseScanner()
+	size, err := s.peek(r)
+	return s.head(size), err
 }
 
 // PeekTrailer is PeekResponse for a trailer. It returns its size in bytes.
 func PeekTrailer(r *bufio.Reader) (size int, err error) {
-	err = peek(r, func(b []byte) (int, error) {
-		var err error
-		size, err = Trailer(b)
-		return size, err
-	})
-	return size, err
+	s := NewTrailerScanner()
+	return s.peek(r)
 }
 
-// peek validates what r has received, until that is complete.
-func peek(r *bufio.Reader, validate func([]byte) (size int, err error)) error {
-	for n := 1; ; n = r.Buffered() + 1 {
-		if _, err := r.Peek(n); err != nil {
-			if errors.Is(err, bufio.ErrBufferFull) {
-				return &SizeError{Limit: r.Size()}
-			}
-			return err
-		}
-		b, err := r.Peek(r.Buffered())
+// peek scans what r has received, until that is complete.
+func (s *Scanner) peek(r *bufio.Reader) (size int, err error) {
+	for n := 1; ; {
+		b, err := await(r, n)
 		if err != nil {
-			return err
+			return 0, err
+		}
+		if size, err := s.Scan(b); size > 0 || err != nil {
+			return size, err
 		}
-		if size, err := validate(b); size > 0 || err != nil {
-			return err
+		n = len(b) + 1
+	}
+}
+
+// await waits until r has received n bytes, and returns all that it has, without reading them.
+func await(r *bufio.Reader, n int) ([]byte, error) {
+	if _, err := r.Peek(n); err != nil {
+		if errors.Is(err, bufio.ErrBufferFull) {
+			return nil, &SizeError{Limit: r.Size()}
 		}
+		return nil, err
 	}
+	return r.Peek(r.Buffered())
 }
