entry: what follows a head without fields that ends with LF is not read

Plays the exception of httphead.RequestFields: it accepts a head of HTTP/1.0 without fields, since the connection closes behind it. It does, and one of HTTP/1.1 is rejected.

--- a/entry/badcaller_test.go
+++ b/entry/badcaller_test.go
@@ -68,6 +68,13 @@
 			t.Errorf("%s: statuses %v, closed %v", name, statuses, closed)
 		}
 	}
+	// A head without fields may have ended with LF alone. Nothing behind it is read.
+	for _, version := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		statuses, closed := r.entry.sendRaw(t, "GET /reports/k "+version+"\r\n\nConnection: keep-alive\r\n\r\n"+smuggled)
+		if len(statuses) > 1 || !closed {
+			t.Errorf("%s without fields: statuses %v, closed %v", version, statuses, closed)
+		}
+	}
 	if n := r.target.runCount("POST /smuggled") + r.target.runCount("POST /shape"); n != 0 {
 		t.Errorf("%d ambiguous requests reached the target", n)
 	}
